--- /dev/null
+++ b/scripts/bench.sh
@@ -0,0 +1,7 @@
+#!/bin/sh
+# Sets up, builds and runs one benchmark: npm run bench -- <name>.
+set -eu
+cd "$(dirname "$0")/.."
+sh scripts/setup.sh
+npm run --silent build
+exec node dist/bench/main.js "$@"
--- /dev/null
+++ b/scripts/setup.sh
@@ -0,0 +1,8 @@
+#!/bin/sh
+# Installs the declared packages when the lock file is newer than the installed tree.
+set -eu
+cd "$(dirname "$0")/.."
+if [ ! -f node_modules/.package-lock.json ] || [ package-lock.json -nt node_modules/.package-lock.json ]; then
+  npm ci --no-audit --no-fund
+  touch node_modules/.package-lock.json
+fi
--- /dev/null
+++ b/src/coordination/configurationHandlers.ts
@@ -0,0 +1,54 @@
+/**
+ * Putting a revision in force. Revisions only grow on a VM, wherever they come from.
+ */
+import { createConfiguration } from '../state/configuration.js';
+import {
+  type Command,
+  CommandKind,
+  createLog,
+  type EventKind,
+  type EventOf,
+  LogLevel,
+  Part,
+} from './events.js';
+import type { NodeState } from './nodeState.js';
+import { resizeSlices } from './slices.js';
+
+function refuseStale(revision: number, inForce: number): Command[] {
+  const fields = { revision, inForce };
+  return [createLog(LogLevel.Error, Part.Configuration, 'Refused an older configuration.', fields)];
+}
+
+/** Puts a later revision in force; refuses an older one and says so. */
+export function handleConfigurationReceived(
+  state: NodeState,
+  event: EventOf<typeof EventKind.ConfigurationReceived>,
+  nowMs: number,
+): Command[] {
+  const { document, head } = event;
+  const inForce = state.configuration?.head.revision ?? 0;
+  if (head.revision === inForce) {
+    return [];
+  }
+  if (head.revision < inForce) {
+    return refuseStale(head.revision, inForce);
+  }
+  state.configuration = createConfiguration(head, document);
+  resizeSlices(state, nowMs);
+  const fields = { revision: head.revision };
+  return [
+    createLog(LogLevel.Info, Part.Configuration, 'A revision is in force.', fields),
+    { kind: CommandKind.SetReady, isReady: true },
+    { kind: CommandKind.ReadShareTable },
+  ];
+}
+
+/** Reports a revision that could not be read; the one before it stays in force. */
+export function handleConfigurationRejected(
+  _state: NodeState,
+  event: EventOf<typeof EventKind.ConfigurationRejected>,
+): Command[] {
+  const { diagnostic, revision } = event;
+  const fields = { revision, failure: diagnostic.key, detail: diagnostic.message };
+  return [createLog(LogLevel.Error, Part.Configuration, 'Could not read a revision.', fields)];
+}
--- /dev/null
+++ b/src/coordination/events.ts
@@ -0,0 +1,287 @@
+/**
+ * What the loop is told and what it orders. Both are plain data without bodies, sockets or keys, so
+ * that a session of them can be recorded, compared with a golden file and replayed.
+ */
+import type { Diagnostic } from '../state/diagnostics.js';
+import type { ShareTable } from '../state/shareTable.js';
+import type {
+  Document,
+  GossipMessage,
+  Head,
+  LoadReport,
+  Refusal,
+  RequestInfo,
+  RunClaim,
+  RunState,
+} from '../state/types.js';
+
+/** Everything that can happen to a VM. */
+export const EventKind = {
+  RequestArrived: 'requestArrived',
+  ClaimAnswered: 'claimAnswered',
+  LoanAnswered: 'loanAnswered',
+  AnswerStarted: 'answerStarted',
+  AnswerCompleted: 'answerCompleted',
+  DispatchFailed: 'dispatchFailed',
+  CallerLeft: 'callerLeft',
+  RequestTimedOut: 'requestTimedOut',
+  BorrowRequested: 'borrowRequested',
+  GossipReceived: 'gossipReceived',
+  GossipTick: 'gossipTick',
+  ConfigurationReceived: 'configurationReceived',
+  ConfigurationRejected: 'configurationRejected',
+  ShareTick: 'shareTick',
+  ShareTableRead: 'shareTableRead',
+  ShareWriteAnswered: 'shareWriteAnswered',
+  StoreFailed: 'storeFailed',
+  VmListRead: 'vmListRead',
+  LoadPollTick: 'loadPollTick',
+  LoadReported: 'loadReported',
+  LoadPollFailed: 'loadPollFailed',
+  StopRequested: 'stopRequested',
+  StopTick: 'stopTick',
+} as const;
+export type EventKind = (typeof EventKind)[keyof typeof EventKind];
+
+/** Where the claim of an idempotency key stands. */
+export const ClaimOutcome = {
+  Won: 'won',
+  /** An earlier request with the key has ended, and its answer is at hand. */
+  Answered: 'answered',
+  InProgress: 'inProgress',
+  /** Claimed through a VM that does not answer, or whose answer is no longer kept. */
+  HeldElsewhere: 'heldElsewhere',
+  Unavailable: 'unavailable',
+} as const;
+export type ClaimOutcome = (typeof ClaimOutcome)[keyof typeof ClaimOutcome];
+
+/** What the platform's list says of a VM. */
+export const VmListState = { Live: 'live', Leaving: 'leaving' } as const;
+export type VmListState = (typeof VmListState)[keyof typeof VmListState];
+
+/** A VM of the system as the platform lists it. */
+export interface ListedVm {
+  readonly vmId: string;
+  readonly peerAddress: string;
+  readonly state: VmListState;
+}
+
+/** The payload of each event, by kind. */
+export interface EventPayloads {
+  [EventKind.RequestArrived]: { readonly request: RequestInfo };
+  [EventKind.ClaimAnswered]: {
+    readonly requestId: string;
+    readonly claimId: string;
+    readonly outcome: ClaimOutcome;
+  };
+  [EventKind.LoanAnswered]: {
+    readonly requestId: string;
+    readonly peerVmId: string;
+    readonly workspace: string;
+    readonly grantedTokens: number;
+    /** What the lender had left, or null if it did not answer. */
+    readonly leftTokens: number | null;
+  };
+  [EventKind.AnswerStarted]: { readonly requestId: string; readonly attempt: number };
+  [EventKind.AnswerCompleted]: {
+    readonly requestId: string;
+    readonly attempt: number;
+    readonly generatedTokens: number;
+    /** The longest time between two tokens, in milliseconds; zero for plain services. */
+    readonly maxGapMs: number;
+  };
+  [EventKind.DispatchFailed]: {
+    readonly requestId: string;
+    readonly attempt: number;
+    readonly runState: RunState;
+    readonly diagnostic: Diagnostic;
+    /** True if the backend server said itself that it did not begin the request. */
+    readonly isRefusedByServer: boolean;
+    /** Tokens that the caller has already received over all attempts. */
+    readonly deliveredTokens: number;
+    /** True once any byte of an answer has gone to the caller. */
+    readonly isAnswerBegun: boolean;
+  };
+  [EventKind.CallerLeft]: { readonly requestId: string; readonly deliveredTokens: number };
+  [EventKind.RequestTimedOut]: { readonly requestId: string };
+  [EventKind.BorrowRequested]: {
+    readonly loanId: string;
+    readonly workspace: string;
+    readonly tokens: number;
+  };
+  [EventKind.GossipReceived]: {
+    readonly message: GossipMessage;
+    /** Set when the sender waits for an answer. */
+    readonly replyId: string | null;
+  };
+  [EventKind.GossipTick]: Record<never, never>;
+  [EventKind.ConfigurationReceived]: { readonly head: Head; readonly document: Document };
+  [EventKind.ConfigurationRejected]: {
+    readonly revision: number;
+    readonly diagnostic: Diagnostic;
+  };
+  [EventKind.ShareTick]: Record<never, never>;
+  [EventKind.ShareTableRead]: { readonly table: ShareTable; readonly version: number };
+  [EventKind.ShareWriteAnswered]: {
+    readonly table: ShareTable;
+    /** The new version, or null if the write did not or may not have taken effect. */
+    readonly version: number | null;
+  };
+  [EventKind.StoreFailed]: { readonly diagnostic: Diagnostic };
+  [EventKind.VmListRead]: {
+    readonly vms: readonly ListedVm[];
+  };
+  [EventKind.LoadPollTick]: Record<never, never>;
+  [EventKind.LoadReported]: { readonly server: string; readonly report: LoadReport };
+  [EventKind.LoadPollFailed]: { readonly server: string };
+  [EventKind.StopRequested]: Record<never, never>;
+  [EventKind.StopTick]: Record<never, never>;
+}
+
+export type EventOf<K extends EventKind> = { readonly kind: K } & EventPayloads[K];
+export type NodeEvent = { [K in EventKind]: EventOf<K> }[EventKind];
+
+/** Everything that the loop can order. */
+export const CommandKind = {
+  Dispatch: 'dispatch',
+  CancelDispatch: 'cancelDispatch',
+  Refuse: 'refuse',
+  AbortAnswer: 'abortAnswer',
+  ClaimIdempotencyKey: 'claimIdempotencyKey',
+  EndClaim: 'endClaim',
+  ReplayAnswer: 'replayAnswer',
+  Borrow: 'borrow',
+  AnswerBorrow: 'answerBorrow',
+  SendGossip: 'sendGossip',
+  AnswerGossip: 'answerGossip',
+  FetchConfiguration: 'fetchConfiguration',
+  ReadShareTable: 'readShareTable',
+  WriteShareTable: 'writeShareTable',
+  PollLoad: 'pollLoad',
+  StartTimer: 'startTimer',
+  CancelTimer: 'cancelTimer',
+  SetReady: 'setReady',
+  Exit: 'exit',
+  Log: 'log',
+  RecordRequest: 'recordRequest',
+} as const;
+export type CommandKind = (typeof CommandKind)[keyof typeof CommandKind];
+
+/** The parts of the system; each has its own prefix in the log. */
+export const Part = {
+  Request: 'request',
+  Peer: 'peer',
+  Configuration: 'config',
+  Share: 'share',
+  Server: 'server',
+  Lifecycle: 'lifecycle',
+  Store: 'store',
+  Admin: 'admin',
+} as const;
+export type Part = (typeof Part)[keyof typeof Part];
+
+export const LogLevel = { Debug: 'debug', Info: 'info', Warn: 'warn', Error: 'error' } as const;
+export type LogLevel = (typeof LogLevel)[keyof typeof LogLevel];
+
+/** How a request ended, for the measures. */
+export const RequestOutcome = {
+  Completed: 'completed',
+  Refused: 'refused',
+  Broken: 'broken',
+  Abandoned: 'abandoned',
+} as const;
+export type RequestOutcome = (typeof RequestOutcome)[keyof typeof RequestOutcome];
+
+/** One ended request, for the measures. */
+export interface RequestMeasure {
+  readonly workspace: string;
+  readonly target: string;
+  readonly outcome: RequestOutcome;
+  readonly diagnosticKey: string | null;
+  readonly firstTokenMs: number | null;
+  readonly maxGapMs: number;
+  readonly durationMs: number;
+  readonly tokens: number;
+}
+
+/** The payload of each command, by kind. */
+export interface CommandPayloads {
+  [CommandKind.Dispatch]: {
+    readonly requestId: string;
+    readonly attempt: number;
+    readonly server: string;
+    readonly address: string;
+    readonly workspace: string | null;
+    readonly isIdempotent: boolean;
+    /** Tokens of the answer that the caller already has. */
+    readonly resumeFromToken: number;
+  };
+  [CommandKind.CancelDispatch]: { readonly requestId: string; readonly attempt: number };
+  [CommandKind.Refuse]: { readonly requestId: string; readonly refusal: Refusal };
+  /** Ends an answer that has begun with a visible error. */
+  [CommandKind.AbortAnswer]: { readonly requestId: string; readonly refusal: Refusal };
+  [CommandKind.ClaimIdempotencyKey]: { readonly requestId: string; readonly claimId: string };
+  /** Ends a claim; one that did not run is freed for the next request with its key. */
+  [CommandKind.EndClaim]: {
+    readonly requestId: string;
+    readonly claimId: string;
+    readonly run: RunClaim;
+    readonly isAnswered: boolean;
+  };
+  [CommandKind.ReplayAnswer]: { readonly requestId: string };
+  [CommandKind.Borrow]: {
+    readonly requestId: string;
+    readonly peerVmId: string;
+    readonly peerAddress: string;
+    readonly workspace: string;
+    readonly tokens: number;
+    readonly timeoutMs: number;
+  };
+  [CommandKind.AnswerBorrow]: {
+    readonly loanId: string;
+    readonly grantedTokens: number;
+    readonly leftTokens: number;
+  };
+  [CommandKind.SendGossip]: {
+    readonly peerVmId: string;
+    readonly peerAddress: string;
+    readonly message: GossipMessage;
+  };
+  [CommandKind.AnswerGossip]: { readonly replyId: string; readonly message: GossipMessage };
+  [CommandKind.FetchConfiguration]: {
+    readonly peerAddress: string;
+    readonly aboveRevision: number;
+  };
+  [CommandKind.ReadShareTable]: Record<never, never>;
+  [CommandKind.WriteShareTable]: { readonly table: ShareTable; readonly expectedVersion: number };
+  [CommandKind.PollLoad]: { readonly server: string; readonly address: string };
+  [CommandKind.StartTimer]: {
+    readonly timerId: string;
+    readonly delayMs: number;
+    readonly event: NodeEvent;
+  };
+  [CommandKind.CancelTimer]: { readonly timerId: string };
+  [CommandKind.SetReady]: { readonly isReady: boolean };
+  [CommandKind.Exit]: Record<never, never>;
+  [CommandKind.Log]: {
+    readonly level: LogLevel;
+    readonly part: Part;
+    readonly text: string;
+    readonly fields: Readonly<Record<string, string | number | boolean>>;
+  };
+  /** The last order of every request: its measure is kept, and all else of it dropped. */
+  [CommandKind.RecordRequest]: { readonly requestId: string; readonly measure: RequestMeasure };
+}
+
+export type CommandOf<K extends CommandKind> = { readonly kind: K } & CommandPayloads[K];
+export type Command = { [K in CommandKind]: CommandOf<K> }[CommandKind];
+
+/** Creates a log order. */
+export function createLog(
+  level: LogLevel,
+  part: Part,
+  text: string,
+  fields: Readonly<Record<string, string | number | boolean>> = {},
+): Command {
+  return { kind: CommandKind.Log, level, part, text, fields };
+}
--- /dev/null
+++ b/src/coordination/gossip.ts
@@ -0,0 +1,229 @@
+/**
+ * Gossip among the VMs: who lives, which revision each has in force, which backend servers leave.
+ *
+ * Each round goes to a few random peers and carries a bounded number of members, the least recently
+ * sent first, so that the cost of a round does not grow with the fleet.
+ */
+import { nextRandomInt } from '../state/random.js';
+import type { GossipMessage, LeavingServer, Member } from '../state/types.js';
+import { type Command, CommandKind, EventKind, type EventOf, type NodeEvent } from './events.js';
+import { Lifecycle, type MemberRecord, type NodeState } from './nodeState.js';
+
+/** A mark that a server is leaving lapses unless it is renewed within this time. */
+export const LEAVING_MARK_MS = 30_000;
+/** A member unheard for this many times the "gone" limit is forgotten. */
+const FORGET_FACTOR = 5;
+
+/** How often the share table is read while a VM has no share yet. */
+const UNSETTLED_READ_MS = 1_000;
+
+/** The incarnation of a member that is known only by its address. */
+const SEED_INCARNATION = '';
+
+/** Describes this VM. */
+export function createSelfMember(state: NodeState): Member {
+  const { self } = state;
+  return {
+    vmId: self.vmId,
+    incarnation: self.incarnation,
+    failureDomain: self.failureDomain,
+    peerAddress: self.peerAddress,
+    heartbeat: state.heartbeat,
+    revision: state.configuration?.head.revision ?? 0,
+    leaving: state.lifecycle !== Lifecycle.Running,
+    shareUnits: state.share.isSuspended ? 0 : state.share.units,
+  };
+}
+
+/** Removes and returns random elements of a list, at most `count`. */
+function drawRandom<T>(state: NodeState, items: readonly T[], count: number): T[] {
+  const rest = [...items];
+  const drawn: T[] = [];
+  while (rest.length > 0 && drawn.length < count) {
+    const [item] = rest.splice(nextRandomInt(state.random, rest.length), 1);
+    drawn.push(item!);
+  }
+  return drawn;
+}
+
+function createMessage(state: NodeState): GossipMessage {
+  const others = [...state.members.values()]
+    .map((record) => record.member)
+    .filter((member) => member.incarnation !== SEED_INCARNATION);
+  return {
+    fromVmId: state.self.vmId,
+    revision: state.configuration?.head.revision ?? 0,
+    members: [
+      createSelfMember(state),
+      ...drawRandom(state, others, state.policy.gossipMaxMembers - 1),
+    ],
+    leavingServers: [...state.leavingServers.values()].map((record) => record.mark),
+  };
+}
+
+function isNewer(message: Member, known: MemberRecord, isDirect: boolean): boolean {
+  if (message.incarnation !== known.member.incarnation) {
+    return isDirect || message.heartbeat > known.member.heartbeat;
+  }
+  return message.heartbeat > known.member.heartbeat;
+}
+
+/** A seed is known by its address alone and makes way for the member behind it. */
+function dropSeed(state: NodeState, member: Member): void {
+  const { peerAddress, vmId } = member;
+  if (vmId !== peerAddress) {
+    state.members.delete(peerAddress);
+  }
+}
+
+function mergeMember(state: NodeState, member: Member, isDirect: boolean, nowMs: number): void {
+  if (member.vmId === state.self.vmId) {
+    return;
+  }
+  const known = state.members.get(member.vmId);
+  if (known !== undefined && !isNewer(member, known, isDirect)) {
+    return;
+  }
+  state.members.set(member.vmId, { member, heardAtMs: nowMs });
+  dropSeed(state, member);
+  if (member.failureDomain === state.self.failureDomain) {
+    state.domainHeardAtMs = nowMs;
+  }
+}
+
+function mergeLeavingServer(state: NodeState, mark: LeavingServer, nowMs: number): void {
+  const known = state.leavingServers.get(mark.name);
+  if (known === undefined || mark.version > known.mark.version) {
+    state.leavingServers.set(mark.name, { mark, markedAtMs: nowMs });
+  }
+}
+
+/** Marks a server as leaving, or renews the mark, for this VM and by gossip for all. */
+export function markServerLeaving(state: NodeState, name: string, nowMs: number): void {
+  const version = (state.leavingServers.get(name)?.mark.version ?? 0) + 1;
+  mergeLeavingServer(state, { name, version }, nowMs);
+}
+
+function dropOldMarks(state: NodeState, nowMs: number): void {
+  [...state.leavingServers.entries()]
+    .filter(([, record]) => nowMs - record.markedAtMs > LEAVING_MARK_MS)
+    .forEach(([name]) => state.leavingServers.delete(name));
+}
+
+function forgetMembers(state: NodeState, nowMs: number): void {
+  const limitMs = state.policy.memberGoneMs * FORGET_FACTOR;
+  [...state.members.entries()]
+    .filter(([, record]) => record.member.incarnation !== SEED_INCARNATION)
+    .filter(([, record]) => nowMs - record.heardAtMs > limitMs)
+    .forEach(([vmId]) => state.members.delete(vmId));
+}
+
+function choosePeers(state: NodeState, nowMs: number): Member[] {
+  const { gossipFanout, memberStaleMs } = state.policy;
+  const records = [...state.members.values()];
+  const isFresh = (record: MemberRecord): boolean => nowMs - record.heardAtMs < memberStaleMs;
+  const fresh = drawRandom(state, records.filter(isFresh), gossipFanout);
+  // One silent member is tried as well, so that a healed cut is noticed.
+  const silent = drawRandom(
+    state,
+    records.filter((record) => !isFresh(record)),
+    1,
+  );
+  return [...fresh, ...silent].map((record) => record.member);
+}
+
+/** Adds VMs that the settings or the platform name, before anything has been heard of them. */
+export function addSeedMembers(
+  state: NodeState,
+  seeds: readonly { readonly vmId: string; readonly peerAddress: string }[],
+): void {
+  const known = new Set([...state.members.values()].map(({ member }) => member.peerAddress));
+  seeds
+    .filter((seed) => seed.peerAddress !== state.self.peerAddress)
+    .filter((seed) => !known.has(seed.peerAddress))
+    .forEach((seed) => {
+      const member: Member = {
+        vmId: seed.vmId,
+        incarnation: SEED_INCARNATION,
+        failureDomain: '',
+        peerAddress: seed.peerAddress,
+        heartbeat: 0,
+        revision: 0,
+        leaving: false,
+        shareUnits: 0,
+      };
+      state.members.set(seed.vmId, { member, heardAtMs: Number.NEGATIVE_INFINITY });
+    });
+}
+
+/** While a VM of the failure domain has no share yet, the table is read more often. */
+function isShareUnsettled(state: NodeState, nowMs: number): boolean {
+  const { policy, self, share } = state;
+  const isShort = [...state.members.values()].some(
+    ({ heardAtMs, member }) =>
+      member.failureDomain === self.failureDomain &&
+      member.shareUnits === 0 &&
+      !member.leaving &&
+      nowMs - heardAtMs < policy.memberStaleMs,
+  );
+  const isOwnShort = share.units === 0 && state.configuration !== null;
+  const isReadLately = share.readAtMs !== null && nowMs - share.readAtMs < UNSETTLED_READ_MS;
+  return (isShort || isOwnShort) && !isReadLately;
+}
+
+/** Sends one round and starts the timer of the next. */
+export function handleGossipTick(
+  state: NodeState,
+  _event: EventOf<typeof EventKind.GossipTick>,
+  nowMs: number,
+): Command[] {
+  state.heartbeat += 1;
+  dropOldMarks(state, nowMs);
+  forgetMembers(state, nowMs);
+  const next: NodeEvent = { kind: EventKind.GossipTick };
+  const reads: Command[] = isShareUnsettled(state, nowMs)
+    ? [{ kind: CommandKind.ReadShareTable }]
+    : [];
+  return [
+    ...reads,
+    ...choosePeers(state, nowMs).map<Command>((member) => ({
+      kind: CommandKind.SendGossip,
+      peerVmId: member.vmId,
+      peerAddress: member.peerAddress,
+      message: createMessage(state),
+    })),
+    {
+      kind: CommandKind.StartTimer,
+      timerId: EventKind.GossipTick,
+      delayMs: state.policy.gossipIntervalMs,
+      event: next,
+    },
+  ];
+}
+
+function getSenderAddress(message: GossipMessage): string | undefined {
+  return message.members.find((member) => member.vmId === message.fromVmId)?.peerAddress;
+}
+
+/** Merges a message; a peer that has a later revision is asked for it. */
+export function handleGossipReceived(
+  state: NodeState,
+  event: EventOf<typeof EventKind.GossipReceived>,
+  nowMs: number,
+): Command[] {
+  const { message, replyId } = event;
+  message.members.forEach((member) => {
+    mergeMember(state, member, member.vmId === message.fromVmId, nowMs);
+  });
+  message.leavingServers.forEach((mark) => mergeLeavingServer(state, mark, nowMs));
+  const revision = state.configuration?.head.revision ?? 0;
+  const peerAddress = getSenderAddress(message);
+  const commands: Command[] = [];
+  if (replyId !== null) {
+    commands.push({ kind: CommandKind.AnswerGossip, replyId, message: createMessage(state) });
+  }
+  if (message.revision > revision && peerAddress !== undefined) {
+    commands.push({ kind: CommandKind.FetchConfiguration, peerAddress, aboveRevision: revision });
+  }
+  return commands;
+}
--- /dev/null
+++ b/src/coordination/handlers.ts
@@ -0,0 +1,81 @@
+/**
+ * The table of event handlers: one entry for each kind of event, checked by the compiler.
+ */
+import {
+  handleConfigurationReceived,
+  handleConfigurationRejected,
+} from './configurationHandlers.js';
+import { type Command, EventKind, type EventOf, type NodeEvent } from './events.js';
+import { handleGossipReceived, handleGossipTick } from './gossip.js';
+import { handleBorrowRequested } from './lending.js';
+import { handleStopRequested, handleStopTick } from './lifecycle.js';
+import type { NodeState } from './nodeState.js';
+import {
+  handleAnswerCompleted,
+  handleAnswerStarted,
+  handleCallerLeft,
+  handleClaimAnswered,
+  handleDispatchFailed,
+  handleLoanAnswered,
+  handleRequestArrived,
+  handleRequestTimedOut,
+} from './requests.js';
+import { handleLoadPollFailed, handleLoadPollTick, handleLoadReported } from './serverHandlers.js';
+import {
+  handleShareTableRead,
+  handleShareTick,
+  handleShareWriteAnswered,
+  handleStoreFailed,
+  handleVmListRead,
+} from './shareHandlers.js';
+import { updateIsolation } from './slices.js';
+
+/** Changes the state for one event and returns the orders that follow from it, in order. */
+export type EventHandler<K extends EventKind> = (
+  state: NodeState,
+  event: EventOf<K>,
+  nowMs: number,
+) => Command[];
+
+type HandlerTable = { readonly [K in EventKind]: EventHandler<K> };
+
+const HANDLERS: HandlerTable = {
+  [EventKind.RequestArrived]: handleRequestArrived,
+  [EventKind.ClaimAnswered]: handleClaimAnswered,
+  [EventKind.LoanAnswered]: handleLoanAnswered,
+  [EventKind.AnswerStarted]: handleAnswerStarted,
+  [EventKind.AnswerCompleted]: handleAnswerCompleted,
+  [EventKind.DispatchFailed]: handleDispatchFailed,
+  [EventKind.CallerLeft]: handleCallerLeft,
+  [EventKind.RequestTimedOut]: handleRequestTimedOut,
+  [EventKind.BorrowRequested]: handleBorrowRequested,
+  [EventKind.GossipReceived]: handleGossipReceived,
+  [EventKind.GossipTick]: handleGossipTick,
+  [EventKind.ConfigurationReceived]: handleConfigurationReceived,
+  [EventKind.ConfigurationRejected]: handleConfigurationRejected,
+  [EventKind.ShareTick]: handleShareTick,
+  [EventKind.ShareTableRead]: handleShareTableRead,
+  [EventKind.ShareWriteAnswered]: handleShareWriteAnswered,
+  [EventKind.StoreFailed]: handleStoreFailed,
+  [EventKind.VmListRead]: handleVmListRead,
+  [EventKind.LoadPollTick]: handleLoadPollTick,
+  [EventKind.LoadReported]: handleLoadReported,
+  [EventKind.LoadPollFailed]: handleLoadPollFailed,
+  [EventKind.StopRequested]: handleStopRequested,
+  [EventKind.StopTick]: handleStopTick,
+};
+
+function handleEvent<K extends EventKind>(
+  state: NodeState,
+  event: EventOf<K>,
+  nowMs: number,
+): Command[] {
+  const handler: EventHandler<K> = HANDLERS[event.kind];
+  return handler(state, event, nowMs);
+}
+
+/** Handles one event. Given the same state and time, it always returns the same orders. */
+export function stepNode(state: NodeState, event: NodeEvent, nowMs: number): Command[] {
+  updateIsolation(state, nowMs);
+  return handleEvent(state, event, nowMs);
+}
--- /dev/null
+++ b/src/coordination/lending.ts
@@ -0,0 +1,24 @@
+/**
+ * Answers peers that ask for tokens of a workspace.
+ */
+import { getSliceTokens, lendTokens } from '../state/tokenSlice.js';
+import { type Command, CommandKind, type EventKind, type EventOf } from './events.js';
+import type { NodeState } from './nodeState.js';
+import { getSlice, isShareUsable } from './slices.js';
+
+/** Lends what this VM's slice has; nothing while its share is suspended. */
+export function handleBorrowRequested(
+  state: NodeState,
+  event: EventOf<typeof EventKind.BorrowRequested>,
+  nowMs: number,
+): Command[] {
+  const { loanId, tokens } = event;
+  const workspace = state.configuration?.workspacesByName.get(event.workspace);
+  if (workspace === undefined || !isShareUsable(state)) {
+    return [{ kind: CommandKind.AnswerBorrow, loanId, grantedTokens: 0, leftTokens: 0 }];
+  }
+  const slice = getSlice(state, workspace, nowMs);
+  const grantedTokens = lendTokens(slice, tokens, nowMs);
+  const leftTokens = getSliceTokens(slice, nowMs);
+  return [{ kind: CommandKind.AnswerBorrow, loanId, grantedTokens, leftTokens }];
+}
--- /dev/null
+++ b/src/coordination/nodeState.ts
@@ -0,0 +1,176 @@
+/**
+ * The state of one VM. The loop owns it: only event handlers change it, one event at a time.
+ */
+import type { Configuration } from '../state/configuration.js';
+import { createRandom, type RandomState } from '../state/random.js';
+import { EMPTY_SHARE_TABLE, type ShareTable } from '../state/shareTable.js';
+import type { Reservation, TokenSlice } from '../state/tokenSlice.js';
+import type {
+  LeavingServer,
+  LoadReport,
+  Member,
+  RequestInfo,
+  RunClaim,
+  Workspace,
+} from '../state/types.js';
+import type { Policy } from './policy.js';
+
+/** What this VM is, from its settings. */
+export interface Self {
+  readonly vmId: string;
+  readonly incarnation: string;
+  readonly failureDomain: string;
+  readonly peerAddress: string;
+  /** Over every heartbeat of earlier processes of this VM. */
+  readonly firstHeartbeat: number;
+}
+
+/** Where a request stands on this VM. */
+export const RequestPhase = {
+  Borrowing: 'borrowing',
+  Claiming: 'claiming',
+  Dispatched: 'dispatched',
+} as const;
+export type RequestPhase = (typeof RequestPhase)[keyof typeof RequestPhase];
+
+/** A request from its arrival to its end. */
+export interface RequestRecord {
+  readonly info: RequestInfo;
+  readonly workspace: Workspace | null;
+  /** Model or route name. */
+  readonly targetName: string;
+  readonly isIdempotent: boolean;
+  readonly costTokens: number;
+  readonly arrivedAtMs: number;
+  phase: RequestPhase;
+  reservation: Reservation | null;
+  /** Borrowed tokens that can only be spent on this request. */
+  looseTokens: number;
+  loanDeadlineMs: number;
+  openLoans: number;
+  borrowRounds: number;
+  attempt: number;
+  server: string | null;
+  triedServers: string[];
+  /** Set while this request holds the claim of its idempotency key. */
+  claimId: string | null;
+  /** What is proved of all attempts so far. */
+  runClaim: RunClaim;
+  firstTokenAtMs: number | null;
+}
+
+export interface MemberRecord {
+  member: Member;
+  heardAtMs: number;
+}
+
+/** Word that a backend server is leaving, and when it was last renewed. */
+export interface LeavingRecord {
+  readonly mark: LeavingServer;
+  readonly markedAtMs: number;
+}
+
+/** What this VM knows of a backend server. */
+export interface ServerRecord {
+  /** Requests that this VM has there now. */
+  inFlight: number;
+  report: LoadReport | null;
+  reportedAtMs: number;
+  /** Own requests there when the last report came, and so in it. */
+  inFlightAtReport: number;
+  penaltyUntilMs: number;
+}
+
+/** What a peer had left of a workspace's tokens when it last said so. */
+export interface LenderRecord {
+  leftTokens: number;
+  atMs: number;
+}
+
+export const Lifecycle = {
+  Running: 'running',
+  Unready: 'unready',
+  Draining: 'draining',
+  Releasing: 'releasing',
+  Stopped: 'stopped',
+} as const;
+export type Lifecycle = (typeof Lifecycle)[keyof typeof Lifecycle];
+
+export interface ShareState {
+  /** Units that the slices are cut by now. */
+  units: number;
+  table: ShareTable;
+  version: number;
+  readAtMs: number | null;
+  isWriting: boolean;
+  /** Set while another VM may have declared this one gone; no token is spent meanwhile. */
+  isSuspended: boolean;
+  /** Since when each VM has been missing from the platform's list. */
+  missingSinceMs: Map<string, number>;
+  listedVmIds: ReadonlySet<string> | null;
+}
+
+export interface NodeState {
+  readonly self: Self;
+  readonly policy: Policy;
+  readonly random: RandomState;
+  readonly startedAtMs: number;
+  configuration: Configuration | null;
+  lifecycle: Lifecycle;
+  lifecycleSinceMs: number;
+  heartbeat: number;
+  readonly requests: Map<string, RequestRecord>;
+  readonly slices: Map<string, TokenSlice>;
+  readonly share: ShareState;
+  readonly members: Map<string, MemberRecord>;
+  readonly servers: Map<string, ServerRecord>;
+  readonly leavingServers: Map<string, LeavingRecord>;
+  /** By workspace, then VM. */
+  readonly lenders: Map<string, Map<string, LenderRecord>>;
+  /** Until when a workspace is known to be short over the whole fleet. */
+  readonly shortUntilMs: Map<string, number>;
+  retryTokens: number;
+  lastEventAtMs: number;
+  storeHeardAtMs: number;
+  domainHeardAtMs: number;
+}
+
+/** Creates the state of a VM that has just started and knows nothing. */
+export function createNodeState(
+  self: Self,
+  policy: Policy,
+  seed: number,
+  nowMs: number,
+): NodeState {
+  return {
+    self,
+    policy,
+    random: createRandom(seed),
+    startedAtMs: nowMs,
+    configuration: null,
+    lifecycle: Lifecycle.Running,
+    lifecycleSinceMs: nowMs,
+    heartbeat: self.firstHeartbeat,
+    requests: new Map(),
+    slices: new Map(),
+    share: {
+      units: 0,
+      table: EMPTY_SHARE_TABLE,
+      version: 0,
+      readAtMs: null,
+      isWriting: false,
+      isSuspended: false,
+      missingSinceMs: new Map(),
+      listedVmIds: null,
+    },
+    members: new Map(),
+    servers: new Map(),
+    leavingServers: new Map(),
+    lenders: new Map(),
+    shortUntilMs: new Map(),
+    retryTokens: policy.retryBurst,
+    lastEventAtMs: nowMs,
+    storeHeardAtMs: nowMs,
+    domainHeardAtMs: nowMs,
+  };
+}
--- /dev/null
+++ b/src/coordination/policy.ts
@@ -0,0 +1,57 @@
+/**
+ * The limits that decisions work with. The daemon sets some of them from its settings; tests set any.
+ */
+
+export interface Policy {
+  readonly gossipIntervalMs: number;
+  /** Peers that each gossip round is sent to. */
+  readonly gossipFanout: number;
+  /** Members that one gossip message carries at most. */
+  readonly gossipMaxMembers: number;
+  /** A member unheard for this time is not asked for anything. */
+  readonly memberStaleMs: number;
+  /** A member unheard for this time, and off the platform's list as long, is gone. */
+  readonly memberGoneMs: number;
+  /** A VM that has heard neither the store nor its failure domain for this time spends no tokens. */
+  readonly isolationMs: number;
+  readonly shareReadIntervalMs: number;
+  readonly loadPollIntervalMs: number;
+  /** A server that failed is avoided for this time, unless no other is left. */
+  readonly serverPenaltyMs: number;
+  /** Attempts of one request, the first included. */
+  readonly maxAttempts: number;
+  /** Retries allowed for each first attempt, over time. */
+  readonly retryRatio: number;
+  /** Retries that may be saved up. */
+  readonly retryBurst: number;
+  readonly maxBorrowRounds: number;
+  readonly maxBorrowFanout: number;
+  /** From "not ready" to the first refusal of a stopping VM. */
+  readonly unreadyMs: number;
+  /** Time for open requests to end in a planned stop. */
+  readonly drainTimeoutMs: number;
+  readonly stopPollMs: number;
+  /** Load over the mean that prefix affinity accepts before another server is taken. */
+  readonly affinityLoadFactor: number;
+}
+
+export const DEFAULT_POLICY: Policy = {
+  gossipIntervalMs: 500,
+  gossipFanout: 3,
+  gossipMaxMembers: 32,
+  memberStaleMs: 5_000,
+  memberGoneMs: 60_000,
+  isolationMs: 15_000,
+  shareReadIntervalMs: 10_000,
+  loadPollIntervalMs: 500,
+  serverPenaltyMs: 2_000,
+  maxAttempts: 3,
+  retryRatio: 0.2,
+  retryBurst: 20,
+  maxBorrowRounds: 3,
+  maxBorrowFanout: 16,
+  unreadyMs: 2_000,
+  drainTimeoutMs: 150_000,
+  stopPollMs: 50,
+  affinityLoadFactor: 1.25,
+};
--- /dev/null
+++ b/src/protocol/json.ts
@@ -0,0 +1,29 @@
+/**
+ * Decoding of JSON texts against schemas, with typed failures.
+ */
+import { Result, Schema } from 'effect';
+import { Either, Left, Right } from 'purify-ts';
+import { createDiagnostic, type Diagnostic, Diagnostics } from '../state/diagnostics.js';
+
+/** Parses a JSON text. Left is `MalformedBody`. */
+export function parseJson(text: string): Either<Diagnostic, unknown> {
+  return Either.encase(() => JSON.parse(text) as unknown).mapLeft(() =>
+    createDiagnostic(Diagnostics.MalformedBody, 'it is not JSON'),
+  );
+}
+
+/** Decodes a value against a schema. Left is `MalformedBody` with what was expected. */
+export function decodeValue<T, E>(
+  schema: Schema.Codec<T, E>,
+  value: unknown,
+): Either<Diagnostic, T> {
+  const result = Schema.decodeUnknownResult(schema)(value);
+  return Result.isSuccess(result)
+    ? Right(result.success)
+    : Left(createDiagnostic(Diagnostics.MalformedBody, String(result.failure.message)));
+}
+
+/** Parses a JSON text and decodes it against a schema. */
+export function decodeJson<T, E>(schema: Schema.Codec<T, E>, text: string): Either<Diagnostic, T> {
+  return parseJson(text).chain((value) => decodeValue(schema, value));
+}
--- /dev/null
+++ b/src/protocol/openai.ts
@@ -0,0 +1,201 @@
+/**
+ * The OpenAI-compatible API: requests for completions and chat completions, their streamed and whole
+ * answers, and the list of models. Unknown fields of a request are passed on unchanged.
+ */
+import { Schema } from 'effect';
+import type { Either } from 'purify-ts';
+import type { Diagnostic } from '../state/diagnostics.js';
+import { hashText } from '../state/random.js';
+import { type Model, type Target, TargetKind } from '../state/types.js';
+import { decodeValue, parseJson } from './json.js';
+
+/** The two calls that generate text. */
+export const CompletionKind = { Text: 'text', Chat: 'chat' } as const;
+export type CompletionKind = (typeof CompletionKind)[keyof typeof CompletionKind];
+
+/** The rough length of a token in characters, used before an engine has counted. */
+const CHARACTERS_PER_TOKEN = 4;
+/** The head of a prompt that prefix affinity goes by. */
+const PREFIX_LENGTH = 256;
+const MAX_PRIORITY = 9;
+const DEFAULT_PRIORITY = 5;
+
+const TokenCountSchema = Schema.Number.check(
+  Schema.isInt(),
+  Schema.isBetween({ minimum: 1, maximum: 1_000_000 }),
+);
+
+const COMMON_FIELDS = {
+  model: Schema.String.check(Schema.isMinLength(1)),
+  max_tokens: Schema.optionalKey(TokenCountSchema),
+  max_completion_tokens: Schema.optionalKey(TokenCountSchema),
+  stream: Schema.optionalKey(Schema.Boolean),
+  priority: Schema.optionalKey(
+    Schema.Number.check(Schema.isInt(), Schema.isBetween({ minimum: 0, maximum: MAX_PRIORITY })),
+  ),
+};
+
+const TextRequestSchema = Schema.Struct({ ...COMMON_FIELDS, prompt: Schema.String });
+
+const MessageSchema = Schema.Struct({ role: Schema.String, content: Schema.String });
+const ChatRequestSchema = Schema.Struct({
+  ...COMMON_FIELDS,
+  messages: Schema.NonEmptyArray(MessageSchema),
+});
+
+interface CommonRequest {
+  readonly model: string;
+  readonly max_tokens?: number;
+  readonly max_completion_tokens?: number;
+  readonly stream?: boolean;
+  readonly priority?: number;
+}
+
+/** A decoded request for generated text. */
+export interface CompletionRequest {
+  readonly kind: CompletionKind;
+  readonly target: Extract<Target, { kind: typeof TargetKind.Model }>;
+  readonly isStreamed: boolean;
+  readonly priority: number;
+  /** The whole body, for passing on. */
+  readonly body: Readonly<Record<string, unknown>>;
+}
+
+/** Estimates the tokens of a text. */
+export function estimateTokens(text: string): number {
+  return Math.max(1, Math.ceil(text.length / CHARACTERS_PER_TOKEN));
+}
+
+function createRequest(
+  kind: CompletionKind,
+  fields: CommonRequest,
+  prompt: string,
+  body: unknown,
+  defaultMaxTokens: number,
+): CompletionRequest {
+  return {
+    kind,
+    target: {
+      kind: TargetKind.Model,
+      model: fields.model,
+      promptTokens: estimateTokens(prompt),
+      maxTokens: fields.max_completion_tokens ?? fields.max_tokens ?? defaultMaxTokens,
+      prefixHash: hashText(prompt.slice(0, PREFIX_LENGTH)),
+    },
+    isStreamed: fields.stream ?? false,
+    priority: fields.priority ?? DEFAULT_PRIORITY,
+    body: body as Readonly<Record<string, unknown>>,
+  };
+}
+
+type Decoder = (value: unknown, defaultMaxTokens: number) => Either<Diagnostic, CompletionRequest>;
+
+const DECODERS: Readonly<Record<CompletionKind, Decoder>> = {
+  [CompletionKind.Text]: (value, defaultMaxTokens) =>
+    decodeValue(TextRequestSchema, value).map((request) =>
+      createRequest(CompletionKind.Text, request, request.prompt, value, defaultMaxTokens),
+    ),
+  [CompletionKind.Chat]: (value, defaultMaxTokens) =>
+    decodeValue(ChatRequestSchema, value).map((request) => {
+      const prompt = request.messages.map(({ content, role }) => `${role}: ${content}`).join('\n');
+      return createRequest(CompletionKind.Chat, request, prompt, value, defaultMaxTokens);
+    }),
+};
+
+/** Decodes a request body. Left is `MalformedBody`. */
+export function decodeCompletionRequest(
+  kind: CompletionKind,
+  text: string,
+  defaultMaxTokens: number,
+): Either<Diagnostic, CompletionRequest> {
+  return parseJson(text).chain((value) => DECODERS[kind](value, defaultMaxTokens));
+}
+
+const FinishSchema = Schema.optionalKey(Schema.NullOr(Schema.String));
+const ChunkSchema = Schema.Struct({
+  id: Schema.String,
+  token_index: Schema.optionalKey(Schema.Number),
+  choices: Schema.Array(
+    Schema.Struct({
+      text: Schema.optionalKey(Schema.String),
+      delta: Schema.optionalKey(
+        Schema.Struct({ content: Schema.optionalKey(Schema.NullOr(Schema.String)) }),
+      ),
+      finish_reason: FinishSchema,
+    }),
+  ),
+});
+
+/** One part of a streamed answer. */
+export interface CompletionChunk {
+  readonly id: string;
+  /** The place of the token in the answer, from zero; null on a part without one. */
+  readonly tokenIndex: number | null;
+  readonly text: string;
+  readonly finishReason: string | null;
+}
+
+/** Decodes one part of a streamed answer. Left is `MalformedBody`. */
+export function decodeChunk(data: string): Either<Diagnostic, CompletionChunk> {
+  return parseJson(data)
+    .chain((value) => decodeValue(ChunkSchema, value))
+    .map((chunk) => {
+      const choice = chunk.choices[0];
+      return {
+        id: chunk.id,
+        tokenIndex: chunk.token_index ?? null,
+        text: choice?.text ?? choice?.delta?.content ?? '',
+        finishReason: choice?.finish_reason ?? null,
+      };
+    });
+}
+
+const ANSWER_OBJECTS: Readonly<Record<CompletionKind, string>> = {
+  [CompletionKind.Text]: 'text_completion',
+  [CompletionKind.Chat]: 'chat.completion',
+};
+
+const CHOICE_BODIES: Readonly<Record<CompletionKind, (text: string) => object>> = {
+  [CompletionKind.Text]: (text) => ({ text }),
+  [CompletionKind.Chat]: (text) => ({ message: { role: 'assistant', content: text } }),
+};
+
+/** What a whole answer is made of. */
+export interface WholeAnswer {
+  readonly id: string;
+  readonly createdAtSeconds: number;
+  readonly text: string;
+  readonly finishReason: string;
+  readonly completionTokens: number;
+}
+
+/** Writes a whole answer. */
+export function encodeWholeAnswer(request: CompletionRequest, answer: WholeAnswer): string {
+  const { kind, target } = request;
+  const { promptTokens } = target;
+  return JSON.stringify({
+    id: answer.id,
+    object: ANSWER_OBJECTS[kind],
+    created: answer.createdAtSeconds,
+    model: target.model,
+    choices: [
+      { index: 0, ...CHOICE_BODIES[kind](answer.text), finish_reason: answer.finishReason },
+    ],
+    usage: {
+      prompt_tokens: promptTokens,
+      completion_tokens: answer.completionTokens,
+      total_tokens: promptTokens + answer.completionTokens,
+    },
+  });
+}
+
+/** Writes the list of models that a workspace may use. */
+export function encodeModelList(models: readonly Model[]): string {
+  const data = models.map((model) => ({
+    id: model.name,
+    object: 'model',
+    owned_by: 'gentiandeck',
+    version: model.version,
+  }));
+  return JSON.stringify({ object: 'list', data });
+}
--- /dev/null
+++ b/src/transport/callerServer.ts
@@ -0,0 +1,252 @@
+/**
+ * The HTTP server that callers speak to: the OpenAI-compatible API and the operators' routes.
+ */
+import http, { type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import type { Either } from 'purify-ts';
+import { findWorkspace } from '../coordination/admission.js';
+import { EventKind, type NodeEvent } from '../coordination/events.js';
+import { createRefusal } from '../coordination/requestRecords.js';
+import { ENGINE_PATHS } from '../protocol/engine.js';
+import { hashSha256 } from '../protocol/documentText.js';
+import {
+  CompletionKind,
+  type CompletionRequest,
+  decodeCompletionRequest,
+  encodeModelList,
+} from '../protocol/openai.js';
+import { encodeRefusal, getRefusalHeaders, getStatus } from '../protocol/statusCodes.js';
+import { type Configuration, isAllowed } from '../state/configuration.js';
+import { createDiagnostic, type Diagnostic, Diagnostics } from '../state/diagnostics.js';
+import { RunClaim, type Target, TargetKind } from '../state/types.js';
+import { readBody } from './bodies.js';
+import { createExchange, type Exchange } from './exchange.js';
+
+const BEARER_PATTERN = /^Bearer\s+(\S+)\s*$/i;
+const MODELS_PATH = '/v1/models';
+const API_PREFIX = '/v1/';
+const DEFAULT_PRIORITY = 5;
+const KEEP_ALIVE_MS = 65_000;
+const CHECK_INTERVAL_MS = 500;
+/** Path segments that another server might read differently. */
+const UNSAFE_PATH_PATTERN = /(?:^|\/)(?:\.|%2e){1,2}(?:\/|$)|%2f|%5c|\\/i;
+
+/** What the server works with. */
+export interface CallerContext {
+  readonly post: (event: NodeEvent) => void;
+  readonly getWallMs: () => number;
+  readonly getConfiguration: () => Configuration | null;
+  readonly isReady: () => boolean;
+  /** Open exchanges by request id; commands find them here. */
+  readonly exchanges: Map<string, Exchange>;
+  readonly createRequestId: () => string;
+  readonly limits: {
+    readonly maxBodyBytes: number;
+    readonly maxConnections: number;
+    readonly bodyTimeoutMs: number;
+    readonly requestTimeoutMs: number;
+    readonly defaultMaxTokens: number;
+  };
+}
+
+/** Returns the digest of the key that came with a request. The key itself is kept nowhere. */
+export function getKeyDigest(request: IncomingMessage): string | null {
+  const key = BEARER_PATTERN.exec(request.headers.authorization ?? '')?.[1];
+  return key === undefined ? null : hashSha256(key);
+}
+
+function getPath(request: IncomingMessage): string {
+  const [path = '/'] = (request.url ?? '/').split('?');
+  return path;
+}
+
+/** Refuses a request that never became an exchange. */
+function refuse(response: ServerResponse, diagnostic: Diagnostic): void {
+  if (response.destroyed || response.headersSent) {
+    return;
+  }
+  const refusal = createRefusal(diagnostic, RunClaim.NotRun);
+  response.writeHead(getStatus(diagnostic), {
+    ...getRefusalHeaders(refusal),
+    connection: 'close',
+  });
+  response.end(encodeRefusal(refusal));
+}
+
+function getIdempotencyDigest(request: IncomingMessage): string | null {
+  const header = request.headers['idempotency-key'];
+  return typeof header === 'string' && header !== '' ? hashSha256(header) : null;
+}
+
+interface Incoming {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly body: Buffer;
+  readonly completion: CompletionRequest | null;
+  readonly target: Target;
+}
+
+function startExchange(context: CallerContext, incoming: Incoming): void {
+  const { completion, request, response, target } = incoming;
+  const requestId = context.createRequestId();
+  const info = {
+    requestId,
+    keyDigest: getKeyDigest(request),
+    target,
+    priority: completion?.priority ?? DEFAULT_PRIORITY,
+    timeoutMs: context.limits.requestTimeoutMs,
+    idempotencyDigest: getIdempotencyDigest(request),
+  };
+  const { body } = incoming;
+  const createdAtMs = context.getWallMs();
+  const exchange = createExchange({ info, request, response, body, completion, createdAtMs });
+  context.exchanges.set(requestId, exchange);
+  response.on('close', () => {
+    if (!exchange.isEnded) {
+      const { deliveredTokens } = exchange;
+      context.post({ kind: EventKind.CallerLeft, requestId, deliveredTokens });
+    }
+  });
+  context.post({ kind: EventKind.RequestArrived, request: info });
+}
+
+type Handler = (
+  context: CallerContext,
+  request: IncomingMessage,
+  response: ServerResponse,
+) => Promise<void> | void;
+
+function withBody(
+  context: CallerContext,
+  request: IncomingMessage,
+  response: ServerResponse,
+  use: (body: Buffer) => void,
+): Promise<void> {
+  return readBody(request, context.limits.maxBodyBytes).then((result) => {
+    result.caseOf({ Left: (diagnostic) => refuse(response, diagnostic), Right: use });
+  });
+}
+
+function createCompletionHandler(kind: CompletionKind): Handler {
+  return (context, request, response) =>
+    withBody(context, request, response, (body) => {
+      const { defaultMaxTokens } = context.limits;
+      decodeCompletionRequest(kind, body.toString(), defaultMaxTokens).caseOf({
+        Left: (diagnostic) => refuse(response, diagnostic),
+        Right: (completion) => {
+          const { target } = completion;
+          startExchange(context, { request, response, body, completion, target });
+        },
+      });
+    });
+}
+
+function listModels(
+  configuration: Configuration,
+  request: IncomingMessage,
+): Either<Diagnostic, string> {
+  return findWorkspace(configuration, getKeyDigest(request)).map((workspace) =>
+    encodeModelList(
+      configuration.document.models.models.filter((model) =>
+        isAllowed(workspace.models, model.name),
+      ),
+    ),
+  );
+}
+
+const handleModelList: Handler = (context, request, response) => {
+  const configuration = context.getConfiguration();
+  if (configuration === null) {
+    refuse(response, createDiagnostic(Diagnostics.NotConfigured));
+    return;
+  }
+  listModels(configuration, request).caseOf({
+    Left: (diagnostic) => refuse(response, diagnostic),
+    Right: (text) => {
+      response.writeHead(200, { 'content-type': 'application/json' });
+      response.end(text);
+    },
+  });
+};
+
+const handleRoute: Handler = (context, request, response) => {
+  const { method = 'GET' } = request;
+  const path = getPath(request);
+  if (path.startsWith(API_PREFIX) || UNSAFE_PATH_PATTERN.test(path)) {
+    refuse(response, createDiagnostic(Diagnostics.UnknownRoute, method, path));
+    return undefined;
+  }
+  const target: Target = { kind: TargetKind.Route, method, path };
+  return withBody(context, request, response, (body) =>
+    startExchange(context, { request, response, body, completion: null, target }),
+  );
+};
+
+/** The paths of the API by method; all else is left to the operators' routes. */
+const API_HANDLERS: Readonly<Record<string, Handler>> = {
+  [`POST ${ENGINE_PATHS[CompletionKind.Text]}`]: createCompletionHandler(CompletionKind.Text),
+  [`POST ${ENGINE_PATHS[CompletionKind.Chat]}`]: createCompletionHandler(CompletionKind.Chat),
+  [`GET ${MODELS_PATH}`]: handleModelList,
+};
+
+function writeRawRefusal(socket: Socket, status: string, diagnostic: Diagnostic): void {
+  if (!socket.writable) {
+    return;
+  }
+  const body = encodeRefusal(createRefusal(diagnostic, RunClaim.NotRun));
+  const head = [
+    `HTTP/1.1 ${status}`,
+    'content-type: application/json',
+    `content-length: ${Buffer.byteLength(body)}`,
+    'connection: close',
+  ];
+  socket.end(`${head.join('\r\n')}\r\n\r\n${body}`);
+}
+
+interface ClientFault {
+  readonly status: string;
+  readonly createDiagnostic: (context: CallerContext) => Diagnostic;
+}
+
+const CLIENT_FAULTS: Readonly<Record<string, ClientFault>> = {
+  ERR_HTTP_REQUEST_TIMEOUT: {
+    status: '408 Request Timeout',
+    createDiagnostic: ({ limits }) =>
+      createDiagnostic(Diagnostics.BodyTimeout, limits.bodyTimeoutMs),
+  },
+  HPE_HEADER_OVERFLOW: {
+    status: '431 Request Header Fields Too Large',
+    createDiagnostic: () =>
+      createDiagnostic(Diagnostics.MalformedBody, 'the headers are too large'),
+  },
+};
+
+const DEFAULT_CLIENT_FAULT: ClientFault = {
+  status: '400 Bad Request',
+  createDiagnostic: () => createDiagnostic(Diagnostics.MalformedBody, 'it is not HTTP'),
+};
+
+/** Creates the server. It does not listen yet. */
+export function createCallerServer(context: CallerContext): Server {
+  const { bodyTimeoutMs, maxConnections } = context.limits;
+  const options = {
+    requestTimeout: bodyTimeoutMs,
+    headersTimeout: bodyTimeoutMs,
+    keepAliveTimeout: KEEP_ALIVE_MS,
+    connectionsCheckingInterval: CHECK_INTERVAL_MS,
+  };
+  const server = http.createServer(options, (request, response) => {
+    if (!context.isReady()) {
+      response.setHeader('connection', 'close');
+    }
+    response.on('error', () => response.destroy());
+    const handler = API_HANDLERS[`${request.method} ${getPath(request)}`] ?? handleRoute;
+    void handler(context, request, response);
+  });
+  server.maxConnections = maxConnections;
+  server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+    const fault = CLIENT_FAULTS[error.code ?? ''] ?? DEFAULT_CLIENT_FAULT;
+    writeRawRefusal(socket, fault.status, fault.createDiagnostic(context));
+  });
+  return server;
+}
--- /dev/null
+++ b/src/transport/commandTable.ts
@@ -0,0 +1,249 @@
+/**
+ * The table that carries out the loop's orders.
+ */
+import { Effect } from 'effect';
+import { CommandKind, EventKind, type NodeEvent } from '../coordination/events.js';
+import type { CommandTable } from '../coordination/loop.js';
+import type { Self } from '../coordination/nodeState.js';
+import { decodeLoadReport, ENGINE_LOAD_PATH } from '../protocol/engine.js';
+import { decodeJson } from '../protocol/json.js';
+import type { StoredValue } from '../protocol/storeMessages.js';
+import type { Diagnostic } from '../state/diagnostics.js';
+import { EMPTY_SHARE_TABLE, type ShareTable, ShareTableSchema } from '../state/shareTable.js';
+import { TargetKind } from '../state/types.js';
+import type { Claims } from './claims.js';
+import type { ConfigurationSource } from './configurationSource.js';
+import type { DispatchContext } from './dispatch.js';
+import { abortAnswer, type Exchange, sendRefusal, sendWhole } from './exchange.js';
+import { callHttp } from './httpCall.js';
+import type { WriteLog } from './logger.js';
+import type { Metrics } from './metrics.js';
+import { dispatchToModel } from './modelDispatch.js';
+import type { PeerClient, PendingReplies } from './peers.js';
+import { dispatchToRoute } from './routeDispatch.js';
+import type { Store } from './store.js';
+
+const SHARES_KEY = 'shares';
+const LOAD_TIMEOUT_MS = 1_000;
+const HTTP_OK = 200;
+
+/** What orders are carried out with. */
+export interface CommandContext {
+  readonly self: Self;
+  readonly post: (event: NodeEvent) => void;
+  readonly exchanges: Map<string, Exchange>;
+  readonly dispatch: DispatchContext;
+  readonly claims: Claims;
+  readonly store: Store;
+  readonly peers: PeerClient;
+  readonly replies: PendingReplies;
+  readonly source: ConfigurationSource;
+  readonly metrics: Metrics;
+  readonly writeLog: WriteLog;
+  readonly setReady: (isReady: boolean) => void;
+  readonly exit: () => void;
+}
+
+function runDetached<A>(effect: Effect.Effect<A>): void {
+  Effect.runFork(effect);
+}
+
+function decodeTable(stored: StoredValue | null): ShareTable {
+  return stored === null
+    ? EMPTY_SHARE_TABLE
+    : decodeJson(ShareTableSchema, stored.value).orDefault(EMPTY_SHARE_TABLE);
+}
+
+function createShareExecutors({
+  post,
+  store,
+}: CommandContext): Pick<
+  CommandTable,
+  typeof CommandKind.ReadShareTable | typeof CommandKind.WriteShareTable
+> {
+  const postFailure = (diagnostic: Diagnostic): void => {
+    post({ kind: EventKind.StoreFailed, diagnostic });
+  };
+  const readTable = Effect.match(store.get(SHARES_KEY), {
+    onFailure: postFailure,
+    onSuccess: (stored) => {
+      const version = stored?.version ?? 0;
+      post({ kind: EventKind.ShareTableRead, table: decodeTable(stored), version });
+    },
+  });
+  const readList = Effect.match(store.listVms, {
+    onFailure: () => {},
+    onSuccess: (vms) => post({ kind: EventKind.VmListRead, vms }),
+  });
+  return {
+    [CommandKind.ReadShareTable]: () => runDetached(Effect.andThen(readTable, readList)),
+    [CommandKind.WriteShareTable]: ({ expectedVersion, table }) => {
+      const value = JSON.stringify(table);
+      const swap = store.swap({ key: SHARES_KEY, expectedVersion, value, leaseId: null });
+      runDetached(
+        Effect.match(swap, {
+          onFailure: () => post({ kind: EventKind.ShareWriteAnswered, table, version: null }),
+          onSuccess: (version) => post({ kind: EventKind.ShareWriteAnswered, table, version }),
+        }),
+      );
+    },
+  };
+}
+
+type PeerCommandKind =
+  | typeof CommandKind.Borrow
+  | typeof CommandKind.AnswerBorrow
+  | typeof CommandKind.SendGossip
+  | typeof CommandKind.AnswerGossip
+  | typeof CommandKind.FetchConfiguration;
+
+function createPeerExecutors({
+  peers,
+  post,
+  replies,
+  self,
+  source,
+}: CommandContext): Pick<CommandTable, PeerCommandKind> {
+  return {
+    [CommandKind.Borrow]: (command) => {
+      const { peerAddress, peerVmId, requestId, timeoutMs, tokens, workspace } = command;
+      const answer = (grantedTokens: number, leftTokens: number | null): void => {
+        const kind = EventKind.LoanAnswered;
+        post({ kind, requestId, peerVmId, workspace, grantedTokens, leftTokens });
+      };
+      runDetached(
+        Effect.match(peers.borrow(peerAddress, self.vmId, workspace, tokens, timeoutMs), {
+          onFailure: () => answer(0, null),
+          onSuccess: ({ grantedTokens, leftTokens }) => answer(grantedTokens, leftTokens),
+        }),
+      );
+    },
+    [CommandKind.AnswerBorrow]: ({ grantedTokens, leftTokens, loanId }) => {
+      replies.loans.get(loanId)?.({ grantedTokens, leftTokens });
+    },
+    [CommandKind.SendGossip]: ({ message, peerAddress }) => {
+      runDetached(
+        Effect.match(peers.gossip(peerAddress, message), {
+          onFailure: () => {},
+          onSuccess: (reply) =>
+            post({ kind: EventKind.GossipReceived, message: reply, replyId: null }),
+        }),
+      );
+    },
+    [CommandKind.AnswerGossip]: ({ message, replyId }) => {
+      replies.gossip.get(replyId)?.(message);
+    },
+    [CommandKind.FetchConfiguration]: ({ aboveRevision, peerAddress }) => {
+      runDetached(
+        Effect.matchEffect(peers.fetchConfiguration(peerAddress, aboveRevision), {
+          onFailure: () => Effect.void,
+          onSuccess: (found) =>
+            found === null ? Effect.void : source.offer(found.head, found.blobs),
+        }),
+      );
+    },
+  };
+}
+
+type RequestCommandKind =
+  | typeof CommandKind.Dispatch
+  | typeof CommandKind.CancelDispatch
+  | typeof CommandKind.Refuse
+  | typeof CommandKind.AbortAnswer
+  | typeof CommandKind.ClaimIdempotencyKey
+  | typeof CommandKind.EndClaim
+  | typeof CommandKind.ReplayAnswer;
+
+function createRequestExecutors(context: CommandContext): Pick<CommandTable, RequestCommandKind> {
+  const { claims, exchanges, post } = context;
+  const withExchange = (requestId: string, use: (exchange: Exchange) => void): void => {
+    const exchange = exchanges.get(requestId);
+    if (exchange !== undefined) {
+      use(exchange);
+    }
+  };
+  return {
+    [CommandKind.Dispatch]: (command) =>
+      withExchange(command.requestId, (exchange) => {
+        if (exchange.info.target.kind === TargetKind.Model && exchange.completion !== null) {
+          dispatchToModel(command, exchange, exchange.completion, context.dispatch);
+        } else {
+          dispatchToRoute(command, exchange, context.dispatch);
+        }
+      }),
+    [CommandKind.CancelDispatch]: ({ requestId }) =>
+      withExchange(requestId, (exchange) => {
+        exchange.cancel?.();
+        exchange.cancel = null;
+      }),
+    [CommandKind.Refuse]: ({ refusal, requestId }) =>
+      withExchange(requestId, (exchange) => sendRefusal(exchange, refusal)),
+    [CommandKind.AbortAnswer]: ({ refusal, requestId }) =>
+      withExchange(requestId, (exchange) => abortAnswer(exchange, refusal)),
+    [CommandKind.ClaimIdempotencyKey]: ({ claimId, requestId }) => {
+      runDetached(
+        Effect.map(claims.claim(claimId), ({ answer, outcome }) => {
+          withExchange(requestId, (exchange) => {
+            exchange.held = answer;
+          });
+          post({ kind: EventKind.ClaimAnswered, requestId, outcome, claimId });
+        }),
+      );
+    },
+    [CommandKind.EndClaim]: ({ claimId, isAnswered, requestId, run }) => {
+      const answer = isAnswered ? (exchanges.get(requestId)?.held ?? null) : null;
+      runDetached(claims.end(claimId, run, answer));
+    },
+    [CommandKind.ReplayAnswer]: ({ requestId }) =>
+      withExchange(requestId, (exchange) => {
+        const { held } = exchange;
+        if (held !== null) {
+          sendWhole(exchange, held.status, held.headers, held.body);
+        }
+      }),
+  };
+}
+
+function pollLoad(post: (event: NodeEvent) => void, server: string, address: string): void {
+  const call = callHttp({
+    address,
+    method: 'GET',
+    path: ENGINE_LOAD_PATH,
+    body: null,
+    timeoutMs: LOAD_TIMEOUT_MS,
+  });
+  const fail = (): void => post({ kind: EventKind.LoadPollFailed, server });
+  runDetached(
+    Effect.match(call, {
+      onFailure: fail,
+      onSuccess: ({ status, text }) => {
+        if (status !== HTTP_OK) {
+          fail();
+          return;
+        }
+        decodeLoadReport(text).caseOf({
+          Left: fail,
+          Right: (report) => post({ kind: EventKind.LoadReported, server, report }),
+        });
+      },
+    }),
+  );
+}
+
+/** Creates the table. */
+export function createCommandTable(context: CommandContext): CommandTable {
+  const { exchanges, exit, metrics, post, setReady, writeLog } = context;
+  return {
+    ...createRequestExecutors(context),
+    ...createPeerExecutors(context),
+    ...createShareExecutors(context),
+    [CommandKind.PollLoad]: ({ address, server }) => pollLoad(post, server, address),
+    [CommandKind.SetReady]: ({ isReady }) => setReady(isReady),
+    [CommandKind.Exit]: exit,
+    [CommandKind.Log]: ({ fields, level, part, text }) => writeLog(level, part, text, fields),
+    [CommandKind.RecordRequest]: ({ measure, requestId }) => {
+      metrics.record(measure);
+      exchanges.delete(requestId);
+    },
+  };
+}
--- /dev/null
+++ b/src/transport/daemon.ts
@@ -0,0 +1,219 @@
+/**
+ * The daemon: one loop, its servers and clients, wired together.
+ */
+import http, { type Server } from 'node:http';
+import { randomBytes } from 'node:crypto';
+import { Cause, Clock, Effect, Exit } from 'effect';
+import { EventKind, LogLevel, type NodeEvent, Part } from '../coordination/events.js';
+import { describeServers, describeVms } from '../coordination/fleetView.js';
+import { addSeedMembers } from '../coordination/gossip.js';
+import { createLoop, readClockMs } from '../coordination/loop.js';
+import { createNodeState, type Self } from '../coordination/nodeState.js';
+import { DEFAULT_POLICY, type Policy } from '../coordination/policy.js';
+import { createRandom, nextRandom } from '../state/random.js';
+import { createDiagnostic, DiagnosticError, Diagnostics } from '../state/diagnostics.js';
+import { createAdminServer } from './adminServer.js';
+import { createCallerServer } from './callerServer.js';
+import { createClaims } from './claims.js';
+import { createCommandTable } from './commandTable.js';
+import { createConfigurationSource } from './configurationSource.js';
+import { createEditor } from './editor.js';
+import type { Exchange } from './exchange.js';
+import { splitAddress } from './httpCall.js';
+import { createLog } from './logger.js';
+import { createMetrics } from './metrics.js';
+import { createPeerClient, createPeerServer, type PendingReplies } from './peers.js';
+import type { Settings } from './settings.js';
+import { createStore } from './store.js';
+
+const ID_BYTES = 8;
+const MAX_SOCKETS_PER_SERVER = 1024;
+
+/** A running daemon. */
+export interface Daemon {
+  /** Starts a planned stop. */
+  readonly stop: () => void;
+  /** Resolves once the daemon has ended. */
+  readonly ended: Promise<void>;
+}
+
+function createId(): string {
+  return randomBytes(ID_BYTES).toString('hex');
+}
+
+function listen(server: Server, address: string): Promise<void> {
+  const { host, port } = splitAddress(address);
+  return new Promise((resolve, reject) => {
+    server.once('error', () => {
+      const expected = 'an address that this process can listen on';
+      reject(
+        new DiagnosticError(
+          createDiagnostic(Diagnostics.InvalidSetting, 'listen', address, expected),
+        ),
+      );
+    });
+    server.listen({ host, port, exclusive: true }, resolve);
+  });
+}
+
+function closeServer(server: Server): Promise<void> {
+  return new Promise((resolve) => {
+    server.close(() => resolve());
+    server.closeIdleConnections();
+  });
+}
+
+function createPolicy(settings: Settings): Policy {
+  const { drainTimeoutMs, gossipIntervalMs, unreadyMs } = settings;
+  return { ...DEFAULT_POLICY, drainTimeoutMs, gossipIntervalMs, unreadyMs };
+}
+
+function createSelf(settings: Settings, wallMs: number): Self {
+  const { failureDomain, peerAddress, vmId } = settings;
+  // One heartbeat a round cannot overtake the wall clock's milliseconds.
+  return { vmId, incarnation: createId(), failureDomain, peerAddress, firstHeartbeat: wallMs };
+}
+
+/** Numbers ids within this process; with the incarnation they are unique in the fleet. */
+function createCounter(prefix: string): () => string {
+  let count = 0;
+  return () => {
+    count += 1;
+    return `${prefix}-${count.toString(36)}`;
+  };
+}
+
+/**
+ * Starts a daemon. The peer address is bound first and released last: two processes of one VM are never
+ * both at work, so the later one may take over the share of the one before.
+ *
+ * @throws DiagnosticError if an address cannot be bound.
+ */
+export async function startDaemon(settings: Settings): Promise<Daemon> {
+  const writeLog = createLog(settings.logLevel, settings.vmId);
+  const clock = Effect.runSync(Clock.clockWith(Effect.succeed));
+  const getNowMs = (): number => readClockMs(clock);
+  const getWallMs = (): number => clock.currentTimeMillisUnsafe();
+  const self = createSelf(settings, getWallMs());
+  const seed = randomBytes(4).readUInt32LE();
+  const random = createRandom(seed);
+  const state = createNodeState(self, createPolicy(settings), seed, getNowMs());
+  addSeedMembers(
+    state,
+    settings.peers.map((peer) => ({ vmId: peer, peerAddress: peer })),
+  );
+
+  const mailbox: { post: (event: NodeEvent) => void } = { post: () => {} };
+  const post = (event: NodeEvent): void => mailbox.post(event);
+  const ready = { isReady: false };
+  const exchanges = new Map<string, Exchange>();
+  const replies: PendingReplies = { gossip: new Map(), loans: new Map() };
+  const metrics = createMetrics();
+  const store = createStore(settings.storeAddresses, settings.storeTimeoutMs);
+  const peers = createPeerClient();
+  const source = createConfigurationSource({
+    store,
+    post,
+    nextRandom: () => nextRandom(random),
+    countMembers: () => state.members.size,
+  });
+  const { incarnation, peerAddress, vmId } = self;
+  const claims = createClaims({
+    store,
+    self: { vmId, incarnation, peerAddress },
+    getNowMs,
+    askHolder: (holder, claimId) =>
+      Effect.orElseSucceed(peers.fetchOutcome(holder.peerAddress, claimId), () => null),
+  });
+  const getConfiguration = () => state.configuration;
+  const isReady = (): boolean => ready.isReady;
+
+  const callerServer = createCallerServer({
+    post,
+    getWallMs,
+    getConfiguration,
+    isReady,
+    exchanges,
+    createRequestId: createCounter(incarnation),
+    limits: settings,
+  });
+  const peerServer = createPeerServer({
+    post,
+    replies,
+    createReplyId: createCounter('reply'),
+    getRevision: source.getCurrent,
+    findClaim: claims.find,
+  });
+  const adminServer = createAdminServer({
+    source,
+    editor: createEditor(store, source),
+    metrics,
+    getConfiguration,
+    describeVms: () => describeVms(state, getNowMs()),
+    describeServers: () => describeServers(state, getNowMs()),
+    isReady,
+    bootstrapToken: settings.bootstrapToken,
+    writeLog,
+  });
+
+  let resolveEnded = (): void => {};
+  const ended = new Promise<void>((resolve) => {
+    resolveEnded = resolve;
+  });
+  const exit = (): void => {
+    void closeServer(callerServer)
+      .then(() => closeServer(adminServer))
+      .then(() => closeServer(peerServer))
+      .then(resolveEnded);
+  };
+
+  const loop = createLoop(
+    state,
+    createCommandTable({
+      self,
+      post,
+      exchanges,
+      dispatch: {
+        post,
+        getNowMs,
+        agent: new http.Agent({ keepAlive: true, maxSockets: MAX_SOCKETS_PER_SERVER }),
+      },
+      claims,
+      store,
+      peers,
+      replies,
+      source,
+      metrics,
+      writeLog,
+      setReady: (isReadyNow) => {
+        ready.isReady = isReadyNow;
+      },
+      exit,
+    }),
+  );
+  mailbox.post = loop.post;
+
+  await listen(peerServer, settings.peerAddress);
+  await listen(callerServer, settings.listenAddress);
+  await listen(adminServer, settings.adminAddress);
+  Effect.runFork(
+    Effect.onExit(loop.run, (result) =>
+      Effect.sync(() => {
+        const detail = Exit.isFailure(result) ? Cause.pretty(result.cause) : '';
+        writeLog(LogLevel.Error, Part.Lifecycle, 'The loop has ended.', { detail });
+        process.exitCode = 1;
+        exit();
+      }),
+    ),
+  );
+  Effect.runFork(source.run);
+  post({ kind: EventKind.GossipTick });
+  post({ kind: EventKind.ShareTick });
+  post({ kind: EventKind.LoadPollTick });
+  writeLog(LogLevel.Info, Part.Lifecycle, 'The daemon has started.', {
+    callers: settings.listenAddress,
+    peers: settings.peerAddress,
+    admin: settings.adminAddress,
+  });
+  return { stop: () => post({ kind: EventKind.StopRequested }), ended };
+}
--- /dev/null
+++ b/src/transport/metrics.ts
@@ -0,0 +1,139 @@
+/**
+ * Measures of ended requests, by workspace and target, and their Prometheus text.
+ */
+import { build, type Histogram } from 'hdr-histogram-js';
+import type { RequestMeasure, RequestOutcome } from '../coordination/events.js';
+
+const HIGHEST_MS = 3_600_000;
+const SIGNIFICANT_DIGITS = 2;
+const MS_PER_SECOND = 1000;
+const QUANTILES = [0.5, 0.95, 0.99];
+
+/** The measures of one workspace and target. */
+interface Series {
+  readonly workspace: string;
+  readonly target: string;
+  readonly outcomes: Map<RequestOutcome, number>;
+  readonly refusals: Map<string, number>;
+  tokens: number;
+  readonly firstTokenMs: Histogram;
+  readonly maxGapMs: Histogram;
+  readonly durationMs: Histogram;
+}
+
+/** The measures of a VM. */
+export interface Metrics {
+  readonly record: (measure: RequestMeasure) => void;
+  /** Writes the Prometheus text format. */
+  readonly format: () => string;
+}
+
+function createHistogram(): Histogram {
+  return build({
+    highestTrackableValue: HIGHEST_MS,
+    numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
+    autoResize: true,
+  });
+}
+
+function createSeries(workspace: string, target: string): Series {
+  return {
+    workspace,
+    target,
+    outcomes: new Map(),
+    refusals: new Map(),
+    tokens: 0,
+    firstTokenMs: createHistogram(),
+    maxGapMs: createHistogram(),
+    durationMs: createHistogram(),
+  };
+}
+
+function increase<K>(counts: Map<K, number>, key: K): void {
+  counts.set(key, (counts.get(key) ?? 0) + 1);
+}
+
+function escapeLabel(text: string): string {
+  return text.replaceAll('\\', '\\\\').replaceAll('"', '\\"').replaceAll('\n', '\\n');
+}
+
+type Labels = Readonly<Record<string, string>>;
+
+function formatLine(name: string, labels: Labels, value: number): string {
+  const text = Object.entries(labels)
+    .map(([key, label]) => `${key}="${escapeLabel(label)}"`)
+    .join(',');
+  return `${name}{${text}} ${value}`;
+}
+
+function formatHistogram(name: string, labels: Labels, histogram: Histogram): string[] {
+  return [
+    ...QUANTILES.map((quantile) =>
+      formatLine(
+        name,
+        { ...labels, quantile: String(quantile) },
+        histogram.getValueAtPercentile(quantile * 100) / MS_PER_SECOND,
+      ),
+    ),
+    formatLine(`${name}_count`, labels, histogram.totalCount),
+  ];
+}
+
+function formatSeries(series: Series): string[] {
+  const { target, workspace } = series;
+  const labels = { workspace, target };
+  return [
+    ...[...series.outcomes].map(([outcome, count]) =>
+      formatLine('gentiandeck_requests_total', { ...labels, outcome }, count),
+    ),
+    ...[...series.refusals].map(([reason, count]) =>
+      formatLine('gentiandeck_refusals_total', { ...labels, reason }, count),
+    ),
+    formatLine('gentiandeck_tokens_total', labels, series.tokens),
+    ...formatHistogram('gentiandeck_first_token_seconds', labels, series.firstTokenMs),
+    ...formatHistogram('gentiandeck_token_gap_seconds', labels, series.maxGapMs),
+    ...formatHistogram('gentiandeck_duration_seconds', labels, series.durationMs),
+  ];
+}
+
+const HEADERS = [
+  '# TYPE gentiandeck_requests_total counter',
+  '# TYPE gentiandeck_refusals_total counter',
+  '# TYPE gentiandeck_tokens_total counter',
+  '# TYPE gentiandeck_first_token_seconds summary',
+  '# TYPE gentiandeck_token_gap_seconds summary',
+  '# TYPE gentiandeck_duration_seconds summary',
+];
+
+/** Creates the measures of a VM. */
+export function createMetrics(): Metrics {
+  const all = new Map<string, Series>();
+
+  const getSeries = ({ target, workspace }: RequestMeasure): Series => {
+    const key = JSON.stringify([workspace, target]);
+    const known = all.get(key);
+    if (known !== undefined) {
+      return known;
+    }
+    const series = createSeries(workspace, target);
+    all.set(key, series);
+    return series;
+  };
+
+  return {
+    record: (measure) => {
+      const series = getSeries(measure);
+      increase(series.outcomes, measure.outcome);
+      if (measure.diagnosticKey !== null) {
+        increase(series.refusals, measure.diagnosticKey);
+      }
+      series.tokens += measure.tokens;
+      series.durationMs.recordValue(measure.durationMs);
+      if (measure.firstTokenMs !== null) {
+        series.firstTokenMs.recordValue(measure.firstTokenMs);
+        series.maxGapMs.recordValue(measure.maxGapMs);
+      }
+    },
+    format: () => `${[...HEADERS, ...[...all.values()].flatMap(formatSeries)].join('\n')}\n`,
+  };
+}
--- /dev/null
+++ b/src/transport/modelDispatch.ts
@@ -0,0 +1,123 @@
+/**
+ * Dispatch to a model engine. Each part of the answer must carry the id of this dispatch and the next
+ * place in the answer, and the answer must end with its end mark; anything else is a failure.
+ */
+import type { IncomingMessage } from 'node:http';
+import { EventKind } from '../coordination/events.js';
+import {
+  createDispatchId,
+  encodeEngineBody,
+  ENGINE_PATHS,
+  REFUSED_HEADER,
+  REQUEST_ID_HEADER,
+  RESUME_HEADER,
+} from '../protocol/engine.js';
+import { type CompletionChunk, type CompletionRequest, decodeChunk } from '../protocol/openai.js';
+import { createSseReader, SSE_DONE } from '../protocol/sse.js';
+import { createDiagnostic, Diagnostics } from '../state/diagnostics.js';
+import { DispatchSignal } from '../state/runState.js';
+import {
+  completeDispatch,
+  createDispatch,
+  type Dispatch,
+  type DispatchCommand,
+  type DispatchContext,
+  failDispatch,
+  failForLostConnection,
+  noteSignal,
+  sendDispatch,
+} from './dispatch.js';
+import { completeAnswer, deliverChunk, type Exchange } from './exchange.js';
+
+const HTTP_OK = 200;
+
+function isExpected(dispatch: Dispatch, chunk: CompletionChunk): boolean {
+  const { command, exchange } = dispatch;
+  const isOwn = chunk.id === createDispatchId(command.requestId, command.attempt);
+  const isNext = chunk.tokenIndex === null || chunk.tokenIndex === exchange.deliveredTokens;
+  return isOwn && isNext;
+}
+
+function takeChunk(dispatch: Dispatch, chunk: CompletionChunk, data: string): boolean {
+  const { command, context, exchange } = dispatch;
+  if (!isExpected(dispatch, chunk)) {
+    failDispatch(dispatch, createDiagnostic(Diagnostics.AnswerMismatched, command.server));
+    return true;
+  }
+  const isFirst = exchange.deliveredTokens === 0 && chunk.tokenIndex !== null;
+  const isWritable = deliverChunk(exchange, chunk, data, context.getNowMs());
+  if (isFirst) {
+    const { attempt, requestId } = command;
+    context.post({ kind: EventKind.AnswerStarted, requestId, attempt });
+  }
+  return isWritable;
+}
+
+function takeData(dispatch: Dispatch, data: string): boolean {
+  if (dispatch.isSettled) {
+    return true;
+  }
+  if (data === SSE_DONE) {
+    completeAnswer(dispatch.exchange);
+    completeDispatch(dispatch);
+    return true;
+  }
+  return decodeChunk(data).caseOf({
+    Left: () => {
+      const { server } = dispatch.command;
+      failDispatch(dispatch, createDiagnostic(Diagnostics.AnswerMismatched, server));
+      return true;
+    },
+    Right: (chunk) => takeChunk(dispatch, chunk, data),
+  });
+}
+
+function refuseByServer(dispatch: Dispatch, response: IncomingMessage): void {
+  const { server } = dispatch.command;
+  const isNotRun = response.headers[REFUSED_HEADER] !== undefined;
+  response.resume();
+  failDispatch(
+    dispatch,
+    createDiagnostic(Diagnostics.BackendRefused, server, response.statusCode ?? 0),
+    isNotRun,
+  );
+}
+
+function takeResponse(dispatch: Dispatch, response: IncomingMessage): void {
+  if (response.statusCode !== HTTP_OK) {
+    refuseByServer(dispatch, response);
+    return;
+  }
+  const read = createSseReader();
+  response.setEncoding('utf8');
+  response.on('data', (text: string) => {
+    noteSignal(dispatch, DispatchSignal.BodyReceived);
+    const isWritable = read(text).reduce((all, data) => takeData(dispatch, data) && all, true);
+    if (!isWritable && !dispatch.isSettled) {
+      response.pause();
+      dispatch.exchange.response.once('drain', () => response.resume());
+    }
+  });
+  response.on('end', () => failForLostConnection(dispatch));
+}
+
+/** Sends a request to a model engine. */
+export function dispatchToModel(
+  command: DispatchCommand,
+  exchange: Exchange,
+  completion: CompletionRequest,
+  context: DispatchContext,
+): void {
+  const dispatch = createDispatch(command, exchange, context);
+  const message = {
+    method: 'POST',
+    path: ENGINE_PATHS[completion.kind],
+    headers: {
+      'content-type': 'application/json',
+      [REQUEST_ID_HEADER]: createDispatchId(command.requestId, command.attempt),
+      [RESUME_HEADER]: String(command.resumeFromToken),
+    },
+    body: encodeEngineBody(completion),
+  };
+  sendDispatch(dispatch, message, (response) => takeResponse(dispatch, response));
+}
--- /dev/null
+++ b/src/transport/peers.ts
@@ -0,0 +1,239 @@
+/**
+ * The peer protocol over connect: what this VM serves to others and asks of them.
+ */
+import http, { type Server } from 'node:http';
+import { create } from '@bufbuild/protobuf';
+import { type Client, createClient, type ConnectRouter } from '@connectrpc/connect';
+import { connectNodeAdapter, createConnectTransport } from '@connectrpc/connect-node';
+import { Effect } from 'effect';
+import { EventKind, type NodeEvent } from '../coordination/events.js';
+import { decodeHead, encodeHead } from '../protocol/documentText.js';
+import {
+  BorrowResponseSchema,
+  FetchConfigurationResponseSchema,
+  FetchOutcomeResponseSchema,
+  type FetchOutcomeResponse,
+  PeerService,
+} from '../protocol/gen/peer_pb.js';
+import { decodeGossip, encodeGossip } from '../protocol/peerMessages.js';
+import { createDiagnostic, type Diagnostic, Diagnostics } from '../state/diagnostics.js';
+import { ALL_SECTIONS, type GossipMessage, type Head } from '../state/types.js';
+import type { ClaimState } from './claims.js';
+import type { BlobMap, TextRevision } from './configurationSource.js';
+
+const PEER_TIMEOUT_MS = 1_000;
+const MAX_MESSAGE_BYTES = 8_388_608;
+/** A peer that the loop has no answer for within this time gets none. */
+const REPLY_TIMEOUT_MS = 1_000;
+
+/** The answer to a loan request. */
+export interface LoanAnswer {
+  readonly grantedTokens: number;
+  readonly leftTokens: number;
+}
+
+/** Replies that the loop owes to peers, by reply id. */
+export interface PendingReplies {
+  readonly gossip: Map<string, (message: GossipMessage) => void>;
+  readonly loans: Map<string, (answer: LoanAnswer) => void>;
+}
+
+/** What the server works with. */
+export interface PeerServerContext {
+  readonly post: (event: NodeEvent) => void;
+  readonly replies: PendingReplies;
+  readonly createReplyId: () => string;
+  readonly getRevision: () => TextRevision | null;
+  readonly findClaim: (claimId: string) => ClaimState | null;
+}
+
+function waitForReply<T>(
+  pending: Map<string, (value: T) => void>,
+  replyId: string,
+  fallback: () => T,
+): Promise<T> {
+  return new Promise((resolve) => {
+    const timer = setTimeout(() => {
+      pending.delete(replyId);
+      resolve(fallback());
+    }, REPLY_TIMEOUT_MS);
+    pending.set(replyId, (value) => {
+      clearTimeout(timer);
+      pending.delete(replyId);
+      resolve(value);
+    });
+  });
+}
+
+const EMPTY_GOSSIP: GossipMessage = {
+  fromVmId: '',
+  revision: 0,
+  members: [],
+  leavingServers: [],
+};
+
+function encodeRevision({ head, texts }: TextRevision) {
+  return create(FetchConfigurationResponseSchema, {
+    headJson: encodeHead(head),
+    blobs: ALL_SECTIONS.map((name) => ({ name, hash: head.sections[name], text: texts[name] })),
+  });
+}
+
+function encodeClaim(claim: ClaimState | null): FetchOutcomeResponse {
+  const answer = claim?.answer ?? null;
+  const contentType = answer?.headers['content-type'];
+  return create(FetchOutcomeResponseSchema, {
+    isKnown: claim !== null,
+    isEnded: claim?.isEnded ?? false,
+    hasAnswer: answer !== null,
+    status: answer?.status ?? 0,
+    contentType: typeof contentType === 'string' ? contentType : '',
+    body: answer?.body ?? new Uint8Array(),
+  });
+}
+
+function addPeerRoutes(router: ConnectRouter, context: PeerServerContext): void {
+  const { post, replies } = context;
+  router.service(PeerService, {
+    gossip: async (request) => {
+      const replyId = context.createReplyId();
+      const reply = waitForReply(replies.gossip, replyId, () => EMPTY_GOSSIP);
+      post({ kind: EventKind.GossipReceived, message: decodeGossip(request), replyId });
+      return encodeGossip(await reply);
+    },
+    borrowTokens: async (request) => {
+      const loanId = context.createReplyId();
+      const reply = waitForReply(replies.loans, loanId, () => ({
+        grantedTokens: 0,
+        leftTokens: 0,
+      }));
+      const { workspace } = request;
+      const tokens = Number(request.tokens);
+      post({ kind: EventKind.BorrowRequested, loanId, workspace, tokens });
+      const { grantedTokens, leftTokens } = await reply;
+      return create(BorrowResponseSchema, {
+        granted: BigInt(grantedTokens),
+        left: BigInt(leftTokens),
+      });
+    },
+    fetchConfiguration: (request) => {
+      const revision = context.getRevision();
+      const isLater = revision !== null && revision.head.revision > Number(request.aboveRevision);
+      return isLater ? encodeRevision(revision) : create(FetchConfigurationResponseSchema);
+    },
+    fetchOutcome: (request) => encodeClaim(context.findClaim(request.claimId)),
+  });
+}
+
+/** Creates the server for peers. It does not listen yet. */
+export function createPeerServer(context: PeerServerContext): Server {
+  const handler = connectNodeAdapter({
+    routes: (router) => addPeerRoutes(router, context),
+    readMaxBytes: MAX_MESSAGE_BYTES,
+  });
+  return http.createServer(handler);
+}
+
+/** Calls to peers, each within a time limit. */
+export interface PeerClient {
+  readonly gossip: (
+    address: string,
+    message: GossipMessage,
+  ) => Effect.Effect<GossipMessage, Diagnostic>;
+  readonly borrow: (
+    address: string,
+    fromVmId: string,
+    workspace: string,
+    tokens: number,
+    timeoutMs: number,
+  ) => Effect.Effect<LoanAnswer, Diagnostic>;
+  /** Ends with null if the peer has no later revision. */
+  readonly fetchConfiguration: (
+    address: string,
+    aboveRevision: number,
+  ) => Effect.Effect<{ readonly head: Head; readonly blobs: BlobMap } | null, Diagnostic>;
+  /** Ends with null if the peer knows nothing of the claim. */
+  readonly fetchOutcome: (
+    address: string,
+    claimId: string,
+  ) => Effect.Effect<ClaimState | null, Diagnostic>;
+}
+
+function decodeClaim(response: FetchOutcomeResponse): ClaimState | null {
+  if (!response.isKnown) {
+    return null;
+  }
+  const headers = response.contentType === '' ? {} : { 'content-type': response.contentType };
+  const { isEnded, status } = response;
+  const answer = response.hasAnswer ? { status, headers, body: Buffer.from(response.body) } : null;
+  return { isEnded, answer };
+}
+
+/** Creates the client. Connections are kept by address. */
+export function createPeerClient(): PeerClient {
+  const clients = new Map<string, Client<typeof PeerService>>();
+  const agent = new http.Agent({ keepAlive: true });
+
+  const getClient = (address: string): Client<typeof PeerService> => {
+    const known = clients.get(address);
+    if (known !== undefined) {
+      return known;
+    }
+    const transport = createConnectTransport({
+      baseUrl: `http://${address}`,
+      httpVersion: '1.1',
+      nodeOptions: { agent },
+      readMaxBytes: MAX_MESSAGE_BYTES,
+    });
+    const client = createClient(PeerService, transport);
+    clients.set(address, client);
+    return client;
+  };
+
+  const call = <T>(
+    address: string,
+    run: (client: Client<typeof PeerService>, signal: AbortSignal) => Promise<T>,
+  ): Effect.Effect<T, Diagnostic> =>
+    Effect.tryPromise({
+      try: (signal) => run(getClient(address), signal),
+      catch: () => createDiagnostic(Diagnostics.PeerUnavailable, address),
+    });
+
+  const timeoutMs = PEER_TIMEOUT_MS;
+  return {
+    gossip: (address, message) =>
+      call(address, (client, signal) =>
+        client.gossip(encodeGossip(message), { signal, timeoutMs }),
+      ).pipe(Effect.map(decodeGossip)),
+    borrow: (address, fromVmId, workspace, tokens, loanTimeoutMs) =>
+      call(address, (client, signal) =>
+        client.borrowTokens(
+          { fromVmId, workspace, tokens: BigInt(tokens) },
+          { signal, timeoutMs: loanTimeoutMs },
+        ),
+      ).pipe(
+        Effect.map((response) => ({
+          grantedTokens: Number(response.granted),
+          leftTokens: Number(response.left),
+        })),
+      ),
+    fetchConfiguration: (address, aboveRevision) =>
+      call(address, (client, signal) =>
+        client.fetchConfiguration({ aboveRevision: BigInt(aboveRevision) }, { signal, timeoutMs }),
+      ).pipe(
+        Effect.map((response) =>
+          decodeHead(response.headJson).caseOf({
+            Left: () => null,
+            Right: (head) => ({
+              head,
+              blobs: new Map(response.blobs.map((blob) => [blob.hash, blob.text])),
+            }),
+          }),
+        ),
+      ),
+    fetchOutcome: (address, claimId) =>
+      call(address, (client, signal) =>
+        client.fetchOutcome({ claimId }, { signal, timeoutMs }),
+      ).pipe(Effect.map(decodeClaim)),
+  };
+}
--- /dev/null
+++ b/src/transport/store.ts
@@ -0,0 +1,163 @@
+/**
+ * The platform's key-value service behind one small interface. Each call ends with a value or a typed
+ * failure; `StoreUnknown` is the failure of a change that may have taken effect all the same.
+ */
+import http from 'node:http';
+import { Effect } from 'effect';
+import type { Either } from 'purify-ts';
+import {
+  decodeLeaseGrant,
+  decodeLeaseKeepAlive,
+  decodeRange,
+  decodeSwap,
+  decodeVmList,
+  decodeWatch,
+  encodeLeaseGrant,
+  encodeLeaseKeepAlive,
+  encodeRange,
+  encodeSwap,
+  encodeWatch,
+  createStoreRejection,
+  STORE_PATHS,
+  type StoredValue,
+  type Swap,
+  VM_LIST_PATH,
+} from '../protocol/storeMessages.js';
+import type { ListedVm } from '../coordination/events.js';
+import { createDiagnostic, type Diagnostic, Diagnostics } from '../state/diagnostics.js';
+import { callHttp, type CallFailure, splitAddress } from './httpCall.js';
+
+const HTTP_OK = 200;
+const HTTP_SERVER_ERROR = 500;
+/** A watch that is silent for this time is opened anew, in case its connection is dead. */
+const WATCH_IDLE_MS = 30_000;
+const MAX_WATCH_LINE = 4_194_304;
+
+/** The store as the rest of the daemon sees it. */
+export interface Store {
+  readonly get: (key: string) => Effect.Effect<StoredValue | null, Diagnostic>;
+  /** Ends with the new version, or null if the key had another version than expected. */
+  readonly swap: (swap: Swap) => Effect.Effect<number | null, Diagnostic>;
+  readonly grantLease: (ttlSeconds: number) => Effect.Effect<string, Diagnostic>;
+  /** Ends with false if the lease has lapsed. */
+  readonly keepLease: (leaseId: string) => Effect.Effect<boolean, Diagnostic>;
+  /** Calls back on each value of a key from a version on; fails when the watch breaks. */
+  readonly watch: (
+    key: string,
+    fromVersion: number,
+    onValue: (value: StoredValue) => void,
+  ) => Effect.Effect<never, Diagnostic>;
+  readonly listVms: Effect.Effect<readonly ListedVm[], Diagnostic>;
+}
+
+type FailureMapper = (failure: CallFailure) => Diagnostic;
+
+const mapReadFailure: FailureMapper = () => createDiagnostic(Diagnostics.StoreUnavailable);
+
+const mapWriteFailure: FailureMapper = ({ mayHaveRun }) =>
+  createDiagnostic(mayHaveRun ? Diagnostics.StoreUnknown : Diagnostics.StoreUnavailable);
+
+function fromEither<T>(either: Either<Diagnostic, T>): Effect.Effect<T, Diagnostic> {
+  return either.caseOf<Effect.Effect<T, Diagnostic>>({
+    Left: (diagnostic) => Effect.fail(diagnostic),
+    Right: (value) => Effect.succeed(value),
+  });
+}
+
+function watchKey(
+  address: string,
+  key: string,
+  fromVersion: number,
+  onValue: (value: StoredValue) => void,
+): Effect.Effect<never, Diagnostic> {
+  return Effect.callback<never, Diagnostic>((resume) => {
+    const fail = (): void => {
+      resume(Effect.fail(createDiagnostic(Diagnostics.StoreUnavailable)));
+    };
+    let rest = '';
+    const takeText = (text: string): void => {
+      const lines = (rest + text).split('\n');
+      rest = lines.pop() ?? '';
+      lines
+        .filter((line) => line.trim() !== '')
+        .forEach((line) => decodeWatch(line).ifRight((values) => values.forEach(onValue)));
+    };
+    const request = http.request(
+      { ...splitAddress(address), method: 'POST', path: STORE_PATHS.Watch, timeout: WATCH_IDLE_MS },
+      (response) => {
+        response.setEncoding('utf8');
+        response.on('data', (text: string) => {
+          takeText(text);
+          if (rest.length > MAX_WATCH_LINE) {
+            request.destroy();
+          }
+        });
+        response.on('end', fail);
+        response.on('error', fail);
+      },
+    );
+    request.on('timeout', () => request.destroy());
+    request.on('error', fail);
+    request.end(encodeWatch(key, fromVersion));
+    return Effect.sync(() => request.destroy());
+  });
+}
+
+/**
+ * Creates a client of the store.
+ *
+ * @param addresses Any of them serves each call; after a failure the next one is taken.
+ */
+export function createStore(addresses: readonly string[], timeoutMs: number): Store {
+  let current = 0;
+  const getAddress = (): string => addresses[current % addresses.length]!;
+
+  const call = <T>(
+    path: string,
+    body: string | null,
+    decode: (text: string) => Either<Diagnostic, T>,
+    mapFailure: FailureMapper,
+  ): Effect.Effect<T, Diagnostic> =>
+    Effect.suspend(() =>
+      callHttp({
+        address: getAddress(),
+        method: body === null ? 'GET' : 'POST',
+        path,
+        body,
+        timeoutMs,
+      }),
+    ).pipe(
+      Effect.mapError((failure) => {
+        current += 1;
+        return mapFailure(failure);
+      }),
+      Effect.flatMap(({ status, text }) => {
+        if (status === HTTP_OK) {
+          return fromEither(decode(text));
+        }
+        const isRejection = status < HTTP_SERVER_ERROR;
+        return Effect.fail(
+          isRejection
+            ? createStoreRejection(status)
+            : mapFailure({ mayHaveRun: true, reason: String(status) }),
+        );
+      }),
+    );
+
+  return {
+    get: (key) => call(STORE_PATHS.Range, encodeRange(key), decodeRange, mapReadFailure),
+    swap: (swap) => call(STORE_PATHS.Txn, encodeSwap(swap), decodeSwap, mapWriteFailure),
+    grantLease: (ttlSeconds) =>
+      call(STORE_PATHS.LeaseGrant, encodeLeaseGrant(ttlSeconds), decodeLeaseGrant, mapWriteFailure),
+    keepLease: (leaseId) =>
+      call(
+        STORE_PATHS.LeaseKeepAlive,
+        encodeLeaseKeepAlive(leaseId),
+        decodeLeaseKeepAlive,
+        mapWriteFailure,
+      ),
+    watch: (key, fromVersion, onValue) =>
+      Effect.suspend(() => watchKey(getAddress(), key, fromVersion, onValue)),
+    listVms: call(VM_LIST_PATH, null, decodeVmList, mapReadFailure),
+  };
+}
--- /dev/null
+++ b/tests/stand-ins/fleet.ts
@@ -0,0 +1,281 @@
+/**
+ * A small fleet of processes for the demonstration, tests and benchmarks: the platform, engines, plain
+ * services and daemons, with a document that fits them.
+ */
+import { randomUUID } from 'node:crypto';
+import { hashSha256, formatSections } from '../../src/protocol/documentText.js';
+import type {
+  BackendServer,
+  Document,
+  FailureDomain,
+  Model,
+  Route,
+  Workspace,
+} from '../../src/state/types.js';
+import { DEFAULT_ENGINE_OPTIONS, type EngineOptions } from './engine.js';
+import { endProcess, findPort, type Started, startProgram, waitFor } from './processes.js';
+
+export const OPERATOR_TOKEN = 'operator-token';
+
+/** One engine of the fleet. */
+export interface EnginePlan {
+  readonly name: string;
+  readonly failureDomain: string;
+  readonly options?: Partial<EngineOptions>;
+}
+
+/** What a fleet is made of. */
+export interface FleetPlan {
+  readonly failureDomains: readonly FailureDomain[];
+  /** Failure domain of each daemon. */
+  readonly daemons: readonly string[];
+  readonly engines: readonly EnginePlan[];
+  readonly services: readonly { readonly name: string; readonly failureDomain: string }[];
+  readonly models: readonly Model[];
+  readonly routes: readonly Route[];
+  readonly workspaces: readonly (Omit<Workspace, 'keys'> & { readonly keys: readonly string[] })[];
+  readonly daemonFlags?: readonly string[];
+}
+
+export interface RunningDaemon {
+  readonly vmId: string;
+  readonly failureDomain: string;
+  readonly callerUrl: string;
+  readonly adminUrl: string;
+  readonly peerAddress: string;
+  readonly flags: readonly string[];
+  process: Started;
+}
+
+/** A running fleet. */
+export interface Fleet {
+  readonly storeUrl: string;
+  readonly store: Started;
+  readonly daemons: RunningDaemon[];
+  readonly engines: ReadonlyMap<string, { readonly url: string; process: Started }>;
+  readonly services: ReadonlyMap<string, { readonly url: string; process: Started }>;
+  readonly document: Document;
+  readonly stop: () => Promise<void>;
+}
+
+/** Posts JSON and returns the decoded answer. */
+export async function postJson(
+  url: string,
+  value: unknown,
+  headers: Record<string, string> = {},
+  method = 'POST',
+): Promise<{ status: number; body: unknown; headers: Headers }> {
+  const response = await fetch(url, {
+    method,
+    headers: { 'content-type': 'application/json', ...headers },
+    body: JSON.stringify(value),
+  });
+  const text = await response.text();
+  const body: unknown = text === '' ? null : JSON.parse(text);
+  return { status: response.status, body, headers: response.headers };
+}
+
+/** Gets JSON. */
+export async function getJson<T>(url: string, headers: Record<string, string> = {}): Promise<T> {
+  const response = await fetch(url, { headers });
+  return (await response.json()) as T;
+}
+
+/** The header with which operators come. */
+export const OPERATOR_HEADERS = { authorization: `Bearer ${OPERATOR_TOKEN}` };
+
+function createServers(
+  plan: FleetPlan,
+  addresses: ReadonlyMap<string, string>,
+): readonly BackendServer[] {
+  const engines = plan.engines.map((engine) => {
+    const options = { ...DEFAULT_ENGINE_OPTIONS, ...engine.options };
+    return {
+      name: engine.name,
+      kind: 'engine' as const,
+      failureDomain: engine.failureDomain,
+      address: addresses.get(engine.name)!,
+      memoryMb: options.memoryMb,
+      maxConcurrentRequests: options.maxBatch,
+      checksFencing: options.checksFencing,
+      leaving: false,
+    };
+  });
+  const services = plan.services.map((service) => ({
+    name: service.name,
+    kind: 'service' as const,
+    failureDomain: service.failureDomain,
+    address: addresses.get(service.name)!,
+    memoryMb: 0,
+    maxConcurrentRequests: 64,
+    checksFencing: false,
+    leaving: false,
+  }));
+  return [...engines, ...services];
+}
+
+/** Creates the document of a plan. */
+export function createDocument(plan: FleetPlan, addresses: ReadonlyMap<string, string>): Document {
+  return {
+    operators: {
+      teams: [
+        {
+          name: 'platform',
+          tokenSha256: hashSha256(OPERATOR_TOKEN),
+          sections: ['operators', 'vms', 'models', 'workspaces'],
+        },
+      ],
+    },
+    vms: { failureDomains: plan.failureDomains, backendServers: createServers(plan, addresses) },
+    models: { models: plan.models, routes: plan.routes },
+    workspaces: {
+      workspaces: plan.workspaces.map((workspace) => ({
+        ...workspace,
+        keys: workspace.keys.map((key, i) => ({ id: `key-${i}`, sha256: hashSha256(key) })),
+      })),
+    },
+  };
+}
+
+/** Writes the first document through a daemon. */
+export async function writeDocument(adminUrl: string, document: Document): Promise<void> {
+  const texts = formatSections(document);
+  const sections = Object.fromEntries(
+    Object.entries(texts).map(([name, text]) => [name, { text, baseHash: null }]),
+  );
+  const message = { editId: randomUUID(), note: 'first document', sections };
+  const { body, status } = await postJson(`${adminUrl}/admin/v1/edits`, message, OPERATOR_HEADERS);
+  if (status !== 200) {
+    throw new Error(`the document was refused: ${JSON.stringify(body)}`);
+  }
+}
+
+/** Starts one daemon with the flags it had before. */
+export async function startDaemonProcess(vmId: string, flags: readonly string[]): Promise<Started> {
+  return startProgram(vmId, 'src/bin/gentiandeckd.js', flags, 'The daemon has started.');
+}
+
+async function startStandIns(
+  names: readonly string[],
+  program: string,
+  getArgs: (name: string) => readonly string[],
+): Promise<Map<string, { url: string; process: Started }>> {
+  const started = await Promise.all(
+    names.map(async (name) => {
+      const port = await findPort();
+      const args = ['--port', String(port), ...getArgs(name)];
+      const process = await startProgram(name, program, args, 'ready');
+      return [name, { url: `http://127.0.0.1:${port}`, process }] as const;
+    }),
+  );
+  return new Map(started);
+}
+
+async function isDaemonReady(daemon: RunningDaemon): Promise<boolean> {
+  try {
+    const response = await fetch(`${daemon.adminUrl}/readyz`);
+    return response.ok;
+  } catch {
+    return false;
+  }
+}
+
+interface VmsAnswer {
+  readonly vms: readonly { readonly shareUnits: number; readonly isLive: boolean }[];
+}
+
+/** Waits until every daemon is ready, sees all others and has its share. */
+export async function waitForFleet(daemons: readonly RunningDaemon[]): Promise<void> {
+  await waitFor('every daemon is ready', async () => {
+    const ready = await Promise.all(daemons.map(isDaemonReady));
+    return ready.every(Boolean);
+  });
+  await waitFor('every daemon has its share', async () => {
+    const views = await Promise.all(
+      daemons.map((daemon) =>
+        getJson<VmsAnswer>(`${daemon.adminUrl}/admin/v1/vms`, OPERATOR_HEADERS),
+      ),
+    );
+    return views.every(
+      ({ vms }) =>
+        vms.length === daemons.length && vms.every((vm) => vm.isLive && vm.shareUnits > 0),
+    );
+  });
+}
+
+async function planDaemon(
+  plan: FleetPlan,
+  index: number,
+  storeAddress: string,
+  peers: readonly string[],
+): Promise<Omit<RunningDaemon, 'process'>> {
+  const failureDomain = plan.daemons[index]!;
+  const vmId = `vm-${index}`;
+  const callerPort = await findPort();
+  const adminPort = await findPort();
+  const peerAddress = peers[index]!;
+  const flags = [
+    ...['--vm-id', vmId, '--failure-domain', failureDomain],
+    ...['--listen', `127.0.0.1:${callerPort}`, '--peer-listen', peerAddress],
+    ...['--admin-listen', `127.0.0.1:${adminPort}`, '--store', storeAddress],
+    ...['--peers', peers.join(','), '--bootstrap-token', OPERATOR_TOKEN],
+    ...(plan.daemonFlags ?? []),
+  ];
+  return {
+    vmId,
+    failureDomain,
+    callerUrl: `http://127.0.0.1:${callerPort}`,
+    adminUrl: `http://127.0.0.1:${adminPort}`,
+    peerAddress,
+    flags,
+  };
+}
+
+/** Starts a fleet and waits until it serves. */
+export async function startFleet(plan: FleetPlan): Promise<Fleet> {
+  const storePort = await findPort();
+  const storeAddress = `127.0.0.1:${storePort}`;
+  const storeArgs = ['--port', String(storePort)];
+  const store = await startProgram('store', 'tests/stand-ins/storeMain.js', storeArgs, 'ready');
+  const enginePlans = new Map(plan.engines.map((engine) => [engine.name, engine]));
+  const engines = await startStandIns(
+    [...enginePlans.keys()],
+    'tests/stand-ins/engineMain.js',
+    (name) => ['--options', JSON.stringify(enginePlans.get(name)?.options ?? {})],
+  );
+  const services = await startStandIns(
+    plan.services.map((service) => service.name),
+    'tests/stand-ins/serviceMain.js',
+    () => [],
+  );
+  const addresses = new Map(
+    [...engines, ...services].map(([name, { url }]) => [name, url.replace('http://', '')]),
+  );
+  const document = createDocument(plan, addresses);
+  const peers = await Promise.all(plan.daemons.map(async () => `127.0.0.1:${await findPort()}`));
+  const plans = await Promise.all(
+    plan.daemons.map((_, index) => planDaemon(plan, index, storeAddress, peers)),
+  );
+  const listed = plans.map(({ peerAddress, vmId }) => ({ vmId, peerAddress, state: 'live' }));
+  await postJson(`http://${storeAddress}/vms`, listed);
+  const daemons = await Promise.all(
+    plans.map(async (daemon) => ({
+      ...daemon,
+      process: await startDaemonProcess(daemon.vmId, daemon.flags),
+    })),
+  );
+  await writeDocument(daemons[0]!.adminUrl, document);
+  await waitForFleet(daemons);
+  return {
+    storeUrl: `http://${storeAddress}`,
+    store,
+    daemons,
+    engines,
+    services,
+    document,
+    stop: async () => {
+      const all = [...daemons, ...engines.values(), ...services.values()].map((e) => e.process);
+      await Promise.all([...all, store].map((started) => endProcess(started)));
+    },
+  };
+}
--- /dev/null
+++ b/tests/stand-ins/serviceMain.ts
@@ -0,0 +1,9 @@
+/**
+ * The plain service's stand-in as a process: `--port N`.
+ */
+import { announceReady, readFlags } from './http.js';
+import { startService } from './service.js';
+
+const flags = readFlags(process.argv.slice(2));
+await startService(Number(flags.get('port')));
+announceReady();
--- /dev/null
+++ b/tests/stand-ins/store.ts
@@ -0,0 +1,264 @@
+/**
+ * Stand-in of the platform: its key-value service (the JSON form of the etcd v3 API) and its list of
+ * VMs. Faults are set by `POST /faults`.
+ */
+import type { Server, ServerResponse } from 'node:http';
+import { STORE_PATHS, VM_LIST_PATH } from '../../src/protocol/storeMessages.js';
+import { sendJson, serveTable, type StandInHandler } from './http.js';
+
+const MAX_VALUE_BYTES = 1_048_576;
+const MS_PER_SECOND = 1000;
+
+/** What can be made to go wrong. */
+export interface StoreFaults {
+  /** Every call is cut off without an answer. */
+  outage: boolean;
+  delayMs: number;
+  /** So many next swaps take effect, but their answers are lost. */
+  loseSwapAnswers: number;
+  /** So many next swaps are lost before they take effect. */
+  loseSwaps: number;
+  /** Watches are accepted and stay silent. */
+  deadWatches: boolean;
+  /** Calls allowed in a second; zero for no limit. */
+  readsPerSecond: number;
+  writesPerSecond: number;
+}
+
+const NO_FAULTS: StoreFaults = {
+  outage: false,
+  delayMs: 0,
+  loseSwapAnswers: 0,
+  loseSwaps: 0,
+  deadWatches: false,
+  readsPerSecond: 0,
+  writesPerSecond: 0,
+};
+
+interface Entry {
+  readonly value: string;
+  readonly version: number;
+  readonly lease: string | null;
+}
+
+interface Watch {
+  readonly key: string;
+  readonly response: ServerResponse;
+}
+
+interface SwapMessage {
+  readonly compare: readonly { readonly key: string; readonly mod_revision: string }[];
+  readonly success: readonly {
+    readonly request_put?: {
+      readonly key: string;
+      readonly value: string;
+      readonly lease?: string;
+    };
+    readonly request_delete_range?: { readonly key: string };
+  }[];
+}
+
+/** Starts the stand-in. */
+export function startStore(port: number): Promise<Server> {
+  let entries = new Map<string, Entry>();
+  let snapshot = new Map<string, Entry>();
+  let version = 1;
+  let faults = { ...NO_FAULTS };
+  let vms: readonly unknown[] = [];
+  let leaseCount = 0;
+  const leases = new Map<string, { ttlMs: number; endsAtMs: number }>();
+  const watches = new Set<Watch>();
+  const counts = { reads: 0, writes: 0, watches: 0, bytesOut: 0, rejected: 0 };
+  let windowStartMs = 0;
+  let windowReads = 0;
+  let windowWrites = 0;
+
+  const isOverLimit = (kind: 'reads' | 'writes'): boolean => {
+    const nowMs = Date.now();
+    if (nowMs - windowStartMs >= MS_PER_SECOND) {
+      windowStartMs = nowMs;
+      windowReads = 0;
+      windowWrites = 0;
+    }
+    if (kind === 'reads') {
+      windowReads += 1;
+      return faults.readsPerSecond > 0 && windowReads > faults.readsPerSecond;
+    }
+    windowWrites += 1;
+    return faults.writesPerSecond > 0 && windowWrites > faults.writesPerSecond;
+  };
+
+  const withFaults =
+    (kind: 'reads' | 'writes', handler: StandInHandler): StandInHandler =>
+    (request, response, body) => {
+      counts[kind] += 1;
+      if (faults.outage) {
+        request.socket.destroy();
+        return;
+      }
+      if (isOverLimit(kind)) {
+        counts.rejected += 1;
+        sendJson(response, { error: 'too many requests' }, 429);
+        return;
+      }
+      setTimeout(() => handler(request, response, body), faults.delayMs);
+    };
+
+  const encodeEntry = (key: string, entry: Entry): object => ({
+    key,
+    value: entry.value,
+    mod_revision: String(entry.version),
+  });
+
+  const notify = (key: string): void => {
+    const entry = entries.get(key);
+    if (entry === undefined || faults.deadWatches) {
+      return;
+    }
+    const line = `${JSON.stringify({ result: { events: [{ kv: encodeEntry(key, entry) }] } })}\n`;
+    [...watches]
+      .filter((watch) => watch.key === key)
+      .forEach((watch) => {
+        counts.bytesOut += line.length;
+        watch.response.write(line);
+      });
+  };
+
+  const dropLapsed = (): void => {
+    const nowMs = Date.now();
+    [...leases].forEach(([id, lease]) => {
+      if (lease.endsAtMs < nowMs) {
+        leases.delete(id);
+        [...entries].forEach(([key, entry]) => {
+          if (entry.lease === id) {
+            entries.delete(key);
+          }
+        });
+      }
+    });
+  };
+
+  const range: StandInHandler = (_request, response, body) => {
+    dropLapsed();
+    const { key } = JSON.parse(body) as { key: string };
+    const entry = entries.get(key);
+    counts.bytesOut += entry?.value.length ?? 0;
+    sendJson(response, entry === undefined ? { kvs: [] } : { kvs: [encodeEntry(key, entry)] });
+  };
+
+  const applySwap = (message: SwapMessage): boolean => {
+    const holds = message.compare.every(
+      ({ key, mod_revision: expected }) => (entries.get(key)?.version ?? 0) === Number(expected),
+    );
+    if (!holds) {
+      return false;
+    }
+    message.success.forEach(({ request_put: put, request_delete_range: removal }) => {
+      version += 1;
+      if (put !== undefined) {
+        entries.set(put.key, { value: put.value, version, lease: put.lease ?? null });
+        notify(put.key);
+      }
+      if (removal !== undefined) {
+        entries.delete(removal.key);
+      }
+    });
+    return true;
+  };
+
+  const txn: StandInHandler = (request, response, body) => {
+    dropLapsed();
+    if (Buffer.byteLength(body) > MAX_VALUE_BYTES * 1.5) {
+      sendJson(response, { error: 'value too large' }, 413);
+      return;
+    }
+    if (faults.loseSwaps > 0) {
+      faults.loseSwaps -= 1;
+      request.socket.destroy();
+      return;
+    }
+    const succeeded = applySwap(JSON.parse(body) as SwapMessage);
+    if (faults.loseSwapAnswers > 0) {
+      faults.loseSwapAnswers -= 1;
+      request.socket.destroy();
+      return;
+    }
+    sendJson(response, { header: { revision: String(version) }, succeeded });
+  };
+
+  const grant: StandInHandler = (_request, response, body) => {
+    const ttlMs = Number((JSON.parse(body) as { TTL: string }).TTL) * MS_PER_SECOND;
+    leaseCount += 1;
+    const id = String(leaseCount);
+    leases.set(id, { ttlMs, endsAtMs: Date.now() + ttlMs });
+    sendJson(response, { ID: id, TTL: String(ttlMs / MS_PER_SECOND) });
+  };
+
+  const keepAlive: StandInHandler = (_request, response, body) => {
+    dropLapsed();
+    const { ID: id } = JSON.parse(body) as { ID: string };
+    const lease = leases.get(id);
+    if (lease !== undefined) {
+      lease.endsAtMs = Date.now() + lease.ttlMs;
+    }
+    const ttl = lease === undefined ? '0' : String(lease.ttlMs / MS_PER_SECOND);
+    sendJson(response, { result: { ID: id, TTL: ttl } });
+  };
+
+  const watch: StandInHandler = (_request, response, body) => {
+    const { create_request: create } = JSON.parse(body) as {
+      create_request: { key: string; start_revision?: string };
+    };
+    response.writeHead(200, { 'content-type': 'application/json' });
+    response.write(`${JSON.stringify({ result: { created: true } })}\n`);
+    const entry = entries.get(create.key);
+    if (entry !== undefined && entry.version >= Number(create.start_revision ?? '0')) {
+      const event = { kv: encodeEntry(create.key, entry) };
+      response.write(`${JSON.stringify({ result: { events: [event] } })}\n`);
+    }
+    const record = { key: create.key, response };
+    counts.watches += 1;
+    watches.add(record);
+    response.on('close', () => watches.delete(record));
+  };
+
+  const setFaults: StandInHandler = (_request, response, body) => {
+    faults = { ...faults, ...(JSON.parse(body) as Partial<StoreFaults>) };
+    if (faults.outage) {
+      watches.forEach((record) => record.response.destroy());
+    }
+    sendJson(response, faults);
+  };
+
+  return serveTable(
+    port,
+    {
+      [`POST ${STORE_PATHS.Range}`]: withFaults('reads', range),
+      [`POST ${STORE_PATHS.Txn}`]: withFaults('writes', txn),
+      [`POST ${STORE_PATHS.LeaseGrant}`]: withFaults('writes', grant),
+      [`POST ${STORE_PATHS.LeaseKeepAlive}`]: withFaults('writes', keepAlive),
+      [`POST ${STORE_PATHS.Watch}`]: withFaults('reads', watch),
+      [`GET ${VM_LIST_PATH}`]: withFaults('reads', (_request, response) =>
+        sendJson(response, { vms }),
+      ),
+      'POST /faults': setFaults,
+      'POST /vms': (_request, response, body) => {
+        vms = JSON.parse(body) as readonly unknown[];
+        sendJson(response, { vms });
+      },
+      'POST /snapshot': (_request, response) => {
+        snapshot = new Map(entries);
+        sendJson(response, { size: snapshot.size });
+      },
+      // Restores the snapshot, as an operator's backup would, under new versions.
+      'POST /restore': (_request, response) => {
+        version += 1;
+        entries = new Map([...snapshot].map(([key, entry]) => [key, { ...entry, version }]));
+        [...entries.keys()].forEach(notify);
+        sendJson(response, { size: entries.size });
+      },
+      'GET /counts': (_request, response) => sendJson(response, counts),
+    },
+    (_request, response) => sendJson(response, { error: 'not found' }, 404),
+  );
+}
