Prove the operators' side against real processes

Found by the new tests, each failed first: a DELETE through Node's client had no body framing, so keys could not be withdrawn by the tool; a VM that started during a store outage was ready before it had asked any engine for its load and refused with 503; a stale head was logged as unreadable.

--- a/src/coordination/configurationHandlers.ts
+++ b/src/coordination/configurationHandlers.ts
@@ -2,16 +2,10 @@
  * Putting a revision in force. Revisions only grow on a VM, wherever they come from.
  */
 import { createConfiguration } from '../state/configuration.js';
-import {
-  type Command,
-  CommandKind,
-  createLog,
-  type EventKind,
-  type EventOf,
-  LogLevel,
-  Part,
-} from './events.js';
+import { Diagnostics, isDiagnostic } from '../state/diagnostics.js';
+import { type Command, createLog, type EventKind, type EventOf, LogLevel, Part } from './events.js';
 import type { NodeState } from './nodeState.js';
+import { pollUnreported, updateReadiness } from './serverHandlers.js';
 import { adoptOwnEntry, readShares } from './shareHandlers.js';
 import { resizeSlices } from './slices.js';
 
@@ -40,17 +34,21 @@
   const fields = { revision: head.revision };
   return [
     createLog(LogLevel.Info, Part.Configuration, 'A revision is in force.', fields),
-    { kind: CommandKind.SetReady, isReady: true },
     ...readShares(state),
+    ...pollUnreported(state),
+    ...updateReadiness(state),
   ];
 }
 
 /** Reports a revision that could not be read; the one before it stays in force. */
 export function handleConfigurationRejected(
-  _state: NodeState,
+  state: NodeState,
   event: EventOf<typeof EventKind.ConfigurationRejected>,
 ): Command[] {
   const { diagnostic, revision } = event;
+  if (isDiagnostic(diagnostic, Diagnostics.StaleHead)) {
+    return refuseStale(revision, state.configuration?.head.revision ?? 0);
+  }
   const fields = { revision, failure: diagnostic.key, detail: diagnostic.message };
   return [createLog(LogLevel.Error, Part.Configuration, 'Could not read a revision.', fields)];
 }
--- a/src/coordination/nodeState.ts
+++ b/src/coordination/nodeState.ts
@@ -77,6 +77,8 @@
 export interface ServerRecord {
   /** Requests that this VM has there now. */
   inFlight: number;
+  /** True once it has answered a poll or failed to. */
+  isAsked: boolean;
   report: LoadReport | null;
   reportedAtMs: number;
   /** Own requests there when the last report came, and so in it. */
@@ -131,6 +133,7 @@
   readonly random: RandomState;
   readonly startedAtMs: number;
   configuration: Configuration | null;
+  isReady: boolean;
   lifecycle: Lifecycle;
   lifecycleSinceMs: number;
   heartbeat: number;
@@ -167,6 +170,7 @@
     random: createRandom(seed),
     startedAtMs: nowMs,
     configuration: null,
+    isReady: false,
     lifecycle: Lifecycle.Running,
     lifecycleSinceMs: nowMs,
     heartbeat: self.firstHeartbeat,
--- a/src/coordination/routing.ts
+++ b/src/coordination/routing.ts
@@ -33,6 +33,7 @@
   }
   const record: ServerRecord = {
     inFlight: 0,
+    isAsked: false,
     report: null,
     reportedAtMs: 0,
     inFlightAtReport: 0,
--- a/src/transport/httpCall.ts
+++ b/src/transport/httpCall.ts
@@ -49,7 +49,12 @@
       ...splitAddress(call.address),
       method: call.method,
       path: call.path,
-      headers: { 'content-type': 'application/json', ...call.headers },
+      headers: {
+        'content-type': 'application/json',
+        // Without it, Node.js sends the body of a DELETE unframed.
+        'content-length': Buffer.byteLength(call.body ?? ''),
+        ...call.headers,
+      },
       agent,
     },
     (response) => {
--- a/tests/stand-ins/processes.ts
+++ b/tests/stand-ins/processes.ts
@@ -22,6 +22,11 @@
   readonly getOutput: () => string;
 }
 
+/** Returns the path of a built program. */
+export function getProgramPath(program: string): string {
+  return join(ROOT, program);
+}
+
 const children = new Set<ChildProcess>();
 process.on('exit', () => children.forEach((child) => child.kill('SIGKILL')));
 
@@ -43,7 +48,7 @@
   args: readonly string[],
   readyText: string,
 ): Promise<Started> {
-  const child = spawn(process.execPath, [join(ROOT, program), ...args], {
+  const child = spawn(process.execPath, [getProgramPath(program), ...args], {
     stdio: ['ignore', 'pipe', 'pipe'],
   });
   children.add(child);
