--- /dev/null
+++ b/bench/latency.ts
@@ -0,0 +1,81 @@
+/**
+ * What one daemon adds to a direct call of the same engine, and how many requests it carries.
+ */
+import { REQUEST_ID_HEADER } from '../src/protocol/engine.js';
+import { type Fleet, startFleet } from '../tests/stand-ins/fleet.js';
+import { createSmallPlan, MILL_KEY } from '../tests/stand-ins/plans.js';
+import { getQuantile, printFigure } from './figures.js';
+import { type LoadTarget, runAtRate, runWorkers, type Sample } from './load.js';
+
+const RATE = 200;
+const WARM_UP_MS = 3_000;
+const DURATION_MS = 10_000;
+const WORKERS = 64;
+const TARGET_MEDIAN_MS = 1;
+const TARGET_P99_MS = 3;
+
+const BODY = JSON.stringify({
+  model: 'quotation',
+  prompt: 'A quotation for tape',
+  max_tokens: 4,
+  stream: true,
+});
+
+async function startOneDaemon(): Promise<Fleet> {
+  const plan = createSmallPlan({ tokenMs: 1, maxBatch: 256, maxQueue: 1_024, reportLagMs: 50 });
+  const [engine] = plan.engines;
+  return startFleet({
+    ...plan,
+    daemons: ['fd-a'],
+    engines: [engine!],
+    workspaces: plan.workspaces.map((workspace) => ({
+      ...workspace,
+      rateTokensPerSecond: 10_000_000,
+      burstTokens: 100_000_000,
+    })),
+    daemonFlags: ['--log-level', 'info'],
+  });
+}
+
+function createTargets(fleet: Fleet): { direct: LoadTarget; through: LoadTarget } {
+  const { url } = [...fleet.engines.values()][0]!;
+  const common = { body: BODY, endMark: '[DONE]' };
+  return {
+    direct: {
+      ...common,
+      url: `${url}/v1/completions`,
+      headers: { [REQUEST_ID_HEADER]: 'direct.1' },
+    },
+    through: {
+      ...common,
+      url: `${fleet.daemons[0]!.callerUrl}/v1/completions`,
+      headers: { authorization: `Bearer ${MILL_KEY}` },
+    },
+  };
+}
+
+function getTimes(samples: readonly Sample[]): number[] {
+  return samples.filter(({ isRight }) => isRight).map(({ firstByteMs }) => firstByteMs);
+}
+
+/** Prints the added latency at 200 requests a second and the requests that one daemon carries. */
+export async function runLatency(): Promise<void> {
+  const fleet = await startOneDaemon();
+  const { direct, through } = createTargets(fleet);
+  await runAtRate([direct, through], RATE, WARM_UP_MS);
+  const [directSamples, throughSamples] = await runAtRate([direct, through], RATE, DURATION_MS);
+  const directMs = getTimes(directSamples!);
+  const throughMs = getTimes(throughSamples!);
+  const addedMedianMs = getQuantile(throughMs, 0.5) - getQuantile(directMs, 0.5);
+  const addedP99Ms = getQuantile(throughMs, 0.99) - getQuantile(directMs, 0.99);
+  printFigure('direct_first_byte_median', getQuantile(directMs, 0.5), 'ms');
+  printFigure('direct_first_byte_p99', getQuantile(directMs, 0.99), 'ms');
+  printFigure('added_first_byte_median', addedMedianMs, 'ms', TARGET_MEDIAN_MS);
+  printFigure('added_first_byte_p99', addedP99Ms, 'ms', TARGET_P99_MS);
+  printFigure('wrong_answers', throughSamples!.filter((s) => !s.isRight).length, 'requests', 0);
+  const busy = await runWorkers(through, WORKERS, DURATION_MS);
+  const right = busy.filter(({ isRight }) => isRight).length;
+  printFigure('requests_carried', (right * 1_000) / DURATION_MS, 'requests/s', RATE);
+  printFigure('carried_wrong', busy.length - right, 'requests', 0);
+  await fleet.stop();
+}
--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,17 @@
+/**
+ * Runs one benchmark by its name: `npm run bench -- latency`.
+ */
+import { runLatency } from './latency.js';
+
+const BENCHES: Readonly<Record<string, () => Promise<void> | void>> = {
+  latency: runLatency,
+};
+
+const name = process.argv[2] ?? '';
+const bench = BENCHES[name];
+if (bench === undefined) {
+  process.stderr.write(`Benchmarks: ${Object.keys(BENCHES).join(', ')}\n`);
+  process.exit(2);
+}
+await bench();
+process.exit(0);
