Place models under a lease and a fencing number, memory never overcommitted

One controller for each failure domain; each order stands in the plan record before it is sent; memory counts what is placed, reported and ordered together.

--- a/src/coordination/events.ts
+++ b/src/coordination/events.ts
@@ -3,6 +3,7 @@
  * that a session of them can be recorded, compared with a golden file and replayed.
  */
 import type { Diagnostic } from '../state/diagnostics.js';
+import type { Order, PlacementPlan } from '../state/placementPlan.js';
 import type { ShareTable } from '../state/shareTable.js';
 import type {
   Document,
@@ -39,6 +40,11 @@
   LoadPollTick: 'loadPollTick',
   LoadReported: 'loadReported',
   LoadPollFailed: 'loadPollFailed',
+  ControllerTick: 'controllerTick',
+  ControllerLeaseAnswered: 'controllerLeaseAnswered',
+  PlanRead: 'planRead',
+  PlanWriteAnswered: 'planWriteAnswered',
+  OrderAnswered: 'orderAnswered',
   StopRequested: 'stopRequested',
   StopTick: 'stopTick',
 } as const;
@@ -56,6 +62,10 @@
 } as const;
 export type ClaimOutcome = (typeof ClaimOutcome)[keyof typeof ClaimOutcome];
 
+/** What became of an order to an engine. */
+export const OrderOutcome = { Accepted: 'accepted', Fenced: 'fenced', Lost: 'lost' } as const;
+export type OrderOutcome = (typeof OrderOutcome)[keyof typeof OrderOutcome];
+
 /** What the platform's list says of a VM. */
 export const VmListState = { Live: 'live', Leaving: 'leaving' } as const;
 export type VmListState = (typeof VmListState)[keyof typeof VmListState];
@@ -140,6 +150,25 @@
   [EventKind.LoadPollTick]: Record<never, never>;
   [EventKind.LoadReported]: { readonly server: string; readonly report: LoadReport };
   [EventKind.LoadPollFailed]: { readonly server: string };
+  [EventKind.ControllerTick]: Record<never, never>;
+  [EventKind.ControllerLeaseAnswered]: {
+    /** The fencing number; null if the lease was not got. */
+    readonly fence: number | null;
+    /** True if it is certain that this VM does not hold the lease. */
+    readonly isLost: boolean;
+    readonly sentAtMs: number;
+  };
+  [EventKind.PlanRead]: { readonly plan: PlacementPlan; readonly version: number };
+  [EventKind.PlanWriteAnswered]: {
+    readonly plan: PlacementPlan;
+    /** The new version, or null if the write did not or may not have taken effect. */
+    readonly version: number | null;
+  };
+  [EventKind.OrderAnswered]: {
+    readonly server: string;
+    readonly orderId: string;
+    readonly outcome: OrderOutcome;
+  };
   [EventKind.StopRequested]: Record<never, never>;
   [EventKind.StopTick]: Record<never, never>;
 }
@@ -163,6 +192,10 @@
   FetchConfiguration: 'fetchConfiguration',
   ReadShareTable: 'readShareTable',
   WriteShareTable: 'writeShareTable',
+  KeepControllerLease: 'keepControllerLease',
+  ReadPlan: 'readPlan',
+  WritePlan: 'writePlan',
+  SendOrder: 'sendOrder',
   PollLoad: 'pollLoad',
   StartTimer: 'startTimer',
   CancelTimer: 'cancelTimer',
@@ -180,6 +213,7 @@
   Configuration: 'config',
   Share: 'share',
   Server: 'server',
+  Placement: 'placement',
   Lifecycle: 'lifecycle',
   Store: 'store',
   Admin: 'admin',
@@ -262,6 +296,24 @@
   };
   [CommandKind.ReadShareTable]: Record<never, never>;
   [CommandKind.WriteShareTable]: { readonly table: ShareTable; readonly expectedVersion: number };
+  [CommandKind.KeepControllerLease]: {
+    readonly failureDomain: string;
+    readonly ttlMs: number;
+    readonly isHeld: boolean;
+    readonly sentAtMs: number;
+  };
+  [CommandKind.ReadPlan]: { readonly failureDomain: string };
+  [CommandKind.WritePlan]: {
+    readonly failureDomain: string;
+    readonly plan: PlacementPlan;
+    readonly expectedVersion: number;
+  };
+  [CommandKind.SendOrder]: {
+    readonly server: string;
+    readonly address: string;
+    readonly order: Order;
+    readonly fence: number;
+  };
   [CommandKind.PollLoad]: { readonly server: string; readonly address: string };
   [CommandKind.StartTimer]: {
     readonly timerId: string;
--- a/src/coordination/handlers.ts
+++ b/src/coordination/handlers.ts
@@ -5,6 +5,13 @@
   handleConfigurationReceived,
   handleConfigurationRejected,
 } from './configurationHandlers.js';
+import {
+  handleControllerLeaseAnswered,
+  handleControllerTick,
+  handleOrderAnswered,
+  handlePlanRead,
+  handlePlanWriteAnswered,
+} from './controller.js';
 import {
   handleAnswerCompleted,
   handleAnswerStarted,
@@ -60,6 +67,11 @@
   [EventKind.LoadPollTick]: handleLoadPollTick,
   [EventKind.LoadReported]: handleLoadReported,
   [EventKind.LoadPollFailed]: handleLoadPollFailed,
+  [EventKind.ControllerTick]: handleControllerTick,
+  [EventKind.ControllerLeaseAnswered]: handleControllerLeaseAnswered,
+  [EventKind.PlanRead]: handlePlanRead,
+  [EventKind.PlanWriteAnswered]: handlePlanWriteAnswered,
+  [EventKind.OrderAnswered]: handleOrderAnswered,
   [EventKind.StopRequested]: handleStopRequested,
   [EventKind.StopTick]: handleStopTick,
 };
--- a/src/coordination/nodeState.ts
+++ b/src/coordination/nodeState.ts
@@ -2,6 +2,7 @@
  * The state of one VM. The loop owns it: only event handlers change it, one event at a time.
  */
 import type { Configuration } from '../state/configuration.js';
+import type { PlacementPlan } from '../state/placementPlan.js';
 import { createRandom, type RandomState } from '../state/random.js';
 import { EMPTY_SHARE_TABLE, type SharePledge, type ShareTable } from '../state/shareTable.js';
 import type { Reservation, TokenSlice } from '../state/tokenSlice.js';
@@ -127,6 +128,25 @@
   listedVmIds: ReadonlySet<string> | null;
 }
 
+/** This VM's part as the controller of its failure domain. */
+export interface ControllerState {
+  /** Null while this VM does not hold the lease. */
+  fence: number | null;
+  validUntilMs: number;
+  triedAtMs: number;
+  /** Null until it has been taken over from the store. */
+  plan: PlacementPlan | null;
+  planVersion: number;
+  isWriting: boolean;
+  /** Loads that may be started now. */
+  allowance: number;
+  allowanceAtMs: number;
+  readonly sentAtMs: Map<string, number>;
+  /** By server and tag. */
+  readonly missingSinceMs: Map<string, number>;
+  readonly unloadedAtMs: Map<string, number>;
+}
+
 export interface NodeState {
   readonly self: Self;
   readonly policy: Policy;
@@ -140,6 +160,7 @@
   readonly requests: Map<string, RequestRecord>;
   readonly slices: Map<string, TokenSlice>;
   readonly share: ShareState;
+  readonly controller: ControllerState;
   readonly members: Map<string, MemberRecord>;
   readonly servers: Map<string, ServerRecord>;
   readonly leavingServers: Map<string, LeavingRecord>;
@@ -192,6 +213,19 @@
       missingSinceMs: new Map(),
       listedVmIds: null,
     },
+    controller: {
+      fence: null,
+      validUntilMs: 0,
+      triedAtMs: nowMs,
+      plan: null,
+      planVersion: 0,
+      isWriting: false,
+      allowance: 0,
+      allowanceAtMs: nowMs,
+      sentAtMs: new Map(),
+      missingSinceMs: new Map(),
+      unloadedAtMs: new Map(),
+    },
     members: new Map(),
     servers: new Map(),
     leavingServers: new Map(),
--- a/src/coordination/policy.ts
+++ b/src/coordination/policy.ts
@@ -2,6 +2,8 @@
  * The limits that decisions work with. The daemon sets some of them from its settings; tests set any.
  */
 
+import type { WeightStore } from '../state/types.js';
+
 export interface Policy {
   readonly gossipIntervalMs: number;
   /** Peers that each gossip round is sent to. */
@@ -23,6 +25,16 @@
   /** How long a VM leaves a change of the share table to each VM before it. */
   readonly shareRankDelayMs: number;
   readonly loadPollIntervalMs: number;
+  /** An engine whose last report is older gets no new orders; reports lag by less. */
+  readonly reportStaleMs: number;
+  readonly controllerTickMs: number;
+  readonly controllerLeaseMs: number;
+  readonly controllerRenewMs: number;
+  /** How often the first VM of a failure domain tries for a free lease. */
+  readonly controllerTryMs: number;
+  readonly orderRetryMs: number;
+  /** Used when the document says nothing of the weight store. */
+  readonly weightStore: WeightStore;
   /** A server that failed is avoided for this time, unless no other is left. */
   readonly serverPenaltyMs: number;
   /** Attempts of one request, the first included. */
@@ -57,6 +69,13 @@
   shareMaxBackoffMs: 10_000,
   shareRankDelayMs: 1_500,
   loadPollIntervalMs: 500,
+  reportStaleMs: 10_000,
+  controllerTickMs: 500,
+  controllerLeaseMs: 10_000,
+  controllerRenewMs: 2_500,
+  controllerTryMs: 2_000,
+  orderRetryMs: 1_000,
+  weightStore: { loadsPerSecond: 1.5, loadsAtOnce: 9 },
   serverPenaltyMs: 2_000,
   maxAttempts: 3,
   retryRatio: 0.2,
--- a/src/protocol/engine.ts
+++ b/src/protocol/engine.ts
@@ -4,6 +4,7 @@
 import { Schema } from 'effect';
 import type { Either } from 'purify-ts';
 import type { Diagnostic } from '../state/diagnostics.js';
+import type { Order } from '../state/placementPlan.js';
 import type { LoadReport } from '../state/types.js';
 import { decodeJson } from './json.js';
 import { CompletionKind, type CompletionRequest } from './openai.js';
@@ -21,6 +22,7 @@
 export const EngineRefusal = { Leaving: 'leaving', Full: 'full', NotLoaded: 'not-loaded' } as const;
 export type EngineRefusal = (typeof EngineRefusal)[keyof typeof EngineRefusal];
 
+export const ENGINE_ORDERS_PATH = '/engine/orders';
 export const ENGINE_LOAD_PATH = '/engine/load';
 
 export const ENGINE_PATHS: Readonly<Record<CompletionKind, string>> = {
@@ -44,6 +46,7 @@
   queued_requests: Schema.Number,
   used_memory_mb: Schema.Number,
   loaded_models: Schema.Array(Schema.String),
+  loading_models: Schema.optionalKey(Schema.Array(Schema.String)),
   leaving: Schema.Boolean,
 });
 
@@ -54,10 +57,16 @@
     queuedRequests: report.queued_requests,
     usedMemoryMb: report.used_memory_mb,
     loadedModels: report.loaded_models,
+    loadingModels: report.loading_models ?? [],
     leaving: report.leaving,
   }));
 }
 
+/** Writes an order to an engine. The id makes it idempotent, the fence lets a late one be refused. */
+export function encodeOrder(order: Order, fence: number): string {
+  return JSON.stringify({ ...order, fence });
+}
+
 /** Writes a load report; used by stand-ins of engines. */
 export function encodeLoadReport(report: LoadReport): string {
   return JSON.stringify({
@@ -65,6 +74,7 @@
     queued_requests: report.queuedRequests,
     used_memory_mb: report.usedMemoryMb,
     loaded_models: report.loadedModels,
+    loading_models: report.loadingModels,
     leaving: report.leaving,
   });
 }
--- a/src/state/document.ts
+++ b/src/state/document.ts
@@ -81,6 +81,9 @@
   vms: Schema.Struct({
     failureDomains: Schema.NonEmptyArray(FailureDomainSchema),
     backendServers: Schema.Array(BackendServerSchema),
+    weightStore: Schema.optionalKey(
+      Schema.Struct({ loadsPerSecond: PositiveSchema, loadsAtOnce: PositiveCountSchema }),
+    ),
   }),
   models: Schema.Struct({
     models: Schema.Array(ModelSchema),
--- a/src/state/types.ts
+++ b/src/state/types.ts
@@ -44,9 +44,16 @@
   readonly leaving: boolean;
 }
 
+/** What the weight store allows over the fleet. */
+export interface WeightStore {
+  readonly loadsPerSecond: number;
+  readonly loadsAtOnce: number;
+}
+
 export interface VmsSection {
   readonly failureDomains: readonly FailureDomain[];
   readonly backendServers: readonly BackendServer[];
+  readonly weightStore?: WeightStore;
 }
 
 /** A model or, with `baseModel`, an adapter on one. */
@@ -175,6 +182,8 @@
   readonly usedMemoryMb: number;
   /** Loaded models and adapters as `name@version`. */
   readonly loadedModels: readonly string[];
+  /** Models that are being loaded; their memory is in use. */
+  readonly loadingModels: readonly string[];
   readonly leaving: boolean;
 }
 
--- a/src/transport/commandTable.ts
+++ b/src/transport/commandTable.ts
@@ -2,16 +2,23 @@
  * The table that carries out the loop's orders.
  */
 import { Effect } from 'effect';
-import { CommandKind, EventKind, type NodeEvent } from '../coordination/events.js';
+import { CommandKind, EventKind, type NodeEvent, OrderOutcome } from '../coordination/events.js';
 import type { CommandTable } from '../coordination/loop.js';
 import type { Self } from '../coordination/nodeState.js';
-import { decodeLoadReport, ENGINE_LOAD_PATH } from '../protocol/engine.js';
+import {
+  decodeLoadReport,
+  encodeOrder,
+  ENGINE_LOAD_PATH,
+  ENGINE_ORDERS_PATH,
+} from '../protocol/engine.js';
 import { decodeJson } from '../protocol/json.js';
 import type { StoredValue } from '../protocol/storeMessages.js';
 import type { Diagnostic } from '../state/diagnostics.js';
+import { EMPTY_PLAN, PlacementPlanSchema } from '../state/placementPlan.js';
 import { EMPTY_SHARE_TABLE, type ShareTable, ShareTableSchema } from '../state/shareTable.js';
 import { TargetKind } from '../state/types.js';
 import type { Claims } from './claims.js';
+import type { ControllerLease } from './controllerLease.js';
 import type { ConfigurationSource } from './configurationSource.js';
 import type { DispatchContext } from './dispatch.js';
 import { abortAnswer, type Exchange, sendRefusal, sendWhole } from './exchange.js';
@@ -26,6 +33,12 @@
 const SHARES_KEY = 'shares';
 const LOAD_TIMEOUT_MS = 1_000;
 const HTTP_OK = 200;
+const HTTP_CONFLICT = 409;
+
+const ORDER_OUTCOMES: ReadonlyMap<number, OrderOutcome> = new Map<number, OrderOutcome>([
+  [HTTP_OK, OrderOutcome.Accepted],
+  [HTTP_CONFLICT, OrderOutcome.Fenced],
+]);
 
 /** What orders are carried out with. */
 export interface CommandContext {
@@ -34,6 +47,7 @@
   readonly exchanges: Map<string, Exchange>;
   readonly dispatch: DispatchContext;
   readonly claims: Claims;
+  readonly controllerLease: ControllerLease;
   readonly store: Store;
   readonly peers: PeerClient;
   readonly replies: PendingReplies;
@@ -239,6 +253,70 @@
   );
 }
 
+type PlacementCommandKind =
+  | typeof CommandKind.KeepControllerLease
+  | typeof CommandKind.ReadPlan
+  | typeof CommandKind.WritePlan
+  | typeof CommandKind.SendOrder;
+
+function createPlacementExecutors({
+  controllerLease,
+  post,
+  store,
+}: CommandContext): Pick<CommandTable, PlacementCommandKind> {
+  const getPlanKey = (failureDomain: string): string => `plans/${failureDomain}`;
+  return {
+    [CommandKind.KeepControllerLease]: ({ failureDomain, isHeld, sentAtMs, ttlMs }) => {
+      runDetached(
+        Effect.map(controllerLease.keep(failureDomain, ttlMs, isHeld), (result) =>
+          post({ kind: EventKind.ControllerLeaseAnswered, sentAtMs, ...result }),
+        ),
+      );
+    },
+    [CommandKind.ReadPlan]: ({ failureDomain }) => {
+      runDetached(
+        Effect.match(store.get(getPlanKey(failureDomain)), {
+          onFailure: (diagnostic) => post({ kind: EventKind.StoreFailed, diagnostic }),
+          onSuccess: (stored) => {
+            const plan =
+              stored === null
+                ? EMPTY_PLAN
+                : decodeJson(PlacementPlanSchema, stored.value).orDefault(EMPTY_PLAN);
+            post({ kind: EventKind.PlanRead, plan, version: stored?.version ?? 0 });
+          },
+        }),
+      );
+    },
+    [CommandKind.WritePlan]: ({ expectedVersion, failureDomain, plan }) => {
+      const key = getPlanKey(failureDomain);
+      const swap = store.swap({ key, expectedVersion, value: JSON.stringify(plan), leaseId: null });
+      runDetached(
+        Effect.match(swap, {
+          onFailure: () => post({ kind: EventKind.PlanWriteAnswered, plan, version: null }),
+          onSuccess: (version) => post({ kind: EventKind.PlanWriteAnswered, plan, version }),
+        }),
+      );
+    },
+    [CommandKind.SendOrder]: ({ address, fence, order, server }) => {
+      const call = callHttp({
+        address,
+        method: 'POST',
+        path: ENGINE_ORDERS_PATH,
+        body: encodeOrder(order, fence),
+        timeoutMs: LOAD_TIMEOUT_MS,
+      });
+      const answer = (outcome: OrderOutcome): void =>
+        post({ kind: EventKind.OrderAnswered, server, orderId: order.orderId, outcome });
+      runDetached(
+        Effect.match(call, {
+          onFailure: () => answer(OrderOutcome.Lost),
+          onSuccess: ({ status }) => answer(ORDER_OUTCOMES.get(status) ?? OrderOutcome.Lost),
+        }),
+      );
+    },
+  };
+}
+
 /** Creates the table. */
 export function createCommandTable(context: CommandContext): CommandTable {
   const { exchanges, exit, metrics, post, setReady, writeLog } = context;
@@ -246,6 +324,7 @@
     ...createRequestExecutors(context),
     ...createPeerExecutors(context),
     ...createShareExecutors(context),
+    ...createPlacementExecutors(context),
     [CommandKind.PollLoad]: ({ address, server }) => pollLoad(post, server, address),
     [CommandKind.SetReady]: ({ isReady }) => setReady(isReady),
     [CommandKind.Exit]: exit,
--- a/src/transport/daemon.ts
+++ b/src/transport/daemon.ts
@@ -17,6 +17,7 @@
 import { createClaims } from './claims.js';
 import { createCommandTable } from './commandTable.js';
 import { createConfigurationSource } from './configurationSource.js';
+import { createControllerLease } from './controllerLease.js';
 import { createEditor } from './editor.js';
 import type { Exchange } from './exchange.js';
 import { splitAddress } from './httpCall.js';
@@ -179,6 +180,7 @@
         agent: new http.Agent({ keepAlive: true, maxSockets: MAX_SOCKETS_PER_SERVER }),
       },
       claims,
+      controllerLease: createControllerLease(store, incarnation),
       store,
       peers,
       replies,
@@ -210,6 +212,7 @@
   post({ kind: EventKind.GossipTick });
   post({ kind: EventKind.ShareTick });
   post({ kind: EventKind.LoadPollTick });
+  post({ kind: EventKind.ControllerTick });
   writeLog(LogLevel.Info, Part.Lifecycle, 'The daemon has started.', {
     callers: settings.listenAddress,
     peers: settings.peerAddress,
--- a/tests/coordination/dispatching.test.ts
+++ b/tests/coordination/dispatching.test.ts
@@ -61,6 +61,7 @@
     queuedRequests: 0,
     usedMemoryMb: 0,
     loadedModels: [TEST_MODEL_TAG],
+    loadingModels: [],
     leaving: false,
   };
   stepNode(state, { kind: EventKind.ConfigurationReceived, head, document: DOCUMENT }, 0);
--- a/tests/coordination/golden.test.ts
+++ b/tests/coordination/golden.test.ts
@@ -78,6 +78,7 @@
     queuedRequests: 0,
     usedMemoryMb: 100,
     loadedModels: [TEST_MODEL_TAG],
+    loadingModels: [],
     leaving,
   };
   return { kind: EventKind.LoadReported, server, report };
--- /dev/null
+++ b/tests/coordination/placement.test.ts
@@ -0,0 +1,193 @@
+/**
+ * Placement: no engine's memory is overcommitted and every model becomes reachable, with controllers
+ * that are killed, frozen and revived, orders that are lost, late and doubled, and reports that lag.
+ */
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import type { Document, Model } from '../../src/state/types.js';
+import { createTestDocument, createTestEngine } from '../fakes/documents.js';
+import {
+  createVirtualDomain,
+  NO_DOMAIN_FAULTS,
+  type VirtualDomain,
+} from '../fakes/virtualDomain.js';
+
+const ENGINE_MB = 1_000;
+const SETTLE_MS = 90_000;
+
+function createModels(version = '1'): Model[] {
+  const bases = [300, 250, 250, 200, 200].map((memoryMb, i) => ({
+    name: `model-${i}`,
+    version,
+    memoryMb,
+  }));
+  const adapters = [0, 0, 1, 2].map((base, i) => ({
+    name: `adapter-${i}`,
+    version,
+    memoryMb: 20,
+    baseModel: `model-${base}`,
+  }));
+  return [...bases, ...adapters];
+}
+
+function createDocument(models: readonly Model[], checksFencing: boolean): Document {
+  const document = createTestDocument({
+    workspaces: [],
+    failureDomains: [{ name: 'fd-a', share: 1 }],
+    backendServers: ['engine-1', 'engine-2', 'engine-3'].map((name) =>
+      createTestEngine(name, { memoryMb: ENGINE_MB, checksFencing }),
+    ),
+  });
+  const vms = { ...document.vms, weightStore: { loadsPerSecond: 4, loadsAtOnce: 3 } };
+  return { ...document, vms, models: { models, routes: [] } };
+}
+
+function getTags(models: readonly Model[]): string[] {
+  return models.map(({ name, version }) => `${name}@${version}`);
+}
+
+function getUnreachable(domain: VirtualDomain, models: readonly Model[]): string[] {
+  const reachable = domain.getReachable();
+  return getTags(models).filter((tag) => !reachable.has(tag));
+}
+
+function countOvercommits(domain: VirtualDomain): number {
+  return domain.engines.reduce((sum, engine) => sum + engine.overcommits, 0);
+}
+
+function countLoads(domain: VirtualDomain): number {
+  return domain.engines.reduce((sum, engine) => sum + engine.loads, 0);
+}
+
+const FENCING_CASES = [
+  { name: 'engines that check fencing', checksFencing: true },
+  { name: 'engines that ignore fencing', checksFencing: false },
+];
+
+describe.each(FENCING_CASES)('placement on $name', ({ checksFencing }) => {
+  it('loads every model within the limits of the weight store', () => {
+    const models = createModels();
+    const domain = createVirtualDomain(createDocument(models, checksFencing), 2, 1);
+    domain.runFor(SETTLE_MS);
+    expect(getUnreachable(domain, models)).toEqual([]);
+    expect(countOvercommits(domain)).toBe(0);
+    expect(domain.mostLoadsAtOnce()).toBeLessThanOrEqual(3);
+  });
+
+  it('moves nothing once it has settled', () => {
+    const models = createModels();
+    const domain = createVirtualDomain(createDocument(models, checksFencing), 2, 1);
+    domain.runFor(SETTLE_MS);
+    const before = countLoads(domain);
+    domain.runFor(SETTLE_MS);
+    expect(countLoads(domain)).toBe(before);
+  });
+
+  it('keeps the old version reachable until the new one answers', () => {
+    const models = createModels();
+    const next = models.map((model) =>
+      model.name === 'model-3' ? { ...model, version: '2' } : model,
+    );
+    const domain = createVirtualDomain(createDocument(models, checksFencing), 2, 1);
+    domain.runFor(SETTLE_MS);
+    domain.configure(createDocument(next, checksFencing), 2);
+    let gapMs = 0;
+    for (let i = 0; i < SETTLE_MS / 100; i += 1) {
+      domain.runFor(100);
+      const reachable = domain.getReachable();
+      const isAnswered = reachable.has('model-3@1') || reachable.has('model-3@2');
+      gapMs += isAnswered ? 0 : 100;
+    }
+    expect(gapMs).toBe(0);
+    expect(domain.getReachable().has('model-3@2')).toBe(true);
+    expect(domain.getReachable().has('model-3@1')).toBe(false);
+    expect(countOvercommits(domain)).toBe(0);
+  });
+
+  it('empties the engines one after another with every model reachable', () => {
+    const models = createModels();
+    const domain = createVirtualDomain(createDocument(models, checksFencing), 2, 1);
+    domain.runFor(SETTLE_MS);
+    const before = countLoads(domain);
+    const unreachable: string[][] = [];
+    domain.engines.forEach((engine) => {
+      engine.isLeaving = true;
+      domain.runFor(SETTLE_MS);
+      unreachable.push(getUnreachable(domain, models));
+      engine.isLeaving = false;
+      domain.runFor(SETTLE_MS);
+    });
+    expect(unreachable).toEqual([[], [], []]);
+    expect(countOvercommits(domain)).toBe(0);
+    // Not more than every model moved once for each engine that is emptied.
+    expect(countLoads(domain) - before).toBeLessThanOrEqual(models.length * domain.engines.length);
+  });
+});
+
+/** What can happen, one or two at a time. */
+interface Fault {
+  readonly kind:
+    | 'freeze'
+    | 'thaw'
+    | 'restart'
+    | 'storeDown'
+    | 'storeUp'
+    | 'orders'
+    | 'leave'
+    | 'stay'
+    | 'version';
+  readonly index: number;
+  readonly afterMs: number;
+}
+
+const FAULTS: Readonly<
+  Record<Fault['kind'], (domain: VirtualDomain, index: number, checksFencing: boolean) => void>
+> = {
+  freeze: (domain, index) => domain.freeze(index % domain.controllers.length),
+  thaw: (domain, index) => domain.thaw(index % domain.controllers.length),
+  restart: (domain, index) => domain.restart(index % domain.controllers.length),
+  storeDown: (domain) => domain.setStoreDown(true),
+  storeUp: (domain) => domain.setStoreDown(false),
+  orders: (domain, index) =>
+    domain.setFaults({ loss: 0.3, maxDelayMs: 1 + index * 3_000, doubled: 0.3 }),
+  leave: (domain, index) => {
+    domain.engines[index % domain.engines.length]!.isLeaving = true;
+  },
+  stay: (domain, index) => {
+    domain.engines[index % domain.engines.length]!.isLeaving = false;
+  },
+  version: (domain, index, checksFencing) =>
+    domain.configure(createDocument(createModels(String(index + 2)), checksFencing), index + 2),
+};
+
+const fault: fc.Arbitrary<Fault> = fc.record({
+  kind: fc.constantFrom(...(Object.keys(FAULTS) as Fault['kind'][])),
+  index: fc.nat({ max: 5 }),
+  afterMs: fc.integer({ min: 50, max: 15_000 }),
+});
+
+describe('placement under any faults', () => {
+  it.each(FENCING_CASES)('never overcommits memory: $name', ({ checksFencing }) => {
+    fc.assert(
+      fc.property(fc.array(fault, { maxLength: 14 }), fc.nat(), (faults, seed) => {
+        const document = createDocument(createModels(), checksFencing);
+        const domain = createVirtualDomain(document, 3, seed);
+        faults.forEach(({ afterMs, index, kind }) => {
+          domain.runFor(afterMs);
+          FAULTS[kind](domain, index, checksFencing);
+        });
+        domain.setFaults(NO_DOMAIN_FAULTS);
+        domain.setStoreDown(false);
+        domain.engines.forEach((engine) => {
+          engine.isLeaving = false;
+        });
+        domain.controllers.forEach((_, vm) => domain.thaw(vm));
+        domain.configure(createDocument(createModels('99'), checksFencing), 99);
+        domain.runFor(SETTLE_MS);
+        expect(countOvercommits(domain)).toBe(0);
+        expect(getUnreachable(domain, createModels('99'))).toEqual([]);
+      }),
+      { numRuns: 100 },
+    );
+  });
+});
--- a/tests/fakes/virtualFleet.ts
+++ b/tests/fakes/virtualFleet.ts
@@ -85,6 +85,7 @@
   runningRequests: 0,
   queuedRequests: 0,
   usedMemoryMb: 0,
+  loadingModels: [],
   leaving: false,
 };
 
--- a/tests/stand-ins/engine.ts
+++ b/tests/stand-ins/engine.ts
@@ -97,6 +97,7 @@
   /** Times that loaded models took more than the memory. */
   readonly overcommits: number;
   readonly staleOrders: number;
+  readonly loads: number;
   readonly keysSeen: readonly string[];
 }
 
@@ -184,9 +185,11 @@
     cacheHits: 0,
     overcommits: 0,
     staleOrders: 0,
+    loads: 0,
   };
   const keysSeen: string[] = [];
   const loaded = new Map(options.models.map(({ memoryMb, tag }) => [tag, memoryMb]));
+  const loading = new Map<string, number>();
   const seenOrders = new Map<string, boolean>();
   let highestFence = 0;
   let running: Stream[] = [];
@@ -215,13 +218,18 @@
     return true;
   };
 
-  const getUsedMb = (): number => [...loaded.values()].reduce((sum, mb) => sum + mb, 0);
+  const getUsedMb = (): number =>
+    [...loaded, ...[...loading].filter(([tag]) => !loaded.has(tag))].reduce(
+      (sum, [, mb]) => sum + mb,
+      0,
+    );
 
   const createReport = (): LoadReport => ({
     runningRequests: running.length,
     queuedRequests: queued.length,
     usedMemoryMb: getUsedMb(),
     loadedModels: [...loaded.keys()],
+    loadingModels: [...loading.keys()],
     leaving: faults.leaving,
   });
 
@@ -379,16 +387,23 @@
       enqueue(stream);
     };
 
+  /** Memory is taken from the start of a load on. */
   const load = (order: OrderBody): void => {
-    loaded.set(order.tag, order.memoryMb ?? 0);
+    stats.loads += 1;
+    loading.set(order.tag, order.memoryMb ?? 0);
     if (getUsedMb() > options.memoryMb) {
       stats.overcommits += 1;
     }
     noteReport();
+    setTimeout(() => {
+      loaded.set(order.tag, order.memoryMb ?? 0);
+      loading.delete(order.tag);
+      noteReport();
+    }, options.loadMs);
   };
 
   const ORDER_ACTIONS: Readonly<Record<OrderBody['kind'], (order: OrderBody) => void>> = {
-    load: (order) => setTimeout(() => load(order), options.loadMs),
+    load,
     unload: (order) => {
       loaded.delete(order.tag);
       noteReport();
