--- /dev/null
+++ b/bench/capacity.ts
@@ -0,0 +1,262 @@
+/**
+ * Slopes for docs/CAPACITY.md: what state, messages and processor time grow by for each VM, workspace,
+ * model, backend server and edit, measured on the decision code and codecs.
+ */
+import { toBinary } from '@bufbuild/protobuf';
+import { CommandKind, EventKind } from '../src/coordination/events.js';
+import { stepNode } from '../src/coordination/handlers.js';
+import { createNodeState, type NodeState } from '../src/coordination/nodeState.js';
+import { planPlacement } from '../src/coordination/placement.js';
+import { DEFAULT_POLICY } from '../src/coordination/policy.js';
+import { formatSections, parseSections } from '../src/protocol/documentText.js';
+import { GossipMessageSchema } from '../src/protocol/gen/peer_pb.js';
+import { encodeGossip } from '../src/protocol/peerMessages.js';
+import { EMPTY_PLAN } from '../src/state/placementPlan.js';
+import { hashText } from '../src/state/random.js';
+import type { Document, Member, Model } from '../src/state/types.js';
+import {
+  createModelRequest,
+  createTestEngine,
+  createTestWorkspace,
+} from '../tests/fakes/documents.js';
+import { createTestHead } from '../tests/fakes/virtualFleet.js';
+import { printFigure } from './figures.js';
+
+const DOMAINS = 13;
+const MODELS = 1_600;
+const RUNNERS = 3_400;
+const VMS = 460;
+const WORKSPACES = 200;
+const KEYS_PER_WORKSPACE = 5;
+
+const SELF = {
+  vmId: 'vm-0',
+  incarnation: 'a'.repeat(16),
+  failureDomain: 'fd-0',
+  peerAddress: '10.0.0.1:8081',
+  firstHeartbeat: 1,
+};
+
+/** Returns the processor time of an action in milliseconds, the mean of some runs. */
+function measureMs(runs: number, action: (run: number) => void): number {
+  action(0);
+  const start = process.cpuUsage();
+  for (let i = 1; i <= runs; i += 1) {
+    action(i);
+  }
+  const { system, user } = process.cpuUsage(start);
+  return (user + system) / 1_000 / runs;
+}
+
+function getHeapMb(): number {
+  globalThis.gc?.();
+  return process.memoryUsage().heapUsed / 1_048_576;
+}
+
+function createModels(count: number): Model[] {
+  return Array.from({ length: count }, (_, i) => ({
+    name: `model-${i}`,
+    version: '1',
+    memoryMb: 8_000 + (hashText(`m${i}`) % 30_000),
+  }));
+}
+
+function createDocument(models: number, servers: number, workspaces: number): Document {
+  return {
+    operators: { teams: [] },
+    vms: {
+      failureDomains: Array.from({ length: DOMAINS }, (_, i) => ({ name: `fd-${i}`, share: 1 })),
+      backendServers: Array.from({ length: servers }, (_, i) =>
+        createTestEngine(`runner-${i}`, {
+          failureDomain: `fd-${i % DOMAINS}`,
+          address: `10.1.${Math.floor(i / 250)}.${i % 250}:9000`,
+          memoryMb: 160_000,
+          maxConcurrentRequests: 64,
+        }),
+      ),
+    },
+    models: { models: createModels(models), routes: [] },
+    workspaces: {
+      workspaces: Array.from({ length: workspaces }, (_, i) =>
+        createTestWorkspace(`workspace-${i}`, {
+          rateTokensPerSecond: 100_000,
+          burstTokens: 1_000_000,
+          keys: Array.from({ length: KEYS_PER_WORKSPACE }, (_k, k) => ({
+            id: `key-${k}`,
+            sha256: `${i}-${k}`.padStart(64, '0'),
+          })),
+        }),
+      ),
+    },
+  };
+}
+
+function createMember(i: number): Member {
+  return {
+    vmId: `vm-${i}`,
+    incarnation: `${i}`.padStart(16, '0'),
+    failureDomain: `fd-${i % DOMAINS}`,
+    peerAddress: `10.0.${Math.floor(i / 250)}.${i % 250}:8081`,
+    heartbeat: 1_796_368_000_000 + i,
+    revision: 6_900,
+    leaving: false,
+    shareUnits: 2_173,
+    pledgedGrant: 0,
+  };
+}
+
+function createFullState(document: Document, vms: number): NodeState {
+  const state = createNodeState(SELF, DEFAULT_POLICY, 1, 0);
+  stepNode(state, { kind: EventKind.ConfigurationReceived, head: createTestHead(1), document }, 0);
+  const message = {
+    fromVmId: 'vm-1',
+    revision: 1,
+    members: Array.from({ length: vms - 1 }, (_, i) => createMember(i + 1)),
+    leavingServers: [],
+    shareVersion: 0,
+  };
+  stepNode(state, { kind: EventKind.GossipReceived, message, replyId: null }, 1);
+  document.vms.backendServers.forEach((server, i) => {
+    const loadedModels = Array.from({ length: 6 }, (_, k) => `model-${(i * 6 + k) % MODELS}@1`);
+    const report = {
+      runningRequests: 8,
+      queuedRequests: 0,
+      usedMemoryMb: 120_000,
+      loadedModels,
+      loadingModels: [],
+      leaving: false,
+    };
+    stepNode(state, { kind: EventKind.LoadReported, server: server.name, report }, 1);
+  });
+  return state;
+}
+
+function measureMemory(): void {
+  const before = getHeapMb();
+  const document = createDocument(MODELS, RUNNERS, WORKSPACES);
+  const state = createFullState(document, VMS);
+  printFigure('node_state_at_size', getHeapMb() - before, 'MB', 128);
+  const texts = formatSections(document);
+  const bytes = Object.values(texts).reduce((sum, text) => sum + Buffer.byteLength(text), 0);
+  printFigure('document_at_size', bytes / 1_024, 'KB');
+  printFigure('largest_section', Buffer.byteLength(texts.vms) / 1_024, 'KB', 1_024);
+  printFigure(
+    'parse_document_at_size',
+    measureMs(3, () => parseSections(texts)),
+    'ms',
+  );
+  printFigure('requests_tracked', state.requests.size, 'requests');
+}
+
+function measureGossip(): void {
+  const document = createDocument(10, 10, 1);
+  [115, 230, 460].forEach((vms) => {
+    const state = createFullState(document, vms);
+    let bytes = 0;
+    let messages = 0;
+    const rounds = 200;
+    const tickMs = measureMs(rounds, (run) => {
+      const nowMs = 2 + run;
+      const commands = stepNode(state, { kind: EventKind.GossipTick }, nowMs);
+      commands.forEach((command) => {
+        if (command.kind === CommandKind.SendGossip) {
+          bytes += toBinary(GossipMessageSchema, encodeGossip(command.message)).length;
+          messages += 1;
+        }
+      });
+    });
+    printFigure(`gossip_round_${vms}_vms`, tickMs, 'ms');
+    printFigure(`gossip_message_${vms}_vms`, bytes / messages, 'bytes');
+    printFigure(`gossip_messages_a_round_${vms}_vms`, messages / (rounds + 1), 'messages');
+  });
+}
+
+function measureRequests(): void {
+  [850, 1_700, 3_400].forEach((servers) => {
+    const document = createDocument(MODELS, servers, WORKSPACES);
+    const state = createFullState(document, VMS);
+    const { failureDomain, incarnation, vmId } = SELF;
+    const entry = { vmId, incarnation, failureDomain, units: 76_923, grant: 1 };
+    const table = { serial: 1, entries: [entry] };
+    stepNode(state, { kind: EventKind.ShareTableRead, table, version: 1 }, 2);
+    let dispatched = 0;
+    const requestMs = measureMs(500, (run) => {
+      const nowMs = 10 + run * 10;
+      const requestId = `r${run}`;
+      const request = {
+        ...createModelRequest(requestId, '0-0'.padStart(64, '0'), 10, 10),
+        target: {
+          kind: 'model' as const,
+          model: `model-${run % MODELS}`,
+          promptTokens: 10,
+          maxTokens: 10,
+          prefixHash: run,
+        },
+      };
+      const commands = stepNode(state, { kind: EventKind.RequestArrived, request }, nowMs);
+      dispatched += commands.filter(({ kind }) => kind === CommandKind.Dispatch).length;
+      stepNode(
+        state,
+        {
+          kind: EventKind.AnswerCompleted,
+          requestId,
+          attempt: 1,
+          generatedTokens: 10,
+          maxGapMs: 1,
+        },
+        nowMs,
+      );
+    });
+    printFigure(`request_decision_${servers}_servers`, requestMs, 'ms');
+    printFigure(`requests_dispatched_${servers}_servers`, dispatched, 'of 501 requests', 501);
+  });
+}
+
+function measurePlacement(): void {
+  [400, 800, 1_600].forEach((models) => {
+    const servers = Math.round((RUNNERS * models) / MODELS);
+    const document = createDocument(models, servers, 1);
+    const engines = document.vms.backendServers
+      .filter((server) => server.failureDomain === 'fd-0')
+      .map((server) => ({
+        name: server.name,
+        memoryMb: server.memoryMb,
+        isLeaving: false,
+        reported: { loadedTags: [], tags: [], usedMemoryMb: 0 },
+      }));
+    const input = {
+      failureDomain: 'fd-0',
+      domains: document.vms.failureDomains,
+      models: document.models.models,
+      engines,
+      reportedElsewhere: new Set<string>(),
+      maxOpenLoads: 8,
+      maxNewLoads: 8,
+    };
+    const ms = measureMs(5, () => {
+      planPlacement(EMPTY_PLAN, input);
+    });
+    printFigure(`placement_decision_${models}_models_${engines.length}_engines`, ms, 'ms', 100);
+  });
+}
+
+function measureShares(): void {
+  const entries = Array.from({ length: VMS }, (_, i) => ({
+    vmId: `vm-${i}`,
+    incarnation: `${i}`.padStart(16, '0'),
+    failureDomain: `fd-${i % DOMAINS}`,
+    units: 2_173,
+    grant: 3,
+  }));
+  const text = JSON.stringify({ serial: 9, entries });
+  printFigure('share_table_460_vms', text.length / 1_024, 'KB', 1_024);
+}
+
+/** Prints every slope. */
+export function runCapacity(): void {
+  measureMemory();
+  measureGossip();
+  measureRequests();
+  measurePlacement();
+  measureShares();
+}
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,10 +1,16 @@
 /**
  * Runs one benchmark by its name: `npm run bench -- latency`.
  */
+import { runCapacity } from './capacity.js';
+import { runIdle } from './idle.js';
 import { runLatency } from './latency.js';
+import { runTokens } from './tokens.js';
 
 const BENCHES: Readonly<Record<string, () => Promise<void> | void>> = {
   latency: runLatency,
+  capacity: runCapacity,
+  idle: runIdle,
+  tokens: runTokens,
 };
 
 const name = process.argv[2] ?? '';
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/.."
 sh scripts/setup.sh
 npm run --silent build
-exec node dist/bench/main.js "$@"
+exec node --expose-gc dist/bench/main.js "$@"
--- a/src/coordination/borrowing.ts
+++ b/src/coordination/borrowing.ts
@@ -37,12 +37,12 @@
 
 /** Estimates what a peer has of a workspace's tokens now. */
 export function estimatePeerTokens(
-  member: Member,
+  shareUnits: number,
   workspace: Workspace,
   record: LenderRecord | undefined,
   nowMs: number,
 ): number {
-  const part = member.shareUnits / TOTAL_SHARE_UNITS;
+  const part = shareUnits / TOTAL_SHARE_UNITS;
   const capacityTokens = workspace.burstTokens * part;
   if (record === undefined) {
     return capacityTokens * UNKNOWN_LEVEL;
@@ -61,15 +61,24 @@
   return items;
 }
 
+/** The table tells of every VM; gossip tells later of those that are far. */
+function getShareUnits(state: NodeState, member: Member): number {
+  return state.share.unitsByVmId.get(member.vmId) ?? member.shareUnits;
+}
+
 /** Returns the peers that have tokens of a workspace, in random order. */
 export function findLenders(state: NodeState, workspace: Workspace, nowMs: number): Lender[] {
   const records = state.lenders.get(workspace.name);
   const lenders = [...state.members.values()]
-    .filter(({ heardAtMs }) => nowMs - heardAtMs < state.policy.memberStaleMs)
-    .filter(({ member }) => member.shareUnits > 0)
+    .filter(({ heardAtMs }) => nowMs - heardAtMs < state.policy.lenderStaleMs)
     .map(({ member }) => ({
       member,
-      expectedTokens: estimatePeerTokens(member, workspace, records?.get(member.vmId), nowMs),
+      expectedTokens: estimatePeerTokens(
+        getShareUnits(state, member),
+        workspace,
+        records?.get(member.vmId),
+        nowMs,
+      ),
       isLocal: member.failureDomain === state.self.failureDomain,
     }))
     .filter((lender) => lender.expectedTokens >= 1);
--- a/src/coordination/gossip.ts
+++ b/src/coordination/gossip.ts
@@ -14,6 +14,9 @@
 
 /** A mark that a server is leaving lapses unless it is renewed within this time. */
 export const LEAVING_MARK_MS = 30_000;
+/** Part of a message that tells of members of other failure domains. */
+const REMOTE_PART = 0.25;
+const LARGE_FLEET = 100;
 /** A member unheard for this many times the "gone" limit is forgotten. */
 const FORGET_FACTOR = 5;
 
@@ -44,17 +47,27 @@
   return drawn;
 }
 
-function createMessage(state: NodeState): GossipMessage {
-  const others = [...state.members.values()]
+/** Members to tell of: mostly of the own failure domain, for which this VM speaks. */
+function chooseMembers(state: NodeState): Member[] {
+  const known = [...state.members.values()]
     .map((record) => record.member)
     .filter((member) => member.incarnation !== SEED_INCARNATION);
+  const isLocal = (member: Member): boolean => member.failureDomain === state.self.failureDomain;
+  const places = state.policy.gossipMaxMembers - 1;
+  const remote = drawRandom(
+    state,
+    known.filter((member) => !isLocal(member)),
+    Math.ceil(places * REMOTE_PART),
+  );
+  const local = drawRandom(state, known.filter(isLocal), places - remote.length);
+  return [...local, ...remote];
+}
+
+function createMessage(state: NodeState): GossipMessage {
   return {
     fromVmId: state.self.vmId,
     revision: state.configuration?.head.revision ?? 0,
-    members: [
-      createSelfMember(state),
-      ...drawRandom(state, others, state.policy.gossipMaxMembers - 1),
-    ],
+    members: [createSelfMember(state), ...chooseMembers(state)],
     leavingServers: [...state.leavingServers.values()].map((record) => record.mark),
     shareVersion: state.share.version,
   };
@@ -117,18 +130,38 @@
     .forEach(([vmId]) => state.members.delete(vmId));
 }
 
+/** One peer of another failure domain, the rest of the own, and one that is silent. */
 function choosePeers(state: NodeState, nowMs: number): Member[] {
   const { gossipFanout, memberStaleMs } = state.policy;
   const records = [...state.members.values()];
   const isFresh = (record: MemberRecord): boolean => nowMs - record.heardAtMs < memberStaleMs;
-  const fresh = drawRandom(state, records.filter(isFresh), gossipFanout);
+  const isLocal = ({ member }: MemberRecord): boolean =>
+    member.failureDomain === state.self.failureDomain;
+  const fresh = records.filter(isFresh);
+  const remote = drawRandom(
+    state,
+    fresh.filter((record) => !isLocal(record)),
+    1,
+  );
+  const local = drawRandom(state, fresh.filter(isLocal), gossipFanout - remote.length);
+  const fill = drawRandom(
+    state,
+    fresh.filter((record) => !isLocal(record) && !remote.includes(record)),
+    gossipFanout - remote.length - local.length,
+  );
   // One silent member is tried as well, so that a healed cut is noticed.
   const silent = drawRandom(
     state,
     records.filter((record) => !isFresh(record)),
     1,
   );
-  return [...fresh, ...silent].map((record) => record.member);
+  return [...remote, ...local, ...fill, ...silent].map((record) => record.member);
+}
+
+/** Large fleets gossip more slowly, for each VM has more to hear. */
+function getIntervalMs(state: NodeState): number {
+  const { gossipIntervalMs } = state.policy;
+  return state.members.size > LARGE_FLEET ? gossipIntervalMs * 2 : gossipIntervalMs;
 }
 
 /** Sends one round and starts the timer of the next. */
@@ -153,7 +186,7 @@
     {
       kind: CommandKind.StartTimer,
       timerId: EventKind.GossipTick,
-      delayMs: state.policy.gossipIntervalMs,
+      delayMs: getIntervalMs(state),
       event: next,
     },
   ];
--- a/src/coordination/nodeState.ts
+++ b/src/coordination/nodeState.ts
@@ -108,6 +108,8 @@
   /** Units that the slices are cut by now. */
   units: number;
   table: ShareTable;
+  /** Units of each VM in the table. */
+  unitsByVmId: ReadonlyMap<string, number>;
   version: number;
   readAtMs: number | null;
   isWriting: boolean;
@@ -163,6 +165,10 @@
   readonly controller: ControllerState;
   readonly members: Map<string, MemberRecord>;
   readonly servers: Map<string, ServerRecord>;
+  /** Names of the engines that last reported a model, by model tag. */
+  readonly serversByTag: Map<string, Set<string>>;
+  /** The engine that the next round of polls begins with. */
+  pollCursor: number;
   readonly leavingServers: Map<string, LeavingRecord>;
   /** Ids of the requests that wait for tokens, by workspace. */
   readonly tokenQueues: Map<string, string[]>;
@@ -200,6 +206,7 @@
     share: {
       units: 0,
       table: EMPTY_SHARE_TABLE,
+      unitsByVmId: new Map(),
       version: 0,
       readAtMs: null,
       isWriting: false,
@@ -228,6 +235,8 @@
     },
     members: new Map(),
     servers: new Map(),
+    serversByTag: new Map(),
+    pollCursor: 0,
     leavingServers: new Map(),
     tokenQueues: new Map(),
     lenders: new Map(),
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -7,12 +7,12 @@
  */
 import { getModelTag } from '../state/configuration.js';
 import {
-  addOrder,
+  createServerPlan,
   getCommittedMb,
-  getServerPlan,
   hasOpenOrder,
   isStaying,
   OrderKind,
+  type PlacedModel,
   type PlacementPlan,
   type ReportedModels,
   type ServerPlan,
@@ -52,8 +52,24 @@
 /** The state of one planning round. */
 interface Round {
   readonly input: PlacementInput;
-  plan: PlacementPlan;
+  /** Plans of the engines, by name; changed as orders are added. */
+  readonly servers: Map<string, ServerPlan>;
+  readonly modelsByName: ReadonlyMap<string, Model>;
+  orderCount: number;
   newLoads: number;
+  /** False once the weight store allows no further load in this round. */
+  canLoad: boolean;
+}
+
+function getPlanOf(round: Round, engine: EngineView): ServerPlan {
+  return round.servers.get(engine.name) ?? createServerPlan(engine.name);
+}
+
+function addOrder(round: Round, engine: EngineView, kind: OrderKind, model: PlacedModel): void {
+  const server = getPlanOf(round, engine);
+  round.orderCount += 1;
+  const order = { orderId: `${engine.name}/${round.orderCount}`, kind, ...model };
+  round.servers.set(engine.name, { ...server, orders: [...server.orders, order] });
 }
 
 function isReported(engine: EngineView, tag: string): boolean {
@@ -61,9 +77,9 @@
 }
 
 /** Loads that are ordered, and those that engines have taken and not finished. */
-function countOpenLoads({ input, plan }: Round): number {
-  return input.engines.reduce((sum, engine) => {
-    const { orders, placed } = getServerPlan(plan, engine.name);
+function countOpenLoads(round: Round): number {
+  return round.input.engines.reduce((sum, engine) => {
+    const { orders, placed } = getPlanOf(round, engine);
     const ordered = orders.filter((order) => order.kind === OrderKind.Load);
     const unfinished = placed.filter(({ tag }) => !isReported(engine, tag));
     return sum + ordered.length + unfinished.length;
@@ -76,9 +92,9 @@
 }
 
 /** Engines that hold a tag or are about to, the leaving ones left out. */
-function findHolders({ input, plan }: Round, tag: string): EngineView[] {
-  return input.engines.filter((engine) => {
-    const server = getServerPlan(plan, engine.name);
+function findHolders(round: Round, tag: string): EngineView[] {
+  return round.input.engines.filter((engine) => {
+    const server = getPlanOf(round, engine);
     const isComing = server.orders.some((o) => o.tag === tag && o.kind === OrderKind.Load);
     return !engine.isLeaving && (isComing || isStaying(server, tag));
   });
@@ -89,23 +105,26 @@
   return findHolders(round, tag).filter((engine) => isReported(engine, tag));
 }
 
-function getFreeMb({ plan }: Round, engine: EngineView): number {
+function getFreeMb(round: Round, engine: EngineView): number {
   return engine.reported === null
     ? 0
-    : engine.memoryMb - getCommittedMb(getServerPlan(plan, engine.name), engine.reported);
+    : engine.memoryMb - getCommittedMb(getPlanOf(round, engine), engine.reported);
 }
 
 function hasBase(round: Round, engine: EngineView, model: Model): boolean {
-  const base = round.input.models.find(({ name }) => name === model.baseModel);
+  if (model.baseModel === undefined) {
+    return true;
+  }
+  const base = round.modelsByName.get(model.baseModel);
   if (base === undefined) {
-    return model.baseModel === undefined;
+    return false;
   }
   const tag = getModelTag(base);
-  return isReported(engine, tag) && isStaying(getServerPlan(round.plan, engine.name), tag);
+  return isReported(engine, tag) && isStaying(getPlanOf(round, engine), tag);
 }
 
 function isUsable(round: Round, engine: EngineView, model: Model): boolean {
-  const server = getServerPlan(round.plan, engine.name);
+  const server = getPlanOf(round, engine);
   const tag = getModelTag(model);
   const isFree = !hasOpenOrder(server, tag) && !server.placed.some((m) => m.tag === tag);
   return (
@@ -126,14 +145,15 @@
 
 function orderLoad(round: Round, engine: EngineView, model: Model): void {
   const placed = { tag: getModelTag(model), memoryMb: model.memoryMb };
-  round.plan = addOrder(round.plan, engine.name, OrderKind.Load, placed);
+  addOrder(round, engine, OrderKind.Load, placed);
   round.newLoads += 1;
+  round.canLoad = canLoadMore(round);
 }
 
 function orderUnload(round: Round, engine: EngineView, tag: string): void {
-  const server = getServerPlan(round.plan, engine.name);
+  const server = getPlanOf(round, engine);
   const placed = server.placed.find((model) => model.tag === tag) ?? { tag, memoryMb: 0 };
-  round.plan = addOrder(round.plan, engine.name, OrderKind.Unload, placed);
+  addOrder(round, engine, OrderKind.Unload, placed);
 }
 
 function isHome({ input }: Round, model: Model): boolean {
@@ -154,7 +174,7 @@
 
 /** Adapters of a base model on one engine, or ordered there. */
 function findAdapters(round: Round, engine: EngineView, base: Model): Model[] {
-  const server = getServerPlan(round.plan, engine.name);
+  const server = getPlanOf(round, engine);
   return round.input.models.filter((model) => {
     const tag = getModelTag(model);
     const isHere = server.placed.some((m) => m.tag === tag) || hasOpenOrder(server, tag);
@@ -164,7 +184,7 @@
 
 /** Replicas that may go from an engine; a base model only together with its adapters, which come first. */
 function findSpares(round: Round, engine: EngineView): Model[] {
-  const server = getServerPlan(round.plan, engine.name);
+  const server = getPlanOf(round, engine);
   const mayGo = (model: Model): boolean =>
     canUnload(server, engine, getModelTag(model)) && isSpare(round, engine, model);
   return round.input.models
@@ -198,7 +218,7 @@
 
 function isRoomBeingMade(round: Round, model: Model): boolean {
   return round.input.engines.some((engine) => {
-    const { orders } = getServerPlan(round.plan, engine.name);
+    const { orders } = getPlanOf(round, engine);
     const freedMb = orders
       .filter((order) => order.kind === OrderKind.Unload)
       .reduce((sum, order) => sum + order.memoryMb, 0);
@@ -208,7 +228,7 @@
 
 /** Places the first replica of a model. */
 function placeMissing(round: Round, model: Model): void {
-  if (!canLoadMore(round) || findHolders(round, getModelTag(model)).length > 0) {
+  if (!round.canLoad || findHolders(round, getModelTag(model)).length > 0) {
     return;
   }
   const engine = findRoomiest(round, model);
@@ -225,8 +245,11 @@
 /** Uses memory that is left for a second replica. */
 function placeSecond(round: Round, model: Model): void {
   const tag = getModelTag(model);
+  if (!round.canLoad) {
+    return;
+  }
   const isSettled = findAnswering(round, tag).length > 0;
-  if (!canLoadMore(round) || !isSettled || findHolders(round, tag).length >= MAX_REPLICAS) {
+  if (!isSettled || findHolders(round, tag).length >= MAX_REPLICAS) {
     return;
   }
   const engine = findRoomiest(round, model);
@@ -250,12 +273,11 @@
  * answers or, away from home, to make room for it. A model that is no longer configured goes at once.
  */
 function dropOld(round: Round, engine: EngineView): void {
-  const server = getServerPlan(round.plan, engine.name);
-  const byName = new Map(round.input.models.map((model) => [model.name, model]));
+  const server = getPlanOf(round, engine);
   server.placed
     .filter(({ tag }) => canUnload(server, engine, tag))
     .forEach(({ tag }) => {
-      const model = byName.get(tag.slice(0, tag.lastIndexOf('@')));
+      const model = round.modelsByName.get(tag.slice(0, tag.lastIndexOf('@')));
       const isOld = model === undefined || getModelTag(model) !== tag;
       if (isOld && (model === undefined || mayDropOld(round, engine, model, tag))) {
         orderUnload(round, engine, tag);
@@ -263,20 +285,38 @@
     });
 }
 
-/** Base models come before their adapters, and models of this home before others. */
-function compareModels(input: PlacementInput): (a: Model, b: Model) => number {
-  const rank = (model: Model): number =>
-    (model.baseModel === undefined ? 0 : 2) +
-    (getHomeDomain(input.domains, model.name) === input.failureDomain ? 0 : 1);
-  return (a, b) => rank(a) - rank(b) || b.memoryMb - a.memoryMb || a.name.localeCompare(b.name);
+/** Base models come before their adapters, models of this home before others, large before small. */
+function sortModels(input: PlacementInput): Model[] {
+  const ranks = new Map(
+    input.models.map((model) => {
+      const isAway = getHomeDomain(input.domains, model.name) !== input.failureDomain;
+      return [model.name, (model.baseModel === undefined ? 0 : 2) + (isAway ? 1 : 0)] as const;
+    }),
+  );
+  return input.models.toSorted(
+    (a, b) =>
+      ranks.get(a.name)! - ranks.get(b.name)! ||
+      b.memoryMb - a.memoryMb ||
+      a.name.localeCompare(b.name),
+  );
 }
 
 /** Plans the next orders. Pure; the plan that comes back must be written before any order is sent. */
 export function planPlacement(plan: PlacementPlan, input: PlacementInput): PlacementPlan {
-  const round: Round = { input, plan, newLoads: 0 };
-  const models = input.models.toSorted(compareModels(input));
+  const round: Round = {
+    input,
+    servers: new Map(plan.servers.map((server) => [server.name, server])),
+    modelsByName: new Map(input.models.map((model) => [model.name, model])),
+    orderCount: plan.orderCount,
+    newLoads: 0,
+    canLoad: true,
+  };
+  round.canLoad = canLoadMore(round);
+  const models = sortModels(input);
   input.engines.forEach((engine) => dropOld(round, engine));
   models.forEach((model) => placeMissing(round, model));
   models.forEach((model) => placeSecond(round, model));
-  return round.plan;
+  return round.orderCount === plan.orderCount
+    ? plan
+    : { ...plan, orderCount: round.orderCount, servers: [...round.servers.values()] };
 }
--- a/src/coordination/policy.ts
+++ b/src/coordination/policy.ts
@@ -12,6 +12,8 @@
   readonly gossipMaxMembers: number;
   /** A member unheard for this time is not asked for anything. */
   readonly memberStaleMs: number;
+  /** A member unheard for this time is not asked for tokens; one that is dead only costs a wait. */
+  readonly lenderStaleMs: number;
   /** A member unheard for this time, and off the platform's list as long, is gone. */
   readonly memberGoneMs: number;
   /** A VM that has heard neither the store nor its failure domain for this time spends no tokens. */
@@ -25,6 +27,8 @@
   /** How long a VM leaves a change of the share table to each VM before it. */
   readonly shareRankDelayMs: number;
   readonly loadPollIntervalMs: number;
+  /** Engines that one round asks at most. */
+  readonly maxPollsInRound: number;
   /** An engine whose last report is older gets no new orders; reports lag by less. */
   readonly reportStaleMs: number;
   readonly controllerTickMs: number;
@@ -59,8 +63,9 @@
 export const DEFAULT_POLICY: Policy = {
   gossipIntervalMs: 500,
   gossipFanout: 3,
-  gossipMaxMembers: 32,
-  memberStaleMs: 5_000,
+  gossipMaxMembers: 20,
+  memberStaleMs: 8_000,
+  lenderStaleMs: 20_000,
   memberGoneMs: 60_000,
   isolationMs: 15_000,
   shareReadIntervalMs: 10_000,
@@ -69,7 +74,8 @@
   shareMaxBackoffMs: 10_000,
   shareRankDelayMs: 1_500,
   loadPollIntervalMs: 500,
-  reportStaleMs: 10_000,
+  maxPollsInRound: 16,
+  reportStaleMs: 15_000,
   controllerTickMs: 500,
   controllerLeaseMs: 10_000,
   controllerRenewMs: 2_500,
--- a/src/coordination/routing.ts
+++ b/src/coordination/routing.ts
@@ -10,7 +10,8 @@
 import { getModelTag } from '../state/configuration.js';
 import { createDiagnostic, type Diagnostic, Diagnostics } from '../state/diagnostics.js';
 import { hashText, nextRandomInt } from '../state/random.js';
-import { BackendKind, type BackendServer, type Target, TargetKind } from '../state/types.js';
+import { type BackendServer, type Target, TargetKind } from '../state/types.js';
+
 import type { NodeState, ServerRecord } from './nodeState.js';
 
 /** A server with more work than this part of its places over them takes no more. */
@@ -58,6 +59,17 @@
   return server.leaving || report?.leaving === true || state.leavingServers.has(server.name);
 }
 
+function findServersWithTag(
+  state: NodeState,
+  configuration: Configuration,
+  tag: string,
+): BackendServer[] {
+  return [...(state.serversByTag.get(tag) ?? [])].flatMap((name) => {
+    const server = configuration.serversByName.get(name);
+    return server === undefined ? [] : [server];
+  });
+}
+
 function findServersForModel(
   state: NodeState,
   configuration: Configuration,
@@ -67,20 +79,19 @@
   if (model === undefined) {
     return [];
   }
-  const tag = getModelTag(model);
-  const engines = configuration.document.vms.backendServers.filter(
-    (server) => server.kind === BackendKind.Engine,
-  );
-  const getLoaded = (server: BackendServer): readonly string[] =>
-    state.servers.get(server.name)?.report?.loadedModels ?? [];
-  const current = engines.filter((server) => getLoaded(server).includes(tag));
+  const current = findServersWithTag(state, configuration, getModelTag(model));
   if (current.length > 0) {
     return current;
   }
   // While a new version is being loaded, the one before it goes on serving.
-  return engines.filter((server) =>
-    getLoaded(server).some((loaded) => loaded.startsWith(`${modelName}@`)),
+  const prefix = `${modelName}@`;
+  const tags = [...state.serversByTag.keys()].filter((tag) => tag.startsWith(prefix));
+  const names = new Map(
+    tags
+      .flatMap((tag) => findServersWithTag(state, configuration, tag))
+      .map((server) => [server.name, server]),
   );
+  return [...names.values()];
 }
 
 function findServersForRoute(configuration: Configuration, routeName: string): BackendServer[] {
--- a/src/coordination/shareHandlers.ts
+++ b/src/coordination/shareHandlers.ts
@@ -155,6 +155,7 @@
 function acceptTable(state: NodeState, table: ShareTable, version: number, nowMs: number): void {
   const { share } = state;
   share.table = table;
+  share.unitsByVmId = new Map(table.entries.map(({ units, vmId }) => [vmId, units]));
   share.version = version;
   share.readAtMs = nowMs;
   share.isSuspended = false;
--- a/src/state/placementPlan.ts
+++ b/src/state/placementPlan.ts
@@ -51,11 +51,14 @@
   readonly usedMemoryMb: number;
 }
 
-const EMPTY_SERVER_PLAN = { placed: [], orders: [] };
+/** Creates the plan of a server on which nothing is placed. */
+export function createServerPlan(name: string): ServerPlan {
+  return { name, placed: [], orders: [] };
+}
 
 /** Returns the plan of a server. */
 export function getServerPlan(plan: PlacementPlan, name: string): ServerPlan {
-  return plan.servers.find((server) => server.name === name) ?? { name, ...EMPTY_SERVER_PLAN };
+  return plan.servers.find((server) => server.name === name) ?? createServerPlan(name);
 }
 
 /** Puts the plan of one server in place of the one before. */
@@ -90,19 +93,6 @@
   return Math.max(planned, reported.usedMemoryMb + unreported);
 }
 
-/** Adds an order to a server's plan; it must be written before it is sent. */
-export function addOrder(
-  plan: PlacementPlan,
-  serverName: string,
-  kind: OrderKind,
-  model: PlacedModel,
-): PlacementPlan {
-  const server = getServerPlan(plan, serverName);
-  const orderCount = plan.orderCount + 1;
-  const order = { orderId: `${serverName}/${orderCount}`, kind, ...model };
-  return setServerPlan({ ...plan, orderCount }, { ...server, orders: [...server.orders, order] });
-}
-
 type OrderSettler = (server: ServerPlan, order: Order) => readonly PlacedModel[];
 
 const ORDER_SETTLERS: Readonly<Record<OrderKind, OrderSettler>> = {
