Report service-level burn over all VMs, and cut the cost of control

Burn: objectives by workspace, windows of 5 min, 1 h and 6 h, reasons, first-token times merged over VMs; for people and as JSON; Prometheus text.

A profile of a fifth VM for 25 s showed about 1 s of work after the start, most of it in HTTP calls of gossip and load polls, an abort signal for each call among it. Changed: rounds of gossip and polls each second, two peers a round, a new revision told to eight peers at once, no abort signals. What is judged by reports now goes by the time of the report, since at full size they come every 20 s.

--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -203,6 +203,7 @@
           attempt: 1,
           generatedTokens: 10,
           maxGapMs: 1,
+          meanGapMs: 1,
         },
         nowMs,
       );
--- a/src/bin/gentiandeckctl.ts
+++ b/src/bin/gentiandeckctl.ts
@@ -11,6 +11,7 @@
   type CtlContext,
   diff,
   issueKey,
+  reportBurn,
   showHistory,
   show,
   showServers,
@@ -135,4 +136,10 @@
   .describe('Print the backend servers as one daemon sees them.')
   .action((options: Options) => run(showServers(createContext(options))));
 
+program
+  .command('report burn')
+  .describe('Print how fast each workspace uses up its service-level objective, over all VMs.')
+  .option('--json', 'Print JSON')
+  .action((options: Options) => run(reportBurn(createContext(options), options.json === true)));
+
 program.parse(process.argv);
--- a/src/coordination/configurationHandlers.ts
+++ b/src/coordination/configurationHandlers.ts
@@ -4,6 +4,7 @@
 import { createConfiguration } from '../state/configuration.js';
 import { Diagnostics, isDiagnostic } from '../state/diagnostics.js';
 import { type Command, createLog, type EventKind, type EventOf, LogLevel, Part } from './events.js';
+import { pushRevision } from './gossip.js';
 import type { NodeState } from './nodeState.js';
 import { pollUnreported, updateReadiness } from './serverHandlers.js';
 import { adoptOwnEntry, readShares } from './shareHandlers.js';
@@ -34,6 +35,7 @@
   const fields = { revision: head.revision };
   return [
     createLog(LogLevel.Info, Part.Configuration, 'A revision is in force.', fields),
+    ...pushRevision(state),
     ...readShares(state),
     ...pollUnreported(state),
     ...updateReadiness(state),
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -129,7 +129,11 @@
   return new Set(others.flatMap(({ name }) => state.servers.get(name)?.report?.loadedModels ?? []));
 }
 
-/** Since when a placed model has been missing from its engine's reports. */
+function getReportedAtMs(state: NodeState, server: string): number {
+  return state.servers.get(server)?.reportedAtMs ?? 0;
+}
+
+/** Tells whether a placed model is missing from a report that must have known of it. */
 function isLongMissing(state: NodeState, server: string, tag: string, nowMs: number): boolean {
   const key = `${server} ${tag}`;
   const { missingSinceMs } = state.controller;
@@ -139,7 +143,7 @@
   }
   const sinceMs = missingSinceMs.get(key) ?? nowMs;
   missingSinceMs.set(key, sinceMs);
-  return nowMs - sinceMs > state.policy.reportStaleMs;
+  return getReportedAtMs(state, server) - sinceMs > state.policy.reportLagMs;
 }
 
 function findSizes(configuration: Configuration): Map<string, number> {
@@ -148,9 +152,9 @@
 }
 
 /** A report that is older than an unload still lists the model. */
-function isUnloadedLately(state: NodeState, server: string, tag: string, nowMs: number): boolean {
+function isUnloadedLately(state: NodeState, server: string, tag: string): boolean {
   const atMs = state.controller.unloadedAtMs.get(`${server} ${tag}`);
-  return atMs !== undefined && nowMs - atMs < state.policy.reportStaleMs;
+  return atMs !== undefined && getReportedAtMs(state, server) - atMs < state.policy.reportLagMs;
 }
 
 /** Brings a server's plan in step with its reports, which lag. */
@@ -163,7 +167,7 @@
   const kept = server.placed.filter(({ tag }) => !isLongMissing(state, server.name, tag, nowMs));
   const known = new Set([...kept, ...server.orders].map(({ tag }) => tag));
   const found: PlacedModel[] = getReportedTags(state, server.name)
-    .filter((tag) => !known.has(tag) && !isUnloadedLately(state, server.name, tag, nowMs))
+    .filter((tag) => !known.has(tag) && !isUnloadedLately(state, server.name, tag))
     .map((tag) => ({ tag, memoryMb: sizes.get(tag) ?? 0 }));
   return found.length === 0 && kept.length === server.placed.length
     ? server
--- a/src/coordination/dispatching.ts
+++ b/src/coordination/dispatching.ts
@@ -23,6 +23,7 @@
   closeRecord,
   findDispatch,
   getPromptTokens,
+  NO_GAPS,
   OPEN_WORKSPACE,
   refuseRecord,
   releaseServer,
@@ -104,7 +105,7 @@
 function replayAnswer(state: NodeState, record: RequestRecord, nowMs: number): Command[] {
   const { requestId } = record.info;
   const outcome = RequestOutcome.Completed;
-  const end = { outcome, diagnostic: null, usedTokens: record.costTokens, maxGapMs: 0 };
+  const end = { outcome, diagnostic: null, usedTokens: record.costTokens, ...NO_GAPS };
   return [{ kind: CommandKind.ReplayAnswer, requestId }, ...closeRecord(state, record, end, nowMs)];
 }
 
@@ -157,8 +158,9 @@
     return [];
   }
   const usedTokens = getPromptTokens(record) + event.generatedTokens;
-  const { maxGapMs } = event;
-  const end = { outcome: RequestOutcome.Completed, diagnostic: null, usedTokens, maxGapMs };
+  const { maxGapMs, meanGapMs } = event;
+  const outcome = RequestOutcome.Completed;
+  const end = { outcome, diagnostic: null, usedTokens, maxGapMs, meanGapMs };
   return closeRecord(state, record, end, nowMs);
 }
 
--- a/src/coordination/events.ts
+++ b/src/coordination/events.ts
@@ -102,8 +102,9 @@
     readonly requestId: string;
     readonly attempt: number;
     readonly generatedTokens: number;
-    /** The longest time between two tokens, in milliseconds; zero for plain services. */
+    /** Times between two tokens, in milliseconds; zero for plain services. */
     readonly maxGapMs: number;
+    readonly meanGapMs: number;
   };
   [EventKind.DispatchFailed]: {
     readonly requestId: string;
@@ -240,6 +241,7 @@
   readonly diagnosticKey: string | null;
   readonly firstTokenMs: number | null;
   readonly maxGapMs: number;
+  readonly meanGapMs: number;
   readonly durationMs: number;
   readonly tokens: number;
 }
--- a/src/coordination/gossip.ts
+++ b/src/coordination/gossip.ts
@@ -16,7 +16,6 @@
 export const LEAVING_MARK_MS = 30_000;
 /** Part of a message that tells of members of other failure domains. */
 const REMOTE_PART = 0.25;
-const LARGE_FLEET = 100;
 /** A member unheard for this many times the "gone" limit is forgotten. */
 const FORGET_FACTOR = 5;
 
@@ -158,10 +157,21 @@
   return [...remote, ...local, ...fill, ...silent].map((record) => record.member);
 }
 
-/** Large fleets gossip more slowly, for each VM has more to hear. */
-function getIntervalMs(state: NodeState): number {
-  const { gossipIntervalMs } = state.policy;
-  return state.members.size > LARGE_FLEET ? gossipIntervalMs * 2 : gossipIntervalMs;
+function createSend(state: NodeState, member: Member): Command {
+  return {
+    kind: CommandKind.SendGossip,
+    peerVmId: member.vmId,
+    peerAddress: member.peerAddress,
+    message: createMessage(state),
+  };
+}
+
+/** Tells some peers of a new revision at once, without waiting for the next round. */
+export function pushRevision(state: NodeState): Command[] {
+  const known = [...state.members.values()].map(({ member }) => member);
+  return drawRandom(state, known, state.policy.pushFanout).map((member) =>
+    createSend(state, member),
+  );
 }
 
 /** Sends one round and starts the timer of the next. */
@@ -177,16 +187,11 @@
   return [
     ...reconcileShares(state, nowMs),
     ...evenOutSlices(state, nowMs),
-    ...choosePeers(state, nowMs).map<Command>((member) => ({
-      kind: CommandKind.SendGossip,
-      peerVmId: member.vmId,
-      peerAddress: member.peerAddress,
-      message: createMessage(state),
-    })),
+    ...choosePeers(state, nowMs).map((member) => createSend(state, member)),
     {
       kind: CommandKind.StartTimer,
       timerId: EventKind.GossipTick,
-      delayMs: getIntervalMs(state),
+      delayMs: state.policy.gossipIntervalMs,
       event: next,
     },
   ];
--- a/src/coordination/members.ts
+++ b/src/coordination/members.ts
@@ -7,12 +7,18 @@
 /** The incarnation of a member that is known only by its address. */
 export const SEED_INCARNATION = '';
 
-/** Returns the members of the own failure domain that were heard of lately. */
-export function findDomainMembers(state: NodeState, nowMs: number): Member[] {
+/** Returns the members that were heard of lately. */
+export function findLiveMembers(state: NodeState, nowMs: number): Member[] {
   return [...state.members.values()]
     .filter(({ heardAtMs }) => nowMs - heardAtMs < state.policy.memberStaleMs)
-    .map(({ member }) => member)
-    .filter((member) => member.failureDomain === state.self.failureDomain);
+    .map(({ member }) => member);
+}
+
+/** Returns the members of the own failure domain that were heard of lately. */
+export function findDomainMembers(state: NodeState, nowMs: number): Member[] {
+  return findLiveMembers(state, nowMs).filter(
+    (member) => member.failureDomain === state.self.failureDomain,
+  );
 }
 
 /** Adds VMs that the settings or the platform name, before anything has been heard of them. */
--- a/src/coordination/policy.ts
+++ b/src/coordination/policy.ts
@@ -8,6 +8,8 @@
   readonly gossipIntervalMs: number;
   /** Peers that each gossip round is sent to. */
   readonly gossipFanout: number;
+  /** Peers that a new revision is told at once. */
+  readonly pushFanout: number;
   /** Members that one gossip message carries at most. */
   readonly gossipMaxMembers: number;
   /** A member unheard for this time is not asked for anything. */
@@ -29,7 +31,9 @@
   readonly loadPollIntervalMs: number;
   /** Engines that one round asks at most. */
   readonly maxPollsInRound: number;
-  /** An engine whose last report is older gets no new orders; reports lag by less. */
+  /** Reports lag by less than this. */
+  readonly reportLagMs: number;
+  /** An engine whose last report is older gets no new orders. */
   readonly reportStaleMs: number;
   readonly controllerTickMs: number;
   readonly controllerLeaseMs: number;
@@ -61,8 +65,9 @@
 }
 
 export const DEFAULT_POLICY: Policy = {
-  gossipIntervalMs: 500,
-  gossipFanout: 3,
+  gossipIntervalMs: 1_000,
+  gossipFanout: 2,
+  pushFanout: 8,
   gossipMaxMembers: 20,
   memberStaleMs: 8_000,
   lenderStaleMs: 20_000,
@@ -73,9 +78,10 @@
   shareBackoffMs: 100,
   shareMaxBackoffMs: 10_000,
   shareRankDelayMs: 1_500,
-  loadPollIntervalMs: 500,
+  loadPollIntervalMs: 1_000,
   maxPollsInRound: 16,
-  reportStaleMs: 15_000,
+  reportLagMs: 15_000,
+  reportStaleMs: 60_000,
   controllerTickMs: 500,
   controllerLeaseMs: 10_000,
   controllerRenewMs: 2_500,
--- a/src/coordination/requestRecords.ts
+++ b/src/coordination/requestRecords.ts
@@ -19,8 +19,12 @@
   /** Tokens that the workspace received, prompt included. */
   readonly usedTokens: number;
   readonly maxGapMs: number;
+  readonly meanGapMs: number;
 }
 
+/** The gaps of a request without an answer. */
+export const NO_GAPS = { maxGapMs: 0, meanGapMs: 0 } as const;
+
 /** Creates a refusal. */
 export function createRefusal(
   diagnostic: Diagnostic,
@@ -50,6 +54,7 @@
     diagnosticKey: end.diagnostic?.key ?? null,
     firstTokenMs: firstTokenAtMs === null ? null : firstTokenAtMs - record.arrivedAtMs,
     maxGapMs: end.maxGapMs,
+    meanGapMs: end.meanGapMs,
     durationMs: nowMs - record.arrivedAtMs,
     tokens: end.usedTokens,
   };
@@ -120,7 +125,7 @@
   retryAfterMs: number | null = null,
 ): Command[] {
   const usedTokens = record.runClaim === RunClaim.NotRun ? 0 : record.costTokens;
-  const end = { outcome: RequestOutcome.Refused, diagnostic, usedTokens, maxGapMs: 0 };
+  const end = { outcome: RequestOutcome.Refused, diagnostic, usedTokens, ...NO_GAPS };
   return [
     {
       kind: CommandKind.Refuse,
@@ -140,7 +145,7 @@
   nowMs: number,
 ): Command[] {
   const usedTokens = getPromptTokens(record) + deliveredTokens;
-  const end = { outcome: RequestOutcome.Broken, diagnostic, usedTokens, maxGapMs: 0 };
+  const end = { outcome: RequestOutcome.Broken, diagnostic, usedTokens, ...NO_GAPS };
   return [
     {
       kind: CommandKind.AbortAnswer,
--- a/src/coordination/requests.ts
+++ b/src/coordination/requests.ts
@@ -12,6 +12,7 @@
   createRefusal,
   getPromptTokens,
   getTimerId,
+  NO_GAPS,
   OPEN_WORKSPACE,
   refuseRecord,
 } from './requestRecords.js';
@@ -62,7 +63,7 @@
         outcome: RequestOutcome.Refused,
         diagnosticKey: diagnostic.key,
         firstTokenMs: null,
-        maxGapMs: 0,
+        ...NO_GAPS,
         durationMs: 0,
         tokens: 0,
       },
@@ -120,7 +121,7 @@
   }
   const isSent = record.attempt > 0;
   const usedTokens = isSent ? getPromptTokens(record) + event.deliveredTokens : 0;
-  const end = { outcome: RequestOutcome.Abandoned, diagnostic: null, usedTokens, maxGapMs: 0 };
+  const end = { outcome: RequestOutcome.Abandoned, diagnostic: null, usedTokens, ...NO_GAPS };
   return [
     ...cancelDispatch(record),
     ...closeRecord(state, record, end, nowMs),
--- a/src/protocol/adminMessages.ts
+++ b/src/protocol/adminMessages.ts
@@ -16,6 +16,7 @@
   History: '/admin/v1/history',
   Vms: '/admin/v1/vms',
   Servers: '/admin/v1/servers',
+  Burn: '/admin/v1/report/burn',
   Health: '/healthz',
   Ready: '/readyz',
   Metrics: '/metrics',
--- a/src/state/document.ts
+++ b/src/state/document.ts
@@ -64,6 +64,12 @@
 
 const KeySchema = Schema.Struct({ id: NameSchema, sha256: DigestSchema });
 
+const ObjectiveSchema = Schema.Struct({
+  firstTokenMs: PositiveSchema,
+  tokenGapMs: PositiveSchema,
+  goodPart: Schema.Number.check(Schema.isGreaterThan(0), Schema.isLessThan(1)),
+});
+
 const AllowedSchema = Schema.Array(Schema.Union([Schema.Literal('*'), NameSchema]));
 
 const WorkspaceSchema = Schema.Struct({
@@ -74,6 +80,7 @@
   models: AllowedSchema,
   routes: AllowedSchema,
   keys: Schema.Array(KeySchema),
+  objective: Schema.optionalKey(ObjectiveSchema),
 });
 
 const DocumentSchema = Schema.Struct({
--- a/src/state/types.ts
+++ b/src/state/types.ts
@@ -81,6 +81,14 @@
   readonly routes: readonly Route[];
 }
 
+/** What a workspace's requests are to meet; `goodPart` of them, in (0, 1). */
+export interface Objective {
+  readonly firstTokenMs: number;
+  /** Mean time between two tokens of an answer. */
+  readonly tokenGapMs: number;
+  readonly goodPart: number;
+}
+
 /** An issued key; only its hex digest is kept. */
 export interface WorkspaceKey {
   readonly id: string;
@@ -97,6 +105,7 @@
   /** Route names, or `*` for all. */
   readonly routes: readonly string[];
   readonly keys: readonly WorkspaceKey[];
+  readonly objective?: Objective;
 }
 
 export interface WorkspacesSection {
--- a/src/transport/adminServer.ts
+++ b/src/transport/adminServer.ts
@@ -16,6 +16,7 @@
   KEYS_SECTION,
   removeKey,
 } from '../protocol/adminMessages.js';
+import type { BurnReport } from '../protocol/burnMessages.js';
 import { createKey, hashSha256, parseSections } from '../protocol/documentText.js';
 import { getStatus } from '../protocol/statusCodes.js';
 import type { Configuration } from '../state/configuration.js';
@@ -39,6 +40,7 @@
   readonly getConfiguration: () => Configuration | null;
   readonly describeVms: () => VmView[];
   readonly describeServers: () => ServerView[];
+  readonly collectBurn: Effect.Effect<BurnReport>;
   readonly isReady: () => boolean;
   readonly bootstrapToken: string;
   readonly writeLog: WriteLog;
@@ -197,6 +199,8 @@
   [`DELETE ${ADMIN_PATHS.Keys}`]: handleWithdrawKey,
   [`GET ${ADMIN_PATHS.History}`]: ({ context }) =>
     Effect.succeed(answerJson({ edits: context.source.getCurrent()?.head.recentEdits ?? [] })),
+  [`GET ${ADMIN_PATHS.Burn}`]: ({ context }) =>
+    Effect.map(context.collectBurn, (report) => answerJson(report)),
   [`GET ${ADMIN_PATHS.Vms}`]: ({ context }) =>
     Effect.succeed(answerJson({ vms: context.describeVms() })),
   [`GET ${ADMIN_PATHS.Servers}`]: ({ context }) =>
--- a/src/transport/commandTable.ts
+++ b/src/transport/commandTable.ts
@@ -16,7 +16,7 @@
 import type { Diagnostic } from '../state/diagnostics.js';
 import { EMPTY_PLAN, PlacementPlanSchema } from '../state/placementPlan.js';
 import { EMPTY_SHARE_TABLE, type ShareTable, ShareTableSchema } from '../state/shareTable.js';
-import { TargetKind } from '../state/types.js';
+import { type Objective, TargetKind } from '../state/types.js';
 import type { Claims } from './claims.js';
 import type { ControllerLease } from './controllerLease.js';
 import type { ConfigurationSource } from './configurationSource.js';
@@ -53,6 +53,7 @@
   readonly replies: PendingReplies;
   readonly source: ConfigurationSource;
   readonly metrics: Metrics;
+  readonly getObjective: (workspace: string) => Objective;
   readonly writeLog: WriteLog;
   readonly setReady: (isReady: boolean) => void;
   readonly exit: () => void;
@@ -330,7 +331,7 @@
     [CommandKind.Exit]: exit,
     [CommandKind.Log]: ({ fields, level, part, text }) => writeLog(level, part, text, fields),
     [CommandKind.RecordRequest]: ({ measure, requestId }) => {
-      metrics.record(measure);
+      metrics.record(measure, context.getObjective(measure.workspace), context.dispatch.getNowMs());
       exchanges.delete(requestId);
     },
   };
--- a/src/transport/ctl/adminClient.ts
+++ b/src/transport/ctl/adminClient.ts
@@ -16,6 +16,7 @@
   type EditMessage,
   type KeyMessage,
 } from '../../protocol/adminMessages.js';
+import { type BurnReport, decodeBurnReport } from '../../protocol/burnMessages.js';
 import { createDiagnostic, type Diagnostic, Diagnostics } from '../../state/diagnostics.js';
 import type { Edit } from '../../state/types.js';
 import type { VmView } from '../../coordination/fleetView.js';
@@ -38,6 +39,7 @@
   readonly withdrawKey: (message: KeyMessage) => CtlEffect<number>;
   readonly getHistory: CtlEffect<readonly Edit[]>;
   readonly getVms: CtlEffect<readonly VmView[]>;
+  readonly getBurn: CtlEffect<BurnReport>;
   /** Returns the answer of a path as it is. */
   readonly getText: (path: string) => CtlEffect<string>;
 }
@@ -102,6 +104,7 @@
       Effect.flatMap(call('DELETE', ADMIN_PATHS.Keys, message), getRevision),
     getHistory: Effect.flatMap(call('GET', ADMIN_PATHS.History, null), decode(decodeHistory)),
     getVms: Effect.flatMap(call('GET', ADMIN_PATHS.Vms, null), decode(decodeVmViews)),
+    getBurn: Effect.flatMap(call('GET', ADMIN_PATHS.Burn, null), decode(decodeBurnReport)),
     getText: (path) => call('GET', path, null),
   };
 }
--- a/src/transport/ctl/commands.ts
+++ b/src/transport/ctl/commands.ts
@@ -6,6 +6,7 @@
 import { Effect } from 'effect';
 import type { VmView } from '../../coordination/fleetView.js';
 import { ADMIN_PATHS, type DocumentView } from '../../protocol/adminMessages.js';
+import { formatBurnReport } from '../../protocol/burnMessages.js';
 import { formatDiff, parseDocumentText, splitDocument } from '../../protocol/documentText.js';
 import { createDiagnostic, Diagnostics } from '../../state/diagnostics.js';
 import { isSection } from '../../state/document.js';
@@ -218,6 +219,13 @@
   });
 }
 
+/** Prints the report on service-level burn, for people or as JSON. */
+export function reportBurn({ client, print }: CtlContext, isJson: boolean): CtlEffect {
+  return Effect.map(client.getBurn, (report) => {
+    print(isJson ? JSON.stringify(report, null, 2) : formatBurnReport(report));
+  });
+}
+
 /** Prints the backend servers as JSON. */
 export function showServers({ client, print }: CtlContext): CtlEffect {
   return Effect.map(client.getText(ADMIN_PATHS.Servers), (text) => {
--- a/src/transport/daemon.ts
+++ b/src/transport/daemon.ts
@@ -7,12 +7,15 @@
 import { EventKind, LogLevel, type NodeEvent, Part } from '../coordination/events.js';
 import { describeServers, describeVms } from '../coordination/fleetView.js';
 import { createLoop, readClockMs } from '../coordination/loop.js';
-import { addSeedMembers } from '../coordination/members.js';
+import { addSeedMembers, findLiveMembers } from '../coordination/members.js';
 import { createNodeState, type Self } from '../coordination/nodeState.js';
 import { DEFAULT_POLICY, type Policy } from '../coordination/policy.js';
 import { createRandom, nextRandom } from '../state/random.js';
 import { createDiagnostic, DiagnosticError, Diagnostics } from '../state/diagnostics.js';
+import { DEFAULT_OBJECTIVE } from '../state/burn.js';
+import type { Objective } from '../state/types.js';
 import { createAdminServer } from './adminServer.js';
+import { collectBurnReport } from './burnReport.js';
 import { createCallerServer } from './callerServer.js';
 import { createClaims } from './claims.js';
 import { createCommandTable } from './commandTable.js';
@@ -129,6 +132,10 @@
   const getConfiguration = () => state.configuration;
   const isReady = (): boolean => ready.isReady;
 
+  const findPeers = () => findLiveMembers(state, getNowMs());
+  const getObjective = (workspace: string): Objective =>
+    state.configuration?.workspacesByName.get(workspace)?.objective ?? DEFAULT_OBJECTIVE;
+
   const callerServer = createCallerServer({
     post,
     getWallMs,
@@ -144,11 +151,15 @@
     createReplyId: createCounter('reply'),
     getRevision: source.getCurrent,
     findClaim: claims.find,
+    getMeasures: () => metrics.getMeasures(getNowMs()),
   });
   const adminServer = createAdminServer({
     source,
     editor: createEditor(store, source),
     metrics,
+    collectBurn: Effect.suspend(() =>
+      collectBurnReport({ peers, metrics, getNowMs, getConfiguration, findPeers }),
+    ),
     getConfiguration,
     describeVms: () => describeVms(state, getNowMs()),
     describeServers: () => describeServers(state, getNowMs()),
@@ -186,6 +197,7 @@
       replies,
       source,
       metrics,
+      getObjective,
       writeLog,
       setReady: (isReadyNow) => {
         ready.isReady = isReadyNow;
--- a/src/transport/dispatch.ts
+++ b/src/transport/dispatch.ts
@@ -12,7 +12,7 @@
 import { createDiagnostic, type Diagnostic, Diagnostics } from '../state/diagnostics.js';
 import { advanceRunState, DispatchSignal } from '../state/runState.js';
 import { RunState } from '../state/types.js';
-import { type Exchange, isAnswerBegun } from './exchange.js';
+import { type Exchange, getMeanGapMs, isAnswerBegun } from './exchange.js';
 import { splitAddress } from './httpCall.js';
 
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -88,6 +88,7 @@
     attempt: command.attempt,
     generatedTokens: exchange.deliveredTokens,
     maxGapMs: exchange.maxGapMs,
+    meanGapMs: getMeanGapMs(exchange),
   });
 }
 
--- a/src/transport/exchange.ts
+++ b/src/transport/exchange.ts
@@ -41,6 +41,7 @@
   finishReason: string;
   lastTokenAtMs: number | null;
   maxGapMs: number;
+  sumGapsMs: number;
   /** Ends the dispatch under way. */
   cancel: (() => void) | null;
   /** Kept for the claim of an idempotency key. */
@@ -59,6 +60,7 @@
     finishReason: 'stop',
     lastTokenAtMs: null,
     maxGapMs: 0,
+    sumGapsMs: 0,
     cancel: null,
     held: null,
     isEnded: false,
@@ -116,11 +118,18 @@
 
 function noteTokenTime(exchange: Exchange, nowMs: number): void {
   if (exchange.lastTokenAtMs !== null) {
-    exchange.maxGapMs = Math.max(exchange.maxGapMs, nowMs - exchange.lastTokenAtMs);
+    const gapMs = nowMs - exchange.lastTokenAtMs;
+    exchange.maxGapMs = Math.max(exchange.maxGapMs, gapMs);
+    exchange.sumGapsMs += gapMs;
   }
   exchange.lastTokenAtMs = nowMs;
 }
 
+/** Returns the mean time between two tokens so far. */
+export function getMeanGapMs({ deliveredTokens, sumGapsMs }: Exchange): number {
+  return sumGapsMs / Math.max(1, deliveredTokens - 1);
+}
+
 /** The id that the caller sees, whichever dispatch the answer comes from. */
 function getAnswerId(exchange: Exchange): string {
   return createDispatchId(exchange.info.requestId, 1);
--- a/src/transport/metrics.ts
+++ b/src/transport/metrics.ts
@@ -1,8 +1,23 @@
 /**
  * Measures of ended requests, by workspace and target, and their Prometheus text.
  */
-import { build, type Histogram } from 'hdr-histogram-js';
-import type { RequestMeasure, RequestOutcome } from '../coordination/events.js';
+import {
+  build,
+  decodeFromCompressedBase64,
+  encodeIntoCompressedBase64,
+  type Histogram,
+} from 'hdr-histogram-js';
+import { type RequestMeasure, RequestOutcome } from '../coordination/events.js';
+import type { MeasuredSeries, Measures } from '../protocol/burnMessages.js';
+import {
+  BURN_WINDOWS,
+  type BurnSeries,
+  countRequest,
+  createBurnSeries,
+  getWindowCounts,
+  MissReason,
+} from '../state/burn.js';
+import type { Objective } from '../state/types.js';
 
 const HIGHEST_MS = 3_600_000;
 const SIGNIFICANT_DIGITS = 2;
@@ -19,11 +34,14 @@
   readonly firstTokenMs: Histogram;
   readonly maxGapMs: Histogram;
   readonly durationMs: Histogram;
+  readonly burn: BurnSeries;
 }
 
 /** The measures of a VM. */
 export interface Metrics {
-  readonly record: (measure: RequestMeasure) => void;
+  readonly record: (measure: RequestMeasure, objective: Objective, nowMs: number) => void;
+  /** Returns the counts and times of this VM, for a report over all VMs. */
+  readonly getMeasures: (nowMs: number) => Measures;
   /** Writes the Prometheus text format. */
   readonly format: () => string;
 }
@@ -46,6 +64,7 @@
     firstTokenMs: createHistogram(),
     maxGapMs: createHistogram(),
     durationMs: createHistogram(),
+    burn: createBurnSeries(),
   };
 }
 
@@ -105,6 +124,63 @@
   '# TYPE gentiandeck_duration_seconds summary',
 ];
 
+/** Refusals that the caller itself has to mend are not held against the service. */
+const CALLER_REFUSALS: ReadonlySet<string> = new Set([
+  'missing_key',
+  'unknown_key',
+  'unknown_model',
+  'unknown_route',
+  'model_not_allowed',
+  'route_not_allowed',
+  'method_not_allowed',
+  'malformed_body',
+  'request_too_large',
+  'rate_exceeded',
+  'claim_in_progress',
+]);
+
+function isJudged({ diagnosticKey, outcome }: RequestMeasure): boolean {
+  const isOwnFault = diagnosticKey !== null && CALLER_REFUSALS.has(diagnosticKey);
+  return outcome !== RequestOutcome.Abandoned && !isOwnFault;
+}
+
+type MissFinder = (measure: RequestMeasure, objective: Objective) => MissReason | null;
+
+function findLate(measure: RequestMeasure, objective: Objective): MissReason | null {
+  if ((measure.firstTokenMs ?? 0) > objective.firstTokenMs) {
+    return MissReason.FirstToken;
+  }
+  return measure.meanGapMs > objective.tokenGapMs ? MissReason.TokenGap : null;
+}
+
+const MISS_FINDERS: Readonly<Record<RequestOutcome, MissFinder>> = {
+  [RequestOutcome.Completed]: findLate,
+  [RequestOutcome.Refused]: () => MissReason.Refused,
+  [RequestOutcome.Broken]: () => MissReason.Broken,
+  [RequestOutcome.Abandoned]: () => null,
+};
+
+function findMiss(measure: RequestMeasure, objective: Objective): MissReason | null {
+  return MISS_FINDERS[measure.outcome](measure, objective);
+}
+
+function encodeSeries(series: Series, nowMs: number): MeasuredSeries {
+  const { burn, firstTokenMs, target, workspace } = series;
+  return {
+    workspace,
+    target,
+    windows: BURN_WINDOWS.map(({ lengthMs }) => getWindowCounts(burn, lengthMs, nowMs)),
+    firstTokenMs: encodeIntoCompressedBase64(firstTokenMs),
+  };
+}
+
+/** Merges compressed histograms of several VMs and returns their 95th percentile. */
+export function mergePercentile(encoded: readonly string[]): number {
+  const merged = createHistogram();
+  encoded.forEach((text) => merged.add(decodeFromCompressedBase64(text)));
+  return merged.totalCount === 0 ? 0 : merged.getValueAtPercentile(95);
+}
+
 /** Creates the measures of a VM. */
 export function createMetrics(): Metrics {
   const all = new Map<string, Series>();
@@ -121,7 +197,7 @@
   };
 
   return {
-    record: (measure) => {
+    record: (measure, objective, nowMs) => {
       const series = getSeries(measure);
       increase(series.outcomes, measure.outcome);
       if (measure.diagnosticKey !== null) {
@@ -133,7 +209,13 @@
         series.firstTokenMs.recordValue(measure.firstTokenMs);
         series.maxGapMs.recordValue(measure.maxGapMs);
       }
+      if (isJudged(measure)) {
+        countRequest(series.burn, findMiss(measure, objective), nowMs);
+      }
     },
+    getMeasures: (nowMs) => ({
+      series: [...all.values()].map((series) => encodeSeries(series, nowMs)),
+    }),
     format: () => `${[...HEADERS, ...[...all.values()].flatMap(formatSeries)].join('\n')}\n`,
   };
 }
--- a/src/transport/peers.ts
+++ b/src/transport/peers.ts
@@ -12,10 +12,12 @@
   EventKind,
   type NodeEvent,
 } from '../coordination/events.js';
+import { decodeMeasures, type Measures } from '../protocol/burnMessages.js';
 import { decodeHead, encodeHead } from '../protocol/documentText.js';
 import {
   BorrowResponseSchema,
   FetchConfigurationResponseSchema,
+  FetchMeasuresResponseSchema,
   FetchOutcomeResponseSchema,
   type FetchOutcomeResponse,
   PeerService,
@@ -50,6 +52,7 @@
   readonly createReplyId: () => string;
   readonly getRevision: () => TextRevision | null;
   readonly findClaim: (claimId: string) => ClaimState | null;
+  readonly getMeasures: () => Measures;
 }
 
 function waitForReply<T>(
@@ -128,6 +131,10 @@
       return isLater ? encodeRevision(revision) : create(FetchConfigurationResponseSchema);
     },
     fetchOutcome: (request) => encodeClaim(context.findClaim(request.claimId)),
+    fetchMeasures: () =>
+      create(FetchMeasuresResponseSchema, {
+        measuresJson: JSON.stringify(context.getMeasures()),
+      }),
   });
 }
 
@@ -160,6 +167,7 @@
     address: string,
     claimId: string,
   ) => Effect.Effect<ClaimState | null, Diagnostic>;
+  readonly fetchMeasures: (address: string) => Effect.Effect<Measures, Diagnostic>;
 }
 
 function decodeClaim(response: FetchOutcomeResponse): ClaimState | null {
@@ -195,24 +203,25 @@
 
   const call = <T>(
     address: string,
-    run: (client: Client<typeof PeerService>, signal: AbortSignal) => Promise<T>,
+    run: (client: Client<typeof PeerService>) => Promise<T>,
   ): Effect.Effect<T, Diagnostic> =>
     Effect.tryPromise({
-      try: (signal) => run(getClient(address), signal),
+      // Each call ends by its own time limit; an abort signal for each would cost more than the call.
+      try: () => run(getClient(address)),
       catch: () => createDiagnostic(Diagnostics.PeerUnavailable, address),
     });
 
   const timeoutMs = PEER_TIMEOUT_MS;
   return {
     gossip: (address, message) =>
-      call(address, (client, signal) =>
-        client.gossip(encodeGossip(message), { signal, timeoutMs }),
-      ).pipe(Effect.map(decodeGossip)),
+      call(address, (client) => client.gossip(encodeGossip(message), { timeoutMs })).pipe(
+        Effect.map(decodeGossip),
+      ),
     borrow: ({ peerAddress, spendWithinMs, tokens, workspace }, fromVmId) =>
-      call(peerAddress, (client, signal) =>
+      call(peerAddress, (client) =>
         client.borrowTokens(
           { fromVmId, workspace, tokens: BigInt(tokens), spendWithinMs },
-          { signal, timeoutMs: spendWithinMs },
+          { timeoutMs: spendWithinMs },
         ),
       ).pipe(
         Effect.map((response) => ({
@@ -221,8 +230,8 @@
         })),
       ),
     fetchConfiguration: (address, aboveRevision) =>
-      call(address, (client, signal) =>
-        client.fetchConfiguration({ aboveRevision: BigInt(aboveRevision) }, { signal, timeoutMs }),
+      call(address, (client) =>
+        client.fetchConfiguration({ aboveRevision: BigInt(aboveRevision) }, { timeoutMs }),
       ).pipe(
         Effect.map((response) =>
           decodeHead(response.headJson).caseOf({
@@ -235,8 +244,17 @@
         ),
       ),
     fetchOutcome: (address, claimId) =>
-      call(address, (client, signal) =>
-        client.fetchOutcome({ claimId }, { signal, timeoutMs }),
-      ).pipe(Effect.map(decodeClaim)),
+      call(address, (client) => client.fetchOutcome({ claimId }, { timeoutMs })).pipe(
+        Effect.map(decodeClaim),
+      ),
+    fetchMeasures: (address) =>
+      call(address, (client) => client.fetchMeasures({}, { timeoutMs })).pipe(
+        Effect.flatMap(({ measuresJson }) =>
+          decodeMeasures(measuresJson).caseOf<Effect.Effect<Measures, Diagnostic>>({
+            Left: (diagnostic) => Effect.fail(diagnostic),
+            Right: (measures) => Effect.succeed(measures),
+          }),
+        ),
+      ),
   };
 }
--- a/src/transport/settings.ts
+++ b/src/transport/settings.ts
@@ -150,7 +150,7 @@
   gossipIntervalMs: define(
     'gossip-interval-ms',
     SettingType.Integer,
-    '500',
+    '1000',
     'Time between gossip rounds',
   ),
 } as const satisfies Record<string, SettingDefinition>;
--- a/tests/coordination/dispatching.test.ts
+++ b/tests/coordination/dispatching.test.ts
@@ -198,6 +198,7 @@
     attempt: fc.integer({ min: 1, max: 3 }),
     generatedTokens: fc.constant(0),
     maxGapMs: fc.constant(0),
+    meanGapMs: fc.constant(0),
   }),
   fc.record({
     kind: fc.constant(EventKind.ClaimAnswered),
--- a/tests/coordination/loop.test.ts
+++ b/tests/coordination/loop.test.ts
@@ -19,6 +19,8 @@
   firstHeartbeat: 1,
 };
 
+const POLICY = { ...DEFAULT_POLICY, gossipIntervalMs: 500 };
+
 const TIMER_KINDS: readonly CommandKind[] = [CommandKind.StartTimer, CommandKind.CancelTimer];
 
 function createExecutors(executed: Command[]): CommandTable {
@@ -36,7 +38,7 @@
 describe('the loop', () => {
   it.each(TICK_CASES)('fires timers by the clock: $name', async ({ advanceMs, rounds }) => {
     const records: LoopRecord[] = [];
-    const state = createNodeState(SELF, DEFAULT_POLICY, 1, 0);
+    const state = createNodeState(SELF, POLICY, 1, 0);
     const loop = createLoop(state, createExecutors([]), (entry) => records.push(entry));
     const program = Effect.gen(function* run() {
       const fiber = yield* Effect.forkChild(loop.run);
@@ -54,7 +56,7 @@
 
   it('carries out the orders of an event before it takes the next', async () => {
     const executed: Command[] = [];
-    const state = createNodeState(SELF, DEFAULT_POLICY, 1, 0);
+    const state = createNodeState(SELF, POLICY, 1, 0);
     const loop = createLoop(state, createExecutors(executed));
     const document = createTestDocument({ workspaces: [createTestWorkspace('mill')] });
     const program = Effect.gen(function* run() {
--- a/tests/fakes/virtualFleet.ts
+++ b/tests/fakes/virtualFleet.ts
@@ -228,7 +228,14 @@
     const started = { kind: EventKind.AnswerStarted, requestId, attempt };
     postLater(vm, answerMs / 2, started);
     const kind = EventKind.AnswerCompleted;
-    postLater(vm, answerMs, { kind, requestId, attempt, generatedTokens, maxGapMs: 0 });
+    postLater(vm, answerMs, {
+      kind,
+      requestId,
+      attempt,
+      generatedTokens,
+      maxGapMs: 0,
+      meanGapMs: 0,
+    });
   };
 
   const EXECUTORS: {
--- a/tests/processes/callers.test.ts
+++ b/tests/processes/callers.test.ts
@@ -4,9 +4,11 @@
  */
 import net from 'node:net';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+import type { BurnReport } from '../../src/protocol/burnMessages.js';
 import { type CallerAnswer, postWithKey, sendRequest } from '../stand-ins/caller.js';
+import { runCtl } from '../stand-ins/ctl.js';
 import { type EngineFaults, getExpectedText } from '../stand-ins/engine.js';
-import { type Fleet, getJson, postJson, startFleet } from '../stand-ins/fleet.js';
+import { type Fleet, getJson, OPERATOR_TOKEN, postJson, startFleet } from '../stand-ins/fleet.js';
 import { createSmallPlan, MILL_KEY, SHOP_KEY } from '../stand-ins/plans.js';
 import { waitFor } from '../stand-ins/processes.js';
 import type { ServiceFaults, ServiceStats } from '../stand-ins/service.js';
@@ -352,6 +354,20 @@
   });
 });
 
+describe('the report on service-level burn', () => {
+  it('covers the requests of every VM', async () => {
+    await Promise.all([0, 1, 2].map((vm) => postWithKey(getUrl(COMPLETIONS, vm), MILL_KEY, TEXT)));
+    const { adminUrl } = fleet.daemons[1]!;
+    const result = await runCtl(adminUrl, OPERATOR_TOKEN, ['report', 'burn', '--json']);
+    const report = JSON.parse(result.output) as BurnReport;
+    const row = report.rows.find((r) => r.target === 'quotation' && r.window === '1h');
+    expect(report).toMatchObject({ vmsHeard: 3, vmsSilent: [] });
+    expect(row?.requests).toBeGreaterThanOrEqual(3);
+    const metrics = await (await fetch(`${adminUrl}/metrics`)).text();
+    expect(metrics).toContain('gentiandeck_requests_total{workspace="mill"');
+  });
+});
+
 describe('logs', () => {
   it('hold no key', () => {
     const output = fleet.daemons.map((daemon) => daemon.process.getOutput()).join('');
