Compare servers by own requests, reports only as a correction

Changed: own requests times the VMs that share a server, plus a quarter of the report; two preferred servers for a prefix.

Also: ports of test processes come from below the range of outgoing connections, never the same twice. Two daemons of a test had been given the same port, and a benchmark hung on it for ten minutes; calls of the harness now have time limits.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -4,12 +4,16 @@
 import { runCapacity } from './capacity.js';
 import { runIdle } from './idle.js';
 import { runLatency } from './latency.js';
+import { runNeighbour } from './neighbour.js';
+import { runRouting } from './routing.js';
 import { runTokens } from './tokens.js';
 
 const BENCHES: Readonly<Record<string, () => Promise<void> | void>> = {
   latency: runLatency,
   capacity: runCapacity,
   idle: runIdle,
+  neighbour: runNeighbour,
+  routing: runRouting,
   tokens: runTokens,
 };
 
--- a/src/coordination/gossip.ts
+++ b/src/coordination/gossip.ts
@@ -8,7 +8,7 @@
 import type { GossipMessage, LeavingServer, Member } from '../state/types.js';
 import { evenOutSlices } from './evening.js';
 import { type Command, CommandKind, EventKind, type EventOf, type NodeEvent } from './events.js';
-import { SEED_INCARNATION } from './members.js';
+import { findDomainMembers, findLiveMembers, SEED_INCARNATION } from './members.js';
 import { Lifecycle, type MemberRecord, type NodeState } from './nodeState.js';
 import { readShares, reconcileShares } from './shareHandlers.js';
 
@@ -183,6 +183,10 @@
   state.heartbeat += 1;
   dropOldMarks(state, nowMs);
   forgetMembers(state, nowMs);
+  state.liveVms = {
+    inDomain: findDomainMembers(state, nowMs).length + 1,
+    all: findLiveMembers(state, nowMs).length + 1,
+  };
   const next: NodeEvent = { kind: EventKind.GossipTick };
   return [
     ...reconcileShares(state, nowMs),
--- a/src/coordination/nodeState.ts
+++ b/src/coordination/nodeState.ts
@@ -167,6 +167,8 @@
   readonly servers: Map<string, ServerRecord>;
   /** Names of the engines that last reported a model, by model tag. */
   readonly serversByTag: Map<string, Set<string>>;
+  /** VMs that were heard of lately, this one among them. */
+  liveVms: { inDomain: number; all: number };
   /** The engine that the next round of polls begins with. */
   pollCursor: number;
   readonly leavingServers: Map<string, LeavingRecord>;
@@ -236,6 +238,7 @@
     members: new Map(),
     servers: new Map(),
     serversByTag: new Map(),
+    liveVms: { inDomain: 1, all: 1 },
     pollCursor: 0,
     leavingServers: new Map(),
     tokenQueues: new Map(),
--- a/src/coordination/routing.ts
+++ b/src/coordination/routing.ts
@@ -1,9 +1,8 @@
 /**
  * Chooses the backend server of a request.
  *
- * A server's load is this VM's own requests there, known at once, plus what its last report shows of
- * other VMs' requests. A prompt's prefix has a preferred server by rendezvous hashing, kept while its
- * load is near the mean of the candidates; else the less loaded of two random candidates is taken.
+ * A prompt's prefix has two preferred servers by rendezvous hashing; the less loaded of them is taken
+ * while it has room and is near the mean of the candidates, else the less loaded of two random ones.
  */
 import { Either, Left, Right } from 'purify-ts';
 import type { Configuration } from '../state/configuration.js';
@@ -19,6 +18,13 @@
 /** Local servers are taken while one of them is under this load. */
 const LOCAL_LOAD_LIMIT = 0.8;
 
+/** What a request counts that only a report shows. */
+const REPORT_WEIGHT = 0.25;
+/** Servers that share the prompts of one prefix. */
+const PREFERRED_SERVERS = 2;
+/** A preferred server over this load is not taken for its cache. */
+const AFFINITY_MAX_LOAD = 0.75;
+
 /** What the choice goes by, besides the state. */
 export interface RouteQuery {
   readonly target: Target;
@@ -44,13 +50,30 @@
   return record;
 }
 
+/** Requests that the last report shows of other VMs. */
+function getOthersRequests(record: ServerRecord): number {
+  const { inFlightAtReport, report } = record;
+  const reported = report === null ? 0 : report.runningRequests + report.queuedRequests;
+  return Math.max(0, reported - inFlightAtReport);
+}
+
 /** Returns the load of a server in parts of its places; 1 is full without a queue. */
 export function getServerLoad(state: NodeState, server: BackendServer): number {
   const record = getServerRecord(state, server.name);
-  const reported =
-    record.report === null ? 0 : record.report.runningRequests + record.report.queuedRequests;
-  const others = Math.max(0, reported - record.inFlightAtReport);
-  return (record.inFlight + others) / server.maxConcurrentRequests;
+  return (record.inFlight + getOthersRequests(record)) / server.maxConcurrentRequests;
+}
+
+/**
+ * Returns the load that servers are compared by. Reports lag, and every VM sees the same ones, so going
+ * by them sends all VMs to one server at a time. This VM's own requests are current; the others are taken
+ * to send alike, and reports only correct that a little.
+ */
+function getComparedLoad(state: NodeState, server: BackendServer): number {
+  const record = getServerRecord(state, server.name);
+  const isLocal = server.failureDomain === state.self.failureDomain;
+  const sharers = isLocal ? state.liveVms.inDomain : state.liveVms.all;
+  const requests = record.inFlight * sharers + getOthersRequests(record) * REPORT_WEIGHT;
+  return requests / server.maxConcurrentRequests;
 }
 
 /** Tells whether a server is leaving by the document, its own report, or word from a peer. */
@@ -132,27 +155,34 @@
 function chooseLessLoaded(state: NodeState, servers: BackendServer[]): BackendServer {
   const first = servers[nextRandomInt(state.random, servers.length)]!;
   const second = servers[nextRandomInt(state.random, servers.length)]!;
-  return getServerLoad(state, second) < getServerLoad(state, first) ? second : first;
+  return getComparedLoad(state, second) < getComparedLoad(state, first) ? second : first;
 }
 
-function choosePreferred(servers: BackendServer[], prefixHash: number): BackendServer {
-  return servers.reduce((best, server) =>
-    hashText(`${server.name}#${prefixHash}`) > hashText(`${best.name}#${prefixHash}`)
-      ? server
-      : best,
-  );
+/** The two servers that a prefix prefers, by rendezvous hashing. */
+function findPreferred(servers: BackendServer[], prefixHash: number): BackendServer[] {
+  const score = (server: BackendServer): number => hashText(`${server.name}#${prefixHash}`);
+  return servers.toSorted((a, b) => score(b) - score(a)).slice(0, PREFERRED_SERVERS);
 }
 
+/**
+ * Takes the less loaded of a prefix's preferred servers while it has room and is near the mean; under
+ * load, a cached prefix is worth less than a free place.
+ */
 function chooseByPrefix(
   state: NodeState,
   servers: BackendServer[],
   prefixHash: number,
 ): BackendServer {
-  const preferred = choosePreferred(servers, prefixHash);
-  const loads = servers.map((server) => getServerLoad(state, server));
-  const meanLoad = loads.reduce((sum, load) => sum + load, 0) / loads.length;
-  const limit = meanLoad * state.policy.affinityLoadFactor + 1 / preferred.maxConcurrentRequests;
-  return getServerLoad(state, preferred) <= limit ? preferred : chooseLessLoaded(state, servers);
+  const getLoad = (server: BackendServer): number => getComparedLoad(state, server);
+  const preferred = findPreferred(servers, prefixHash).reduce((best, server) =>
+    getLoad(server) < getLoad(best) ? server : best,
+  );
+  const meanLoad = servers.reduce((sum, server) => sum + getLoad(server), 0) / servers.length;
+  const nearLimit =
+    meanLoad * state.policy.affinityLoadFactor + 1 / preferred.maxConcurrentRequests;
+  return getLoad(preferred) <= Math.min(nearLimit, AFFINITY_MAX_LOAD)
+    ? preferred
+    : chooseLessLoaded(state, servers);
 }
 
 function chooseServer(state: NodeState, servers: BackendServer[], target: Target): BackendServer {
--- a/tests/stand-ins/fleet.ts
+++ b/tests/stand-ins/fleet.ts
@@ -17,6 +17,8 @@
 
 export const OPERATOR_TOKEN = 'operator-token';
 
+const CALL_TIMEOUT_MS = 5_000;
+
 /** One engine of the fleet. */
 export interface EnginePlan {
   readonly name: string;
@@ -77,7 +79,8 @@
 
 /** Gets JSON. */
 export async function getJson<T>(url: string, headers: Record<string, string> = {}): Promise<T> {
-  const response = await fetch(url, { headers });
+  const signal = AbortSignal.timeout(CALL_TIMEOUT_MS);
+  const response = await fetch(url, { headers, signal });
   return (await response.json()) as T;
 }
 
@@ -173,7 +176,8 @@
 
 async function isDaemonReady(daemon: RunningDaemon): Promise<boolean> {
   try {
-    const response = await fetch(`${daemon.adminUrl}/readyz`);
+    const signal = AbortSignal.timeout(CALL_TIMEOUT_MS);
+    const response = await fetch(`${daemon.adminUrl}/readyz`, { signal });
     return response.ok;
   } catch {
     return false;
--- a/tests/stand-ins/processes.ts
+++ b/tests/stand-ins/processes.ts
@@ -30,15 +30,24 @@
 const children = new Set<ChildProcess>();
 process.on('exit', () => children.forEach((child) => child.kill('SIGKILL')));
 
-/** Finds a free port of the loopback. */
+/** Below the range from which the system takes ports of outgoing connections. */
+const FIRST_PORT = 10_000;
+const PORT_COUNT = 20_000;
+let nextPort = process.pid % PORT_COUNT;
+
+function canListen(port: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    const server = net.createServer();
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
+  });
+}
+
+/** Finds a free port of the loopback; never the same one twice. */
 export async function findPort(): Promise<number> {
-  const server = net.createServer();
-  server.listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const { port } = server.address() as net.AddressInfo;
-  server.close();
-  await once(server, 'close');
-  return port;
+  const port = FIRST_PORT + (nextPort % PORT_COUNT);
+  nextPort += 1;
+  return (await canListen(port)) ? port : findPort();
 }
 
 /** Starts a built program and waits until its output has a text. */
