--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -8,7 +8,11 @@
 import { createNodeState, type NodeState } from '../src/coordination/nodeState.js';
 import { planPlacement } from '../src/coordination/placement.js';
 import { DEFAULT_POLICY } from '../src/coordination/policy.js';
-import { formatSections, parseSections } from '../src/protocol/documentText.js';
+import {
+  createSectionParser,
+  formatSections,
+  parseSections,
+} from '../src/protocol/documentText.js';
 import { GossipMessageSchema } from '../src/protocol/gen/peer_pb.js';
 import { encodeGossip } from '../src/protocol/peerMessages.js';
 import { EMPTY_PLAN } from '../src/state/placementPlan.js';
@@ -135,6 +139,7 @@
   const before = getHeapMb();
   const document = createDocument(MODELS, RUNNERS, WORKSPACES);
   const state = createFullState(document, VMS);
+  printFigure('members_at_size', state.members.size, 'members');
   printFigure('node_state_at_size', getHeapMb() - before, 'MB', 128);
   const texts = formatSections(document);
   const bytes = Object.values(texts).reduce((sum, text) => sum + Buffer.byteLength(text), 0);
@@ -145,7 +150,13 @@
     measureMs(3, () => parseSections(texts)),
     'ms',
   );
-  printFigure('requests_tracked', state.requests.size, 'requests');
+  const parse = createSectionParser();
+  parse(texts);
+  const editMs = measureMs(10, (run) => {
+    parse({ ...texts, workspaces: `${texts.workspaces}# ${run}\n` });
+  });
+  printFigure('parse_edit_of_workspaces_at_size', editMs, 'ms');
+  printFigure('workspaces_section', Buffer.byteLength(texts.workspaces) / 1_024, 'KB');
 }
 
 function measureGossip(): void {
--- a/src/protocol/documentText.ts
+++ b/src/protocol/documentText.ts
@@ -89,9 +89,14 @@
     : [createDiagnosticAt(section, Diagnostics.DocumentTooLarge, sizeBytes, MAX_SECTION_BYTES)];
 }
 
-/** Puts the sections together and checks the whole. */
-export function parseSections(texts: SectionTexts): Either<Diagnostic[], Document> {
-  const parts = ALL_SECTIONS.map((section) => ({ section, parsed: parseYaml(texts[section]) }));
+type ParsedYaml = Either<Diagnostic[], unknown>;
+type ParseSection = (section: Section, text: string) => ParsedYaml;
+
+function combineSections(texts: SectionTexts, parse: ParseSection): Either<Diagnostic[], Document> {
+  const parts = ALL_SECTIONS.map((section) => ({
+    section,
+    parsed: parse(section, texts[section]),
+  }));
   const errors = [
     ...parts.flatMap(({ parsed, section }) =>
       parsed
@@ -110,6 +115,26 @@
   return parseDocument(value);
 }
 
+/** Puts the sections together and checks the whole. */
+export function parseSections(texts: SectionTexts): Either<Diagnostic[], Document> {
+  return combineSections(texts, (_section, text) => parseYaml(text));
+}
+
+/** Creates a parser that reads again only the sections whose text has changed since its last call. */
+export function createSectionParser(): (texts: SectionTexts) => Either<Diagnostic[], Document> {
+  const last = new Map<Section, { readonly text: string; readonly parsed: ParsedYaml }>();
+  const parse: ParseSection = (section, text) => {
+    const known = last.get(section);
+    if (known?.text === text) {
+      return known.parsed;
+    }
+    const parsed = parseYaml(text);
+    last.set(section, { text, parsed });
+    return parsed;
+  };
+  return (texts) => combineSections(texts, parse);
+}
+
 /** Returns the content hash of each section. */
 export function hashSections(texts: SectionTexts): Head['sections'] {
   return {
--- a/src/transport/configurationSource.ts
+++ b/src/transport/configurationSource.ts
@@ -5,9 +5,9 @@
 import { Effect } from 'effect';
 import { EventKind, type NodeEvent } from '../coordination/events.js';
 import {
+  createSectionParser,
   decodeHead,
   hashSha256,
-  parseSections,
   type SectionTexts,
 } from '../protocol/documentText.js';
 import type { StoredValue } from '../protocol/storeMessages.js';
@@ -59,6 +59,7 @@
 /** Creates the source. */
 export function createConfigurationSource(context: SourceContext): ConfigurationSource {
   const { post, store } = context;
+  const parse = createSectionParser();
   let current: TextRevision | null = null;
 
   const reject = (revision: number, diagnostic: Diagnostic): void => {
@@ -102,7 +103,7 @@
     if (head.revision <= (current?.head.revision ?? 0)) {
       return;
     }
-    parseSections(texts).caseOf({
+    parse(texts).caseOf({
       Left: ([first]) => {
         reject(head.revision, first ?? createDiagnostic(Diagnostics.InternalError));
       },
