--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -7,17 +7,22 @@
  * that it had written are sent again under their own ids until the engine has taken them.
  */
 import type { Configuration } from '../state/configuration.js';
-import { getModelTag } from '../state/configuration.js';
 import {
   getServerPlan,
   OrderKind,
-  type PlacedModel,
   type PlacementPlan,
-  type ServerPlan,
   setServerPlan,
   settleOrder,
 } from '../state/placementPlan.js';
-import { BackendKind, type BackendServer, type WeightStore } from '../state/types.js';
+import type { WeightStore } from '../state/types.js';
+import {
+  adoptReports,
+  findOwnEngines,
+  findReportedElsewhere,
+  findSizes,
+  isFresh,
+  viewEngine,
+} from './engineReports.js';
 import {
   type Command,
   CommandKind,
@@ -30,8 +35,7 @@
 } from './events.js';
 import { findDomainMembers } from './members.js';
 import { Lifecycle, type NodeState } from './nodeState.js';
-import { type EngineView, planPlacement } from './placement.js';
-import { isServerLeaving } from './routing.js';
+import { planPlacement } from './placement.js';
 
 /** Part of the lease's time after which its holder no longer relies on it. */
 const LEASE_SAFETY = 0.7;
@@ -81,99 +85,6 @@
   ];
 }
 
-function findOwnEngines(state: NodeState, configuration: Configuration): BackendServer[] {
-  return configuration.document.vms.backendServers.filter(
-    (server) =>
-      server.kind === BackendKind.Engine && server.failureDomain === state.self.failureDomain,
-  );
-}
-
-function isFresh(state: NodeState, server: BackendServer, nowMs: number): boolean {
-  const record = state.servers.get(server.name);
-  return record?.report != null && nowMs - record.reportedAtMs < state.policy.reportStaleMs;
-}
-
-function getReportedTags(state: NodeState, name: string): string[] {
-  const report = state.servers.get(name)?.report;
-  return report == null ? [] : [...report.loadedModels, ...report.loadingModels];
-}
-
-function viewEngine(state: NodeState, server: BackendServer, nowMs: number): EngineView {
-  const report = state.servers.get(server.name)?.report;
-  return {
-    name: server.name,
-    memoryMb: server.memoryMb,
-    isLeaving: isServerLeaving(state, server),
-    reported:
-      report == null || !isFresh(state, server, nowMs)
-        ? null
-        : {
-            loadedTags: report.loadedModels,
-            tags: getReportedTags(state, server.name),
-            usedMemoryMb: report.usedMemoryMb,
-          },
-  };
-}
-
-function findReportedElsewhere(
-  state: NodeState,
-  configuration: Configuration,
-  nowMs: number,
-): Set<string> {
-  const others = configuration.document.vms.backendServers.filter(
-    (server) =>
-      server.failureDomain !== state.self.failureDomain &&
-      !isServerLeaving(state, server) &&
-      isFresh(state, server, nowMs),
-  );
-  return new Set(others.flatMap(({ name }) => state.servers.get(name)?.report?.loadedModels ?? []));
-}
-
-function getReportedAtMs(state: NodeState, server: string): number {
-  return state.servers.get(server)?.reportedAtMs ?? 0;
-}
-
-/** Tells whether a placed model is missing from a report that must have known of it. */
-function isLongMissing(state: NodeState, server: string, tag: string, nowMs: number): boolean {
-  const key = `${server} ${tag}`;
-  const { missingSinceMs } = state.controller;
-  if (getReportedTags(state, server).includes(tag)) {
-    missingSinceMs.delete(key);
-    return false;
-  }
-  const sinceMs = missingSinceMs.get(key) ?? nowMs;
-  missingSinceMs.set(key, sinceMs);
-  return getReportedAtMs(state, server) - sinceMs > state.policy.reportLagMs;
-}
-
-function findSizes(configuration: Configuration): Map<string, number> {
-  const { models } = configuration.document.models;
-  return new Map(models.map((model) => [getModelTag(model), model.memoryMb]));
-}
-
-/** A report that is older than an unload still lists the model. */
-function isUnloadedLately(state: NodeState, server: string, tag: string): boolean {
-  const atMs = state.controller.unloadedAtMs.get(`${server} ${tag}`);
-  return atMs !== undefined && getReportedAtMs(state, server) - atMs < state.policy.reportLagMs;
-}
-
-/** Brings a server's plan in step with its reports, which lag. */
-function adoptReports(
-  state: NodeState,
-  server: ServerPlan,
-  sizes: ReadonlyMap<string, number>,
-  nowMs: number,
-): ServerPlan {
-  const kept = server.placed.filter(({ tag }) => !isLongMissing(state, server.name, tag, nowMs));
-  const known = new Set([...kept, ...server.orders].map(({ tag }) => tag));
-  const found: PlacedModel[] = getReportedTags(state, server.name)
-    .filter((tag) => !known.has(tag) && !isUnloadedLately(state, server.name, tag))
-    .map((tag) => ({ tag, memoryMb: sizes.get(tag) ?? 0 }));
-  return found.length === 0 && kept.length === server.placed.length
-    ? server
-    : { ...server, placed: [...kept, ...found] };
-}
-
 function getWeightStore(state: NodeState): WeightStore {
   return state.configuration?.document.vms.weightStore ?? state.policy.weightStore;
 }
