Create every tick's timer and store every loan in one place

Five handlers wrote the same timer order; one function of the events does it now. A refused request stored its loans by a copy of what a lender's answer does. An unused type is gone.

--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -27,6 +27,7 @@
   type Command,
   CommandKind,
   createLog,
+  createTickTimer,
   EventKind,
   type EventOf,
   LogLevel,
@@ -202,12 +203,7 @@
   return [
     ...renewOrAcquire(state, nowMs),
     ...stepController(state, nowMs),
-    {
-      kind: CommandKind.StartTimer,
-      timerId: EventKind.ControllerTick,
-      delayMs: state.policy.controllerTickMs,
-      event: { kind: EventKind.ControllerTick },
-    },
+    createTickTimer(EventKind.ControllerTick, state.policy.controllerTickMs),
   ];
 }
 
--- a/src/coordination/events.ts
+++ b/src/coordination/events.ts
@@ -347,3 +347,16 @@
 ): Command {
   return { kind: CommandKind.Log, level, part, text, fields };
 }
+
+/** Events that tell of nothing but the time, each with one timer of its own. */
+export type TickKind =
+  | typeof EventKind.GossipTick
+  | typeof EventKind.ShareTick
+  | typeof EventKind.LoadPollTick
+  | typeof EventKind.ControllerTick
+  | typeof EventKind.StopTick;
+
+/** Creates the order for the next tick of a kind. */
+export function createTickTimer(kind: TickKind, delayMs: number): Command {
+  return { kind: CommandKind.StartTimer, timerId: kind, delayMs, event: { kind } };
+}
--- a/src/coordination/gossip.ts
+++ b/src/coordination/gossip.ts
@@ -7,7 +7,7 @@
 import { nextRandomInt } from '../state/random.js';
 import type { GossipMessage, LeavingServer, Member } from '../state/types.js';
 import { evenOutSlices } from './evening.js';
-import { type Command, CommandKind, EventKind, type EventOf, type NodeEvent } from './events.js';
+import { type Command, CommandKind, createTickTimer, EventKind, type EventOf } from './events.js';
 import { findDomainMembers, findLiveMembers, SEED_INCARNATION } from './members.js';
 import { Lifecycle, type MemberRecord, type NodeState } from './nodeState.js';
 import { readShares, reconcileShares } from './shareHandlers.js';
@@ -187,17 +187,11 @@
     inDomain: findDomainMembers(state, nowMs).length + 1,
     all: findLiveMembers(state, nowMs).length + 1,
   };
-  const next: NodeEvent = { kind: EventKind.GossipTick };
   return [
     ...reconcileShares(state, nowMs),
     ...evenOutSlices(state, nowMs),
     ...choosePeers(state, nowMs).map((member) => createSend(state, member)),
-    {
-      kind: CommandKind.StartTimer,
-      timerId: EventKind.GossipTick,
-      delayMs: state.policy.gossipIntervalMs,
-      event: next,
-    },
+    createTickTimer(EventKind.GossipTick, state.policy.gossipIntervalMs),
   ];
 }
 
--- a/src/coordination/lifecycle.ts
+++ b/src/coordination/lifecycle.ts
@@ -5,6 +5,7 @@
   type Command,
   CommandKind,
   createLog,
+  createTickTimer,
   EventKind,
   type EventOf,
   LogLevel,
@@ -17,12 +18,7 @@
 const MAX_RELEASE_MS = 2_000;
 
 function startStopTimer(state: NodeState): Command {
-  return {
-    kind: CommandKind.StartTimer,
-    timerId: EventKind.StopTick,
-    delayMs: state.policy.stopPollMs,
-    event: { kind: EventKind.StopTick },
-  };
+  return createTickTimer(EventKind.StopTick, state.policy.stopPollMs);
 }
 
 function enterLifecycle(state: NodeState, next: Lifecycle, nowMs: number): void {
--- a/src/coordination/serverHandlers.ts
+++ b/src/coordination/serverHandlers.ts
@@ -2,7 +2,7 @@
  * Load reports of the backend servers.
  */
 import { BackendKind, type BackendServer, type LoadReport } from '../state/types.js';
-import { type Command, CommandKind, EventKind, type EventOf } from './events.js';
+import { type Command, CommandKind, createTickTimer, EventKind, type EventOf } from './events.js';
 import { markServerLeaving } from './gossip.js';
 import { Lifecycle, type NodeState } from './nodeState.js';
 import { getServerRecord } from './routing.js';
@@ -77,12 +77,7 @@
 export function handleLoadPollTick(state: NodeState): Command[] {
   return [
     ...choosePolled(state).map(createPoll),
-    {
-      kind: CommandKind.StartTimer,
-      timerId: EventKind.LoadPollTick,
-      delayMs: state.policy.loadPollIntervalMs,
-      event: { kind: EventKind.LoadPollTick },
-    },
+    createTickTimer(EventKind.LoadPollTick, state.policy.loadPollIntervalMs),
   ];
 }
 
--- a/src/coordination/shareHandlers.ts
+++ b/src/coordination/shareHandlers.ts
@@ -20,6 +20,7 @@
   type Command,
   CommandKind,
   createLog,
+  createTickTimer,
   EventKind,
   type EventOf,
   LogLevel,
@@ -221,15 +222,7 @@
 export function handleShareTick(state: NodeState): Command[] {
   const { shareReadIntervalMs } = state.policy;
   const delayMs = Math.round(shareReadIntervalMs * (0.5 + nextRandom(state.random)));
-  return [
-    ...readShares(state),
-    {
-      kind: CommandKind.StartTimer,
-      timerId: EventKind.ShareTick,
-      delayMs,
-      event: { kind: EventKind.ShareTick },
-    },
-  ];
+  return [...readShares(state), createTickTimer(EventKind.ShareTick, delayMs)];
 }
 
 /** Notes since when each VM of the table has been missing from the platform's list. */
--- a/src/coordination/tokenQueue.ts
+++ b/src/coordination/tokenQueue.ts
@@ -61,14 +61,28 @@
   };
 }
 
+/** Stores a loan as far as the slice has room and returns what is left of it. */
+function storeLoan(
+  state: NodeState,
+  workspace: Workspace,
+  grantedTokens: number,
+  nowMs: number,
+): number {
+  if (!isShareUsable(state)) {
+    return grantedTokens;
+  }
+  const slice = getSlice(state, workspace, nowMs);
+  return grantedTokens - depositTokens(slice, grantedTokens, nowMs);
+}
+
 function depositLoose(
   state: NodeState,
   record: RequestRecord,
   workspace: Workspace,
   nowMs: number,
 ): void {
-  if (record.looseTokens > 0 && nowMs <= record.loanDeadlineMs && isShareUsable(state)) {
-    depositTokens(getSlice(state, workspace, nowMs), record.looseTokens, nowMs);
+  if (record.looseTokens > 0 && nowMs <= record.loanDeadlineMs) {
+    storeLoan(state, workspace, record.looseTokens, nowMs);
   }
   record.looseTokens = 0;
 }
@@ -235,20 +249,6 @@
     : refuseForRate(state, record, workspace, nowMs);
 }
 
-/** Stores a loan as far as the slice has room and returns what is left of it. */
-function storeLoan(
-  state: NodeState,
-  workspace: Workspace,
-  grantedTokens: number,
-  nowMs: number,
-): number {
-  if (!isShareUsable(state)) {
-    return grantedTokens;
-  }
-  const slice = getSlice(state, workspace, nowMs);
-  return grantedTokens - depositTokens(slice, grantedTokens, nowMs);
-}
-
 function holdLoose(record: RequestRecord, tokens: number, deadlineMs: number): void {
   if (tokens === 0) {
     return;
--- a/src/protocol/adminMessages.ts
+++ b/src/protocol/adminMessages.ts
@@ -21,7 +21,6 @@
   Ready: '/readyz',
   Metrics: '/metrics',
 } as const;
-export type AdminPath = (typeof ADMIN_PATHS)[keyof typeof ADMIN_PATHS];
 
 const SectionTextSchema = Schema.Struct({ hash: Schema.String, text: Schema.String });
 
