Draw gossip members from an index, and plan settled shares once

Cause of the time-out of '460 VMs, half the rate' (113 s of its 60 s on this machine without other load): a profile showed 22 s in the choice of members for a message, 14 s in forgetting members and 25 s in planning shares that had not changed. Each visits all 460 members of 460 VMs, which are spread over memory. Ruled out: the fake's schedule and the random draws (under 2 s together).

Changed: ids of heard members are kept in two lists, from which a message draws; members are forgotten every 30 rounds; a plan that changed nothing is not made again until the table, a member, the pledge or the configuration changes; grants are compared without texts.

--- a/src/coordination/gossip.ts
+++ b/src/coordination/gossip.ts
@@ -18,6 +18,10 @@
 const REMOTE_PART = 0.25;
 /** A member unheard for this many times the "gone" limit is forgotten. */
 const FORGET_FACTOR = 5;
+/** Rounds between two looks for members to forget, which visit all of them. */
+const FORGET_ROUNDS = 30;
+/** Rounds between two counts of all live VMs. */
+const COUNT_ROUNDS = 4;
 
 /** Describes this VM. */
 export function createSelfMember(state: NodeState): Member {
@@ -46,20 +50,17 @@
   return drawn;
 }
 
+function findMembersById(state: NodeState, ids: readonly string[]): Member[] {
+  return ids.flatMap((id) => state.members.get(id)?.member ?? []);
+}
+
 /** Members to tell of: mostly of the own failure domain, for which this VM speaks. */
 function chooseMembers(state: NodeState): Member[] {
-  const known = [...state.members.values()]
-    .map((record) => record.member)
-    .filter((member) => member.incarnation !== SEED_INCARNATION);
-  const isLocal = (member: Member): boolean => member.failureDomain === state.self.failureDomain;
   const places = state.policy.gossipMaxMembers - 1;
-  const remote = drawRandom(
-    state,
-    known.filter((member) => !isLocal(member)),
-    Math.ceil(places * REMOTE_PART),
-  );
-  const local = drawRandom(state, known.filter(isLocal), places - remote.length);
-  return [...local, ...remote];
+  const { local, remote } = state.heardMembers;
+  const remoteIds = drawRandom(state, remote, Math.ceil(places * REMOTE_PART));
+  const localIds = drawRandom(state, local, places - remoteIds.length);
+  return findMembersById(state, [...localIds, ...remoteIds]);
 }
 
 function createMessage(state: NodeState): GossipMessage {
@@ -87,6 +88,21 @@
   }
 }
 
+/** Keeps the index of members, and counts what the plan of the shares depends on. */
+function noteChange(state: NodeState, member: Member, known: Member | undefined): void {
+  const { local, remote } = state.heardMembers;
+  if (known === undefined || known.incarnation === SEED_INCARNATION) {
+    (member.failureDomain === state.self.failureDomain ? local : remote).push(member.vmId);
+  }
+  const isSame =
+    known !== undefined &&
+    known.incarnation === member.incarnation &&
+    known.leaving === member.leaving &&
+    known.shareUnits === member.shareUnits &&
+    known.pledgedGrant === member.pledgedGrant;
+  state.memberChanges += isSame ? 0 : 1;
+}
+
 function mergeMember(state: NodeState, member: Member, isDirect: boolean, nowMs: number): void {
   if (member.vmId === state.self.vmId) {
     return;
@@ -95,6 +111,7 @@
   if (known !== undefined && !isNewer(member, known, isDirect)) {
     return;
   }
+  noteChange(state, member, known?.member);
   state.members.set(member.vmId, { member, heardAtMs: nowMs });
   dropSeed(state, member);
   if (member.failureDomain === state.self.failureDomain) {
@@ -122,11 +139,19 @@
 }
 
 function forgetMembers(state: NodeState, nowMs: number): void {
+  if (state.heartbeat % FORGET_ROUNDS !== 0) {
+    return;
+  }
   const limitMs = state.policy.memberGoneMs * FORGET_FACTOR;
-  [...state.members.entries()]
-    .filter(([, record]) => record.member.incarnation !== SEED_INCARNATION)
-    .filter(([, record]) => nowMs - record.heardAtMs > limitMs)
-    .forEach(([vmId]) => state.members.delete(vmId));
+  state.members.forEach(({ heardAtMs, member }, vmId) => {
+    if (member.incarnation !== SEED_INCARNATION && nowMs - heardAtMs > limitMs) {
+      state.members.delete(vmId);
+      state.memberChanges += 1;
+    }
+  });
+  const isKnown = (vmId: string): boolean => state.members.has(vmId);
+  state.heardMembers.local = state.heardMembers.local.filter(isKnown);
+  state.heardMembers.remote = state.heardMembers.remote.filter(isKnown);
 }
 
 /** One peer of another failure domain, the rest of the own, and one that is silent. */
@@ -137,15 +162,12 @@
   const isLocal = ({ member }: MemberRecord): boolean =>
     member.failureDomain === state.self.failureDomain;
   const fresh = records.filter(isFresh);
-  const remote = drawRandom(
-    state,
-    fresh.filter((record) => !isLocal(record)),
-    1,
-  );
+  const freshRemote = fresh.filter((record) => !isLocal(record));
+  const remote = drawRandom(state, freshRemote, 1);
   const local = drawRandom(state, fresh.filter(isLocal), gossipFanout - remote.length);
   const fill = drawRandom(
     state,
-    fresh.filter((record) => !isLocal(record) && !remote.includes(record)),
+    freshRemote.filter((record) => !remote.includes(record)),
     gossipFanout - remote.length - local.length,
   );
   // One silent member is tried as well, so that a healed cut is noticed.
@@ -174,6 +196,16 @@
   );
 }
 
+/** Counts the live VMs, those of other failure domains less often: a round must not visit all members. */
+function countLiveVms(state: NodeState, nowMs: number): void {
+  const isDue = state.heartbeat % COUNT_ROUNDS === 0 || state.members.size !== state.countedMembers;
+  state.liveVms = {
+    inDomain: findDomainMembers(state, nowMs).length + 1,
+    all: isDue ? findLiveMembers(state, nowMs).length + 1 : state.liveVms.all,
+  };
+  state.countedMembers = state.members.size;
+}
+
 /** Sends one round and starts the timer of the next. */
 export function handleGossipTick(
   state: NodeState,
@@ -183,10 +215,7 @@
   state.heartbeat += 1;
   dropOldMarks(state, nowMs);
   forgetMembers(state, nowMs);
-  state.liveVms = {
-    inDomain: findDomainMembers(state, nowMs).length + 1,
-    all: findLiveMembers(state, nowMs).length + 1,
-  };
+  countLiveVms(state, nowMs);
   return [
     ...reconcileShares(state, nowMs),
     ...evenOutSlices(state, nowMs),
--- a/src/coordination/members.ts
+++ b/src/coordination/members.ts
@@ -9,16 +9,25 @@
 
 /** Returns the members that were heard of lately. */
 export function findLiveMembers(state: NodeState, nowMs: number): Member[] {
-  return [...state.members.values()]
-    .filter(({ heardAtMs }) => nowMs - heardAtMs < state.policy.memberStaleMs)
-    .map(({ member }) => member);
+  const live: Member[] = [];
+  state.members.forEach(({ heardAtMs, member }) => {
+    if (nowMs - heardAtMs < state.policy.memberStaleMs) {
+      live.push(member);
+    }
+  });
+  return live;
 }
 
 /** Returns the members of the own failure domain that were heard of lately. */
 export function findDomainMembers(state: NodeState, nowMs: number): Member[] {
-  return findLiveMembers(state, nowMs).filter(
-    (member) => member.failureDomain === state.self.failureDomain,
-  );
+  const live: Member[] = [];
+  state.heardMembers.local.forEach((vmId) => {
+    const record = state.members.get(vmId);
+    if (record !== undefined && nowMs - record.heardAtMs < state.policy.memberStaleMs) {
+      live.push(record.member);
+    }
+  });
+  return live;
 }
 
 /** Adds VMs that the settings or the platform name, before anything has been heard of them. */
@@ -26,8 +35,13 @@
   state: NodeState,
   seeds: readonly { readonly vmId: string; readonly peerAddress: string }[],
 ): void {
-  const known = new Set([...state.members.values()].map(({ member }) => member.peerAddress));
-  seeds
+  const unknown = seeds.filter(({ vmId }) => !state.members.has(vmId));
+  if (unknown.length === 0) {
+    return;
+  }
+  const known = new Set<string>();
+  state.members.forEach(({ member }) => known.add(member.peerAddress));
+  unknown
     .filter((seed) => seed.peerAddress !== state.self.peerAddress)
     .filter((seed) => !known.has(seed.peerAddress))
     .forEach((seed) => {
--- a/src/coordination/nodeState.ts
+++ b/src/coordination/nodeState.ts
@@ -104,6 +104,14 @@
 } as const;
 export type Lifecycle = (typeof Lifecycle)[keyof typeof Lifecycle];
 
+/** What a plan of the shares was made from that changed nothing. */
+export interface SettledPlan {
+  readonly version: number;
+  readonly memberChanges: number;
+  readonly configuration: Configuration | null;
+  readonly pledge: SharePledge | null;
+}
+
 export interface ShareState {
   /** Units that the slices are cut by now. */
   units: number;
@@ -128,6 +136,8 @@
   /** Since when each VM has been missing from the platform's list. */
   missingSinceMs: Map<string, number>;
   listedVmIds: ReadonlySet<string> | null;
+  /** Spares the next plan while nothing that it depends on has changed. */
+  settled: SettledPlan | null;
 }
 
 /** This VM's part as the controller of its failure domain. */
@@ -164,11 +174,17 @@
   readonly share: ShareState;
   readonly controller: ControllerState;
   readonly members: Map<string, MemberRecord>;
+  /** Ids of the members that have been heard of, so that gossip draws some without visiting all. */
+  readonly heardMembers: { local: string[]; remote: string[] };
+  /** Grows with each change of a member that the plan of the shares depends on. */
+  memberChanges: number;
   readonly servers: Map<string, ServerRecord>;
   /** Names of the engines that last reported a model, by model tag. */
   readonly serversByTag: Map<string, Set<string>>;
   /** VMs that were heard of lately, this one among them. */
   liveVms: { inDomain: number; all: number };
+  /** Members that were known at the last count. */
+  countedMembers: number;
   /** The engine that the next round of polls begins with. */
   pollCursor: number;
   readonly leavingServers: Map<string, LeavingRecord>;
@@ -221,6 +237,7 @@
       isSuspended: false,
       missingSinceMs: new Map(),
       listedVmIds: null,
+      settled: null,
     },
     controller: {
       fence: null,
@@ -236,9 +253,12 @@
       unloadedAtMs: new Map(),
     },
     members: new Map(),
+    heardMembers: { local: [], remote: [] },
+    memberChanges: 0,
     servers: new Map(),
     serversByTag: new Map(),
     liveVms: { inDomain: 1, all: 1 },
+    countedMembers: 0,
     pollCursor: 0,
     leavingServers: new Map(),
     tokenQueues: new Map(),
--- a/src/coordination/shareHandlers.ts
+++ b/src/coordination/shareHandlers.ts
@@ -47,12 +47,16 @@
 }
 
 /** Returns the VMs of the table that neither the platform nor any peer has seen for long. */
-export function findGoneVms(state: NodeState, table: ShareTable, nowMs: number): Set<string> {
-  const gone = table.entries
-    .map((entry) => entry.vmId)
-    .filter((vmId) => vmId !== state.self.vmId)
-    .filter((vmId) => isUnheard(state, vmId, nowMs) && isMissingFromList(state, vmId, nowMs));
-  return new Set(gone);
+function findGoneVms(state: NodeState, nowMs: number): Set<string> {
+  const gone = new Set<string>();
+  // The list is looked at first: it misses few VMs, and each lookup is for one of hundreds.
+  state.share.missingSinceMs.forEach((_sinceMs, vmId) => {
+    if (isMissingFromList(state, vmId, nowMs) && isUnheard(state, vmId, nowMs)) {
+      gone.add(vmId);
+    }
+  });
+  gone.delete(state.self.vmId);
+  return gone;
 }
 
 function findMembers(state: NodeState, nowMs: number): ShareMember[] {
@@ -83,7 +87,7 @@
     failureDomain: state.self.failureDomain,
     domains: state.configuration.document.vms.failureDomains,
     members: findMembers(state, nowMs),
-    goneVmIds: findGoneVms(state, table, nowMs),
+    goneVmIds: findGoneVms(state, nowMs),
   });
 }
 
@@ -105,16 +109,33 @@
   return nowMs >= Math.max(share.notBeforeMs, rankedFromMs);
 }
 
+function isSettled(state: NodeState, nowMs: number): boolean {
+  const { configuration, lifecycle, memberChanges, share } = state;
+  const { pledge, settled, version } = share;
+  return (
+    settled !== null &&
+    settled.version === version &&
+    settled.memberChanges === memberChanges &&
+    settled.configuration === configuration &&
+    settled.pledge === pledge &&
+    lifecycle === Lifecycle.Running &&
+    findGoneVms(state, nowMs).size === 0
+  );
+}
+
 /** Writes the entries of the failure domain if they are due to change and it is this VM's turn. */
 export function reconcileShares(state: NodeState, nowMs: number): Command[] {
   const { share } = state;
-  if (share.readAtMs === null || share.isWriting) {
+  if (share.readAtMs === null || share.isWriting || isSettled(state, nowMs)) {
     return [];
   }
   const planned = planTable(state, nowMs);
   const isSame = planned !== null && !share.isRestored && areTablesEqual(planned, share.table);
   if (planned === null || isSame) {
+    const { configuration, memberChanges } = state;
+    const { pledge, version } = share;
     share.differsSinceMs = null;
+    share.settled = isSame ? { version, memberChanges, configuration, pledge } : null;
     return [];
   }
   if (!isTurn(state, nowMs)) {
--- a/src/state/shareTable.ts
+++ b/src/state/shareTable.ts
@@ -199,12 +199,19 @@
   return { entries, serial: table.serial + 1 };
 }
 
-function formatEntry(entry: ShareEntry): string {
-  return [entry.vmId, entry.incarnation, entry.grant].join(' ');
+function isSameGrant(a: ShareEntry, b: ShareEntry | undefined): boolean {
+  return (
+    b !== undefined &&
+    (a === b || (a.vmId === b.vmId && a.incarnation === b.incarnation && a.grant === b.grant))
+  );
 }
 
 /** Tells whether two tables hold the same grants, in any order. */
 export function areTablesEqual(a: ShareTable, b: ShareTable): boolean {
-  const left = new Set(a.entries.map(formatEntry));
-  return a.entries.length === b.entries.length && b.entries.every((e) => left.has(formatEntry(e)));
+  if (a.entries.length !== b.entries.length) {
+    return false;
+  }
+  // A plan mostly keeps the entries themselves, so that the lookup by VM is seldom needed.
+  const left = new Map(a.entries.map((entry) => [entry.vmId, entry]));
+  return b.entries.every((entry) => isSameGrant(entry, left.get(entry.vmId)));
 }
