--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -15,7 +15,7 @@
 );
 
 export default [
-  { ignores: ['dist/**', 'node_modules/**', 'src/protocol/gen/**'] },
+  { ignores: ['dist/**', 'target/**', 'node_modules/**', 'src/protocol/gen/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
--- /dev/null
+++ b/src/bin/gentiandeckEntry.ts
@@ -0,0 +1,89 @@
+/**
+ * `gentiandeck-entry`, the daemon of an entry VM on the users' platform.
+ */
+import sade from 'sade';
+import { decodeSettings, readSettingsFile } from '../../platform/settings.js';
+import { createPlatformStore } from '../../platform/store.js';
+import { PLATFORM_WIRE } from '../../platform/wire.js';
+import { EntryPart } from '../coordination/entry/events.js';
+import { LogLevel } from '../coordination/events.js';
+import { DiagnosticError } from '../state/diagnostics.js';
+import { startEntryDaemon } from '../transport/entry/entryDaemon.js';
+import { createEntryLogWriter } from '../transport/entry/entryLog.js';
+import type { EntrySettings } from '../transport/entry/settings.js';
+import { VERSION } from '../transport/version.js';
+
+const EXIT_SETTINGS = 2;
+const EXIT_START = 1;
+const DEFAULT_METRICS_PORT = '9464';
+const DEFAULT_LOG_LEVEL = 'info';
+/** A call of the store is given up after this; one to a slow store takes some hundred milliseconds. */
+const STORE_TIMEOUT_MS = 1_000;
+const MAX_PORT = 65_535;
+
+interface Options {
+  readonly metricsPort: number;
+  readonly logLevel: string;
+}
+
+function writeError(text: string): void {
+  process.stderr.write(`gentiandeck-entry: ${text}\n`);
+}
+
+async function run(settings: EntrySettings, { logLevel, metricsPort }: Options): Promise<void> {
+  const log = createEntryLogWriter(logLevel, settings.vmId);
+  const store = createPlatformStore(settings.storeAddress, STORE_TIMEOUT_MS);
+  const wire = PLATFORM_WIRE;
+  const daemon = await startEntryDaemon({ settings, metricsPort, store, wire, log });
+  process.on('SIGTERM', daemon.stop);
+  process.on('SIGINT', daemon.stop);
+  process.on('SIGHUP', () => {
+    log.write(LogLevel.Info, EntryPart.Lifecycle, 'The settings may have changed.');
+  });
+  await daemon.ended;
+  log.flush();
+  process.exit();
+}
+
+async function start(options: Options): Promise<void> {
+  const text = await readSettingsFile(process.env);
+  await decodeSettings(text).caseOf<Promise<void>>({
+    Left: ({ message }) => {
+      writeError(message);
+      process.exitCode = EXIT_SETTINGS;
+      return Promise.resolve();
+    },
+    Right: (settings) => run(settings, options),
+  });
+}
+
+function fail(error: unknown): void {
+  const detail = error instanceof Error ? error.message : String(error);
+  writeError(error instanceof DiagnosticError ? error.diagnostic.message : detail);
+  process.exit(EXIT_START);
+}
+
+function parseOptions(flags: Record<string, unknown>): Options | null {
+  const portText = String(flags['metrics-port']);
+  const metricsPort = Number(portText);
+  if (!Number.isInteger(metricsPort) || metricsPort < 1 || metricsPort > MAX_PORT) {
+    writeError(`--metrics-port has the value "${portText}"; expected a port`);
+    return null;
+  }
+  return { metricsPort, logLevel: String(flags['log-level']) };
+}
+
+sade('gentiandeck-entry', true)
+  .version(VERSION)
+  .describe('The daemon of an entry VM. The platform gives it its settings in a file.')
+  .option('--metrics-port', 'Port of the metrics', DEFAULT_METRICS_PORT)
+  .option('--log-level', 'Least level of the log', DEFAULT_LOG_LEVEL)
+  .action((flags: Record<string, unknown>) => {
+    const options = parseOptions(flags);
+    if (options === null) {
+      process.exitCode = EXIT_SETTINGS;
+      return;
+    }
+    start(options).catch(fail);
+  })
+  .parse(process.argv);
--- /dev/null
+++ b/src/coordination/entry/adapterAnswers.ts
@@ -0,0 +1,24 @@
+/**
+ * The controller's answers on adapters.
+ */
+import { getVariantKey } from '../../state/entry/backends.js';
+import type { EntryCommand, EntryEventKind, EntryEventOf } from './events.js';
+import { pumpWaiting } from './forwarding.js';
+import type { EntryState } from './state.js';
+
+/** Takes the controller's word that an adapter is loaded, and sends on what waited for it. */
+export function handleAdapterAnswered(
+  state: EntryState,
+  event: EntryEventOf<typeof EntryEventKind.AdapterAnswered>,
+  nowMs: number,
+): EntryCommand[] {
+  const { adapter, backendId, model } = event;
+  const backend = backendId === null ? undefined : state.backends.get(backendId);
+  if (backend === undefined) {
+    return [];
+  }
+  const key = getVariantKey(model, adapter);
+  backend.orderedAdapters.add(key);
+  backend.missing.delete(key);
+  return pumpWaiting(state, nowMs);
+}
--- /dev/null
+++ b/src/coordination/entry/arrivals.ts
@@ -0,0 +1,265 @@
+/**
+ * Admission of forwarded requests: route, key, rate and time.
+ */
+import { Either, Left, Right } from 'purify-ts';
+import {
+  type Deployment,
+  findForwardRoute,
+  type ForwardRoute,
+  type ForwardService,
+  type ForwardWorkspace,
+} from '../../state/entry/deployment.js';
+import {
+  createDiagnostic,
+  type Diagnostic,
+  type DiagnosticMessage,
+  Diagnostics,
+} from '../../state/diagnostics.js';
+import { nextRandom } from '../../state/random.js';
+import { RunClaim } from '../../state/types.js';
+import { LogLevel, RequestOutcome } from '../events.js';
+import { createRefusal, NO_GAPS, OPEN_WORKSPACE } from '../requestRecords.js';
+import { addDemand } from './demand.js';
+import {
+  createEntryLog,
+  createEntryTimer,
+  type EntryCommand,
+  EntryCommandKind,
+  EntryEventKind,
+  type EntryEventOf,
+  EntryPart,
+  type ForwardRequest,
+} from './events.js';
+import { startForward } from './forwarding.js';
+import { takeRate } from './rates.js';
+import {
+  abortForward,
+  cancelAttempt,
+  closeForward,
+  getDemandKey,
+  getDueTimerId,
+  refuseForward,
+} from './records.js';
+import { EntryLifecycle, type EntryState, ForwardPhase, type ForwardRecord } from './state.js';
+
+/** What a caller is told to wait while this VM has no configuration: reading it takes less. */
+const STARTING_RETRY_MS = 500;
+/** A refusal for rate names at least this time. */
+const MIN_RATE_RETRY_MS = 100;
+/** A refusal for rate names at most this time; a longer one would outlast most callers. */
+const MAX_RATE_RETRY_MS = 5_000;
+
+/** A request that is due within this time counts once for the placement of models. */
+const REFERENCE_OBJECTIVE_MS = 2_000;
+const MAX_TIME_WEIGHT = 4;
+
+interface Admission {
+  readonly route: ForwardRoute;
+  readonly service: ForwardService;
+  readonly workspace: ForwardWorkspace | null;
+}
+
+function findKeyHolder(
+  deployment: Deployment,
+  route: ForwardRoute,
+  keyDigest: string | null,
+): Either<Diagnostic, ForwardWorkspace | null> {
+  if (route.isOpen || !deployment.hasWorkspaces) {
+    return Right(null);
+  }
+  const workspace = keyDigest === null ? null : deployment.workspacesByKeyDigest.get(keyDigest);
+  const reason: DiagnosticMessage =
+    keyDigest === null ? Diagnostics.MissingKey : Diagnostics.UnknownKey;
+  return workspace === null || workspace === undefined
+    ? Left(createDiagnostic(reason))
+    : Right(workspace);
+}
+
+/** Draws one of a route's services by weight. */
+function drawService(state: EntryState, route: ForwardRoute): string | undefined {
+  const total = route.targets.reduce((sum, { weight }) => sum + weight, 0);
+  let rest = nextRandom(state.random) * total;
+  const drawn = route.targets.find(({ weight }) => {
+    rest -= weight;
+    return rest < 0;
+  });
+  return (drawn ?? route.targets.at(-1))?.service;
+}
+
+function admit(state: EntryState, request: ForwardRequest): Either<Diagnostic, Admission> {
+  const { deployment } = state;
+  if (deployment === null || state.lifecycle === EntryLifecycle.Starting) {
+    return Left(createDiagnostic(Diagnostics.NotConfigured));
+  }
+  const route = findForwardRoute(deployment, request.host, request.path);
+  if (route === undefined) {
+    return Left(createDiagnostic(Diagnostics.UnknownRoute, request.host, request.path));
+  }
+  return findKeyHolder(deployment, route, request.keyDigest).chain((workspace) => {
+    const service = deployment.servicesByName.get(drawService(state, route) ?? '');
+    return service === undefined
+      ? Left(createDiagnostic(Diagnostics.NoBackendServer, route.name))
+      : Right({ route, service, workspace });
+  });
+}
+
+function getCost(request: ForwardRequest, workspace: ForwardWorkspace | null): number {
+  return request.hasTokenCounts
+    ? request.promptTokens + request.maxOutputTokens
+    : (workspace?.plainCostTokens ?? 0);
+}
+
+function refuseArrival(
+  state: EntryState,
+  request: ForwardRequest,
+  diagnostic: Diagnostic,
+): EntryCommand[] {
+  const { callerRequestId, requestId } = request;
+  const isStarting = diagnostic.code === Diagnostics.NotConfigured.code;
+  const retryAfterMs = isStarting ? STARTING_RETRY_MS : null;
+  return [
+    {
+      kind: EntryCommandKind.Refuse,
+      requestId,
+      refusal: createRefusal(diagnostic, RunClaim.NotRun, retryAfterMs),
+    },
+    {
+      kind: EntryCommandKind.RecordRequest,
+      requestId,
+      measure: {
+        workspace: OPEN_WORKSPACE,
+        target: '',
+        outcome: RequestOutcome.Refused,
+        diagnosticKey: diagnostic.key,
+        firstTokenMs: null,
+        ...NO_GAPS,
+        durationMs: 0,
+        tokens: 0,
+      },
+    },
+    createEntryLog(LogLevel.Info, EntryPart.Request, 'The request was not admitted.', {
+      request: callerRequestId,
+      reason: diagnostic.key,
+      host: request.host,
+      path: request.path,
+      version: state.deployment?.version ?? 0,
+    }),
+  ];
+}
+
+function createForward(
+  request: ForwardRequest,
+  admission: Admission,
+  nowMs: number,
+): ForwardRecord {
+  const { route, service, workspace } = admission;
+  const timeMs = Math.min(request.deadlineMs ?? route.timeoutMs, route.timeoutMs);
+  return {
+    request,
+    route,
+    service,
+    workspace,
+    costTokens: getCost(request, workspace),
+    arrivedAtMs: nowMs,
+    endsAtMs: nowMs + timeMs,
+    phase: ForwardPhase.Waiting,
+    waitsUntilMs: nowMs,
+    attempt: 0,
+    backendId: null,
+    usedBackends: [],
+    refusedBy: [],
+    runClaim: RunClaim.NotRun,
+    firstEventAtMs: null,
+  };
+}
+
+/** How much a request counts for the placement of models by the time within which it is due. */
+function getTimeWeight({ route }: ForwardRecord): number {
+  const weight = REFERENCE_OBJECTIVE_MS / Math.max(1, route.objectiveMs);
+  return Math.min(MAX_TIME_WEIGHT, Math.max(1 / MAX_TIME_WEIGHT, weight));
+}
+
+function refuseForRate(
+  state: EntryState,
+  record: ForwardRecord,
+  waitMs: number,
+  nowMs: number,
+): EntryCommand[] {
+  const retryMs = Math.min(MAX_RATE_RETRY_MS, Math.max(MIN_RATE_RETRY_MS, waitMs));
+  const { name } = record.workspace!;
+  const diagnostic = createDiagnostic(Diagnostics.RateExceeded, name, record.costTokens);
+  return refuseForward(state, record, diagnostic, nowMs, retryMs);
+}
+
+/** Admits a request and sends it on, or refuses it. */
+export function handleRequestArrived(
+  state: EntryState,
+  event: EntryEventOf<typeof EntryEventKind.RequestArrived>,
+  nowMs: number,
+): EntryCommand[] {
+  const { request } = event;
+  return admit(state, request).caseOf<EntryCommand[]>({
+    Left: (diagnostic) => refuseArrival(state, request, diagnostic),
+    Right: (admission) => {
+      const record = createForward(request, admission, nowMs);
+      const { costTokens, workspace } = record;
+      const { requestId } = request;
+      state.requests.set(requestId, record);
+      const waitMs = workspace === null ? null : takeRate(state, workspace, costTokens, nowMs);
+      if (waitMs !== null) {
+        return refuseForRate(state, record, waitMs, nowMs);
+      }
+      if (request.model !== null) {
+        const key = getDemandKey(record);
+        addDemand(state.modelDemand, key, costTokens, nowMs);
+        addDemand(state.modelValue, key, costTokens * getTimeWeight(record), nowMs);
+      }
+      return [
+        createEntryTimer(getDueTimerId(requestId), record.endsAtMs - nowMs, {
+          kind: EntryEventKind.RequestDue,
+          requestId,
+        }),
+        ...startForward(state, record, nowMs),
+      ];
+    },
+  });
+}
+
+/** Cancels the work for a caller that has gone. */
+export function handleCallerLeft(
+  state: EntryState,
+  event: EntryEventOf<typeof EntryEventKind.CallerLeft>,
+  nowMs: number,
+): EntryCommand[] {
+  const record = state.requests.get(event.requestId);
+  if (record === undefined) {
+    return [];
+  }
+  const cancel = cancelAttempt(record);
+  record.runClaim = record.phase === ForwardPhase.Dispatched ? RunClaim.Unknown : record.runClaim;
+  const end = { outcome: RequestOutcome.Abandoned, diagnostic: null };
+  return [...cancel, ...closeForward(state, record, end, nowMs)];
+}
+
+/** Ends a request that has taken its whole time. */
+export function handleRequestDue(
+  state: EntryState,
+  event: EntryEventOf<typeof EntryEventKind.RequestDue>,
+  nowMs: number,
+): EntryCommand[] {
+  const record = state.requests.get(event.requestId);
+  if (record === undefined) {
+    return [];
+  }
+  const timeMs = record.endsAtMs - record.arrivedAtMs;
+  const diagnostic = createDiagnostic(Diagnostics.DeadlineExceeded, timeMs);
+  const cancel = cancelAttempt(record);
+  if (record.phase === ForwardPhase.Dispatched) {
+    record.runClaim = RunClaim.Unknown;
+  }
+  const end =
+    record.firstEventAtMs === null
+      ? refuseForward(state, record, diagnostic, nowMs)
+      : abortForward(state, record, diagnostic, nowMs);
+  return [...cancel, ...end];
+}
--- /dev/null
+++ b/src/coordination/entry/handlers.ts
@@ -0,0 +1,83 @@
+/**
+ * The table of an entry VM's event handlers.
+ */
+import { handleAdapterAnswered } from './adapterAnswers.js';
+import { handleCallerLeft, handleRequestArrived, handleRequestDue } from './arrivals.js';
+import {
+  handleAdapterAsked,
+  handleControllerAnswered,
+  handleControllerRead,
+  handleControllerTick,
+  handleEngineReported,
+  handleOrderAnswered,
+  handleSuspended,
+} from './controller.js';
+import {
+  handleBackendsRead,
+  handleConfigurationRead,
+  handleStoreAccess,
+  handleVmsRead,
+} from './discovery.js';
+import { type EntryCommand, type EntryEvent, EntryEventKind, type EntryEventOf } from './events.js';
+import {
+  handleAnswerBegun,
+  handleAnswerCompleted,
+  handleAnswerReady,
+  handleAttemptFailed,
+  handleAttemptSilent,
+  handleWaitDue,
+} from './forwarding.js';
+import { handleStopRequested, handleStopStep, handleTick } from './lifecycle.js';
+import { handlePeerMessage, handlePeerTick } from './peers.js';
+import type { EntryState } from './state.js';
+
+type EntryHandler<K extends EntryEventKind> = (
+  state: EntryState,
+  event: EntryEventOf<K>,
+  nowMs: number,
+) => EntryCommand[];
+
+type EntryHandlerTable = { readonly [K in EntryEventKind]: EntryHandler<K> };
+
+const HANDLERS: EntryHandlerTable = {
+  [EntryEventKind.RequestArrived]: handleRequestArrived,
+  [EntryEventKind.CallerLeft]: handleCallerLeft,
+  [EntryEventKind.RequestDue]: handleRequestDue,
+  [EntryEventKind.WaitDue]: handleWaitDue,
+  [EntryEventKind.AnswerBegun]: handleAnswerBegun,
+  [EntryEventKind.AnswerReady]: handleAnswerReady,
+  [EntryEventKind.AnswerCompleted]: handleAnswerCompleted,
+  [EntryEventKind.AttemptFailed]: handleAttemptFailed,
+  [EntryEventKind.AttemptSilent]: handleAttemptSilent,
+  [EntryEventKind.ConfigurationRead]: handleConfigurationRead,
+  [EntryEventKind.BackendsRead]: handleBackendsRead,
+  [EntryEventKind.VmsRead]: handleVmsRead,
+  [EntryEventKind.StoreAccess]: handleStoreAccess,
+  [EntryEventKind.Tick]: handleTick,
+  [EntryEventKind.PeerMessage]: handlePeerMessage,
+  [EntryEventKind.PeerTick]: handlePeerTick,
+  [EntryEventKind.AdapterAsked]: handleAdapterAsked,
+  [EntryEventKind.AdapterAnswered]: handleAdapterAnswered,
+  [EntryEventKind.ControllerTick]: handleControllerTick,
+  [EntryEventKind.ControllerRead]: handleControllerRead,
+  [EntryEventKind.ControllerAnswered]: handleControllerAnswered,
+  [EntryEventKind.OrderAnswered]: handleOrderAnswered,
+  [EntryEventKind.EngineReported]: handleEngineReported,
+  [EntryEventKind.Suspended]: handleSuspended,
+  [EntryEventKind.StopRequested]: handleStopRequested,
+  [EntryEventKind.StopStep]: handleStopStep,
+};
+
+function handleEntryEvent<K extends EntryEventKind>(
+  state: EntryState,
+  event: EntryEventOf<K>,
+  nowMs: number,
+): EntryCommand[] {
+  const handler: EntryHandler<K> = HANDLERS[event.kind];
+  return handler(state, event, nowMs);
+}
+
+/** Handles one event. Given the same state and time, it always returns the same orders. */
+export function stepEntry(state: EntryState, event: EntryEvent, nowMs: number): EntryCommand[] {
+  return handleEntryEvent(state, event, nowMs);
+}
--- /dev/null
+++ b/src/coordination/entry/placementPlan.ts
@@ -0,0 +1,312 @@
+/**
+ * Decides which model an engine loads or drops next. Pure.
+ *
+ * A model that is asked for and that no engine holds comes first. Then models are spread: the busiest
+ * engine's model gets another replica while the engines' loads differ much. Room is made by dropping the
+ * models whose loss costs least; one that is asked for keeps its last replica. An engine that has a copy of
+ * the weights in host memory or on disk is preferred, since loading from the weight store takes seconds and
+ * is limited over the fleet.
+ */
+import type { EngineModel, EngineProfile } from '../../state/entry/deployment.js';
+import type { EngineOrder } from './events.js';
+
+/** An engine as the plan sees it. */
+export interface EngineView {
+  readonly backendId: string;
+  /** Models that it holds. */
+  readonly models: ReadonlyMap<string, ReadonlySet<string>>;
+  /** The model that it is loading; its memory counts. */
+  readonly loadingModel: string | null;
+  readonly droppingModel: string | null;
+  /** The model that room was made for; it counts as being loaded. */
+  readonly intendedModel: string | null;
+  /** False shortly after a change: only the intended model is loaded then. */
+  readonly isSettled: boolean;
+  /** Orders that may still take effect; their memory counts. */
+  readonly doubtful: readonly EngineOrder[];
+  readonly hostCopies: readonly string[];
+  readonly diskCopies: readonly string[];
+  /** True if it can take an order now. */
+  readonly isFree: boolean;
+}
+
+/** Demand for a model over all VMs. */
+export interface ModelNeed {
+  readonly tokensPerSecond: number;
+  /** The same, with requests that are due sooner counting more. */
+  readonly valuePerSecond: number;
+  readonly waitingRequests: number;
+}
+
+/** The need for a model that nobody asks for. */
+export const NO_NEED: ModelNeed = { tokensPerSecond: 0, valuePerSecond: 0, waitingRequests: 0 };
+
+export interface PlanInput {
+  readonly profile: EngineProfile;
+  readonly engines: readonly EngineView[];
+  readonly needs: ReadonlyMap<string, ModelNeed>;
+  /** False while the limit on loads from the weight store is used up. */
+  readonly mayLoadFromStore: boolean;
+}
+
+/** Where the weights of a load come from. */
+export const WeightSource = { Host: 'host', Disk: 'disk', Store: 'store' } as const;
+export type WeightSource = (typeof WeightSource)[keyof typeof WeightSource];
+
+/** The next order on a model. */
+export interface PlanStep {
+  readonly backendId: string;
+  readonly model: string;
+  readonly isLoad: boolean;
+  /** The model that the step is for: the one loaded, or the one that a drop makes room for. */
+  readonly wantedModel: string;
+  readonly source: WeightSource | null;
+  readonly reason: string;
+}
+
+/** A waiting request counts as this demand, so that a model that was never asked for is loaded. */
+const WAITING_TOKENS_PER_SECOND = 1_000;
+/** A model without a replica is loaded ahead of a waiting request from this demand on. */
+const AHEAD_TOKENS_PER_SECOND = 300;
+/** Load over the mean from which the busiest model gets another replica. */
+const SPREAD_FACTOR = 1.6;
+/** A replica moves at least this part of the mean load, or it is not worth the load. */
+const MIN_GAIN_PART = 0.25;
+/** Loss that dropping an idle model counts, in tokens a second: it may be asked for again. */
+const IDLE_LOSS = 50;
+/** Loss factors of a replica: its requests go to the others, or wait for a load. */
+const SHARED_REPLICA_FACTOR = 2;
+const LAST_REPLICA_FACTOR = 5;
+/** Loss that a second of loading counts, in tokens a second. */
+const LOAD_SECOND_LOSS = 300;
+const MS_PER_SECOND = 1000;
+
+/** Returns the memory that a model takes with adapters in all slots, as far as it has any. */
+function getModelMemory(profile: EngineProfile, model: EngineModel | undefined): number {
+  if (model === undefined) {
+    return 0;
+  }
+  const slots = Math.min(profile.adapterSlots, model.adapterCount);
+  return model.memoryMb + slots * model.adapterMemoryMb;
+}
+
+/** Returns the memory of an engine that is in use or may come to be. */
+export function getUsedMemory(profile: EngineProfile, engine: EngineView): number {
+  const names = new Set(engine.models.keys());
+  [engine.loadingModel, engine.intendedModel]
+    .filter((model) => model !== null)
+    .forEach((model) => names.add(model));
+  engine.doubtful
+    .filter(({ action }) => action === 'load')
+    .forEach(({ model }) => names.add(model));
+  return [...names].reduce(
+    (sum, name) => sum + getModelMemory(profile, profile.modelsByName.get(name)),
+    0,
+  );
+}
+
+interface Placement {
+  readonly engine: EngineView;
+  readonly source: WeightSource;
+  /** The model to drop first; null if there is room. */
+  readonly dropped: string | null;
+  /** What dropping costs, and what the placement costs in all; in tokens a second. */
+  readonly dropLoss: number;
+  readonly loss: number;
+}
+
+/** Works on one input; holds what is derived from it. */
+interface PlanContext extends PlanInput {
+  readonly replicas: ReadonlyMap<string, number>;
+  readonly loads: ReadonlyMap<string, number>;
+}
+
+function getNeed(input: PlanInput, model: string): number {
+  return input.needs.get(model)?.tokensPerSecond ?? 0;
+}
+
+function getValue(input: PlanInput, model: string): number {
+  return input.needs.get(model)?.valuePerSecond ?? 0;
+}
+
+function getMissingNeed(input: PlanInput, model: string): number {
+  const waiting = input.needs.get(model)?.waitingRequests ?? 0;
+  return getValue(input, model) + waiting * WAITING_TOKENS_PER_SECOND;
+}
+
+function listHeld(engine: EngineView): string[] {
+  const held = [...engine.models.keys()].filter((model) => model !== engine.droppingModel);
+  const coming = [engine.loadingModel, engine.intendedModel].filter((model) => model !== null);
+  return [...new Set([...held, ...coming])];
+}
+
+function createContext(input: PlanInput): PlanContext {
+  const replicas = new Map<string, number>();
+  input.engines.forEach((engine) => {
+    listHeld(engine).forEach((model) => replicas.set(model, (replicas.get(model) ?? 0) + 1));
+  });
+  const loads = new Map(
+    input.engines.map((engine) => [
+      engine.backendId,
+      listHeld(engine).reduce(
+        (sum, model) => sum + getNeed(input, model) / (replicas.get(model) ?? 1),
+        0,
+      ),
+    ]),
+  );
+  return { ...input, replicas, loads };
+}
+
+function getSource(engine: EngineView, model: string): WeightSource {
+  if (engine.hostCopies.includes(model)) {
+    return WeightSource.Host;
+  }
+  return engine.diskCopies.includes(model) ? WeightSource.Disk : WeightSource.Store;
+}
+
+const LOAD_TIMES: Readonly<Record<WeightSource, (model: EngineModel) => number>> = {
+  [WeightSource.Host]: ({ hostLoadMs }) => hostLoadMs,
+  [WeightSource.Disk]: ({ diskLoadMs }) => diskLoadMs,
+  [WeightSource.Store]: ({ storeLoadMs }) => storeLoadMs,
+};
+
+/** What is lost when an engine drops a model, in tokens a second. */
+function getDropLoss(context: PlanContext, model: string): number {
+  const replicas = context.replicas.get(model) ?? 1;
+  const factor = replicas === 1 ? LAST_REPLICA_FACTOR : SHARED_REPLICA_FACTOR;
+  return IDLE_LOSS / replicas + (getValue(context, model) / replicas) * factor;
+}
+
+/** Finds what an engine has to drop for a model; undefined if that would not make room. */
+function findRoom(
+  context: PlanContext,
+  engine: EngineView,
+  model: EngineModel,
+): { readonly dropped: string | null; readonly loss: number } | undefined {
+  const { profile } = context;
+  const missingMb =
+    getUsedMemory(profile, engine) + getModelMemory(profile, model) - profile.memoryMb;
+  if (missingMb <= 0) {
+    return { dropped: null, loss: 0 };
+  }
+  const held = [...engine.models.keys()].map((name) => ({
+    name,
+    memoryMb: getModelMemory(profile, profile.modelsByName.get(name)),
+    loss: getDropLoss(context, name),
+  }));
+  const byLoss = held.toSorted((a, b) => a.loss - b.loss);
+  // One drop is ordered at a time; the next step sees what is still missing.
+  const enough = byLoss.find(({ memoryMb }) => memoryMb >= missingMb);
+  const [cheapest, second] = byLoss;
+  if (cheapest === undefined) {
+    return undefined;
+  }
+  const pairLoss = second === undefined ? Number.POSITIVE_INFINITY : cheapest.loss + second.loss;
+  if (enough !== undefined && enough.loss <= pairLoss) {
+    return { dropped: enough.name, loss: enough.loss };
+  }
+  return second === undefined ? undefined : { dropped: cheapest.name, loss: pairLoss };
+}
+
+function findPlacements(context: PlanContext, model: EngineModel): Placement[] {
+  return context.engines
+    .filter((engine) => engine.isFree && engine.isSettled && engine.intendedModel === null)
+    .filter((engine) => !listHeld(engine).includes(model.name))
+    .flatMap((engine) => {
+      const source = getSource(engine, model.name);
+      const room = findRoom(context, engine, model);
+      if (room === undefined || (source === WeightSource.Store && !context.mayLoadFromStore)) {
+        return [];
+      }
+      const loadSeconds = LOAD_TIMES[source](model) / MS_PER_SECOND;
+      const loadLoss = loadSeconds * LOAD_SECOND_LOSS;
+      const ownLoad = context.loads.get(engine.backendId) ?? 0;
+      const loss = room.loss + loadLoss + ownLoad;
+      return [{ engine, source, dropped: room.dropped, dropLoss: room.loss, loss }];
+    })
+    .sort((a, b) => a.loss - b.loss);
+}
+
+function createStep(placement: Placement, model: string, reason: string): PlanStep {
+  const { dropped, engine, source } = placement;
+  const { backendId } = engine;
+  return dropped === null
+    ? { backendId, model, isLoad: true, wantedModel: model, source, reason }
+    : {
+        backendId,
+        model: dropped,
+        isLoad: false,
+        wantedModel: model,
+        source: null,
+        reason: `${reason} ${model}`,
+      };
+}
+
+/** Loads the model that room was made for, or drops one more if there is still too little. */
+function planIntended(context: PlanContext): PlanStep | null {
+  for (const engine of context.engines) {
+    const name = engine.intendedModel;
+    const model = name === null ? undefined : context.profile.modelsByName.get(name);
+    if (engine.isFree && model !== undefined && !engine.models.has(model.name)) {
+      const source = getSource(engine, model.name);
+      const room = findRoom(context, { ...engine, intendedModel: null }, model);
+      if (room !== undefined && (source !== WeightSource.Store || context.mayLoadFromStore)) {
+        const { dropped, loss } = room;
+        const placement = { engine, source, dropped, dropLoss: loss, loss };
+        return createStep(placement, model.name, 'room was made');
+      }
+    }
+  }
+  return null;
+}
+
+/** The most wanted model that no engine holds or loads. */
+function planMissing(context: PlanContext): PlanStep | null {
+  const missing = [...context.needs.keys()]
+    .filter((name) => !context.replicas.has(name) && context.profile.modelsByName.has(name))
+    .filter((name) => getMissingNeed(context, name) >= AHEAD_TOKENS_PER_SECOND)
+    .sort((a, b) => getMissingNeed(context, b) - getMissingNeed(context, a));
+  for (const name of missing) {
+    const model = context.profile.modelsByName.get(name)!;
+    const [best] = findPlacements(context, model);
+    const gain = getMissingNeed(context, name) * LAST_REPLICA_FACTOR;
+    if (best !== undefined && best.dropLoss <= gain) {
+      return createStep(best, name, 'no engine holds');
+    }
+  }
+  return null;
+}
+
+/** Another replica of the model that weighs most on the busiest engine. */
+function planSpread(context: PlanContext): PlanStep | null {
+  const { engines, loads, replicas } = context;
+  const total = [...loads.values()].reduce((sum, load) => sum + load, 0);
+  const mean = total / Math.max(1, engines.length);
+  const busiest = engines.toSorted(
+    (a, b) => (loads.get(b.backendId) ?? 0) - (loads.get(a.backendId) ?? 0),
+  )[0];
+  if (busiest === undefined || (loads.get(busiest.backendId) ?? 0) < mean * SPREAD_FACTOR) {
+    return null;
+  }
+  const getReplicaLoad = (name: string): number =>
+    getNeed(context, name) / (replicas.get(name) ?? 1);
+  const name = listHeld(busiest).toSorted((a, b) => getReplicaLoad(b) - getReplicaLoad(a))[0];
+  const model = name === undefined ? undefined : context.profile.modelsByName.get(name);
+  if (name === undefined || model === undefined) {
+    return null;
+  }
+  const count = replicas.get(name) ?? 1;
+  const moved = getNeed(context, name) / (count + 1);
+  const [best] = findPlacements(context, model);
+  const isWorthIt =
+    best !== undefined &&
+    moved > mean * MIN_GAIN_PART &&
+    best.loss < (loads.get(busiest.backendId) ?? 0);
+  return isWorthIt ? createStep(best, name, 'spreads') : null;
+}
+
+/** Returns the next order on a model, or null if nothing is worth one. */
+export function planNextStep(input: PlanInput): PlanStep | null {
+  const context = createContext(input);
+  return planIntended(context) ?? planMissing(context) ?? planSpread(context);
+}
--- /dev/null
+++ b/src/coordination/entry/state.ts
@@ -0,0 +1,165 @@
+/**
+ * The state of one entry VM. The loop owns it: only event handlers change it, one event at a time.
+ */
+import type { Backend } from '../../state/entry/backends.js';
+import type {
+  Deployment,
+  ForwardRoute,
+  ForwardService,
+  ForwardWorkspace,
+} from '../../state/entry/deployment.js';
+import type { RateBucket } from '../../state/entry/rateBucket.js';
+import type { PlacementBoard, VmReport } from '../../state/entry/reports.js';
+import { createRandom, type RandomState } from '../../state/random.js';
+import type { RunClaim } from '../../state/types.js';
+import { createDemandTable, type DemandTable } from './demand.js';
+import type { ControllerClaim, ForwardRequest, ListedEntryVm } from './events.js';
+import { createPlacementState, type PlacementState } from './placementState.js';
+import type { EntryPolicy } from './policy.js';
+
+/** What this VM is, from its settings. */
+export interface EntrySelf {
+  readonly vmId: string;
+  /** New at each start of the process. */
+  readonly incarnation: string;
+  readonly failureDomain: string;
+  readonly peerAddress: string;
+}
+
+/** Where a request stands. */
+export const ForwardPhase = {
+  /** No backend server holds its model yet. */
+  Waiting: 'waiting',
+  Dispatched: 'dispatched',
+} as const;
+export type ForwardPhase = (typeof ForwardPhase)[keyof typeof ForwardPhase];
+
+/** A request from its admission to its end. */
+export interface ForwardRecord {
+  readonly request: ForwardRequest;
+  readonly route: ForwardRoute;
+  readonly service: ForwardService;
+  readonly workspace: ForwardWorkspace | null;
+  readonly costTokens: number;
+  readonly arrivedAtMs: number;
+  /** When the caller or the route gives it up. */
+  readonly endsAtMs: number;
+  phase: ForwardPhase;
+  /** When it stops waiting for its model. */
+  waitsUntilMs: number;
+  attempt: number;
+  backendId: string | null;
+  /** Backend servers that it was sent to and that may have run it. */
+  usedBackends: string[];
+  /** Backend servers that proved not to have run it. */
+  refusedBy: string[];
+  runClaim: RunClaim;
+  firstEventAtMs: number | null;
+}
+
+/** Whether the store answers this VM, as the watches see it. */
+export interface StoreView {
+  isReachable: boolean;
+  /** When it answered again after a failure. */
+  regainedAtMs: number;
+  lostAtMs: number;
+}
+
+/** What is known of another VM. */
+export interface PeerRecord {
+  report: VmReport;
+  heardAtMs: number;
+}
+
+/** Whether the process takes requests. */
+export const EntryLifecycle = {
+  Starting: 'starting',
+  Running: 'running',
+  Stopping: 'stopping',
+} as const;
+export type EntryLifecycle = (typeof EntryLifecycle)[keyof typeof EntryLifecycle];
+
+/** A budget of repeated requests for one service. */
+export interface RetryBudget {
+  tokens: number;
+}
+
+export interface EntryState {
+  readonly self: EntrySelf;
+  readonly policy: EntryPolicy;
+  readonly random: RandomState;
+  readonly startedAtMs: number;
+  lifecycle: EntryLifecycle;
+  isReady: boolean;
+  deployment: Deployment | null;
+  readonly backends: Map<string, Backend>;
+  backendsRevision: number;
+  areBackendsRead: boolean;
+  readonly requests: Map<string, ForwardRecord>;
+  readonly buckets: Map<string, RateBucket>;
+  readonly workspaceDemand: DemandTable;
+  readonly modelDemand: DemandTable;
+  /** The same, with requests that are due sooner counting more. */
+  readonly modelValue: DemandTable;
+  readonly retryBudgets: Map<string, RetryBudget>;
+  readonly store: StoreView;
+  listedVms: readonly ListedEntryVm[];
+  readonly peers: Map<string, PeerRecord>;
+  reportSequence: number;
+  board: PlacementBoard | null;
+  controller: ControllerClaim | null;
+  /** Adapters that the controller was asked for, with the time of the question. */
+  readonly askedAdapters: Map<string, number>;
+  readonly placement: PlacementState;
+}
+
+/** Creates the state of a fresh process. */
+export function createEntryState(
+  self: EntrySelf,
+  policy: EntryPolicy,
+  seed: number,
+  nowMs: number,
+): EntryState {
+  return {
+    self,
+    policy,
+    random: createRandom(seed),
+    startedAtMs: nowMs,
+    lifecycle: EntryLifecycle.Starting,
+    isReady: false,
+    deployment: null,
+    backends: new Map(),
+    backendsRevision: 0,
+    areBackendsRead: false,
+    requests: new Map(),
+    buckets: new Map(),
+    workspaceDemand: createDemandTable(policy.workspaceDecayMs),
+    modelDemand: createDemandTable(policy.modelDecayMs),
+    modelValue: createDemandTable(policy.modelDecayMs),
+    retryBudgets: new Map(),
+    store: {
+      isReachable: true,
+      regainedAtMs: Number.NEGATIVE_INFINITY,
+      lostAtMs: Number.NEGATIVE_INFINITY,
+    },
+    listedVms: [],
+    peers: new Map(),
+    reportSequence: 0,
+    board: null,
+    controller: null,
+    askedAdapters: new Map(),
+    placement: createPlacementState(),
+  };
+}
+
+/** Returns the VMs that are taken to live: those that the store lists or that were heard lately. */
+export function countLiveVms(state: EntryState, nowMs: number): number {
+  const live = new Set(state.listedVms.map(({ vmId }) => vmId));
+  state.peers.forEach(({ heardAtMs, report }, vmId) => {
+    if (!report.isLeaving && nowMs - heardAtMs < state.policy.vmGoneMs) {
+      live.add(vmId);
+    }
+  });
+  live.add(state.self.vmId);
+  return live.size;
+}
--- a/src/coordination/loop.ts
+++ b/src/coordination/loop.ts
@@ -23,19 +23,35 @@
 };
 
 /** One handled event, for recorded sessions. */
-export interface LoopRecord {
+export interface LoopRecord<E = NodeEvent, C = Command> {
   readonly nowMs: number;
-  readonly event: NodeEvent;
-  readonly commands: readonly Command[];
+  readonly event: E;
+  readonly commands: readonly C[];
 }
 
 /** The loop as the outer layers hold it. */
-export interface Loop {
-  readonly post: (event: NodeEvent) => void;
+export interface Loop<E = NodeEvent> {
+  readonly post: (event: E) => void;
   /** Runs until interrupted. */
   readonly run: Effect.Effect<never>;
 }
 
+/** Timers that post an event when they are due; starting one anew replaces it. */
+export interface LoopTimers<E> {
+  readonly start: (timerId: string, delayMs: number, event: E) => void;
+  readonly cancel: (timerId: string) => void;
+}
+
+/** What makes a loop: the decisions, and what carries out the orders that they lead to. */
+export interface LoopParts<S, E, C> {
+  readonly state: S;
+  /** Decides. Given the same state, event and time, it returns the same orders. */
+  readonly step: (state: S, event: E, nowMs: number) => readonly C[];
+  readonly execute: (command: C, timers: LoopTimers<E>) => void;
+  /** Called after each event, if sessions are recorded. */
+  readonly record?: (entry: LoopRecord<E, C>) => void;
+}
+
 /** Returns the time of a clock in whole milliseconds. Its origin means nothing to other VMs. */
 export function readClockMs(clock: Clock.Clock): number {
   return Number(clock.monotonicTimeNanosUnsafe() / NANOS_PER_MS);
@@ -48,14 +64,14 @@
 
 type Fork = (effect: Effect.Effect<void>) => Fiber.Fiber<void>;
 
-function createTimerTable(fork: Fork, post: (event: NodeEvent) => void): TimerTable {
+function createTimers<E>(fork: Fork, post: (event: E) => void): LoopTimers<E> {
   const timers = new Map<string, Fiber.Fiber<void>>();
   const cancel = (timerId: string): void => {
     timers.get(timerId)?.interruptUnsafe();
     timers.delete(timerId);
   };
   return {
-    [CommandKind.StartTimer]: ({ delayMs, event, timerId }) => {
+    start: (timerId, delayMs, event) => {
       cancel(timerId);
       const fire = Effect.sync(() => {
         timers.delete(timerId);
@@ -63,11 +79,32 @@
       });
       timers.set(timerId, fork(Effect.delay(fire, delayMs)));
     },
-    [CommandKind.CancelTimer]: ({ timerId }) => cancel(timerId),
+    cancel,
   };
 }
 
-function execute<K extends CommandKind>(
+/** Creates a loop over any state, its events and its orders. */
+export function createEventLoop<S, E, C>(parts: LoopParts<S, E, C>): Loop<E> {
+  const { execute, record, state, step } = parts;
+  const queue = Effect.runSync(Queue.unbounded<E>());
+  const post = (event: E): void => {
+    Queue.offerUnsafe(queue, event);
+  };
+  const run = Effect.gen(function* runLoop() {
+    const context = yield* Effect.context();
+    const timers = createTimers(Effect.runForkWith(context), post);
+    while (true) {
+      const event = yield* Queue.take(queue);
+      const nowMs = yield* getNowMs;
+      const commands = step(state, event, nowMs);
+      record?.({ nowMs, event, commands });
+      commands.forEach((command) => execute(command, timers));
+    }
+  });
+  return { post, run };
+}
+
+function executeCommand<K extends CommandKind>(
   table: { readonly [P in CommandKind]: CommandExecutor<P> },
   command: CommandOf<K>,
 ): void {
@@ -76,7 +113,7 @@
 }
 
 /**
- * Creates the loop over a state.
+ * Creates the loop over a VM's state.
  *
  * @param record Called after each event, if sessions are recorded.
  */
@@ -85,21 +122,15 @@
   executors: CommandTable,
   record: (entry: LoopRecord) => void = () => {},
 ): Loop {
-  const queue = Effect.runSync(Queue.unbounded<NodeEvent>());
-  const post = (event: NodeEvent): void => {
-    Queue.offerUnsafe(queue, event);
+  let table: (CommandTable & TimerTable) | null = null;
+  const execute = (command: Command, timers: LoopTimers<NodeEvent>): void => {
+    table ??= {
+      ...executors,
+      [CommandKind.StartTimer]: ({ delayMs, event, timerId }) =>
+        timers.start(timerId, delayMs, event),
+      [CommandKind.CancelTimer]: ({ timerId }) => timers.cancel(timerId),
+    };
+    executeCommand(table, command);
   };
-  const run = Effect.gen(function* runLoop() {
-    const context = yield* Effect.context();
-    const timers = createTimerTable(Effect.runForkWith(context), post);
-    const table = { ...executors, ...timers };
-    while (true) {
-      const event = yield* Queue.take(queue);
-      const nowMs = yield* getNowMs;
-      const commands = stepNode(state, event, nowMs);
-      record({ nowMs, event, commands });
-      commands.forEach((command) => execute(table, command));
-    }
-  });
-  return { post, run };
+  return createEventLoop({ state, step: stepNode, execute, record });
 }
--- /dev/null
+++ b/src/protocol/entry/peerMessages.ts
@@ -0,0 +1,82 @@
+/**
+ * Conversion between the core types and the generated messages of entry VMs.
+ */
+import { create } from '@bufbuild/protobuf';
+import type { PlacementBoard, VmReport } from '../../state/entry/reports.js';
+import {
+  type PeerMessage as PeerMessageWire,
+  PeerMessageSchema,
+  type VmReport as VmReportWire,
+} from '../gen/entry_pb.js';
+
+/** What one VM tells another. */
+export interface PeerNews {
+  readonly reports: readonly VmReport[];
+  readonly board: PlacementBoard | null;
+}
+
+/** Writes a message. */
+export function encodePeerNews({ board, reports }: PeerNews): PeerMessageWire {
+  return create(PeerMessageSchema, {
+    reports: reports.map((report) => ({
+      ...report,
+      workspaceDemands: [...report.workspaceDemands],
+      modelDemands: report.modelDemands.map((demand) => ({
+        ...demand,
+        adapter: demand.adapter ?? undefined,
+      })),
+    })),
+    board:
+      board === null
+        ? undefined
+        : {
+            ...board,
+            engines: board.engines.map((engine) => ({ ...engine, variants: [...engine.variants] })),
+          },
+  });
+}
+
+function decodeReport(wire: VmReportWire): VmReport {
+  return {
+    vmId: wire.vmId,
+    incarnation: wire.incarnation,
+    failureDomain: wire.failureDomain,
+    peerAddress: wire.peerAddress,
+    sequence: wire.sequence,
+    configurationVersion: wire.configurationVersion,
+    backendsRevision: wire.backendsRevision,
+    isLeaving: wire.isLeaving,
+    workspaceDemands: wire.workspaceDemands.map(({ name, tokensPerSecond }) => ({
+      name,
+      tokensPerSecond,
+    })),
+    modelDemands: wire.modelDemands.map((demand) => ({
+      service: demand.service,
+      model: demand.model,
+      adapter: demand.adapter ?? null,
+      tokensPerSecond: demand.tokensPerSecond,
+      valuePerSecond: demand.valuePerSecond,
+      waitingRequests: demand.waitingRequests,
+    })),
+  };
+}
+
+/** Reads a message. */
+export function decodePeerNews(wire: PeerMessageWire): PeerNews {
+  const { board } = wire;
+  return {
+    reports: wire.reports.map(decodeReport),
+    board:
+      board === undefined
+        ? null
+        : {
+            fence: board.fence,
+            sequence: board.sequence,
+            engines: board.engines.map(({ backendId, bornAtWallMs, variants }) => ({
+              backendId,
+              bornAtWallMs,
+              variants,
+            })),
+          },
+  };
+}
--- /dev/null
+++ b/src/protocol/entry/refusals.ts
@@ -0,0 +1,41 @@
+/**
+ * How an entry VM refuses a forwarded request. The statuses 429 and 503 promise that the request has not
+ * run; what may have run ends with 502 or 504.
+ */
+import { type Diagnostic, Diagnostics } from '../../state/diagnostics.js';
+import { type Refusal, RunClaim } from '../../state/types.js';
+import { encodeRefusal, getStatus, RUN_HEADER } from '../statusCodes.js';
+
+const HttpStatus = {
+  ServerError: 500,
+  BadGateway: 502,
+  Unavailable: 503,
+  GatewayTimeout: 504,
+} as const;
+
+const MS_PER_SECOND = 1000;
+
+function getStatusIfUnknown({ code }: Diagnostic): number {
+  return code === Diagnostics.DeadlineExceeded.code
+    ? HttpStatus.GatewayTimeout
+    : HttpStatus.BadGateway;
+}
+
+/** Returns the status of a refusal. */
+export function getForwardStatus({ diagnostic, run }: Refusal): number {
+  if (run !== RunClaim.NotRun) {
+    return getStatusIfUnknown(diagnostic);
+  }
+  const status = getStatus(diagnostic);
+  return status >= HttpStatus.ServerError ? HttpStatus.Unavailable : status;
+}
+
+/** Returns the headers of a refusal, names and values in turn. Times are in seconds with fractions. */
+export function getForwardRefusalHeaders({ retryAfterMs, run }: Refusal): string[] {
+  const headers = ['Content-Type', 'application/json', RUN_HEADER, run];
+  return retryAfterMs === null
+    ? headers
+    : [...headers, 'Retry-After', String(Math.ceil(retryAfterMs) / MS_PER_SECOND)];
+}
+
+export { encodeRefusal };
--- a/src/state/diagnostics.ts
+++ b/src/state/diagnostics.ts
@@ -77,6 +77,12 @@
     Caller,
     'A request with this idempotency key was started by another VM that does not answer.',
   ),
+  HeadersTooLarge: define(
+    1014,
+    'headers_too_large',
+    Caller,
+    'The request headers are over {0} bytes.',
+  ),
   RateExceeded: define(
     1101,
     'rate_exceeded',
--- /dev/null
+++ b/src/transport/entry/attempt.ts
@@ -0,0 +1,252 @@
+/**
+ * One dispatch of a forwarded request to a backend server. It reports at most one end.
+ */
+import http, { type ClientRequest, type IncomingMessage } from 'node:http';
+import {
+  type AttemptFailure,
+  type BackendLoad,
+  type EntryCommandKind,
+  type EntryCommandOf,
+  type EntryEvent,
+  EntryEventKind,
+} from '../../coordination/entry/events.js';
+import { createDiagnostic, type DiagnosticMessage, Diagnostics } from '../../state/diagnostics.js';
+import { advanceRunState, DispatchSignal } from '../../state/runState.js';
+import { RunState } from '../../state/types.js';
+import { splitAddress } from '../httpCall.js';
+import type { BackendAgents } from './backendAgent.js';
+import { type ForwardExchange, isAnswerBegun } from './exchange.js';
+import type { AnswerHead, EntryWire } from './wire.js';
+
+/** A connection that takes longer is given up: links take some milliseconds, or have lost a packet. */
+const CONNECT_TIMEOUT_MS = 700;
+
+export type DispatchCommand = EntryCommandOf<typeof EntryCommandKind.Dispatch>;
+
+/** What dispatches work with. */
+export interface AttemptContext {
+  readonly post: (event: EntryEvent) => void;
+  readonly getNowMs: () => number;
+  readonly agents: BackendAgents;
+  readonly wire: EntryWire;
+}
+
+/** One dispatch under way. */
+export interface Attempt {
+  readonly command: DispatchCommand;
+  readonly exchange: ForwardExchange;
+  readonly context: AttemptContext;
+  request: ClientRequest | null;
+  runState: RunState;
+  load: BackendLoad | null;
+  isSettled: boolean;
+  lastByteAtMs: number;
+  silenceTimer: NodeJS.Timeout | null;
+}
+
+/** Notes what has been learned about how far the dispatch has come. */
+export function noteSignal(attempt: Attempt, signal: DispatchSignal): void {
+  attempt.runState = advanceRunState(attempt.runState, signal);
+  attempt.lastByteAtMs = attempt.context.getNowMs();
+}
+
+function settle(attempt: Attempt): boolean {
+  if (attempt.isSettled) {
+    return false;
+  }
+  attempt.isSettled = true;
+  if (attempt.silenceTimer !== null) {
+    clearTimeout(attempt.silenceTimer);
+  }
+  if (attempt.exchange.cancel?.attempt === attempt.command.attempt) {
+    attempt.exchange.cancel = null;
+  }
+  return true;
+}
+
+/** Ends a dispatch without an answer that can be delivered. */
+export function failAttempt(
+  attempt: Attempt,
+  message: DiagnosticMessage,
+  head: Pick<AnswerHead, 'isRefused' | 'isMisdirected'> | null = null,
+): void {
+  const { command, context, exchange, load, runState } = attempt;
+  if (!settle(attempt)) {
+    return;
+  }
+  const failure: AttemptFailure = {
+    diagnostic: createDiagnostic(message, command.backendId),
+    runState,
+    isRefusedByServer: head?.isRefused ?? false,
+    isMisdirected: head?.isMisdirected ?? false,
+  };
+  if (head === null) {
+    attempt.request?.destroy();
+  }
+  context.post({
+    kind: EntryEventKind.AttemptFailed,
+    requestId: command.requestId,
+    attempt: command.attempt,
+    failure,
+    load,
+    isAnswerBegun: isAnswerBegun(exchange),
+  });
+}
+
+/** Ends a dispatch whose whole answer has gone to the caller. */
+export function completeAttempt(attempt: Attempt): void {
+  const { command, context, exchange } = attempt;
+  if (!settle(attempt)) {
+    return;
+  }
+  context.post({
+    kind: EntryEventKind.AnswerCompleted,
+    requestId: command.requestId,
+    attempt: command.attempt,
+    maxGapMs: exchange.maxGapMs,
+    meanGapMs: exchange.sumGapsMs / Math.max(1, exchange.eventCount - 1),
+  });
+}
+
+/** Ends a dispatch whose whole answer is held for a decision. */
+export function holdAttempt(
+  attempt: Attempt,
+  status: number,
+  headers: readonly string[],
+  body: Buffer,
+): void {
+  const { command, context, exchange, load } = attempt;
+  if (!settle(attempt)) {
+    return;
+  }
+  exchange.held = { attempt: command.attempt, status, headers, body };
+  const { requestId } = command;
+  const kind = EntryEventKind.AnswerReady;
+  context.post({ kind, requestId, attempt: command.attempt, status, load });
+}
+
+const LOSS_MESSAGES: Readonly<Record<RunState, DiagnosticMessage>> = {
+  [RunState.NotSent]: Diagnostics.ConnectFailed,
+  [RunState.MaybeSent]: Diagnostics.AnswerLost,
+  [RunState.Accepted]: Diagnostics.AnswerTruncated,
+  [RunState.Streaming]: Diagnostics.AnswerTruncated,
+  [RunState.Done]: Diagnostics.AnswerTruncated,
+};
+
+/** Fails a dispatch with what the loss of its connection means at this point. */
+export function failForLostConnection(attempt: Attempt): void {
+  failAttempt(attempt, LOSS_MESSAGES[attempt.runState]);
+}
+
+/** Tells the loop of a silent server, again and again while the silence lasts. */
+function watchSilence(attempt: Attempt): void {
+  const { command, context, exchange } = attempt;
+  const check = (): void => {
+    const silenceMs = isAnswerBegun(exchange) ? command.eventSilenceMs : command.silenceMs;
+    const silentMs = context.getNowMs() - attempt.lastByteAtMs;
+    if (silentMs >= silenceMs) {
+      const { attempt: number, requestId } = command;
+      context.post({
+        kind: EntryEventKind.AttemptSilent,
+        requestId,
+        attempt: number,
+        silentMs,
+        isAnswerBegun: isAnswerBegun(exchange),
+      });
+    }
+    const delayMs = silentMs >= silenceMs ? silenceMs : silenceMs - silentMs;
+    if (!attempt.isSettled) {
+      attempt.silenceTimer = setTimeout(check, delayMs);
+    }
+  };
+  attempt.silenceTimer = setTimeout(check, command.silenceMs);
+}
+
+function createRequest(attempt: Attempt): ClientRequest {
+  const { command, context, exchange } = attempt;
+  const { body, request: incoming } = exchange;
+  const headers = context.wire.encodeForwardHead(incoming.rawHeaders, {
+    workspace: command.workspace,
+    expectedServer: command.backendId,
+    remainingMs: command.remainingMs,
+    urgency: command.urgency,
+    resumeAfter: exchange.lastEventId,
+  });
+  const hasBody = body.length > 0 || incoming.headers['content-length'] !== undefined;
+  const framing = hasBody ? ['Content-Length', String(body.length)] : [];
+  return http.request({
+    ...splitAddress(command.address),
+    method: incoming.method ?? 'GET',
+    path: incoming.url ?? '/',
+    headers: [...headers, ...framing] as unknown as http.OutgoingHttpHeaders,
+    setHost: false,
+    agent: context.agents.getAgent(command.address, command.maxConnections),
+  });
+}
+
+/**
+ * Starts a dispatch. The request is written only once there is a connection, so that a failed connect is
+ * known to have sent nothing.
+ */
+export function startAttempt(
+  command: DispatchCommand,
+  exchange: ForwardExchange,
+  context: AttemptContext,
+  onResponse: (attempt: Attempt, response: IncomingMessage, head: AnswerHead) => void,
+): void {
+  const attempt: Attempt = {
+    command,
+    exchange,
+    context,
+    request: null,
+    runState: RunState.NotSent,
+    load: null,
+    isSettled: false,
+    lastByteAtMs: context.getNowMs(),
+    silenceTimer: null,
+  };
+  const request = createRequest(attempt);
+  attempt.request = request;
+  exchange.cancel = {
+    attempt: command.attempt,
+    run: () => {
+      settle(attempt);
+      request.destroy();
+    },
+  };
+  const send = (): void => {
+    if (!attempt.isSettled) {
+      noteSignal(attempt, DispatchSignal.BytesWritten);
+      request.end(exchange.body);
+    }
+  };
+  request.on('socket', (socket) => {
+    if (!socket.connecting) {
+      socket.emit('agentReuse');
+      send();
+      return;
+    }
+    socket.setNoDelay(true);
+    const timer = setTimeout(() => request.destroy(), CONNECT_TIMEOUT_MS);
+    socket.once('close', () => clearTimeout(timer));
+    socket.once('connect', () => {
+      clearTimeout(timer);
+      send();
+    });
+  });
+  request.on('error', () => failForLostConnection(attempt));
+  request.on('close', () => failForLostConnection(attempt));
+  request.on('response', (response) => {
+    if (attempt.isSettled) {
+      request.destroy();
+      return;
+    }
+    const head = context.wire.decodeAnswerHead(response.statusCode ?? 0, response.headers);
+    noteSignal(attempt, DispatchSignal.HeadersReceived);
+    attempt.load = head.load;
+    context.agents.noteIdleTime(response);
+    response.on('error', () => failForLostConnection(attempt));
+    onResponse(attempt, response, head);
+  });
+  watchSilence(attempt);
+}
--- /dev/null
+++ b/src/transport/entry/entryDaemon.ts
@@ -0,0 +1,219 @@
+/**
+ * The daemon of an entry VM that forwards requests as they came: one loop, its servers and clients.
+ */
+import type { Server } from 'node:http';
+import { randomBytes } from 'node:crypto';
+import { Cause, Clock, Effect, Exit } from 'effect';
+import { type EntryEvent, EntryEventKind, EntryPart } from '../../coordination/entry/events.js';
+import { stepEntry } from '../../coordination/entry/handlers.js';
+import { createEntryState, EntryLifecycle } from '../../coordination/entry/state.js';
+import { LogLevel } from '../../coordination/events.js';
+import { createEventLoop, readClockMs } from '../../coordination/loop.js';
+import { createDiagnostic, DiagnosticError, Diagnostics } from '../../state/diagnostics.js';
+import type { CallerLimits } from '../../state/entry/deployment.js';
+import { createRandom, nextRandom } from '../../state/random.js';
+import { createControllerLease } from '../controllerLease.js';
+import { splitAddress } from '../httpCall.js';
+import type { PrefixStore } from '../keyValueStore.js';
+import { createMetrics } from '../metrics.js';
+import { createBackendAgents } from './backendAgent.js';
+import { createEntryExecute } from './commandTable.js';
+import type { EntryLog } from './entryLog.js';
+import { createEntryPeerClient, createEntryPeerServer, type EntryReplies } from './entryPeers.js';
+import type { ForwardExchange } from './exchange.js';
+import { createForwardServer, createReadyServer } from './forwardServer.js';
+import { createMetricsServer } from './metricsServer.js';
+import { createEntryPolicy, type EntrySettings } from './settings.js';
+import { encodeControllerClaim, EntryKey } from './storeKeys.js';
+import { createStoreView, createStoreWatches, type WatchContext } from './storeWatches.js';
+import { createSuspensionWatch } from './suspension.js';
+import { createVmRegistration } from './vmRegistration.js';
+import type { EntryWire } from './wire.js';
+
+const ID_BYTES = 8;
+/** Descriptors kept for files, the store, peers and backend servers. */
+const RESERVED_DESCRIPTORS = 800;
+/** Part of the other descriptors that callers' connections may take. */
+const CALLER_PART = 0.7;
+const MIN_CONNECTIONS = 256;
+/** Time for the registration to end with the process. */
+const END_TIMEOUT_MS = 300;
+
+/** What a daemon is made of besides its settings. */
+export interface EntryDaemonParts {
+  readonly settings: EntrySettings;
+  readonly metricsPort: number;
+  readonly store: PrefixStore;
+  readonly wire: EntryWire;
+  readonly log: EntryLog;
+}
+
+/** A running daemon. */
+export interface EntryDaemon {
+  /** Starts a planned stop. */
+  readonly stop: () => void;
+  /** Resolves once the daemon has ended. */
+  readonly ended: Promise<void>;
+}
+
+function listen(server: Server, address: string): Promise<void> {
+  const { host, port } = splitAddress(address);
+  return new Promise((resolve, reject) => {
+    server.once('error', ({ message }) => {
+      const expected = `an address that this process can listen on (${message})`;
+      const diagnostic = createDiagnostic(Diagnostics.InvalidSetting, 'listen', address, expected);
+      reject(new DiagnosticError(diagnostic));
+    });
+    server.listen({ host, port, exclusive: true }, resolve);
+  });
+}
+
+function createCounter(prefix: string): () => string {
+  let count = 0;
+  return () => {
+    count += 1;
+    return `${prefix}-${count.toString(36)}`;
+  };
+}
+
+function countCallerConnections(maxDescriptors: number): number {
+  const free = Math.floor((maxDescriptors - RESERVED_DESCRIPTORS) * CALLER_PART);
+  return Math.max(MIN_CONNECTIONS, free);
+}
+
+/**
+ * Starts a daemon. It becomes ready once it knows a configuration and the backend servers.
+ *
+ * @throws DiagnosticError if an address cannot be bound.
+ */
+export async function startEntryDaemon(parts: EntryDaemonParts): Promise<EntryDaemon> {
+  const { log, metricsPort, settings, store, wire } = parts;
+  const writeLog = log.write;
+  const clock = Effect.runSync(Clock.clockWith(Effect.succeed));
+  const getNowMs = (): number => readClockMs(clock);
+  const incarnation = randomBytes(ID_BYTES).toString('hex');
+  const { failureDomain, peerAddress, vmId } = settings;
+  const self = { vmId, incarnation, failureDomain, peerAddress };
+  const seed = randomBytes(4).readUInt32LE();
+  const random = createRandom(seed);
+  const state = createEntryState(self, createEntryPolicy(settings), seed, getNowMs());
+
+  const mailbox: { post: (event: EntryEvent) => void } = { post: () => {} };
+  const post = (event: EntryEvent): void => mailbox.post(event);
+  const exchanges = new Map<string, ForwardExchange>();
+  const replies: EntryReplies = { news: new Map(), adapters: new Map() };
+  const view = createStoreView();
+  const metrics = createMetrics();
+  const agents = createBackendAgents();
+  const peers = createEntryPeerClient();
+  const current: { limits: CallerLimits | null; isReady: boolean } = {
+    limits: null,
+    isReady: false,
+  };
+  const watches: WatchContext = {
+    store,
+    wire,
+    post,
+    writeLog,
+    nextRandom: () => nextRandom(random),
+    view,
+  };
+  const registration = createVmRegistration(store, self, writeLog);
+  const suspension = createSuspensionWatch(
+    getNowMs,
+    () => clock.currentTimeMillisUnsafe(),
+    (lostMs) => post({ kind: EntryEventKind.Suspended, lostMs }),
+  );
+
+  const server = createForwardServer({
+    post,
+    wire,
+    exchanges,
+    createRequestId: createCounter('request'),
+    getLimits: () => current.limits,
+    isStopping: () => state.lifecycle === EntryLifecycle.Stopping,
+    maxConnections: countCallerConnections(settings.maxDescriptors),
+  });
+  const readyServer = createReadyServer(wire.readyPath, () => current.isReady);
+  const createReplyId = createCounter('reply');
+  const peerServer = createEntryPeerServer({ post, replies, createReplyId, view });
+  const metricsServer = createMetricsServer(metrics, state, log);
+
+  let resolveEnded = (): void => {};
+  const ended = new Promise<void>((resolve) => {
+    resolveEnded = resolve;
+  });
+  const exit = (): void => {
+    const end = Effect.timeoutOrElse(registration.end, {
+      duration: END_TIMEOUT_MS,
+      orElse: () => Effect.void,
+    });
+    void Effect.runPromise(end).then(resolveEnded);
+  };
+  const stopAccepting = (): void => {
+    if (server.listening) {
+      server.close();
+    }
+    server.closeIdleConnections();
+  };
+
+  const execute = createEntryExecute({
+    self,
+    post,
+    wire,
+    exchanges,
+    attempts: { post, getNowMs, agents, wire },
+    peers,
+    replies,
+    createReplyId,
+    watches,
+    controllerLease: createControllerLease(
+      store,
+      encodeControllerClaim({ vmId, incarnation, peerAddress }),
+      EntryKey.Controllers,
+    ),
+    controllerLeaseMs: state.policy.controllerLeaseMs,
+    suspension,
+    getNowMs,
+    metrics,
+    writeLog,
+    server,
+    setLimits: (limits) => {
+      current.limits = limits;
+    },
+    setReady: (isReady) => {
+      current.isReady = isReady;
+    },
+    stopAccepting,
+    exit,
+  });
+  const loop = createEventLoop({ state, step: stepEntry, execute });
+  mailbox.post = loop.post;
+
+  await listen(readyServer, settings.readyAddress);
+  await listen(server, settings.listenAddress);
+  await listen(peerServer, settings.peerAddress);
+  await listen(metricsServer, `${settings.host}:${metricsPort}`);
+  Effect.runFork(
+    Effect.onExit(loop.run, (result) =>
+      Effect.sync(() => {
+        const detail = Exit.isFailure(result) ? Cause.pretty(result.cause) : '';
+        writeLog(LogLevel.Error, EntryPart.Lifecycle, 'The loop has ended.', { detail });
+        process.exitCode = 1;
+        exit();
+      }),
+    ),
+  );
+  createStoreWatches(watches).forEach((watch) => Effect.runFork(watch));
+  Effect.runFork(registration.run);
+  post({ kind: EntryEventKind.Tick });
+  post({ kind: EntryEventKind.PeerTick });
+  post({ kind: EntryEventKind.ControllerTick });
+  writeLog(LogLevel.Info, EntryPart.Lifecycle, 'The daemon has started.', {
+    callers: settings.listenAddress,
+    peers: settings.peerAddress,
+    store: settings.storeAddress,
+    incarnation,
+  });
+  return { stop: () => post({ kind: EntryEventKind.StopRequested }), ended };
+}
--- a/src/transport/httpCall.ts
+++ b/src/transport/httpCall.ts
@@ -26,6 +26,8 @@
   readonly body: string | null;
   readonly headers?: Readonly<Record<string, string>>;
   readonly timeoutMs: number;
+  /** True for a connection of its own: a kept one may be closed at the moment of sending. */
+  readonly isFresh?: boolean;
 }
 
 /** Splits `host:port`. */
@@ -55,7 +57,7 @@
         'content-length': Buffer.byteLength(call.body ?? ''),
         ...call.headers,
       },
-      agent,
+      agent: call.isFresh === true ? false : agent,
     },
     (response) => {
       const chunks: Buffer[] = [];
--- a/src/transport/store.ts
+++ b/src/transport/store.ts
@@ -1,6 +1,5 @@
 /**
- * The platform's key-value service behind one small interface. Each call ends with a value or a typed
- * failure; `StoreUnknown` is the failure of a change that may have taken effect all the same.
+ * Client of a key-value service that speaks the etcd v3 API in JSON.
  */
 import http from 'node:http';
 import { Effect } from 'effect';
@@ -20,12 +19,12 @@
   createStoreRejection,
   STORE_PATHS,
   type StoredValue,
-  type Swap,
   VM_LIST_PATH,
 } from '../protocol/storeMessages.js';
 import type { ListedVm } from '../coordination/events.js';
 import { createDiagnostic, type Diagnostic, Diagnostics } from '../state/diagnostics.js';
 import { callHttp, type CallFailure, splitAddress } from './httpCall.js';
+import type { KeyValueStore } from './keyValueStore.js';
 
 const HTTP_OK = 200;
 const HTTP_SERVER_ERROR = 500;
@@ -33,14 +32,8 @@
 const WATCH_IDLE_MS = 30_000;
 const MAX_WATCH_LINE = 4_194_304;
 
-/** The store as the rest of the daemon sees it. */
-export interface Store {
-  readonly get: (key: string) => Effect.Effect<StoredValue | null, Diagnostic>;
-  /** Ends with the new version, or null if the key had another version than expected. */
-  readonly swap: (swap: Swap) => Effect.Effect<number | null, Diagnostic>;
-  readonly grantLease: (ttlSeconds: number) => Effect.Effect<string, Diagnostic>;
-  /** Ends with false if the lease has lapsed. */
-  readonly keepLease: (leaseId: string) => Effect.Effect<boolean, Diagnostic>;
+/** The store of a deployment on the etcd v3 API, with the platform's list of VMs. */
+export interface Store extends KeyValueStore {
   /** Calls back on each value of a key from a version on; fails when the watch breaks. */
   readonly watch: (
     key: string,
@@ -57,7 +50,8 @@
 const mapWriteFailure: FailureMapper = ({ mayHaveRun }) =>
   createDiagnostic(mayHaveRun ? Diagnostics.StoreUnknown : Diagnostics.StoreUnavailable);
 
-function fromEither<T>(either: Either<Diagnostic, T>): Effect.Effect<T, Diagnostic> {
+/** Turns a decoded value into an effect. */
+export function fromEither<T>(either: Either<Diagnostic, T>): Effect.Effect<T, Diagnostic> {
   return either.caseOf<Effect.Effect<T, Diagnostic>>({
     Left: (diagnostic) => Effect.fail(diagnostic),
     Right: (value) => Effect.succeed(value),
