Place models by part of demand, and keep those that may return urgently

Now the wanted replicas follow a model's part of all demand, the last replica of an urgent model costs most to drop, and an engine that is busy for an unknown order is read again. Buckets refill from the start of the process, so the first requests pass.

--- a/src/coordination/entry/arrivals.ts
+++ b/src/coordination/entry/arrivals.ts
@@ -19,7 +19,7 @@
 import { RunClaim } from '../../state/types.js';
 import { LogLevel, RequestOutcome } from '../events.js';
 import { createRefusal, NO_GAPS, OPEN_WORKSPACE } from '../requestRecords.js';
-import { addDemand } from './demand.js';
+import { addDemand, getDemand } from './demand.js';
 import {
   createEntryLog,
   createEntryTimer,
@@ -31,11 +31,12 @@
   type ForwardRequest,
 } from './events.js';
 import { startForward } from './forwarding.js';
-import { takeRate } from './rates.js';
+import { getRateBucket, takeRate } from './rates.js';
 import {
   abortForward,
   cancelAttempt,
   closeForward,
+  describeRecord,
   getDemandKey,
   getDueTimerId,
   refuseForward,
@@ -188,7 +189,20 @@
   const retryMs = Math.min(MAX_RATE_RETRY_MS, Math.max(MIN_RATE_RETRY_MS, waitMs));
   const { name } = record.workspace!;
   const diagnostic = createDiagnostic(Diagnostics.RateExceeded, name, record.costTokens);
-  return refuseForward(state, record, diagnostic, nowMs, retryMs);
+  const bucket = getRateBucket(state, record.workspace!, nowMs);
+  return [
+    createEntryLog(LogLevel.Info, EntryPart.Rate, 'A workspace is over its rate on this VM.', {
+      ...describeRecord(record, nowMs),
+      costTokens: record.costTokens,
+      levelTokens: Math.round(bucket.levelTokens),
+      capacityTokens: Math.round(bucket.capacityTokens),
+      vmTokensPerSecond: Math.round(bucket.rateTokensPerSecond),
+      workspaceTokensPerSecond: record.workspace!.rateTokensPerSecond,
+      demandTokensPerSecond: Math.round(getDemand(state.workspaceDemand, name, nowMs)),
+      retryMs: Math.round(retryMs),
+    }),
+    ...refuseForward(state, record, diagnostic, nowMs, retryMs),
+  ];
 }
 
 /** Admits a request and sends it on, or refuses it. */
--- a/src/coordination/entry/controller.ts
+++ b/src/coordination/entry/controller.ts
@@ -91,6 +91,23 @@
   return [{ kind: EntryCommandKind.KeepController, fence: placement.fence }];
 }
 
+/** Remembers how soon requests for a model are due, beyond the time in which they are counted. */
+function noteTimeWeight(state: EntryState, key: string, demand: ModelNeed): void {
+  const { timeWeights } = state.placement;
+  const weight = demand.valuePerSecond / Math.max(1, demand.tokensPerSecond);
+  timeWeights.set(key, Math.max(timeWeights.get(key) ?? 0, weight));
+}
+
+/** The time weights of one service, by model. */
+function listTimeWeights(state: EntryState, service: ForwardService): ReadonlyMap<string, number> {
+  const prefix = `${service.name} `;
+  return new Map(
+    [...state.placement.timeWeights.entries()]
+      .filter(([key]) => key.startsWith(prefix))
+      .map(([key, weight]) => [key.slice(prefix.length), weight]),
+  );
+}
+
 /** Adds up the demand for each model of a service over all VMs; adapters count for their models. */
 function collectNeeds(
   state: EntryState,
@@ -106,6 +123,7 @@
     const { tokensPerSecond, valuePerSecond, waitingRequests } = demand;
     const [model = '', adapter] = variant.split('/');
     const need = needs.get(model) ?? { ...NO_NEED };
+    noteTimeWeight(state, `${service.name} ${model}`, demand);
     need.tokensPerSecond += tokensPerSecond;
     need.valuePerSecond += valuePerSecond;
     need.waitingRequests += waitingRequests;
@@ -175,7 +193,7 @@
   if (step.source === WeightSource.Store) {
     state.placement.loadStartsMs.push(nowMs);
   }
-  control.intent = step.isLoad ? null : { model: step.wantedModel, untilMs: nowMs + INTENT_MS };
+  control.intent = { model: step.wantedModel, untilMs: nowMs + INTENT_MS };
   const action = step.isLoad ? OrderAction.Load : OrderAction.Unload;
   const target = { model: step.model, adapter: null, reason: step.reason };
   return sendEngineOrder(state, control, action, target, nowMs);
@@ -189,12 +207,14 @@
     const backend = state.backends.get(control.backendId);
     return backend?.entry.service === service.name && isOpenBackend(backend);
   });
+  const timeWeights = listTimeWeights(state, service);
   const commands: EntryCommand[] = [];
   for (let i = 0; i < MAX_STEPS; i += 1) {
     const step = planNextStep({
       profile,
       engines: controls.map((control) => createView(state, control, nowMs)),
       needs,
+      timeWeights,
       mayLoadFromStore: mayLoadFromStore(state, profile.loadsPerSecond, nowMs),
     });
     if (step === null) {
--- a/src/coordination/entry/engineOrders.ts
+++ b/src/coordination/entry/engineOrders.ts
@@ -92,6 +92,7 @@
   const isLoad = action === OrderAction.Load;
   if (adapter === null) {
     control.change = { model, isLoad, orderedAtMs: nowMs, entryRevision };
+    control.intent = isLoad ? null : control.intent;
     control.changedAtMs = nowMs;
     return;
   }
--- a/src/coordination/entry/lifecycle.ts
+++ b/src/coordination/entry/lifecycle.ts
@@ -14,6 +14,7 @@
   EntryPart,
   StopStep,
 } from './events.js';
+import { askForAdapter } from './adapterRequests.js';
 import { sweepBackends } from './discovery.js';
 import { abortForward, cancelAttempt, refuseForward } from './records.js';
 import { RunClaim } from '../../state/types.js';
@@ -104,6 +105,13 @@
   return STOP_HANDLERS[event.step](state, nowMs);
 }
 
+/** Asks again for the adapters of requests that still wait: the controller may have changed. */
+function askAgain(state: EntryState, nowMs: number): EntryCommand[] {
+  return [...state.requests.values()]
+    .filter((record) => record.phase === ForwardPhase.Waiting)
+    .flatMap((record) => askForAdapter(state, record, nowMs));
+}
+
 /** Sweeps what has expired and starts the timer of the next sweep. */
 export function handleTick(
   state: EntryState,
@@ -111,5 +119,9 @@
   nowMs: number,
 ): EntryCommand[] {
   const kind = EntryEventKind.Tick;
-  return [createEntryTimer(kind, state.policy.tickMs, { kind }), ...sweepBackends(state, nowMs)];
+  return [
+    createEntryTimer(kind, state.policy.tickMs, { kind }),
+    ...sweepBackends(state, nowMs),
+    ...askAgain(state, nowMs),
+  ];
 }
--- a/src/coordination/entry/placementPlan.ts
+++ b/src/coordination/entry/placementPlan.ts
@@ -1,8 +1,8 @@
 /**
  * Decides which model an engine loads or drops next. Pure.
  *
- * A model that is asked for and that no engine holds comes first. Then models are spread: the busiest
- * engine's model gets another replica while the engines' loads differ much. Room is made by dropping the
+ * A model that is asked for and that no engine holds comes first. Then models get replicas by their part of
+ * all demand, since all engines can do about the same work. Room is made by dropping the
  * models whose loss costs least; one that is asked for keeps its last replica. An engine that has a copy of
  * the weights in host memory or on disk is preferred, since loading from the weight store takes seconds and
  * is limited over the fleet.
@@ -45,6 +45,8 @@
   readonly profile: EngineProfile;
   readonly engines: readonly EngineView[];
   readonly needs: ReadonlyMap<string, ModelNeed>;
+  /** How soon requests for each model were ever due; a model that was never asked for counts as urgent. */
+  readonly timeWeights: ReadonlyMap<string, number>;
   /** False while the limit on loads from the weight store is used up. */
   readonly mayLoadFromStore: boolean;
 }
@@ -66,18 +68,24 @@
 
 /** A waiting request counts as this demand, so that a model that was never asked for is loaded. */
 const WAITING_TOKENS_PER_SECOND = 1_000;
+/** More waiting requests do not make a model more urgent. */
+const MAX_WAITING = 3;
 /** A model without a replica is loaded ahead of a waiting request from this demand on. */
-const AHEAD_TOKENS_PER_SECOND = 300;
-/** Load over the mean from which the busiest model gets another replica. */
-const SPREAD_FACTOR = 1.6;
-/** A replica moves at least this part of the mean load, or it is not worth the load. */
-const MIN_GAIN_PART = 0.25;
-/** Loss that dropping an idle model counts, in tokens a second: it may be asked for again. */
+const AHEAD_TOKENS_PER_SECOND = 200;
+/** Loss that dropping an idle replica counts, in tokens a second. */
 const IDLE_LOSS = 50;
-/** Loss factors of a replica: its requests go to the others, or wait for a load. */
+/**
+ * Loss that dropping the last replica of an idle model counts, in parts of an engine's mean load: demand
+ * moves by whole models within seconds, and a load from the weight store takes longer.
+ */
+const RETURN_PART = 1;
+/** Time weight of a model that was never asked for. */
+const UNKNOWN_TIME_WEIGHT = 2.5;
+/** Loss factors of a replica: one too many, one that the others stand in for, the last one. */
+const SPARE_REPLICA_FACTOR = 0.5;
 const SHARED_REPLICA_FACTOR = 2;
 const LAST_REPLICA_FACTOR = 5;
-/** Loss that a second of loading counts, in tokens a second. */
+/** Loss that a second of loading counts at least, in tokens a second; its demand meanwhile is lost too. */
 const LOAD_SECOND_LOSS = 300;
 const MS_PER_SECOND = 1000;
 
@@ -118,7 +126,9 @@
 /** Works on one input; holds what is derived from it. */
 interface PlanContext extends PlanInput {
   readonly replicas: ReadonlyMap<string, number>;
+  /** Load of each engine in tokens a second, and the mean of them. */
   readonly loads: ReadonlyMap<string, number>;
+  readonly meanLoad: number;
 }
 
 function getNeed(input: PlanInput, model: string): number {
@@ -130,8 +140,9 @@
 }
 
 function getMissingNeed(input: PlanInput, model: string): number {
-  const waiting = input.needs.get(model)?.waitingRequests ?? 0;
-  return getValue(input, model) + waiting * WAITING_TOKENS_PER_SECOND;
+  const waiting = Math.min(MAX_WAITING, input.needs.get(model)?.waitingRequests ?? 0);
+  const timeWeight = input.timeWeights.get(model) ?? UNKNOWN_TIME_WEIGHT;
+  return getValue(input, model) + waiting * timeWeight * WAITING_TOKENS_PER_SECOND;
 }
 
 function listHeld(engine: EngineView): string[] {
@@ -154,7 +165,9 @@
       ),
     ]),
   );
-  return { ...input, replicas, loads };
+  const total = [...input.needs.values()].reduce((sum, need) => sum + need.tokensPerSecond, 0);
+  const meanLoad = total / Math.max(1, input.engines.length);
+  return { ...input, replicas, loads, meanLoad };
 }
 
 function getSource(engine: EngineView, model: string): WeightSource {
@@ -170,11 +183,23 @@
   [WeightSource.Store]: ({ storeLoadMs }) => storeLoadMs,
 };
 
+/** Replicas that a model should have by its part of all demand, at least one. */
+function getWantedReplicas(context: PlanContext, name: string): number {
+  const wanted = context.meanLoad > 0 ? getNeed(context, name) / context.meanLoad : 0;
+  return Math.max(1, Math.round(wanted));
+}
+
 /** What is lost when an engine drops a model, in tokens a second. */
 function getDropLoss(context: PlanContext, model: string): number {
   const replicas = context.replicas.get(model) ?? 1;
-  const factor = replicas === 1 ? LAST_REPLICA_FACTOR : SHARED_REPLICA_FACTOR;
-  return IDLE_LOSS / replicas + (getValue(context, model) / replicas) * factor;
+  const spare = replicas > getWantedReplicas(context, model);
+  const factor = spare ? SPARE_REPLICA_FACTOR : SHARED_REPLICA_FACTOR;
+  if (replicas > 1) {
+    return IDLE_LOSS / replicas + (getValue(context, model) / replicas) * factor;
+  }
+  const timeWeight = context.timeWeights.get(model) ?? UNKNOWN_TIME_WEIGHT;
+  const returnLoss = timeWeight * RETURN_PART * context.meanLoad;
+  return IDLE_LOSS + returnLoss + getValue(context, model) * LAST_REPLICA_FACTOR;
 }
 
 /** Finds what an engine has to drop for a model; undefined if that would not make room. */
@@ -219,7 +244,8 @@
         return [];
       }
       const loadSeconds = LOAD_TIMES[source](model) / MS_PER_SECOND;
-      const loadLoss = loadSeconds * LOAD_SECOND_LOSS;
+      const loadLoss =
+        loadSeconds * Math.max(LOAD_SECOND_LOSS, getMissingNeed(context, model.name));
       const ownLoad = context.loads.get(engine.backendId) ?? 0;
       const loss = room.loss + loadLoss + ownLoad;
       return [{ engine, source, dropped: room.dropped, dropLoss: room.loss, loss }];
@@ -277,36 +303,28 @@
   return null;
 }
 
-/** Another replica of the model that weighs most on the busiest engine. */
-function planSpread(context: PlanContext): PlanStep | null {
-  const { engines, loads, replicas } = context;
-  const total = [...loads.values()].reduce((sum, load) => sum + load, 0);
-  const mean = total / Math.max(1, engines.length);
-  const busiest = engines.toSorted(
-    (a, b) => (loads.get(b.backendId) ?? 0) - (loads.get(a.backendId) ?? 0),
-  )[0];
-  if (busiest === undefined || (loads.get(busiest.backendId) ?? 0) < mean * SPREAD_FACTOR) {
-    return null;
-  }
-  const getReplicaLoad = (name: string): number =>
+/** Another replica of the model whose replicas have most to do, while it has too few. */
+function planReplicas(context: PlanContext): PlanStep | null {
+  const { profile, replicas } = context;
+  const getReplicaNeed = (name: string): number =>
     getNeed(context, name) / (replicas.get(name) ?? 1);
-  const name = listHeld(busiest).toSorted((a, b) => getReplicaLoad(b) - getReplicaLoad(a))[0];
-  const model = name === undefined ? undefined : context.profile.modelsByName.get(name);
-  if (name === undefined || model === undefined) {
-    return null;
+  const lacking = [...replicas.entries()]
+    .filter(([name, count]) => count < getWantedReplicas(context, name))
+    .map(([name]) => name)
+    .sort((a, b) => getReplicaNeed(b) - getReplicaNeed(a));
+  for (const name of lacking) {
+    const model = profile.modelsByName.get(name);
+    const [best] = model === undefined ? [] : findPlacements(context, model);
+    const moved = getValue(context, name) / ((replicas.get(name) ?? 1) + 1);
+    if (best !== undefined && best.dropLoss < moved * SHARED_REPLICA_FACTOR) {
+      return createStep(best, name, 'more replicas of');
+    }
   }
-  const count = replicas.get(name) ?? 1;
-  const moved = getNeed(context, name) / (count + 1);
-  const [best] = findPlacements(context, model);
-  const isWorthIt =
-    best !== undefined &&
-    moved > mean * MIN_GAIN_PART &&
-    best.loss < (loads.get(busiest.backendId) ?? 0);
-  return isWorthIt ? createStep(best, name, 'spreads') : null;
+  return null;
 }
 
 /** Returns the next order on a model, or null if nothing is worth one. */
 export function planNextStep(input: PlanInput): PlanStep | null {
   const context = createContext(input);
-  return planIntended(context) ?? planMissing(context) ?? planSpread(context);
+  return planIntended(context) ?? planMissing(context) ?? planReplicas(context);
 }
--- a/src/coordination/entry/placementState.ts
+++ b/src/coordination/entry/placementState.ts
@@ -72,6 +72,8 @@
   vacantSinceMs: number | null;
   claimedAtMs: number;
   readonly engines: Map<string, EngineControl>;
+  /** How soon requests for each model were due, at the most urgent; by service and model. */
+  readonly timeWeights: Map<string, number>;
   /** Starts of loads from the weight store within the window of its limit. */
   loadStartsMs: number[];
   boardSequence: number;
@@ -88,6 +90,7 @@
     vacantSinceMs: null,
     claimedAtMs: Number.NEGATIVE_INFINITY,
     engines: new Map(),
+    timeWeights: new Map(),
     loadStartsMs: [],
     boardSequence: 0,
   };
@@ -198,5 +201,6 @@
   if (!mayBeOlder) {
     control.change = null;
   }
-  control.needsReport = false;
+  // An order of an earlier controller is under way: what it does shows once it has ended.
+  control.needsReport = said.isBusy && control.change === null;
 }
--- a/src/coordination/entry/rates.ts
+++ b/src/coordination/entry/rates.ts
@@ -61,7 +61,8 @@
   const rate = rateTokensPerSecond * part;
   const known = state.buckets.get(name);
   if (known === undefined) {
-    const bucket = createRateBucket(capacity, rate, capacity * FIRST_LEVEL, nowMs);
+    // A bucket that is first asked for has refilled since the start of the process.
+    const bucket = createRateBucket(capacity, rate, capacity * FIRST_LEVEL, state.startedAtMs);
     state.buckets.set(name, bucket);
     return bucket;
   }
--- a/src/coordination/entry/records.ts
+++ b/src/coordination/entry/records.ts
@@ -113,6 +113,9 @@
       outcome: end.outcome,
       reason: diagnosticKey ?? '',
       status: end.status ?? 0,
+      firstEventMs:
+        record.firstEventAtMs === null ? -1 : record.firstEventAtMs - record.arrivedAtMs,
+      maxGapMs: Math.round(end.maxGapMs ?? 0),
       run: record.runClaim,
       version: state.deployment?.version ?? 0,
     }),
