--- a/src/coordination/entry/forwarding.ts
+++ b/src/coordination/entry/forwarding.ts
@@ -409,7 +409,9 @@
   nowMs: number,
 ): EntryCommand[] {
   const record = findAttempt(state, event.requestId, event.attempt);
-  const isRepeat = record !== undefined && canRepeat(record, event.isAnswerBegun);
+  // Nothing proves of a silent server that it has not run the request.
+  const isRepeat =
+    record !== undefined && isRepeatable(record) && canRepeat(record, event.isAnswerBegun);
   if (!isRepeat) {
     return [];
   }
--- /dev/null
+++ b/tests/entry/fixtures.ts
@@ -0,0 +1,221 @@
+/**
+ * A deployment, backend servers and requests for tests of the entry VM's decisions.
+ */
+import {
+  type BackendChange,
+  type EntryCommand,
+  EntryCommandKind,
+  type EntryCommandOf,
+  type EntryEvent,
+  EntryEventKind,
+  type ForwardRequest,
+} from '../../src/coordination/entry/events.js';
+import { stepEntry } from '../../src/coordination/entry/handlers.js';
+import { ENTRY_POLICY_DEFAULTS, type EntryPolicy } from '../../src/coordination/entry/policy.js';
+import { createEntryState, type EntryState } from '../../src/coordination/entry/state.js';
+import type { BackendEntry } from '../../src/state/entry/backends.js';
+import {
+  type Deployment,
+  type ForwardRoute,
+  type ForwardWorkspace,
+  indexRoutes,
+  RouteKind,
+} from '../../src/state/entry/deployment.js';
+
+export const TEST_POLICY: EntryPolicy = {
+  ...ENTRY_POLICY_DEFAULTS,
+  retryRatio: 0.2,
+  retryWindowMs: 10_000,
+  retryReserve: 58,
+  rateWindowMs: 8_000,
+  rateExcessPart: 0.1,
+  rateReserveTokens: 11_000,
+  takeoverWaitMs: 0,
+  loadWindowMs: 5_000,
+  loadFactor: 1.1,
+  stopGraceMs: 8_000,
+};
+
+export const TEST_WORKSPACE: ForwardWorkspace = {
+  name: 'mill',
+  priority: null,
+  rateTokensPerSecond: 45_000,
+  burstTokens: 45_000,
+  plainCostTokens: 200,
+};
+
+const ROUTE: Omit<ForwardRoute, 'name' | 'kind' | 'pathPrefix' | 'targets'> = {
+  host: 'h',
+  timeoutMs: 15_000,
+  objectiveMs: 800,
+  maxAttempts: 2,
+  priority: 1,
+  isOpen: false,
+  isResumable: false,
+  maxEventGapMs: 250,
+};
+
+const plain = [{ service: 'counter', weight: 1 }];
+const llm = [{ service: 'llm', weight: 1 }];
+
+/** One route of each kind, by path. */
+export const TEST_ROUTES: readonly ForwardRoute[] = [
+  { ...ROUTE, name: 'lookup', kind: RouteKind.Idempotent, pathPrefix: '/lookup/', targets: plain },
+  { ...ROUTE, name: 'booking', kind: RouteKind.AtMostOnce, pathPrefix: '/book/', targets: plain },
+  {
+    ...ROUTE,
+    name: 'draft',
+    kind: RouteKind.Stream,
+    pathPrefix: '/draft/',
+    isResumable: true,
+    targets: llm,
+  },
+  { ...ROUTE, name: 'letter', kind: RouteKind.Stream, pathPrefix: '/letter/', targets: llm },
+  {
+    ...ROUTE,
+    name: 'open',
+    kind: RouteKind.Idempotent,
+    pathPrefix: '/',
+    isOpen: true,
+    targets: plain,
+  },
+];
+
+const MODEL = {
+  storeLoadMs: 6_000,
+  diskLoadMs: 1_200,
+  hostLoadMs: 600,
+  adapterCount: 9,
+  adapterMemoryMb: 50,
+};
+
+/** Creates a deployment of two services. */
+export function createTestDeployment(version = 1, limits = {}): Deployment {
+  const names = ['m0', 'm1', 'm2', 'm3', 'm4'];
+  const modelsByName = new Map(names.map((name) => [name, { ...MODEL, name, memoryMb: 70_000 }]));
+  const engine = {
+    maxConcurrentRequests: 64,
+    kvCapacityTokens: 150_000,
+    memoryMb: 200_000,
+    adapterSlots: 8,
+    loadsPerSecond: 1.6,
+    modelsByName,
+  };
+  return {
+    version,
+    routesByHost: indexRoutes(TEST_ROUTES),
+    servicesByName: new Map([
+      ['counter', { name: 'counter', maxConnections: 110, engine: null }],
+      ['llm', { name: 'llm', maxConnections: 370, engine }],
+    ]),
+    hasWorkspaces: true,
+    workspacesByKeyDigest: new Map([['digest', TEST_WORKSPACE]]),
+    workspacesByName: new Map([['mill', TEST_WORKSPACE]]),
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 65_536,
+      headerTimeoutMs: 3_000,
+      idleTimeoutMs: 15_000,
+      ...limits,
+    },
+  };
+}
+
+/** Creates the entry of a server of a service; an engine holds `m0` and `m1`. */
+export function createTestEntry(
+  id: string,
+  service: 'counter' | 'llm',
+  changes: Partial<BackendEntry> = {},
+): BackendEntry {
+  const models = ['m0', 'm1'].map((name) => ({ name, version: 1, adapters: [] }));
+  return {
+    id,
+    bornAtWallMs: 1,
+    service,
+    address: `${id}:80`,
+    failureDomain: 'fd-a',
+    slots: 6,
+    isLeaving: false,
+    leavesInMs: null,
+    models: service === 'llm' ? models : [],
+    hostCopies: [],
+    diskCopies: [],
+    ...changes,
+  };
+}
+
+/** Creates a request for a path. */
+export function createTestRequest(
+  requestId: string,
+  path: string,
+  changes: Partial<ForwardRequest> = {},
+): ForwardRequest {
+  return {
+    requestId,
+    callerRequestId: `caller-${requestId}`,
+    host: 'h',
+    path,
+    keyDigest: 'digest',
+    deadlineMs: 15_000,
+    model: path.startsWith('/draft') || path.startsWith('/letter') ? 'm0' : null,
+    adapter: null,
+    promptTokens: 1_000,
+    maxOutputTokens: 100,
+    hasTokenCounts: true,
+    promptParts: [],
+    ...changes,
+  };
+}
+
+/** One VM's decisions, driven by hand. */
+export interface TestVm {
+  readonly state: EntryState;
+  readonly step: (event: EntryEvent, nowMs?: number) => EntryCommand[];
+  readonly arrive: (request: ForwardRequest, nowMs?: number) => EntryCommand[];
+  readonly read: (changes: readonly BackendChange[], revision: number, nowMs?: number) => void;
+}
+
+/** Creates a VM that is ready, with two servers of each service. */
+export function createTestVm(policy: Partial<EntryPolicy> = {}): TestVm {
+  const self = { vmId: 'vm-1', incarnation: 'a', failureDomain: 'fd-a', peerAddress: 'vm-1:1' };
+  const state = createEntryState(self, { ...TEST_POLICY, ...policy }, 1, 0);
+  const step = (event: EntryEvent, nowMs = 10_000): EntryCommand[] =>
+    stepEntry(state, event, nowMs);
+  const read = (changes: readonly BackendChange[], revision: number, nowMs = 10_000): void => {
+    const kind = EntryEventKind.BackendsRead;
+    step({ kind, isWhole: false, changes, revision, source: 'test' }, nowMs);
+  };
+  const kind = EntryEventKind.ConfigurationRead;
+  step({ kind, deployment: createTestDeployment(), source: 'test' }, 0);
+  const entries = [
+    createTestEntry('c1', 'counter'),
+    createTestEntry('c2', 'counter'),
+    createTestEntry('e1', 'llm'),
+    createTestEntry('e2', 'llm'),
+  ];
+  read(
+    entries.map((entry) => ({ id: entry.id, revision: 5, entry })),
+    5,
+    0,
+  );
+  const arrive = (request: ForwardRequest, nowMs = 10_000): EntryCommand[] =>
+    step({ kind: EntryEventKind.RequestArrived, request }, nowMs);
+  return { state, step, arrive, read };
+}
+
+/** Finds the orders of one kind. */
+export function findCommands<K extends EntryCommandKind>(
+  commands: readonly EntryCommand[],
+  kind: K,
+): EntryCommandOf<K>[] {
+  return commands.filter((command) => command.kind === kind) as unknown as EntryCommandOf<K>[];
+}
+
+/** The one dispatch among some orders. */
+export function getDispatch(commands: readonly EntryCommand[]) {
+  const [dispatch] = findCommands(commands, EntryCommandKind.Dispatch);
+  if (dispatch === undefined) {
+    throw new TypeError('there is no dispatch');
+  }
+  return dispatch;
+}
