--- a/src/coordination/entry/arrivals.ts
+++ b/src/coordination/entry/arrivals.ts
@@ -43,8 +43,14 @@
 } from './records.js';
 import { EntryLifecycle, type EntryState, ForwardPhase, type ForwardRecord } from './state.js';
 
-/** What a caller is told to wait while this VM has no configuration: reading it takes less. */
-const STARTING_RETRY_MS = 500;
+/**
+ * What a caller is told to wait. While this VM has no configuration: reading it takes less. While it stops:
+ * another VM takes the request at once.
+ */
+const RETRY_TIMES_MS: ReadonlyMap<number, number> = new Map([
+  [Diagnostics.NotConfigured.code, 500],
+  [Diagnostics.Stopping.code, 50],
+]);
 /** A refusal for rate names at least this time. */
 const MIN_RATE_RETRY_MS = 100;
 /** A refusal for rate names at most this time; a longer one would outlast most callers. */
@@ -92,6 +98,9 @@
   if (deployment === null || state.lifecycle === EntryLifecycle.Starting) {
     return Left(createDiagnostic(Diagnostics.NotConfigured));
   }
+  if (state.lifecycle === EntryLifecycle.Draining) {
+    return Left(createDiagnostic(Diagnostics.Stopping));
+  }
   const route = findForwardRoute(deployment, request.host, request.path);
   if (route === undefined) {
     return Left(createDiagnostic(Diagnostics.UnknownRoute, request.host, request.path));
@@ -116,8 +125,7 @@
   diagnostic: Diagnostic,
 ): EntryCommand[] {
   const { callerRequestId, requestId } = request;
-  const isStarting = diagnostic.code === Diagnostics.NotConfigured.code;
-  const retryAfterMs = isStarting ? STARTING_RETRY_MS : null;
+  const retryAfterMs = RETRY_TIMES_MS.get(diagnostic.code) ?? null;
   return [
     {
       kind: EntryCommandKind.Refuse,
--- a/src/coordination/entry/lifecycle.ts
+++ b/src/coordination/entry/lifecycle.ts
@@ -18,7 +18,7 @@
 import { sweepBackends } from './discovery.js';
 import { abortForward, cancelAttempt, refuseForward } from './records.js';
 import { RunClaim } from '../../state/types.js';
-import { EntryLifecycle, type EntryState, ForwardPhase } from './state.js';
+import { EntryLifecycle, type EntryState, ForwardPhase, isLeaving } from './state.js';
 
 /** The platform asks once a second and takes a VM out after two misses; with a little to spare. */
 const NOTICE_MS = 2_600;
@@ -34,7 +34,7 @@
 
 /** Begins a planned stop. */
 export function handleStopRequested(state: EntryState): EntryCommand[] {
-  if (state.lifecycle === EntryLifecycle.Stopping) {
+  if (isLeaving(state)) {
     return [];
   }
   state.lifecycle = EntryLifecycle.Stopping;
@@ -79,10 +79,10 @@
     : [createStopTimer(StopStep.Close, DRAIN_POLL_MS)];
 
 const STOP_HANDLERS: Readonly<Record<StopStep, StopHandler>> = {
-  [StopStep.Close]: (state, nowMs) => [
-    { kind: EntryCommandKind.StopAccepting },
-    ...pollDrain(state, nowMs),
-  ],
+  [StopStep.Close]: (state, nowMs) => {
+    state.lifecycle = EntryLifecycle.Draining;
+    return [{ kind: EntryCommandKind.StopAccepting }, ...pollDrain(state, nowMs)];
+  },
   [StopStep.BreakOff]: (state, nowMs) => [
     ...breakOffAll(state, nowMs),
     createStopTimer(StopStep.Exit, state.policy.stopGraceMs * (EXIT_PART - BREAK_OFF_PART)),
--- a/src/coordination/entry/peers.ts
+++ b/src/coordination/entry/peers.ts
@@ -13,7 +13,7 @@
   type EntryEventOf,
 } from './events.js';
 import { countWaiting, pumpWaiting } from './forwarding.js';
-import { EntryLifecycle, type EntryState } from './state.js';
+import { type EntryState, isLeaving } from './state.js';
 
 /** A report that has not changed for this time is not passed on. */
 const REPORT_MAX_AGE_MS = 5_000;
@@ -48,7 +48,7 @@
     sequence: state.reportSequence,
     configurationVersion: state.deployment?.version ?? 0,
     backendsRevision: state.backendsRevision,
-    isLeaving: state.lifecycle === EntryLifecycle.Stopping,
+    isLeaving: isLeaving(state),
     workspaceDemands: listDemands(state.workspaceDemand, nowMs),
     modelDemands: listModelDemands(state, nowMs),
   };
--- a/src/coordination/entry/state.ts
+++ b/src/coordination/entry/state.ts
@@ -75,10 +75,18 @@
 export const EntryLifecycle = {
   Starting: 'starting',
   Running: 'running',
+  /** Not ready, but callers may not have noticed yet. */
   Stopping: 'stopping',
+  /** Only what is under way is served. */
+  Draining: 'draining',
 } as const;
 export type EntryLifecycle = (typeof EntryLifecycle)[keyof typeof EntryLifecycle];
 
+/** Tells whether a planned stop has begun. */
+export function isLeaving({ lifecycle }: Pick<EntryState, 'lifecycle'>): boolean {
+  return lifecycle === EntryLifecycle.Stopping || lifecycle === EntryLifecycle.Draining;
+}
+
 /** A budget of repeated requests for one service. */
 export interface RetryBudget {
   tokens: number;
--- a/src/transport/entry/answers.ts
+++ b/src/transport/entry/answers.ts
@@ -18,10 +18,12 @@
   holdAttempt,
   noteSignal,
 } from './attempt.js';
-import { isAnswerBegun, noteEvent } from './exchange.js';
+import { type ForwardExchange, isAnswerBegun, noteEvent } from './exchange.js';
 import type { AnswerHead } from './wire.js';
 
 const HTTP_OK = 200;
+/** No content, and not modified. */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 const EVENT_STREAM_PATTERN = /^text\/event-stream\b/i;
 /** Larger answers are passed on as they come, and a break in them ends the caller's connection. */
 const MAX_HELD_BYTES = 1_048_576;
@@ -54,10 +56,25 @@
   }
 }
 
+/** Tells whether the answer itself tells where it ends. */
+function isFramed(
+  { request }: ForwardExchange,
+  { headers, statusCode = 0 }: IncomingMessage,
+): boolean {
+  const hasNoBody = request.method === 'HEAD' || BODILESS_STATUSES.has(statusCode);
+  const hasFraming =
+    headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+  return hasNoBody || hasFraming;
+}
+
 function beginAnswer(attempt: Attempt, response: IncomingMessage): void {
   const { context, exchange } = attempt;
   if (!isAnswerBegun(exchange) && !exchange.response.destroyed) {
     const headers = context.wire.encodeAnswerHead(response.rawHeaders);
+    if (!isFramed(exchange, response)) {
+      exchange.response.shouldKeepAlive = false;
+      exchange.response.useChunkedEncodingByDefault = false;
+    }
     exchange.response.writeHead(response.statusCode ?? HTTP_OK, [...headers]);
     postBegun(attempt);
   }
@@ -135,7 +152,8 @@
       completeAttempt(attempt);
     } else {
       const headers = context.wire.encodeAnswerHead(response.rawHeaders);
-      holdAttempt(attempt, response.statusCode ?? 0, headers, Buffer.concat(held));
+      const status = response.statusCode ?? 0;
+      holdAttempt(attempt, status, headers, Buffer.concat(held), isFramed(exchange, response));
     }
   });
 }
--- a/src/transport/entry/attempt.ts
+++ b/src/transport/entry/attempt.ts
@@ -114,12 +114,13 @@
   status: number,
   headers: readonly string[],
   body: Buffer,
+  isFramed: boolean,
 ): void {
   const { command, context, exchange, load } = attempt;
   if (!settle(attempt)) {
     return;
   }
-  exchange.held = { attempt: command.attempt, status, headers, body };
+  exchange.held = { attempt: command.attempt, status, headers, body, isFramed };
   const { requestId } = command;
   const kind = EntryEventKind.AnswerReady;
   context.post({ kind, requestId, attempt: command.attempt, status, load });
--- a/src/transport/entry/commandTable.ts
+++ b/src/transport/entry/commandTable.ts
@@ -28,6 +28,7 @@
   abortForwardAnswer,
   type ForwardExchange,
   sendForwardRefusal,
+  sendUnframedAnswer,
   sendWholeAnswer,
 } from './exchange.js';
 import { applyLimits } from './forwardServer.js';
@@ -112,8 +113,9 @@
     [EntryCommandKind.DeliverAnswer]: ({ attempt, requestId }) => {
       const exchange = exchanges.get(requestId);
       if (exchange?.held?.attempt === attempt) {
-        const { body, headers, status } = exchange.held;
-        sendWholeAnswer(exchange, status, headers, body);
+        const { body, headers, isFramed, status } = exchange.held;
+        const send = isFramed ? sendWholeAnswer : sendUnframedAnswer;
+        send(exchange, status, headers, body);
       }
     },
     [EntryCommandKind.Refuse]: ({ refusal, requestId }) => {
--- a/src/transport/entry/entryDaemon.ts
+++ b/src/transport/entry/entryDaemon.ts
@@ -6,7 +6,7 @@
 import { Cause, Clock, Effect, Exit } from 'effect';
 import { type EntryEvent, EntryEventKind, EntryPart } from '../../coordination/entry/events.js';
 import { stepEntry } from '../../coordination/entry/handlers.js';
-import { createEntryState, EntryLifecycle } from '../../coordination/entry/state.js';
+import { createEntryState, isLeaving } from '../../coordination/entry/state.js';
 import { LogLevel } from '../../coordination/events.js';
 import { createEventLoop, readClockMs } from '../../coordination/loop.js';
 import { createDiagnostic, DiagnosticError, Diagnostics } from '../../state/diagnostics.js';
@@ -131,7 +131,7 @@
     exchanges,
     createRequestId: createCounter('request'),
     getLimits: () => current.limits,
-    isStopping: () => state.lifecycle === EntryLifecycle.Stopping,
+    isStopping: () => isLeaving(state),
     maxConnections: countCallerConnections(settings.maxDescriptors),
   });
   const readyServer = createReadyServer(wire.readyPath, () => current.isReady);
--- a/src/transport/entry/exchange.ts
+++ b/src/transport/entry/exchange.ts
@@ -16,6 +16,8 @@
   readonly status: number;
   readonly headers: readonly string[];
   readonly body: Buffer;
+  /** False if only the end of the connection told the end of the body, as it must to the caller. */
+  readonly isFramed: boolean;
 }
 
 /** A request that has been read, until its answer is out. */
@@ -59,6 +61,24 @@
   return response.headersSent;
 }
 
+/** Sends a body that ends with the connection: whether it is whole is not known. */
+export function sendUnframedAnswer(
+  exchange: ForwardExchange,
+  status: number,
+  headers: readonly string[],
+  body: Buffer,
+): void {
+  const { response } = exchange;
+  exchange.isEnded = true;
+  if (response.destroyed || response.headersSent) {
+    return;
+  }
+  response.shouldKeepAlive = false;
+  response.useChunkedEncodingByDefault = false;
+  response.writeHead(status, [...headers, 'Connection', 'close']);
+  response.end(body);
+}
+
 /** Sends a whole answer. */
 export function sendWholeAnswer(
   exchange: ForwardExchange,
--- a/tests/entry/placement.test.ts
+++ b/tests/entry/placement.test.ts
@@ -142,12 +142,6 @@
   });
 });
 
-function createControl(): EngineControl {
-  const control = createEngineControl(createTestEntry('e1', 'llm'));
-  mergeReport(control, createReport(2, ['m0', 'm1']), 0);
-  return control;
-}
-
 function createReport(orderCount: number, models: string[], isBusy = false) {
   return {
     isBusy,
@@ -157,6 +151,12 @@
   };
 }
 
+function createControl(): EngineControl {
+  const control = createEngineControl(createTestEntry('e1', 'llm'));
+  mergeReport(control, createReport(2, ['m0', 'm1']), 0);
+  return control;
+}
+
 const CHANGE = { model: 'm2', isLoad: true, orderedAtMs: 10_000, entryRevision: 7 };
 const ENTRY = createTestEntry('e1', 'llm', {
   models: [
