--- a/src/coordination/entry/policy.ts
+++ b/src/coordination/entry/policy.ts
@@ -24,7 +24,7 @@
   readonly stopGraceMs: number;
   /** Time between two sweeps of what expires. */
   readonly tickMs: number;
-  /** Time between two rounds of peer messages; two rounds reach all of nine VMs. */
+  /** Time between two rounds of peer messages; three rounds reach nearly all of nine VMs. */
   readonly peerIntervalMs: number;
   readonly peerFanout: number;
   /** A VM unheard for this time by peers and store is gone. */
@@ -39,8 +39,8 @@
 /** What the settings do not state. */
 export const ENTRY_POLICY_DEFAULTS = {
   tickMs: 200,
-  peerIntervalMs: 300,
-  peerFanout: 3,
+  peerIntervalMs: 400,
+  peerFanout: 2,
   vmGoneMs: 8_000,
   controllerTickMs: 200,
   /** Two seconds are the shortest in whole seconds with a renewal to spare. */
