Never take from a lagging entry that an engine holds less

By reading: an entry was taken over whole three seconds after the last change, and entries lag by any time while the store is away, so a model that had been loaded meanwhile was forgotten. An entry that differs now leads to a report.

--- a/src/coordination/entry/engineOrders.ts
+++ b/src/coordination/entry/engineOrders.ts
@@ -106,6 +106,13 @@
   }
 }
 
+/** Forgets orders without an answer that can no longer take effect: the engine has accepted others since. */
+function dropOvertaken(control: EngineControl): void {
+  control.doubtful = control.doubtful.filter(
+    ({ expectedOrderCount }) => expectedOrderCount >= control.orderCount,
+  );
+}
+
 type OutcomeHandler = (
   state: EntryState,
   control: EngineControl,
@@ -115,6 +122,7 @@
 
 const handleAccepted: OutcomeHandler = (_state, control, pending, nowMs) => {
   control.orderCount = Math.max(control.orderCount, pending.order.expectedOrderCount + 1);
+  dropOvertaken(control);
   applyOrder(control, pending, nowMs);
 };
 
--- a/src/coordination/entry/placementState.ts
+++ b/src/coordination/entry/placementState.ts
@@ -56,6 +56,8 @@
   /** True if its state must be read before the next order. */
   needsReport: boolean;
   reportAskedAtMs: number;
+  /** Revision of the last entry that led to a question because it differed. */
+  checkedRevision: number;
 }
 
 export interface PlacementState {
@@ -116,6 +118,7 @@
     adapterUsedAtMs: new Map(),
     needsReport: true,
     reportAskedAtMs: Number.NEGATIVE_INFINITY,
+    checkedRevision: 0,
   };
 }
 
@@ -141,7 +144,15 @@
   });
 }
 
-/** Takes over what a later entry shows: that an order was carried out, or what the engine has held since. */
+function isSameModels(control: EngineControl, entry: BackendEntry): boolean {
+  const names = entry.models.map(({ name }) => name);
+  return names.length === control.models.size && names.every((name) => control.models.has(name));
+}
+
+/**
+ * Takes over from a later entry that an order was carried out. Entries lag by any time while the store is
+ * slow or away, so one that differs otherwise changes nothing: the engine is asked.
+ */
 export function noteEntry(
   control: EngineControl,
   entry: BackendEntry,
@@ -150,10 +161,10 @@
 ): void {
   const { change } = control;
   if (change === null) {
-    if (control.pending === null && nowMs - control.changedAtMs > SETTLE_MS) {
-      const models = copyModels(entry.models);
-      keepRecentAdapters(control, models, nowMs);
-      control.models = models;
+    const isSettled = nowMs - control.changedAtMs > SETTLE_MS;
+    if (isSettled && revision > control.checkedRevision && !isSameModels(control, entry)) {
+      control.checkedRevision = revision;
+      control.needsReport = true;
     }
     return;
   }
--- a/tests/entry/placement.test.ts
+++ b/tests/entry/placement.test.ts
@@ -195,6 +195,13 @@
     expect(control.change).not.toBeNull();
   });
 
+  it('is not reduced by an entry that lags, which only leads to a question', () => {
+    const control = createControl();
+    const late = createTestEntry('e1', 'llm', { models: [] });
+    noteEntry(control, late, 9, 20_000);
+    expect([[...control.models.keys()], control.needsReport]).toEqual([['m0', 'm1'], true]);
+  });
+
   it('ignores a report that lacks orders which the engine has accepted', () => {
     const control = createControl();
     control.orderCount = 5;
