--- a/src/bin/gentiandeckEntry.ts
+++ b/src/bin/gentiandeckEntry.ts
@@ -8,8 +8,8 @@
 import { EntryPart } from '../coordination/entry/events.js';
 import { LogLevel } from '../coordination/events.js';
 import { DiagnosticError } from '../state/diagnostics.js';
-import { startEntryDaemon } from '../transport/entry/entryDaemon.js';
-import { createEntryLogWriter } from '../transport/entry/entryLog.js';
+import { type EntryDaemon, startEntryDaemon } from '../transport/entry/entryDaemon.js';
+import { createEntryLogWriter, type EntryLog } from '../transport/entry/entryLog.js';
 import type { EntrySettings } from '../transport/entry/settings.js';
 import { VERSION } from '../transport/version.js';
 
@@ -30,6 +30,19 @@
   process.stderr.write(`gentiandeck-entry: ${text}\n`);
 }
 
+/** Reads the settings file again; what cannot be read changes nothing. */
+async function reload(daemon: EntryDaemon, log: EntryLog): Promise<void> {
+  const warn = (detail: string): void => {
+    log.write(LogLevel.Error, EntryPart.Lifecycle, 'The settings cannot be read.', { detail });
+  };
+  try {
+    const text = await readSettingsFile(process.env);
+    decodeSettings(text).caseOf({ Left: ({ message }) => warn(message), Right: daemon.reload });
+  } catch (error) {
+    warn(error instanceof Error ? error.message : String(error));
+  }
+}
+
 async function run(settings: EntrySettings, { logLevel, metricsPort }: Options): Promise<void> {
   const log = createEntryLogWriter(logLevel, settings.vmId);
   const store = createPlatformStore(settings.storeAddress, STORE_TIMEOUT_MS);
@@ -38,7 +51,7 @@
   process.on('SIGTERM', daemon.stop);
   process.on('SIGINT', daemon.stop);
   process.on('SIGHUP', () => {
-    log.write(LogLevel.Info, EntryPart.Lifecycle, 'The settings may have changed.');
+    void reload(daemon, log);
   });
   await daemon.ended;
   log.flush();
--- a/src/coordination/entry/events.ts
+++ b/src/coordination/entry/events.ts
@@ -8,6 +8,7 @@
 import type { Diagnostic } from '../../state/diagnostics.js';
 import type { Refusal, RunState } from '../../state/types.js';
 import type { LogLevel, RequestMeasure } from '../events.js';
+import type { EntryPolicy } from './policy.js';
 
 /** A request as the decisions see it. */
 export interface ForwardRequest {
@@ -121,6 +122,7 @@
   OrderAnswered: 'orderAnswered',
   EngineReported: 'engineReported',
   Suspended: 'suspended',
+  SettingsRead: 'settingsRead',
   StopRequested: 'stopRequested',
   StopStep: 'stopStep',
 } as const;
@@ -231,6 +233,7 @@
     readonly report: EngineReport | null;
   };
   [EntryEventKind.Suspended]: { readonly lostMs: number };
+  [EntryEventKind.SettingsRead]: { readonly policy: EntryPolicy };
   [EntryEventKind.StopRequested]: Record<never, never>;
   [EntryEventKind.StopStep]: { readonly step: StopStep };
 }
--- a/src/coordination/entry/handlers.ts
+++ b/src/coordination/entry/handlers.ts
@@ -27,7 +27,12 @@
   handleAttemptSilent,
   handleWaitDue,
 } from './forwarding.js';
-import { handleStopRequested, handleStopStep, handleTick } from './lifecycle.js';
+import {
+  handleSettingsRead,
+  handleStopRequested,
+  handleStopStep,
+  handleTick,
+} from './lifecycle.js';
 import { handlePeerMessage, handlePeerTick } from './peers.js';
 import type { EntryState } from './state.js';
 
@@ -64,6 +69,7 @@
   [EntryEventKind.OrderAnswered]: handleOrderAnswered,
   [EntryEventKind.EngineReported]: handleEngineReported,
   [EntryEventKind.Suspended]: handleSuspended,
+  [EntryEventKind.SettingsRead]: handleSettingsRead,
   [EntryEventKind.StopRequested]: handleStopRequested,
   [EntryEventKind.StopStep]: handleStopStep,
 };
--- a/src/coordination/entry/lifecycle.ts
+++ b/src/coordination/entry/lifecycle.ts
@@ -18,6 +18,7 @@
 import { sweepBackends } from './discovery.js';
 import { abortForward, cancelAttempt, refuseForward } from './records.js';
 import { RunClaim } from '../../state/types.js';
+import type { EntryPolicy } from './policy.js';
 import { EntryLifecycle, type EntryState, ForwardPhase, isLeaving, noteVmsSeen } from './state.js';
 
 /** The platform asks once a second and takes a VM out after two misses; with a little to spare. */
@@ -105,6 +106,23 @@
   return STOP_HANDLERS[event.step](state, nowMs);
 }
 
+/** Puts the limits of settings that were read again in force. Addresses take a restart. */
+export function handleSettingsRead(
+  state: EntryState,
+  event: EntryEventOf<typeof EntryEventKind.SettingsRead>,
+): EntryCommand[] {
+  const { policy } = event;
+  const changed = Object.entries(policy)
+    .filter(([name, value]) => state.policy[name as keyof EntryPolicy] !== value)
+    .map(([name, value]) => `${name}=${value}`);
+  state.policy = policy;
+  return [
+    createEntryLog(LogLevel.Info, EntryPart.Lifecycle, 'The settings were read again.', {
+      changed: changed.join(' '),
+    }),
+  ];
+}
+
 /** Asks again for the adapters of requests that still wait: the controller may have changed. */
 function askAgain(state: EntryState, nowMs: number): EntryCommand[] {
   return [...state.requests.values()]
--- a/src/coordination/entry/state.ts
+++ b/src/coordination/entry/state.ts
@@ -96,7 +96,8 @@
 
 export interface EntryState {
   readonly self: EntrySelf;
-  readonly policy: EntryPolicy;
+  /** Replaced when the settings are read again. */
+  policy: EntryPolicy;
   readonly random: RandomState;
   readonly startedAtMs: number;
   lifecycle: EntryLifecycle;
--- a/src/transport/entry/entryDaemon.ts
+++ b/src/transport/entry/entryDaemon.ts
@@ -52,6 +52,8 @@
 export interface EntryDaemon {
   /** Starts a planned stop. */
   readonly stop: () => void;
+  /** Puts the limits of changed settings in force. */
+  readonly reload: (settings: EntrySettings) => void;
   /** Resolves once the daemon has ended. */
   readonly ended: Promise<void>;
 }
@@ -215,5 +217,10 @@
     store: settings.storeAddress,
     incarnation,
   });
-  return { stop: () => post({ kind: EntryEventKind.StopRequested }), ended };
+  return {
+    stop: () => post({ kind: EntryEventKind.StopRequested }),
+    reload: (changed) =>
+      post({ kind: EntryEventKind.SettingsRead, policy: createEntryPolicy(changed) }),
+    ended,
+  };
 }
--- a/tests/entry/lifecycle.test.ts
+++ b/tests/entry/lifecycle.test.ts
@@ -6,6 +6,15 @@
 import { getForwardStatus } from '../../src/protocol/entry/refusals.js';
 import { createTestRequest, createTestVm, findCommands, getDispatch } from './fixtures.js';
 
+describe('settings that are read again', () => {
+  it('put their limits in force', () => {
+    const vm = createTestVm();
+    const policy = { ...vm.state.policy, retryRatio: 0.5 };
+    vm.step({ kind: EntryEventKind.SettingsRead, policy });
+    expect(vm.state.policy.retryRatio).toBe(0.5);
+  });
+});
+
 describe('a planned stop', () => {
   it('is not ready at once, and still serves', () => {
     const vm = createTestVm();
