--- a/src/coordination/entry/controller.ts
+++ b/src/coordination/entry/controller.ts
@@ -239,7 +239,7 @@
 }
 
 /** One round of the controller's work. */
-export function runController(state: EntryState, nowMs: number): EntryCommand[] {
+function runController(state: EntryState, nowMs: number): EntryCommand[] {
   const controls = syncEngines(state, nowMs);
   if (!mayOrder(state, nowMs)) {
     return [];
@@ -255,6 +255,11 @@
   return commands;
 }
 
+/** Goes on with the placement at once when engines have told of a change. */
+export function continueControl(state: EntryState, nowMs: number): EntryCommand[] {
+  return state.placement.fence === null ? [] : runController(state, nowMs);
+}
+
 /** Renews or claims the lease, gives orders, and starts the timer of the next round. */
 export function handleControllerTick(
   state: EntryState,
@@ -267,7 +272,7 @@
     createEntryTimer(kind, controllerTickMs, { kind }),
     ...claimVacantLease(state, nowMs),
     ...keepLease(state, nowMs),
-    ...(state.placement.fence === null ? [] : runController(state, nowMs)),
+    ...continueControl(state, nowMs),
   ];
 }
 
--- a/src/coordination/entry/handlers.ts
+++ b/src/coordination/entry/handlers.ts
@@ -4,6 +4,7 @@
 import { handleAdapterAnswered } from './adapterAnswers.js';
 import { handleCallerLeft, handleRequestArrived, handleRequestDue } from './arrivals.js';
 import {
+  continueControl,
   handleAdapterAsked,
   handleControllerAnswered,
   handleControllerRead,
@@ -55,7 +56,10 @@
   [EntryEventKind.AttemptFailed]: handleAttemptFailed,
   [EntryEventKind.AttemptSilent]: handleAttemptSilent,
   [EntryEventKind.ConfigurationRead]: handleConfigurationRead,
-  [EntryEventKind.BackendsRead]: handleBackendsRead,
+  [EntryEventKind.BackendsRead]: (state, event, nowMs) => [
+    ...handleBackendsRead(state, event, nowMs),
+    ...continueControl(state, nowMs),
+  ],
   [EntryEventKind.VmsRead]: handleVmsRead,
   [EntryEventKind.StoreAccess]: handleStoreAccess,
   [EntryEventKind.Tick]: handleTick,
--- a/src/transport/entry/entryDaemon.ts
+++ b/src/transport/entry/entryDaemon.ts
@@ -119,6 +119,7 @@
     writeLog,
     nextRandom: () => nextRandom(random),
     view,
+    isController: () => state.placement.fence !== null,
   };
   const registration = createVmRegistration(store, self, writeLog);
   const suspension = createSuspensionWatch(
--- a/src/transport/entry/storeWatches.ts
+++ b/src/transport/entry/storeWatches.ts
@@ -18,10 +18,14 @@
 import { decodeControllerClaim, decodeListedVm, EntryKey } from './storeKeys.js';
 import type { EntryWire } from './wire.js';
 
-/** How long one call waits for changes. Shorter finds a dead connection sooner, and costs more calls. */
-const WATCH_MS = 1_500;
-/** Changes that come in quick succession are read by one call. */
-const BATCH_MS = 60;
+/**
+ * How long one call waits for changes. Shorter finds a dead connection sooner, and costs more calls; with
+ * the client's slack and a retry it stays under the three seconds in which the platform lets a VM be out of touch.
+ */
+const WATCH_MS = 1_900;
+/** Changes that come in quick succession are read by one call; the controller waits for each engine. */
+const BATCH_MS = 200;
+const CONTROLLER_BATCH_MS = 40;
 const MIN_RETRY_MS = 100;
 const MAX_RETRY_MS = 400;
 
@@ -40,6 +44,7 @@
   readonly writeLog: EntryLogWriter;
   readonly nextRandom: () => number;
   readonly view: StoreView;
+  readonly isController: () => boolean;
 }
 
 /** Creates a view in which nothing has been read. */
@@ -72,7 +77,7 @@
     revision = changes?.revision ?? null;
     if (changes !== null && changes.items.length > 0) {
       take(changes, false);
-      yield* Effect.sleep(BATCH_MS);
+      yield* Effect.sleep(context.isController() ? CONTROLLER_BATCH_MS : BATCH_MS);
     }
   });
   const waitToRetry = Effect.suspend(() => {
