--- a/src/coordination/entry/rates.ts
+++ b/src/coordination/entry/rates.ts
@@ -26,7 +26,7 @@
  * Part of the tolerated excess that widens the buckets, so that one of a small part holds a request. The
  * rest covers parts that do not sum to one while reports are on their way.
  */
-const TOLERANCE_PART = 0.3;
+const TOLERANCE_PART = 0.6;
 const MS_PER_SECOND = 1000;
 
 /** Demand of the other VMs; one that has not told any is taken to have as much as the mean. */
