--- a/src/coordination/entry/arrivals.ts
+++ b/src/coordination/entry/arrivals.ts
@@ -33,12 +33,12 @@
 import { startForward } from './forwarding.js';
 import { getRateBucket, takeRate } from './rates.js';
 import {
-  abortForward,
   cancelAttempt,
   closeForward,
   describeRecord,
   getDemandKey,
   getDueTimerId,
+  giveUpForward,
   refuseForward,
 } from './records.js';
 import { EntryLifecycle, type EntryState, ForwardPhase, type ForwardRecord } from './state.js';
@@ -277,13 +277,5 @@
   }
   const timeMs = record.endsAtMs - record.arrivedAtMs;
   const diagnostic = createDiagnostic(Diagnostics.DeadlineExceeded, timeMs);
-  const cancel = cancelAttempt(record);
-  if (record.phase === ForwardPhase.Dispatched) {
-    record.runClaim = RunClaim.Unknown;
-  }
-  const end =
-    record.firstEventAtMs === null
-      ? refuseForward(state, record, diagnostic, nowMs)
-      : abortForward(state, record, diagnostic, nowMs);
-  return [...cancel, ...end];
+  return giveUpForward(state, record, diagnostic, nowMs);
 }
--- a/src/coordination/entry/handlers.ts
+++ b/src/coordination/entry/handlers.ts
@@ -26,8 +26,8 @@
   handleAnswerReady,
   handleAttemptFailed,
   handleAttemptSilent,
-  handleWaitDue,
-} from './forwarding.js';
+} from './attempts.js';
+import { handleWaitDue } from './forwarding.js';
 import {
   handleSettingsRead,
   handleStopRequested,
--- a/src/coordination/entry/lifecycle.ts
+++ b/src/coordination/entry/lifecycle.ts
@@ -16,8 +16,7 @@
 } from './events.js';
 import { askForAdapter } from './adapterRequests.js';
 import { sweepBackends } from './discovery.js';
-import { abortForward, cancelAttempt, refuseForward } from './records.js';
-import { RunClaim } from '../../state/types.js';
+import { giveUpForward } from './records.js';
 import type { EntryPolicy } from './policy.js';
 import { EntryLifecycle, type EntryState, ForwardPhase, isLeaving, noteVmsSeen } from './state.js';
 
@@ -59,17 +58,9 @@
 
 function breakOffAll(state: EntryState, nowMs: number): EntryCommand[] {
   const diagnostic = createDiagnostic(Diagnostics.Stopping);
-  return [...state.requests.values()].flatMap((record) => {
-    const cancel = cancelAttempt(record);
-    if (record.phase === ForwardPhase.Dispatched) {
-      record.runClaim = RunClaim.Unknown;
-    }
-    const end =
-      record.firstEventAtMs === null
-        ? refuseForward(state, record, diagnostic, nowMs)
-        : abortForward(state, record, diagnostic, nowMs);
-    return [...cancel, ...end];
-  });
+  return [...state.requests.values()].flatMap((record) =>
+    giveUpForward(state, record, diagnostic, nowMs),
+  );
 }
 
 type StopHandler = (state: EntryState, nowMs: number) => EntryCommand[];
--- a/src/coordination/entry/records.ts
+++ b/src/coordination/entry/records.ts
@@ -152,3 +152,21 @@
     ...closeForward(state, record, { outcome: RequestOutcome.Broken, diagnostic }, nowMs),
   ];
 }
+
+/** Ends a request wherever it stands; one that is under way may have run. */
+export function giveUpForward(
+  state: EntryState,
+  record: ForwardRecord,
+  diagnostic: Diagnostic,
+  nowMs: number,
+): EntryCommand[] {
+  const cancel = cancelAttempt(record);
+  if (record.phase === ForwardPhase.Dispatched) {
+    record.runClaim = RunClaim.Unknown;
+  }
+  const end =
+    record.firstEventAtMs === null
+      ? refuseForward(state, record, diagnostic, nowMs)
+      : abortForward(state, record, diagnostic, nowMs);
+  return [...cancel, ...end];
+}
--- a/src/transport/entry/settings.ts
+++ b/src/transport/entry/settings.ts
@@ -14,43 +14,11 @@
   readonly peerAddress: string;
   readonly storeAddress: string;
   readonly maxDescriptors: number;
-  readonly stopGraceMs: number;
-  readonly retryRatio: number;
-  readonly retryWindowMs: number;
-  readonly retryReserve: number;
-  readonly rateWindowMs: number;
-  readonly rateExcessPart: number;
-  readonly rateReserveTokens: number;
-  readonly takeoverWaitMs: number;
-  readonly loadWindowMs: number;
-  readonly loadFactor: number;
+  /** Bounds that the platform states. */
+  readonly bounds: Omit<EntryPolicy, keyof typeof ENTRY_POLICY_DEFAULTS>;
 }
 
 /** Derives the limits of the decisions from the settings. */
-export function createEntryPolicy(settings: EntrySettings): EntryPolicy {
-  const {
-    loadFactor,
-    loadWindowMs,
-    rateExcessPart,
-    rateReserveTokens,
-    rateWindowMs,
-    retryRatio,
-    retryReserve,
-    retryWindowMs,
-    stopGraceMs,
-    takeoverWaitMs,
-  } = settings;
-  return {
-    ...ENTRY_POLICY_DEFAULTS,
-    loadFactor,
-    loadWindowMs,
-    rateExcessPart,
-    rateReserveTokens,
-    rateWindowMs,
-    retryRatio,
-    retryReserve,
-    retryWindowMs,
-    stopGraceMs,
-    takeoverWaitMs,
-  };
+export function createEntryPolicy({ bounds }: EntrySettings): EntryPolicy {
+  return { ...ENTRY_POLICY_DEFAULTS, ...bounds };
 }
