Make peers' calls in one place, and drop what nothing reads

Both daemons kept connect clients by address with the same code; peerCalls.ts does it for any service. A record's end of waiting was written and never read; the timer holds it. A re-export of encodeRefusal is gone. Behaviour is the same.

--- a/src/coordination/entry/arrivals.ts
+++ b/src/coordination/entry/arrivals.ts
@@ -173,7 +173,6 @@
     arrivedAtMs: nowMs,
     endsAtMs: nowMs + timeMs,
     phase: ForwardPhase.Waiting,
-    waitsUntilMs: nowMs,
     attempt: 0,
     backendId: null,
     usedBackends: [],
--- a/src/coordination/entry/forwarding.ts
+++ b/src/coordination/entry/forwarding.ts
@@ -144,7 +144,6 @@
   const { requestId } = record.request;
   const waitMs = getWaitMs(record, nowMs);
   record.phase = ForwardPhase.Waiting;
-  record.waitsUntilMs = nowMs + waitMs;
   return [
     createEntryTimer(getWaitTimerId(requestId), waitMs, {
       kind: EntryEventKind.WaitDue,
--- a/src/coordination/entry/state.ts
+++ b/src/coordination/entry/state.ts
@@ -47,8 +47,6 @@
   /** When the caller or the route gives it up. */
   readonly endsAtMs: number;
   phase: ForwardPhase;
-  /** When it stops waiting for its model. */
-  waitsUntilMs: number;
   attempt: number;
   backendId: string | null;
   /** Backend servers that it was sent to and that may have run it. */
--- a/src/protocol/entry/refusals.ts
+++ b/src/protocol/entry/refusals.ts
@@ -4,7 +4,7 @@
  */
 import { type Diagnostic, Diagnostics } from '../../state/diagnostics.js';
 import { type Refusal, RunClaim } from '../../state/types.js';
-import { encodeRefusal, getStatus, RUN_HEADER } from '../statusCodes.js';
+import { getStatus, RUN_HEADER } from '../statusCodes.js';
 
 const HttpStatus = {
   ServerError: 500,
@@ -37,5 +37,3 @@
     ? headers
     : [...headers, 'Retry-After', String(Math.ceil(retryAfterMs) / MS_PER_SECOND)];
 }
-
-export { encodeRefusal };
--- a/src/transport/entry/entryPeers.ts
+++ b/src/transport/entry/entryPeers.ts
@@ -3,8 +3,7 @@
  */
 import http, { type Server } from 'node:http';
 import { create } from '@bufbuild/protobuf';
-import { type Client, createClient } from '@connectrpc/connect';
-import { connectNodeAdapter, createConnectTransport } from '@connectrpc/connect-node';
+import { connectNodeAdapter } from '@connectrpc/connect-node';
 import { Effect } from 'effect';
 import { type EntryEvent, EntryEventKind } from '../../coordination/entry/events.js';
 import {
@@ -18,14 +17,14 @@
   type FetchStateResponse,
   FetchStateResponseSchema,
 } from '../../protocol/gen/entry_pb.js';
-import { createDiagnostic, type Diagnostic, Diagnostics } from '../../state/diagnostics.js';
+import type { Diagnostic } from '../../state/diagnostics.js';
+import { createPeerCalls, MAX_PEER_MESSAGE_BYTES } from '../peerCalls.js';
 import type { StoreView } from './storeWatches.js';
 
 /** A peer that does not answer within this time is cut off or stands still. */
 const PEER_TIMEOUT_MS = 700;
 /** The controller answers after the orders for an adapter, or says that there is none. */
 const ADAPTER_TIMEOUT_MS = 2_000;
-const MAX_MESSAGE_BYTES = 8_388_608;
 const EMPTY_NEWS: PeerNews = { reports: [], board: null };
 
 /** Replies that the loop owes to peers, by reply id. */
@@ -97,7 +96,7 @@
         fetchState: () => encodeView(view),
       });
     },
-    readMaxBytes: MAX_MESSAGE_BYTES,
+    readMaxBytes: MAX_PEER_MESSAGE_BYTES,
   });
   return http.createServer(handler);
 }
@@ -123,34 +122,7 @@
 
 /** Creates the client. Connections are kept by address. */
 export function createEntryPeerClient(): EntryPeerClient {
-  const clients = new Map<string, Client<typeof EntryPeerService>>();
-  const agent = new http.Agent({ keepAlive: true });
-
-  const getClient = (address: string): Client<typeof EntryPeerService> => {
-    const known = clients.get(address);
-    if (known !== undefined) {
-      return known;
-    }
-    const transport = createConnectTransport({
-      baseUrl: `http://${address}`,
-      httpVersion: '1.1',
-      nodeOptions: { agent },
-      readMaxBytes: MAX_MESSAGE_BYTES,
-    });
-    const client = createClient(EntryPeerService, transport);
-    clients.set(address, client);
-    return client;
-  };
-
-  const call = <T>(
-    address: string,
-    run: (client: Client<typeof EntryPeerService>) => Promise<T>,
-  ): Effect.Effect<T, Diagnostic> =>
-    Effect.tryPromise({
-      try: () => run(getClient(address)),
-      catch: () => createDiagnostic(Diagnostics.PeerUnavailable, address),
-    });
-
+  const { call, close } = createPeerCalls(EntryPeerService);
   const timeoutMs = PEER_TIMEOUT_MS;
   return {
     exchange: (address, news) =>
@@ -162,6 +134,6 @@
         client.ensureAdapter(question, { timeoutMs: ADAPTER_TIMEOUT_MS }),
       ).pipe(Effect.map(({ backendId }) => backendId ?? null)),
     fetchState: (address) => call(address, (client) => client.fetchState({}, { timeoutMs })),
-    close: () => agent.destroy(),
+    close,
   };
 }
--- a/src/transport/entry/exchange.ts
+++ b/src/transport/entry/exchange.ts
@@ -2,11 +2,8 @@
  * One forwarded request and its answer on the way out. Bytes stream past the loop.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import {
-  encodeRefusal,
-  getForwardRefusalHeaders,
-  getForwardStatus,
-} from '../../protocol/entry/refusals.js';
+import { getForwardRefusalHeaders, getForwardStatus } from '../../protocol/entry/refusals.js';
+import { encodeRefusal } from '../../protocol/statusCodes.js';
 import type { Refusal } from '../../state/types.js';
 import type { EntryWire } from './wire.js';
 
--- a/src/transport/peers.ts
+++ b/src/transport/peers.ts
@@ -3,8 +3,8 @@
  */
 import http, { type Server } from 'node:http';
 import { create } from '@bufbuild/protobuf';
-import { type Client, createClient, type ConnectRouter } from '@connectrpc/connect';
-import { connectNodeAdapter, createConnectTransport } from '@connectrpc/connect-node';
+import type { ConnectRouter } from '@connectrpc/connect';
+import { connectNodeAdapter } from '@connectrpc/connect-node';
 import { Effect } from 'effect';
 import {
   type CommandKind,
@@ -23,13 +23,13 @@
   PeerService,
 } from '../protocol/gen/peer_pb.js';
 import { decodeGossip, encodeGossip } from '../protocol/peerMessages.js';
-import { createDiagnostic, type Diagnostic, Diagnostics } from '../state/diagnostics.js';
+import type { Diagnostic } from '../state/diagnostics.js';
 import { ALL_SECTIONS, type GossipMessage, type Head } from '../state/types.js';
 import type { ClaimState } from './claims.js';
+import { createPeerCalls, MAX_PEER_MESSAGE_BYTES } from './peerCalls.js';
 import type { BlobMap, TextRevision } from './configurationSource.js';
 
 const PEER_TIMEOUT_MS = 1_000;
-const MAX_MESSAGE_BYTES = 8_388_608;
 /** A peer that the loop has no answer for within this time gets none. */
 const REPLY_TIMEOUT_MS = 1_000;
 
@@ -142,7 +142,7 @@
 export function createPeerServer(context: PeerServerContext): Server {
   const handler = connectNodeAdapter({
     routes: (router) => addPeerRoutes(router, context),
-    readMaxBytes: MAX_MESSAGE_BYTES,
+    readMaxBytes: MAX_PEER_MESSAGE_BYTES,
   });
   return http.createServer(handler);
 }
@@ -182,35 +182,7 @@
 
 /** Creates the client. Connections are kept by address. */
 export function createPeerClient(): PeerClient {
-  const clients = new Map<string, Client<typeof PeerService>>();
-  const agent = new http.Agent({ keepAlive: true });
-
-  const getClient = (address: string): Client<typeof PeerService> => {
-    const known = clients.get(address);
-    if (known !== undefined) {
-      return known;
-    }
-    const transport = createConnectTransport({
-      baseUrl: `http://${address}`,
-      httpVersion: '1.1',
-      nodeOptions: { agent },
-      readMaxBytes: MAX_MESSAGE_BYTES,
-    });
-    const client = createClient(PeerService, transport);
-    clients.set(address, client);
-    return client;
-  };
-
-  const call = <T>(
-    address: string,
-    run: (client: Client<typeof PeerService>) => Promise<T>,
-  ): Effect.Effect<T, Diagnostic> =>
-    Effect.tryPromise({
-      // Each call ends by its own time limit; an abort signal for each would cost more than the call.
-      try: () => run(getClient(address)),
-      catch: () => createDiagnostic(Diagnostics.PeerUnavailable, address),
-    });
-
+  const { call } = createPeerCalls(PeerService);
   const timeoutMs = PEER_TIMEOUT_MS;
   return {
     gossip: (address, message) =>
