Keep the connection that a queued request was opened for

Cause: the pool watches idle connections for bytes that belong to nobody and drops them. A request that was queued because its server had its share of connections gets a new connection from Node.js as one that 'has become free', while it still connects; the watch was only taken off connections that were already open. It struck only VMs at their share of connections, here both VMs of one failure domain at one server.

Ruled out: the due time (leftMs 2893), the silence watch (its decision was to go on), the connection's idle timer (Node.js heeds it only for connections in the free list), a server that ended its answer early.

The log line of a refused dispatch now tells the status, too.

--- a/src/transport/entry/answers.ts
+++ b/src/transport/entry/answers.ts
@@ -170,7 +170,7 @@
   }
   if (head.isRefused) {
     response.resume();
-    failAttempt(attempt, Diagnostics.BackendRefused, head);
+    failAttempt(attempt, Diagnostics.BackendRefused, head, response.statusCode ?? 0);
     return;
   }
   const isOk = response.statusCode === HTTP_OK;
--- a/src/transport/entry/attempt.ts
+++ b/src/transport/entry/attempt.ts
@@ -18,9 +18,6 @@
 import { type ForwardExchange, isAnswerBegun } from './exchange.js';
 import type { AnswerHead, EntryWire } from './wire.js';
 
-/** A connection that takes longer is given up: links take some milliseconds, or have lost a packet. */
-const CONNECT_TIMEOUT_MS = 700;
-
 export type DispatchCommand = EntryCommandOf<typeof EntryCommandKind.Dispatch>;
 
 /** What dispatches work with. */
@@ -69,13 +66,14 @@
   attempt: Attempt,
   message: DiagnosticMessage,
   head: Pick<AnswerHead, 'isRefused' | 'isMisdirected'> | null = null,
+  ...details: readonly number[]
 ): void {
   const { command, context, exchange, load, runState } = attempt;
   if (!settle(attempt)) {
     return;
   }
   const failure: AttemptFailure = {
-    diagnostic: createDiagnostic(message, command.backendId),
+    diagnostic: createDiagnostic(message, command.backendId, ...details),
     runState,
     isRefusedByServer: head?.isRefused ?? false,
     isMisdirected: head?.isMisdirected ?? false,
@@ -221,20 +219,7 @@
       request.end(exchange.body);
     }
   };
-  request.on('socket', (socket) => {
-    if (!socket.connecting) {
-      socket.emit('agentReuse');
-      send();
-      return;
-    }
-    socket.setNoDelay(true);
-    const timer = setTimeout(() => request.destroy(), CONNECT_TIMEOUT_MS);
-    socket.once('close', () => clearTimeout(timer));
-    socket.once('connect', () => {
-      clearTimeout(timer);
-      send();
-    });
-  });
+  context.agents.onConnection(request, send);
   request.on('error', () => failForLostConnection(attempt));
   request.on('close', () => failForLostConnection(attempt));
   request.on('response', (response) => {
--- a/src/transport/entry/backendAgent.ts
+++ b/src/transport/entry/backendAgent.ts
@@ -2,7 +2,7 @@
  * Connections to backend servers: kept while they are surely still open at the other side, and never more
  * than this VM's part of what a server accepts.
  */
-import http, { type IncomingMessage } from 'node:http';
+import http, { type ClientRequest, type IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 
 const KEEP_ALIVE_PATTERN = /timeout=(\d+)/i;
@@ -11,12 +11,16 @@
 const IDLE_PART = 0.6;
 /** Idle time of a connection whose server states none: shorter than a server's shortest, one second. */
 const UNSTATED_IDLE_MS = 400;
+/** A connection that takes longer is given up: links take some milliseconds, or have lost a packet. */
+const CONNECT_TIMEOUT_MS = 700;
 /** An address without connections for this time is forgotten. */
 const FORGET_INTERVAL_MS = 30_000;
 
 /** The connections to all backend servers. */
 export interface BackendAgents {
   readonly getAgent: (address: string, maxConnections: number) => http.Agent;
+  /** Calls back once the request has a connection that can be written to. */
+  readonly onConnection: (request: ClientRequest, send: () => void) => void;
   /** Notes from an answer how long its connection may stay idle. */
   readonly noteIdleTime: (response: IncomingMessage) => void;
   readonly close: () => void;
@@ -37,6 +41,24 @@
     socket.once('agentReuse', () => socket.off('data', destroy));
   };
 
+  const onConnection = (request: ClientRequest, send: () => void): void => {
+    request.on('socket', (socket) => {
+      // Node.js hands a queued request a connection that it opens for it as one that has become free.
+      socket.emit('agentReuse');
+      if (!socket.connecting) {
+        send();
+        return;
+      }
+      socket.setNoDelay(true);
+      const timer = setTimeout(() => request.destroy(), CONNECT_TIMEOUT_MS);
+      socket.once('close', () => clearTimeout(timer));
+      socket.once('connect', () => {
+        clearTimeout(timer);
+        send();
+      });
+    });
+  };
+
   const createAgent = (): http.Agent => {
     const agent = new http.Agent({ keepAlive: true, scheduling: 'lifo' });
     agent.on('free', handleFree);
@@ -56,6 +78,7 @@
   forget.unref();
 
   return {
+    onConnection,
     getAgent: (address, maxConnections) => {
       const agent = agents.get(address) ?? createAgent();
       agent.maxSockets = maxConnections;
