Place replicas by what they take away from uneven load

Now the plan spreads the demand over the engines as the VMs do, and takes the replica that takes most away from the square of the loads, over what the load of it and the dropped model cost. A model that gains counts at the low end of its measured demand and one that loses at the high end, so that a few requests move nothing.

'the first few requests move no models' (tests/entry/placement.test.ts) failed before.

--- a/src/coordination/entry/placementPlan.ts
+++ b/src/coordination/entry/placementPlan.ts
@@ -1,14 +1,16 @@
 /**
  * Decides which model an engine loads or drops next. Pure.
  *
- * A model that is asked for and that no engine holds comes first. Then models get replicas by their part of
- * all demand, since all engines can do about the same work. Room is made by dropping the
- * models whose loss costs least; one that is asked for keeps its last replica. An engine that has a copy of
- * the weights in host memory or on disk is preferred, since loading from the weight store takes seconds and
- * is limited over the fleet.
+ * A model that is asked for and that no engine holds comes first. Then models get replicas where that evens
+ * out the load of the engines by more than it costs; demand is known only from some seconds of requests, so a
+ * model that gains counts at the low end of what it may be, and one that loses at the high end. Room is made
+ * by dropping the models whose loss costs least; one that is asked for keeps its last replica. An engine that
+ * has a copy of the weights in host memory or on disk is preferred, since loading from the weight store takes
+ * seconds and is limited over the fleet.
  */
 import type { EngineModel, EngineProfile } from '../../state/entry/deployment.js';
 import type { EngineOrder } from './events.js';
+import { getReplicaGain, getReplicaLoss, type LoadSpread, spreadLoads } from './loadModel.js';
 
 /** An engine as the plan sees it. */
 export interface EngineView {
@@ -81,10 +83,19 @@
 const RETURN_PART = 1;
 /** Time weight of a model that was never asked for. */
 const UNKNOWN_TIME_WEIGHT = 2.5;
-/** Loss factors of a replica: one too many, one that the others stand in for, the last one. */
-const SPARE_REPLICA_FACTOR = 0.5;
-const SHARED_REPLICA_FACTOR = 2;
+/** Weight of the demand for a model that is lost with its last replica, or won with its first. */
 const LAST_REPLICA_FACTOR = 5;
+/**
+ * Spread of a demand that is measured over some seconds: the cost of a request, weighted by costs, over twice
+ * the time constant of the mean. Requests of all sites cost 700 to 3,000 tokens.
+ */
+const DEMAND_NOISE = 500;
+/** Models that are considered for a replica more, those with most to do at each of theirs. */
+const MAX_REPLICA_MODELS = 4;
+/** A replica more has to take away this part of all demand from what is late. */
+const MIN_GAIN_PART = 0.02;
+/** Time over which a replica more has to pay: demand moves within some tens of seconds. */
+const GAIN_SECONDS = 10;
 /** Loss that a second of loading counts at least, in tokens a second; its demand meanwhile is lost too. */
 const LOAD_SECOND_LOSS = 300;
 const MS_PER_SECOND = 1000;
@@ -126,8 +137,10 @@
 /** Works on one input; holds what is derived from it. */
 interface PlanContext extends PlanInput {
   readonly replicas: ReadonlyMap<string, number>;
-  /** Load of each engine in tokens a second, and the mean of them. */
-  readonly loads: ReadonlyMap<string, number>;
+  /** Place of each engine in the spread. */
+  readonly places: ReadonlyMap<string, number>;
+  readonly spread: LoadSpread;
+  readonly totalLoad: number;
   readonly meanLoad: number;
 }
 
@@ -151,23 +164,34 @@
   return [...new Set([...held, ...coming])];
 }
 
+/** The demand for a model at the high end of what it may be. */
+function getHighNeed(input: PlanInput, model: string): number {
+  const need = getNeed(input, model);
+  return need + Math.sqrt(need * DEMAND_NOISE) + DEMAND_NOISE;
+}
+
+/** The demand for a model at the low end. */
+function getLowNeed(input: PlanInput, model: string): number {
+  const need = getNeed(input, model);
+  return Math.max(0, need - Math.sqrt(need * DEMAND_NOISE));
+}
+
 function createContext(input: PlanInput): PlanContext {
-  const replicas = new Map<string, number>();
-  input.engines.forEach((engine) => {
-    listHeld(engine).forEach((model) => replicas.set(model, (replicas.get(model) ?? 0) + 1));
+  const holders = new Map<string, number[]>();
+  input.engines.forEach((engine, place) => {
+    listHeld(engine).forEach((model) => {
+      holders.set(model, [...(holders.get(model) ?? []), place]);
+    });
   });
-  const loads = new Map(
-    input.engines.map((engine) => [
-      engine.backendId,
-      listHeld(engine).reduce(
-        (sum, model) => sum + getNeed(input, model) / (replicas.get(model) ?? 1),
-        0,
-      ),
-    ]),
-  );
-  const total = [...input.needs.values()].reduce((sum, need) => sum + need.tokensPerSecond, 0);
-  const meanLoad = total / Math.max(1, input.engines.length);
-  return { ...input, replicas, loads, meanLoad };
+  const totalLoad = [...input.needs.values()].reduce((sum, need) => sum + need.tokensPerSecond, 0);
+  return {
+    ...input,
+    replicas: new Map([...holders.entries()].map(([model, places]) => [model, places.length])),
+    places: new Map(input.engines.map(({ backendId }, place) => [backendId, place])),
+    spread: spreadLoads(input.engines.length, holders, (model) => getHighNeed(input, model)),
+    totalLoad,
+    meanLoad: totalLoad / Math.max(1, input.engines.length),
+  };
 }
 
 function getSource(engine: EngineView, model: string): WeightSource {
@@ -183,19 +207,12 @@
   [WeightSource.Store]: ({ storeLoadMs }) => storeLoadMs,
 };
 
-/** Replicas that a model should have by its part of all demand, at least one. */
-function getWantedReplicas(context: PlanContext, name: string): number {
-  const wanted = context.meanLoad > 0 ? getNeed(context, name) / context.meanLoad : 0;
-  return Math.max(1, Math.round(wanted));
-}
-
 /** What is lost when an engine drops a model, in tokens a second. */
-function getDropLoss(context: PlanContext, model: string): number {
+function getDropLoss(context: PlanContext, engine: EngineView, model: string): number {
   const replicas = context.replicas.get(model) ?? 1;
-  const spare = replicas > getWantedReplicas(context, model);
-  const factor = spare ? SPARE_REPLICA_FACTOR : SHARED_REPLICA_FACTOR;
   if (replicas > 1) {
-    return IDLE_LOSS / replicas + (getValue(context, model) / replicas) * factor;
+    const place = context.places.get(engine.backendId)!;
+    return IDLE_LOSS / replicas + Math.max(0, getReplicaLoss(context.spread, model, place));
   }
   const timeWeight = context.timeWeights.get(model) ?? UNKNOWN_TIME_WEIGHT;
   const returnLoss = timeWeight * RETURN_PART * context.meanLoad;
@@ -217,7 +234,7 @@
   const held = [...engine.models.keys()].map((name) => ({
     name,
     memoryMb: getModelMemory(profile, profile.modelsByName.get(name)),
-    loss: getDropLoss(context, name),
+    loss: getDropLoss(context, engine, name),
   }));
   const byLoss = held.toSorted((a, b) => a.loss - b.loss);
   // One drop is ordered at a time; the next step sees what is still missing.
@@ -246,7 +263,7 @@
       const loadSeconds = LOAD_TIMES[source](model) / MS_PER_SECOND;
       const loadLoss =
         loadSeconds * Math.max(LOAD_SECOND_LOSS, getMissingNeed(context, model.name));
-      const ownLoad = context.loads.get(engine.backendId) ?? 0;
+      const ownLoad = context.spread.loads[context.places.get(engine.backendId)!]!;
       const loss = room.loss + loadLoss + ownLoad;
       return [{ engine, source, dropped: room.dropped, dropLoss: room.loss, loss }];
     })
@@ -303,24 +320,47 @@
   return null;
 }
 
-/** Another replica of the model whose replicas have most to do, while it has too few. */
+/** What a replica more is worth at a place, in tokens a second over the time in which it has to pay. */
+function getGain(
+  context: PlanContext,
+  spread: LoadSpread,
+  model: EngineModel,
+  placement: Placement,
+): number {
+  const { dropLoss, dropped, engine, source } = placement;
+  const place = context.places.get(engine.backendId)!;
+  const gain = getReplicaGain(spread, model.name, place, dropped);
+  const loadPart = LOAD_TIMES[source](model) / MS_PER_SECOND / GAIN_SECONDS;
+  // The loss of one of several replicas is in the gain, but for the time until the load is done.
+  const isLast = dropped !== null && context.replicas.get(dropped) === 1;
+  return gain * (1 - loadPart) - dropLoss * (isLast ? 1 : loadPart);
+}
+
+/** The replica more that evens out the load most, if that is worth its load. */
 function planReplicas(context: PlanContext): PlanStep | null {
   const { profile, replicas } = context;
   const getReplicaNeed = (name: string): number =>
-    getNeed(context, name) / (replicas.get(name) ?? 1);
-  const lacking = [...replicas.entries()]
-    .filter(([name, count]) => count < getWantedReplicas(context, name))
-    .map(([name]) => name)
-    .sort((a, b) => getReplicaNeed(b) - getReplicaNeed(a));
-  for (const name of lacking) {
-    const model = profile.modelsByName.get(name);
-    const [best] = model === undefined ? [] : findPlacements(context, model);
-    const moved = getValue(context, name) / ((replicas.get(name) ?? 1) + 1);
-    if (best !== undefined && best.dropLoss < moved * SHARED_REPLICA_FACTOR) {
-      return createStep(best, name, 'more replicas of');
-    }
-  }
-  return null;
+    getLowNeed(context, name) / (replicas.get(name) ?? 1);
+  const busiest = [...replicas.keys()]
+    .filter((name) => getLowNeed(context, name) > 0 && profile.modelsByName.has(name))
+    .sort((a, b) => getReplicaNeed(b) - getReplicaNeed(a))
+    .slice(0, MAX_REPLICA_MODELS);
+  const steps = busiest.flatMap((name) => {
+    const model = profile.modelsByName.get(name)!;
+    const { holders } = context.spread;
+    const spread = spreadLoads(context.engines.length, holders, (other) =>
+      other === name ? getLowNeed(context, other) : getHighNeed(context, other),
+    );
+    return findPlacements(context, model).map((placement) => ({
+      gain: getGain(context, spread, model, placement),
+      placement,
+      name,
+    }));
+  });
+  const [best] = steps.sort((a, b) => b.gain - a.gain);
+  return best !== undefined && best.gain > context.totalLoad * MIN_GAIN_PART
+    ? createStep(best.placement, best.name, 'more replicas of')
+    : null;
 }
 
 /** Returns the next order on a model, or null if nothing is worth one. */
--- a/tests/entry/placement.test.ts
+++ b/tests/entry/placement.test.ts
@@ -96,6 +96,23 @@
     needs: { m0: need(1_000), m1: need(1_100) },
     step: null,
   },
+  {
+    name: 'the first few requests move no models',
+    engines: [createEngine('a', ['m0', 'm1']), createEngine('b', ['m0', 'm2'])],
+    needs: { m1: need(1_500) },
+    step: null,
+  },
+  {
+    name: 'engines of one model that are as loaded as the others are left alone',
+    engines: [
+      createEngine('a', ['m0']),
+      createEngine('b', ['m0']),
+      createEngine('c', ['m1']),
+      createEngine('d', ['m2']),
+    ],
+    needs: { m0: need(13_000), m1: need(7_500), m2: need(7_000) },
+    step: null,
+  },
   {
     name: 'a model that is being loaded is not loaded elsewhere too',
     engines: [
