--- a/tests/entry/loadModel.test.ts
+++ b/tests/entry/loadModel.test.ts
@@ -18,12 +18,23 @@
   { name: 'no engine', loads: [], amount: 4, taken: [] },
 ];
 
-function spread(engineCount: number, models: Record<string, { at: number[]; need: number }>) {
+type Demands = Readonly<Record<string, { readonly at: number[]; readonly need: number }>>;
+
+interface GainCase {
+  readonly name: string;
+  readonly models: Demands;
+  readonly model: string;
+  readonly place: number;
+  readonly dropped: string | null;
+  readonly isGain: boolean;
+}
+
+function spread(engineCount: number, models: Demands) {
   const holders = new Map(Object.entries(models).map(([model, { at }]) => [model, at]));
   return spreadLoads(engineCount, holders, (model) => models[model]!.need);
 }
 
-const GAIN_CASES = [
+const GAIN_CASES: readonly GainCase[] = [
   {
     name: 'a free engine takes half of a loaded one',
     models: { m0: { at: [0], need: 100 } },
