Route by prompts to read, wait after refusals, and value idle models by their return

One engine served 60 of 98 requests for 10 s (half of them held up) while three had 1 to 5: idle last replicas counted 2.5 mean loads, so that no engine made room for the hot model. They now count the demand that is lost if it comes back, for the time of a load from the copy that the engine keeps. Lateness grows with the square of the load: 8,000 tokens/s had no late pause, 19,000 half. 2. Requests that an engine refused while it dropped their model were refused to the caller. They now wait for the model like any other, and go back only with a retry of the budget. 3. Servers were chosen by requests alone, of two drawn ones. Now also by the own prompts that a server has yet to read, at the speed at which it was seen to read, among all.

--- a/src/coordination/entry/arrivals.ts
+++ b/src/coordination/entry/arrivals.ts
@@ -179,8 +179,11 @@
     backendId: null,
     usedBackends: [],
     refusedBy: [],
+    refusals: 0,
     runClaim: RunClaim.NotRun,
     firstEventAtMs: null,
+    sentAtMs: nowMs,
+    unreadTokens: 0,
   };
 }
 
--- a/src/coordination/entry/attempts.ts
+++ b/src/coordination/entry/attempts.ts
@@ -23,12 +23,14 @@
   refuseForward,
   releaseBackend,
 } from './records.js';
+import { noteFirstEvent } from './promptLoad.js';
 import { takeRetry } from './retryBudget.js';
 import {
   findCandidates,
   noteLoad,
   noteMissing,
   noteOutcome,
+  noteRefused,
   noteUnreachable,
 } from './selection.js';
 import { type EntryState, ForwardPhase, type ForwardRecord } from './state.js';
@@ -55,6 +57,10 @@
   return isRepeatable(record) || record.runClaim === RunClaim.NotRun;
 }
 
+function isOfEngine({ request, service }: ForwardRecord): boolean {
+  return service.engine !== null && request.model !== null;
+}
+
 /** Finds the record of a dispatch if it is the current one; late signals find none. */
 function findAttempt(
   state: EntryState,
@@ -79,6 +85,7 @@
     const backend = state.backends.get(record.backendId!);
     if (backend !== undefined) {
       noteLoad(backend, event.load, nowMs);
+      noteFirstEvent(backend, record, nowMs);
     }
   }
   return [];
@@ -107,7 +114,7 @@
 function mayRepeat(state: EntryState, record: ForwardRecord, nowMs: number): boolean {
   return (
     record.usedBackends.length < record.route.maxAttempts &&
-    record.refusedBy.length <= MAX_REFUSED &&
+    record.refusals <= MAX_REFUSED &&
     record.endsAtMs - nowMs > MIN_REPEAT_MS &&
     findCandidates(state, record, nowMs).length > 0 &&
     takeRetry(state, record.service.name)
@@ -144,13 +151,17 @@
   const backendId = record.backendId!;
   const backend = state.backends.get(backendId);
   record.runClaim = combineRunClaims(record.runClaim, claim);
-  (claim === RunClaim.NotRun ? record.refusedBy : record.usedBackends).push(backendId);
+  const isNotRun = claim === RunClaim.NotRun;
+  record.refusals += isNotRun ? 1 : 0;
+  (isNotRun ? record.refusedBy : record.usedBackends).push(backendId);
   if (backend === undefined) {
     return;
   }
+  const { adapter, model } = record.request;
   if (isMisdirected) {
-    const { adapter, model } = record.request;
     noteMissing(backend, model ?? '', adapter, nowMs);
+  } else if (isRefusedByServer && isOfEngine(record)) {
+    noteRefused(backend, model ?? '', nowMs);
   } else if (!isRefusedByServer) {
     noteOutcome(backend, true);
     noteUnreachable(backend, nowMs);
@@ -185,8 +196,10 @@
   if (canRepeat(record, isAnswerBegun) && mayRepeat(state, record, nowMs)) {
     return [log, ...(tryDispatch(state, record, nowMs) ?? [])];
   }
-  const isLacking = failure.isMisdirected && record.runClaim === RunClaim.NotRun && !isAnswerBegun;
-  if (isLacking && record.refusedBy.length <= MAX_REFUSED) {
+  // An engine refuses while it drops or loads the model; another may be about to hold it.
+  const isLacking = failure.isMisdirected || (failure.isRefusedByServer && isOfEngine(record));
+  const mayWait = record.runClaim === RunClaim.NotRun && !isAnswerBegun;
+  if (isLacking && mayWait && record.refusals <= MAX_REFUSED) {
     return [log, ...startWaiting(state, record, nowMs)];
   }
   return [log, ...endFailed(state, record, failure.diagnostic, isAnswerBegun, nowMs)];
--- a/src/coordination/entry/forwarding.ts
+++ b/src/coordination/entry/forwarding.ts
@@ -15,7 +15,8 @@
   EntryPart,
 } from './events.js';
 import { describeRecord, getDemandKey, getWaitTimerId, refuseForward } from './records.js';
-import { earnRetry } from './retryBudget.js';
+import { noteSent } from './promptLoad.js';
+import { earnRetry, takeRetry } from './retryBudget.js';
 import { chooseBackend, findCandidates } from './selection.js';
 import { askForAdapter } from './adapterRequests.js';
 import { countSharingVms, type EntryState, ForwardPhase, type ForwardRecord } from './state.js';
@@ -86,6 +87,7 @@
   record.attempt += 1;
   record.backendId = backendId;
   backend.inFlight += 1;
+  noteSent(backend, record, nowMs);
   return [
     { kind: EntryCommandKind.CancelTimer, timerId: getWaitTimerId(requestId) },
     {
@@ -116,7 +118,7 @@
   nowMs: number,
 ): EntryCommand[] | null {
   const candidates = findCandidates(state, record, nowMs);
-  const backend = chooseBackend(state, candidates, nowMs);
+  const backend = chooseBackend(state, record, candidates, nowMs);
   return backend === undefined ? null : dispatchTo(state, record, backend.entry.id, nowMs);
 }
 
@@ -144,6 +146,7 @@
   const { requestId } = record.request;
   const waitMs = getWaitMs(record, nowMs);
   record.phase = ForwardPhase.Waiting;
+  record.refusedBy = [];
   return [
     createEntryTimer(getWaitTimerId(requestId), waitMs, {
       kind: EntryEventKind.WaitDue,
@@ -168,12 +171,21 @@
   return tryDispatch(state, record, nowMs) ?? startWaiting(state, record, nowMs);
 }
 
+/** Sends on a request that waits, if a server can run it; what was sent before needs a retry of the budget. */
+function resumeWaiting(state: EntryState, record: ForwardRecord, nowMs: number): EntryCommand[] {
+  if (findCandidates(state, record, nowMs).length === 0) {
+    return [];
+  }
+  const mayGo = record.attempt === 0 || takeRetry(state, record.service.name);
+  return mayGo ? (tryDispatch(state, record, nowMs) ?? []) : [];
+}
+
 /** Sends on what waits, after servers, models or adapters have come. */
 export function pumpWaiting(state: EntryState, nowMs: number): EntryCommand[] {
   return [...state.requests.values()]
     .filter((record) => record.phase === ForwardPhase.Waiting)
     .sort((a, b) => getUrgency(a) - getUrgency(b))
-    .flatMap((record) => tryDispatch(state, record, nowMs) ?? []);
+    .flatMap((record) => resumeWaiting(state, record, nowMs));
 }
 
 /** Refuses a request whose model has not come in time. */
--- a/src/coordination/entry/lifecycle.ts
+++ b/src/coordination/entry/lifecycle.ts
@@ -16,6 +16,7 @@
 } from './events.js';
 import { askForAdapter } from './adapterRequests.js';
 import { sweepBackends } from './discovery.js';
+import { pumpWaiting } from './forwarding.js';
 import { giveUpForward } from './records.js';
 import type { EntryPolicy } from './policy.js';
 import { EntryLifecycle, type EntryState, ForwardPhase, isLeaving, noteVmsSeen } from './state.js';
@@ -132,6 +133,7 @@
   return [
     createEntryTimer(kind, state.policy.tickMs, { kind }),
     ...sweepBackends(state, nowMs),
+    ...pumpWaiting(state, nowMs),
     ...askAgain(state, nowMs),
   ];
 }
--- a/src/coordination/entry/loadModel.ts
+++ b/src/coordination/entry/loadModel.ts
@@ -3,7 +3,8 @@
  *
  * Entry VMs send each request to the less loaded of a model's engines, so the demand for a model fills up
  * its engines to one level, as far as their other models allow. The prompts that an engine reads hold up the
- * streams that it runs, so what is late at an engine grows with the square of its load.
+ * streams that it runs, and streams are held up by prompts that come together: what is late of an engine's
+ * work grows with the square of its load.
  */
 
 /** Engines that hold each model, by their places in a list. */
@@ -81,7 +82,7 @@
 
 /** Demand that is served late by an engine, in tokens a second. */
 function getLateness(load: number, saturation: number): number {
-  return (load * load) / saturation;
+  return load * (load / saturation) ** 2;
 }
 
 /** Lateness of changed loads over that of the spread's, in tokens a second. */
--- a/src/coordination/entry/placementPlan.ts
+++ b/src/coordination/entry/placementPlan.ts
@@ -77,10 +77,13 @@
 /** Loss that dropping an idle replica counts, in tokens a second. */
 const IDLE_LOSS = 50;
 /**
- * Loss that dropping the last replica of an idle model counts, in parts of an engine's mean load: demand
- * moves by whole models within seconds, and a load from the weight store takes longer.
+ * Demand moves by whole models within seconds. The last replica of an idle model is worth the demand that is
+ * lost if it comes back: this part of an engine's mean load for the time of a load, over the time in which a
+ * placement has to pay.
  */
-const RETURN_PART = 1;
+const RETURN_PART = 0.5;
+/** Time of an order and of the news that the model is there, besides the load itself. */
+const RETURN_SECONDS = 0.5;
 /** Time weight of a model that was never asked for. */
 const UNKNOWN_TIME_WEIGHT = 2.5;
 /** Weight of the demand for a model that is lost with its last replica, or won with its first. */
@@ -212,10 +215,15 @@
   const replicas = context.replicas.get(model) ?? 1;
   if (replicas > 1) {
     const place = context.places.get(engine.backendId)!;
-    return IDLE_LOSS / replicas + Math.max(0, getReplicaLoss(context.spread, model, place));
+    const replicaLoss = Math.max(0, getReplicaLoss(context.spread, model, place));
+    return IDLE_LOSS / replicas + replicaLoss;
   }
   const timeWeight = context.timeWeights.get(model) ?? UNKNOWN_TIME_WEIGHT;
-  const returnLoss = timeWeight * RETURN_PART * context.meanLoad;
+  // The engine keeps a copy of what it drops, on its disk at least.
+  const loadMs = context.profile.modelsByName.get(model)?.diskLoadMs ?? 0;
+  const returnSeconds = loadMs / MS_PER_SECOND + RETURN_SECONDS;
+  const returnPart = (RETURN_PART * returnSeconds) / GAIN_SECONDS;
+  const returnLoss = timeWeight * returnPart * context.meanLoad;
   return IDLE_LOSS + returnLoss + getValue(context, model) * LAST_REPLICA_FACTOR;
 }
 
@@ -330,7 +338,7 @@
   const { dropLoss, dropped, engine, source } = placement;
   const place = context.places.get(engine.backendId)!;
   const gain = getReplicaGain(spread, model.name, place, dropped);
-  const loadPart = LOAD_TIMES[source](model) / MS_PER_SECOND / GAIN_SECONDS;
+  const loadPart = Math.min(1, LOAD_TIMES[source](model) / MS_PER_SECOND / GAIN_SECONDS);
   // The loss of one of several replicas is in the gain, but for the time until the load is done.
   const isLast = dropped !== null && context.replicas.get(dropped) === 1;
   return gain * (1 - loadPart) - dropLoss * (isLast ? 1 : loadPart);
--- a/src/coordination/entry/records.ts
+++ b/src/coordination/entry/records.ts
@@ -13,6 +13,7 @@
   EntryPart,
   type LogFields,
 } from './events.js';
+import { noteRead } from './promptLoad.js';
 import { refundRate } from './rates.js';
 import { type EntryState, ForwardPhase, type ForwardRecord } from './state.js';
 
@@ -59,6 +60,7 @@
   const backend = record.backendId === null ? undefined : state.backends.get(record.backendId);
   if (backend !== undefined) {
     backend.inFlight = Math.max(0, backend.inFlight - 1);
+    noteRead(backend, record);
   }
   record.backendId = null;
 }
--- a/src/coordination/entry/selection.ts
+++ b/src/coordination/entry/selection.ts
@@ -2,11 +2,12 @@
  * Chooses the backend server of a forwarded request.
  *
  * Servers are compared by this VM's own requests, which are current, taken to stand for those of the
- * other VMs alike, and corrected by the load that answers tell. Two are drawn at random and the less
- * loaded is taken: all VMs that take the least loaded would choose the same one.
+ * other VMs alike, and corrected by the load that answers tell; and by the prompts that they have to read,
+ * which hold up their streams. Own requests differ from VM to VM, so not all VMs choose the same server.
  */
 import { type Backend, getVariantKey, holdsVariant } from '../../state/entry/backends.js';
 import { nextRandomInt } from '../../state/random.js';
+import { getHoldUp } from './promptLoad.js';
 import { countLiveVms, type EntryState, type ForwardRecord } from './state.js';
 
 /** The load that an answer told counts in full up to this age. */
@@ -15,6 +16,8 @@
 const TOLD_PART = 0.6;
 /** A server of another failure domain is taken only if it is less loaded by this part of its slots. */
 const REMOTE_COST = 0.03;
+/** Load that holding up all streams for a late pause counts, in parts of a server's slots; grows with the square. */
+const HOLD_UP_COST = 0.3;
 /** Extra load of a server whose answers fail, for a failure part of one. */
 const FAILURE_COST = 2;
 /** Weight of the newest answer in the moving part of failures. */
@@ -25,6 +28,8 @@
 const MISSING_MODEL_MS = 1_000;
 /** The same for an adapter, which loads in some milliseconds. */
 const MISSING_ADAPTER_MS = 100;
+/** How long an engine that has refused a model is avoided for it: it is full, or drops the model. */
+const REFUSED_MS = 400;
 
 /**
  * Tells whether a server takes new requests, as far as this VM knows. One whose entry may have lapsed only
@@ -43,10 +48,17 @@
   return (inFlight + others) / Math.max(1, entry.slots);
 }
 
-function getCost(state: EntryState, backend: Backend, nowMs: number): number {
+function getCost(
+  state: EntryState,
+  record: Pick<ForwardRecord, 'request' | 'route'>,
+  backend: Backend,
+  nowMs: number,
+): number {
   const isRemote = backend.entry.failureDomain !== state.self.failureDomain;
+  const holdUp = getHoldUp(backend, record);
   return (
     getBackendLoad(state, backend, nowMs) +
+    HOLD_UP_COST * holdUp * holdUp +
     (isRemote ? REMOTE_COST : 0) +
     backend.failurePart * FAILURE_COST +
     (backend.avoidUntilMs > nowMs ? FAILURE_COST * 2 : 0)
@@ -74,17 +86,21 @@
 /** Chooses among candidates; undefined if there are none. */
 export function chooseBackend(
   state: EntryState,
+  record: Pick<ForwardRecord, 'request' | 'route'>,
   candidates: readonly Backend[],
   nowMs: number,
 ): Backend | undefined {
   const reachable = candidates.filter((backend) => backend.avoidUntilMs <= nowMs);
   const pool = reachable.length > 0 ? reachable : candidates;
-  if (pool.length === 0) {
-    return undefined;
+  // Begins at a random place, so that equals are chosen alike often.
+  const first = nextRandomInt(state.random, Math.max(1, pool.length));
+  const costs = pool.map((backend) => getCost(state, record, backend, nowMs));
+  let best = first;
+  for (let i = 1; i < pool.length; i += 1) {
+    const at = (first + i) % pool.length;
+    best = costs[at]! < costs[best]! ? at : best;
   }
-  const first = pool[nextRandomInt(state.random, pool.length)]!;
-  const second = pool[nextRandomInt(state.random, pool.length)]!;
-  return getCost(state, second, nowMs) < getCost(state, first, nowMs) ? second : first;
+  return pool[best];
 }
 
 /** Takes note of the load that an answer told. */
@@ -121,3 +137,8 @@
   backend.missing.set(variant, nowMs + beliefMs);
   backend.orderedAdapters.delete(variant);
 }
+
+/** Avoids an engine for a model that it has just refused to run. */
+export function noteRefused(backend: Backend, model: string, nowMs: number): void {
+  backend.missing.set(model, nowMs + REFUSED_MS);
+}
--- a/src/coordination/entry/state.ts
+++ b/src/coordination/entry/state.ts
@@ -55,10 +55,15 @@
   backendId: string | null;
   /** Backend servers that it was sent to and that may have run it. */
   usedBackends: string[];
-  /** Backend servers that proved not to have run it. */
+  /** Backend servers that proved not to have run it; forgotten when it waits for one anew. */
   refusedBy: string[];
+  /** Dispatches that proved not to have run it. */
+  refusals: number;
   runClaim: RunClaim;
   firstEventAtMs: number | null;
+  /** When it was last sent on, and the tokens of its prompt that its server has not read since. */
+  sentAtMs: number;
+  unreadTokens: number;
 }
 
 /** Whether the store answers this VM, as the watches see it. */
--- a/src/state/entry/backends.ts
+++ b/src/state/entry/backends.ts
@@ -34,8 +34,12 @@
   revision: number;
   /** When a removed entry stops counting; null while it is registered. */
   removeAtMs: number | null;
-  /** Requests of this VM that are under way there, and their tokens. */
+  /** Requests of this VM that are under way there. */
   inFlight: number;
+  /** Tokens of their prompts that the server has not read yet. */
+  unreadTokens: number;
+  /** How fast it reads prompts, as far as is known; null before the first sample. */
+  readMsPerToken: number | null;
   /** Requests of other VMs, from the load that answers tell. */
   otherRequests: number;
   loadSeenAtMs: number;
@@ -56,6 +60,8 @@
     revision,
     removeAtMs: null,
     inFlight: 0,
+    unreadTokens: 0,
+    readMsPerToken: null,
     otherRequests: 0,
     loadSeenAtMs: Number.NEGATIVE_INFINITY,
     failurePart: 0,
--- a/tests/entry/forwarding.test.ts
+++ b/tests/entry/forwarding.test.ts
@@ -99,6 +99,31 @@
     expect(command!.refusal.retryAfterMs).toBeGreaterThan(0);
   });
 
+  const REFUSALS = [
+    { name: 'and goes back once the engine may have it', isBudgetLeft: true, dispatches: 1 },
+    { name: 'and stays without a retry left', isBudgetLeft: false, dispatches: 0 },
+  ];
+
+  it.each(REFUSALS)('that an engine refused waits for its model, $name', (example) => {
+    const { dispatches, isBudgetLeft } = example;
+    const vm = createTestVm();
+    vm.arrive(createTestRequest('r', '/letter/x'));
+    fail(vm, 'r', REFUSED);
+    vm.state.retryBudgets.set('llm', { tokens: isBudgetLeft ? 5 : 0 });
+    const second = fail(vm, 'r', REFUSED);
+    const early = vm.step({ kind: EntryEventKind.Tick }, 10_200);
+    const late = vm.step({ kind: EntryEventKind.Tick }, 10_600);
+    const counts = [second, early, late].map(
+      (commands) => findCommands(commands, EntryCommandKind.Dispatch).length,
+    );
+    expect(counts).toEqual([0, 0, dispatches]);
+    const due = vm.step({ kind: EntryEventKind.WaitDue, requestId: 'r' }, 12_000);
+    const [refusal] = findCommands(due, EntryCommandKind.Refuse);
+    expect(refusal === undefined ? 0 : getForwardStatus(refusal.refusal)).toBe(
+      isBudgetLeft ? 0 : 503,
+    );
+  });
+
   it('draws on a budget that many failures use up', () => {
     const vm = createTestVm();
     const repeats = Array.from({ length: 200 }, (_, i) => {
