--- a/src/coordination/entry/arrivals.ts
+++ b/src/coordination/entry/arrivals.ts
@@ -212,6 +212,7 @@
       vmTokensPerSecond: Math.round(bucket.rateTokensPerSecond),
       workspaceTokensPerSecond: record.workspace!.rateTokensPerSecond,
       demandTokensPerSecond: Math.round(getDemand(state.workspaceDemand, name, nowMs)),
+      lenders: record.lenders.join(' '),
       retryMs: Math.round(retryMs),
     }),
     ...refuseForward(state, record, diagnostic, nowMs, retryMs),
