Take what a VM last told for its demand only while it is fresh

A report older than 2 s now counts as demand of the mean, which makes parts smaller, not larger. Both plans are cases of tests/entry/rates.test.ts; they failed before and pass.

--- a/src/coordination/entry/rates.ts
+++ b/src/coordination/entry/rates.ts
@@ -26,14 +26,25 @@
  * rest covers parts that do not sum to one while reports are on their way.
  */
 const TOLERANCE_PART = 0.6;
+/** Age up to which a VM's report counts: five rounds. */
+const REPORT_FRESH_MS = 2_000;
 const MS_PER_SECOND = 1000;
 
-/** Demand of the other VMs; one that has not told any is taken to have as much as the mean. */
-function getOthersDemand(state: EntryState, workspace: string, own: number, vms: number): number {
+/**
+ * Demand of the other VMs; one that has not told any lately is taken to have as much as the mean. A process that
+ * has replaced another is not heard as long as the store lists the other, whose last word must not count on.
+ */
+function getOthersDemand(
+  state: EntryState,
+  workspace: string,
+  own: number,
+  vms: number,
+  nowMs: number,
+): number {
   let known = 0;
   let demand = 0;
-  state.peers.forEach(({ report }, vmId) => {
-    if (state.vmsSeenAtMs.has(vmId)) {
+  state.peers.forEach(({ heardAtMs, report }, vmId) => {
+    if (state.vmsSeenAtMs.has(vmId) && nowMs - heardAtMs < REPORT_FRESH_MS) {
       known += 1;
       demand +=
         report.workspaceDemands.find(({ name }) => name === workspace)?.tokensPerSecond ?? 0;
@@ -47,10 +58,10 @@
  * Returns this VM's part of a workspace's rate, in [0, 1]. Its own demand counts as it was last reported: the
  * others see no later one, and a VM that is ahead of them would take a part that they have not given up.
  */
-export function getRatePart(state: EntryState, workspace: string): number {
+export function getRatePart(state: EntryState, workspace: string, nowMs: number): number {
   const vms = countSharingVms(state);
   const own = state.reportedDemands.get(workspace) ?? 0;
-  const total = own + getOthersDemand(state, workspace, own, vms);
+  const total = own + getOthersDemand(state, workspace, own, vms, nowMs);
   const demandPart = total > 0 ? own / total : 1 / vms;
   return EQUAL_PART / vms + (1 - EQUAL_PART) * demandPart;
 }
@@ -63,7 +74,7 @@
 ): RateBucket {
   const { burstTokens, name, rateTokensPerSecond } = workspace;
   const { rateExcessPart, rateReserveTokens, rateWindowMs } = state.policy;
-  const part = getRatePart(state, name);
+  const part = getRatePart(state, name, nowMs);
   const windowTokens = (rateTokensPerSecond * rateWindowMs) / MS_PER_SECOND + burstTokens;
   const excess = windowTokens * rateExcessPart * TOLERANCE_PART * part;
   const reserve = (rateReserveTokens * TOLERANCE_PART) / countSharingVms(state);
--- a/tests/entry/rates.test.ts
+++ b/tests/entry/rates.test.ts
@@ -179,6 +179,20 @@
     floodFromMs: 10_000,
     isCut: true,
   },
+  {
+    name: 'VMs restart in a flood, and the store goes on listing their old processes',
+    seed: 22_333,
+    factor: 8,
+    floodFromMs: 213,
+    restarts: [{ atMs: 452, count: 3 }],
+  },
+  {
+    name: 'the same before the flood',
+    seed: 148_038,
+    factor: 8,
+    floodFromMs: 19_994,
+    restarts: [{ atMs: 2_977, count: 3 }],
+  },
   {
     name: 'all VMs restart in a flood',
     factor: 6,
