--- a/src/bin/gentiandeckEntry.ts
+++ b/src/bin/gentiandeckEntry.ts
@@ -5,7 +5,7 @@
 import { decodeSettings, readSettingsFile } from '../../platform/settings.js';
 import { createPlatformStore } from '../../platform/store.js';
 import { PLATFORM_WIRE } from '../../platform/wire.js';
-import { EntryPart } from '../coordination/entry/events.js';
+import { EntryPart } from '../coordination/entry/commands.js';
 import { LogLevel } from '../coordination/events.js';
 import { DiagnosticError } from '../state/diagnostics.js';
 import { type EntryDaemon, startEntryDaemon } from '../transport/entry/entryDaemon.js';
--- a/src/coordination/entry/adapterAnswers.ts
+++ b/src/coordination/entry/adapterAnswers.ts
@@ -2,7 +2,8 @@
  * The controller's answers on adapters.
  */
 import { getVariantKey } from '../../state/entry/backends.js';
-import type { EntryCommand, EntryEventKind, EntryEventOf } from './events.js';
+import type { EntryCommand } from './commands.js';
+import type { EntryEventKind, EntryEventOf } from './events.js';
 import { pumpWaiting } from './forwarding.js';
 import type { EntryState } from './state.js';
 
--- a/src/coordination/entry/adapterPlacement.ts
+++ b/src/coordination/entry/adapterPlacement.ts
@@ -6,13 +6,8 @@
 import type { EngineProfile } from '../../state/entry/deployment.js';
 import type { EngineAdapters } from '../../state/entry/reports.js';
 import { sendEngineOrder } from './engineOrders.js';
-import {
-  type EntryCommand,
-  EntryCommandKind,
-  type EntryEventKind,
-  type EntryEventOf,
-  OrderAction,
-} from './events.js';
+import { type EntryCommand, EntryCommandKind } from './commands.js';
+import { type EntryEventKind, type EntryEventOf, OrderAction } from './events.js';
 import type { EngineControl } from './placementState.js';
 import { isOpenBackend } from './selection.js';
 import type { EntryState } from './state.js';
--- a/src/coordination/entry/adapterRequests.ts
+++ b/src/coordination/entry/adapterRequests.ts
@@ -2,7 +2,7 @@
  * Adapters on demand: a request whose adapter no engine holds asks the controller for it.
  */
 import { findResident, getVariantKey } from '../../state/entry/backends.js';
-import { type EntryCommand, EntryCommandKind } from './events.js';
+import { type EntryCommand, EntryCommandKind } from './commands.js';
 import { isOpenBackend } from './selection.js';
 import type { EntryState, ForwardRecord } from './state.js';
 
--- a/src/coordination/entry/arrivals.ts
+++ b/src/coordination/entry/arrivals.ts
@@ -25,11 +25,9 @@
   createEntryTimer,
   type EntryCommand,
   EntryCommandKind,
-  EntryEventKind,
-  type EntryEventOf,
   EntryPart,
-  type ForwardRequest,
-} from './events.js';
+} from './commands.js';
+import { EntryEventKind, type EntryEventOf, type ForwardRequest } from './events.js';
 import { startForward } from './forwarding.js';
 import { askForLoan, takeLoan } from './rateLoans.js';
 import { getRateBucket, takeRate } from './rates.js';
--- a/src/coordination/entry/attempts.ts
+++ b/src/coordination/entry/attempts.ts
@@ -6,15 +6,8 @@
 import { combineRunClaims, getRunClaim } from '../../state/runState.js';
 import { RunClaim } from '../../state/types.js';
 import { LogLevel, RequestOutcome } from '../events.js';
-import {
-  type AttemptFailure,
-  createEntryLog,
-  type EntryCommand,
-  EntryCommandKind,
-  EntryEventKind,
-  type EntryEventOf,
-  EntryPart,
-} from './events.js';
+import { createEntryLog, type EntryCommand, EntryCommandKind, EntryPart } from './commands.js';
+import { type AttemptFailure, EntryEventKind, type EntryEventOf } from './events.js';
 import {
   abortForward,
   cancelAttempt,
--- a/src/coordination/entry/controller.ts
+++ b/src/coordination/entry/controller.ts
@@ -2,7 +2,6 @@
  * The controller of the engines: one VM holds a lease in the store and gives all orders. Its fence is the
  * store's revision of the lease's key, which only rises.
  */
-import { getVariantKey } from '../../state/entry/backends.js';
 import type { ForwardService } from '../../state/entry/deployment.js';
 import { LogLevel } from '../events.js';
 import {
@@ -11,7 +10,6 @@
   queueAdapter,
   stepAdapterTasks,
 } from './adapterPlacement.js';
-import { getDemand, listDemands } from './demand.js';
 import {
   askForReports,
   mayOrder,
@@ -25,20 +23,11 @@
   createEntryTimer,
   type EntryCommand,
   EntryCommandKind,
-  EntryEventKind,
-  type EntryEventOf,
   EntryPart,
-  OrderAction,
-} from './events.js';
-import { countWaiting } from './forwarding.js';
-import {
-  type EngineView,
-  type ModelNeed,
-  NO_NEED,
-  type PlanStep,
-  planNextStep,
-  WeightSource,
-} from './placementPlan.js';
+} from './commands.js';
+import { EntryEventKind, type EntryEventOf, OrderAction } from './events.js';
+import { collectNeeds, listTimeWeights } from './modelNeeds.js';
+import { type EngineView, type PlanStep, planNextStep, WeightSource } from './placementPlan.js';
 import type { EngineControl } from './placementState.js';
 import { isOpenBackend } from './selection.js';
 import { EntryLifecycle, type EntryState } from './state.js';
@@ -51,8 +40,6 @@
 const RANK_DELAY_MS = 150;
 /** Time between two claims of one VM: an answer that is lost comes back as a change of the key. */
 const CLAIM_INTERVAL_MS = 1_000;
-/** Demand that is reported more than this time ago does not count. */
-const REPORT_MAX_AGE_MS = 5_000;
 /** Steps that the plan takes in one round, so that a round's work is bounded. */
 const MAX_STEPS = 4;
 /** Room that a drop has made is kept this long for its model: a drop waits for the runs under way. */
@@ -91,68 +78,6 @@
   return [{ kind: EntryCommandKind.KeepController, fence: placement.fence }];
 }
 
-/** Remembers how soon requests for a model are due, beyond the time in which they are counted. */
-function noteTimeWeight(state: EntryState, key: string, demand: ModelNeed): void {
-  const { timeWeights } = state.placement;
-  const weight = demand.valuePerSecond / Math.max(1, demand.tokensPerSecond);
-  timeWeights.set(key, Math.max(timeWeights.get(key) ?? 0, weight));
-}
-
-/** The time weights of one service, by model. */
-function listTimeWeights(state: EntryState, service: ForwardService): ReadonlyMap<string, number> {
-  const prefix = `${service.name} `;
-  return new Map(
-    [...state.placement.timeWeights.entries()]
-      .filter(([key]) => key.startsWith(prefix))
-      .map(([key, weight]) => [key.slice(prefix.length), weight]),
-  );
-}
-
-/** Adds up the demand for each model of a service over all VMs; adapters count for their models. */
-function collectNeeds(
-  state: EntryState,
-  service: ForwardService,
-  nowMs: number,
-): {
-  readonly needs: ReadonlyMap<string, ModelNeed>;
-  readonly variants: ReadonlySet<string>;
-} {
-  const needs = new Map<string, { -readonly [K in keyof ModelNeed]: ModelNeed[K] }>();
-  const variants = new Set<string>();
-  const add = (variant: string, demand: ModelNeed): void => {
-    const { tokensPerSecond, valuePerSecond, waitingRequests } = demand;
-    const [model = '', adapter] = variant.split('/');
-    const need = needs.get(model) ?? { ...NO_NEED };
-    noteTimeWeight(state, `${service.name} ${model}`, demand);
-    need.tokensPerSecond += tokensPerSecond;
-    need.valuePerSecond += valuePerSecond;
-    need.waitingRequests += waitingRequests;
-    needs.set(model, need);
-    if (adapter !== undefined && tokensPerSecond > 0) {
-      variants.add(variant);
-    }
-  };
-  const prefix = `${service.name} `;
-  const waiting = countWaiting(state);
-  listDemands(state.modelDemand, nowMs)
-    .filter(({ name }) => name.startsWith(prefix))
-    .forEach(({ name, tokensPerSecond }) =>
-      add(name.slice(prefix.length), {
-        tokensPerSecond,
-        valuePerSecond: getDemand(state.modelValue, name, nowMs),
-        waitingRequests: waiting.get(name) ?? 0,
-      }),
-    );
-  state.peers.forEach(({ heardAtMs, report }) => {
-    if (nowMs - heardAtMs < REPORT_MAX_AGE_MS) {
-      report.modelDemands
-        .filter((demand) => demand.service === service.name)
-        .forEach((demand) => add(getVariantKey(demand.model, demand.adapter), demand));
-    }
-  });
-  return { needs, variants };
-}
-
 function createView(state: EntryState, control: EngineControl, nowMs: number): EngineView {
   const backend = state.backends.get(control.backendId)!;
   const { change, intent } = control;
--- a/src/coordination/entry/discovery.ts
+++ b/src/coordination/entry/discovery.ts
@@ -8,15 +8,8 @@
   isSameLife,
 } from '../../state/entry/backends.js';
 import { LogLevel } from '../events.js';
-import {
-  type BackendChange,
-  createEntryLog,
-  type EntryCommand,
-  EntryCommandKind,
-  type EntryEventKind,
-  type EntryEventOf,
-  EntryPart,
-} from './events.js';
+import { createEntryLog, type EntryCommand, EntryCommandKind, EntryPart } from './commands.js';
+import type { BackendChange, EntryEventKind, EntryEventOf } from './events.js';
 import { pumpWaiting } from './forwarding.js';
 import { EntryLifecycle, type EntryState, noteVmsSeen } from './state.js';
 
--- a/src/coordination/entry/engineOrders.ts
+++ b/src/coordination/entry/engineOrders.ts
@@ -4,14 +4,11 @@
  */
 import type { BackendEntry } from '../../state/entry/backends.js';
 import { LogLevel } from '../events.js';
+import { createEntryLog, type EntryCommand, EntryCommandKind, EntryPart } from './commands.js';
 import {
-  createEntryLog,
   EngineOrderOutcome,
-  type EntryCommand,
-  EntryCommandKind,
   type EntryEventKind,
   type EntryEventOf,
-  EntryPart,
   OrderAction,
 } from './events.js';
 import {
--- a/src/coordination/entry/forwarding.ts
+++ b/src/coordination/entry/forwarding.ts
@@ -10,10 +10,9 @@
   createEntryTimer,
   type EntryCommand,
   EntryCommandKind,
-  EntryEventKind,
-  type EntryEventOf,
   EntryPart,
-} from './events.js';
+} from './commands.js';
+import { EntryEventKind, type EntryEventOf } from './events.js';
 import { describeRecord, getDemandKey, getWaitTimerId, refuseForward } from './records.js';
 import { noteSent } from './promptLoad.js';
 import { earnRetry, takeRetry } from './retryBudget.js';
--- a/src/coordination/entry/handlers.ts
+++ b/src/coordination/entry/handlers.ts
@@ -24,7 +24,8 @@
   handleStoreAccess,
   handleVmsRead,
 } from './discovery.js';
-import { type EntryCommand, type EntryEvent, EntryEventKind, type EntryEventOf } from './events.js';
+import type { EntryCommand } from './commands.js';
+import { type EntryEvent, EntryEventKind, type EntryEventOf } from './events.js';
 import {
   handleAnswerBegun,
   handleAnswerCompleted,
--- a/src/coordination/entry/lifecycle.ts
+++ b/src/coordination/entry/lifecycle.ts
@@ -9,11 +9,9 @@
   createEntryTimer,
   type EntryCommand,
   EntryCommandKind,
-  EntryEventKind,
-  type EntryEventOf,
   EntryPart,
-  StopStep,
-} from './events.js';
+} from './commands.js';
+import { EntryEventKind, type EntryEventOf, StopStep } from './events.js';
 import { askForAdapter } from './adapterRequests.js';
 import { sweepBackends } from './discovery.js';
 import { pumpWaiting } from './forwarding.js';
--- a/src/coordination/entry/peers.ts
+++ b/src/coordination/entry/peers.ts
@@ -5,13 +5,8 @@
 import { isLaterBoard, type ModelDemand, type VmReport } from '../../state/entry/reports.js';
 import { nextRandomInt } from '../../state/random.js';
 import { getDemand, listDemands } from './demand.js';
-import {
-  createEntryTimer,
-  type EntryCommand,
-  EntryCommandKind,
-  EntryEventKind,
-  type EntryEventOf,
-} from './events.js';
+import { createEntryTimer, type EntryCommand, EntryCommandKind } from './commands.js';
+import { EntryEventKind, type EntryEventOf } from './events.js';
 import { countWaiting, pumpWaiting } from './forwarding.js';
 import { describeWorkspaces } from './rateLoans.js';
 import { type EntryState, isLeaving } from './state.js';
--- a/src/coordination/entry/rateLoans.ts
+++ b/src/coordination/entry/rateLoans.ts
@@ -8,12 +8,8 @@
 import type { WorkspaceDemand } from '../../state/entry/reports.js';
 import { nextRandomInt } from '../../state/random.js';
 import { getDemand, listDemands } from './demand.js';
-import {
-  type EntryCommand,
-  EntryCommandKind,
-  type EntryEventKind,
-  type EntryEventOf,
-} from './events.js';
+import { type EntryCommand, EntryCommandKind } from './commands.js';
+import type { EntryEventKind, EntryEventOf } from './events.js';
 import { getRateBucket } from './rates.js';
 import { type EntryState, ForwardPhase, type ForwardRecord } from './state.js';
 
--- a/src/coordination/entry/records.ts
+++ b/src/coordination/entry/records.ts
@@ -12,7 +12,7 @@
   EntryCommandKind,
   EntryPart,
   type LogFields,
-} from './events.js';
+} from './commands.js';
 import { noteRead } from './promptLoad.js';
 import { refundRate } from './rates.js';
 import { type EntryState, ForwardPhase, type ForwardRecord } from './state.js';
--- a/src/transport/entry/attempt.ts
+++ b/src/transport/entry/attempt.ts
@@ -2,11 +2,10 @@
  * One dispatch of a forwarded request to a backend server. It reports at most one end.
  */
 import http, { type ClientRequest, type IncomingMessage } from 'node:http';
+import type { EntryCommandKind, EntryCommandOf } from '../../coordination/entry/commands.js';
 import {
   type AttemptFailure,
   type BackendLoad,
-  type EntryCommandKind,
-  type EntryCommandOf,
   type EntryEvent,
   EntryEventKind,
 } from '../../coordination/entry/events.js';
--- a/src/transport/entry/commandTable.ts
+++ b/src/transport/entry/commandTable.ts
@@ -7,10 +7,12 @@
   type EntryCommand,
   EntryCommandKind,
   type EntryCommandOf,
+  EntryPart,
+} from '../../coordination/entry/commands.js';
+import {
   type EntryEvent,
   EntryEventKind,
   EngineOrderOutcome,
-  EntryPart,
 } from '../../coordination/entry/events.js';
 import type { EntrySelf } from '../../coordination/entry/state.js';
 import { LogLevel } from '../../coordination/events.js';
--- a/src/transport/entry/entryDaemon.ts
+++ b/src/transport/entry/entryDaemon.ts
@@ -4,7 +4,8 @@
 import type { Server } from 'node:http';
 import { randomBytes } from 'node:crypto';
 import { Cause, Clock, Effect, Exit } from 'effect';
-import { type EntryEvent, EntryEventKind, EntryPart } from '../../coordination/entry/events.js';
+import { EntryPart } from '../../coordination/entry/commands.js';
+import { type EntryEvent, EntryEventKind } from '../../coordination/entry/events.js';
 import { stepEntry } from '../../coordination/entry/handlers.js';
 import { createEntryState, isLeaving } from '../../coordination/entry/state.js';
 import { LogLevel } from '../../coordination/events.js';
--- a/src/transport/entry/entryLog.ts
+++ b/src/transport/entry/entryLog.ts
@@ -3,7 +3,7 @@
  * to a bound while the reader is slow, and dropped and counted beyond it.
  */
 import pino from 'pino';
-import type { EntryPart, LogFields } from '../../coordination/entry/events.js';
+import type { EntryPart, LogFields } from '../../coordination/entry/commands.js';
 import { LogLevel } from '../../coordination/events.js';
 
 /** Bytes that wait for a slow reader. */
--- a/src/transport/entry/storeWatches.ts
+++ b/src/transport/entry/storeWatches.ts
@@ -3,12 +3,12 @@
  * for peers that the store does not answer.
  */
 import { Effect } from 'effect';
+import { EntryPart } from '../../coordination/entry/commands.js';
 import {
   type BackendChange,
   type ControllerClaim,
   type EntryEvent,
   EntryEventKind,
-  EntryPart,
   type ListedEntryVm,
 } from '../../coordination/entry/events.js';
 import { LogLevel } from '../../coordination/events.js';
--- a/src/transport/entry/vmRegistration.ts
+++ b/src/transport/entry/vmRegistration.ts
@@ -4,7 +4,7 @@
  */
 import { Effect } from 'effect';
 import type { ListedEntryVm } from '../../coordination/entry/events.js';
-import { EntryPart } from '../../coordination/entry/events.js';
+import { EntryPart } from '../../coordination/entry/commands.js';
 import { LogLevel } from '../../coordination/events.js';
 import { createDiagnostic, type Diagnostic, Diagnostics } from '../../state/diagnostics.js';
 import type { PrefixStore } from '../keyValueStore.js';
--- a/tests/entry/discovery.test.ts
+++ b/tests/entry/discovery.test.ts
@@ -2,7 +2,8 @@
  * Backend servers that leave, lapse and come back; configurations that never go back.
  */
 import { describe, expect, it } from 'vitest';
-import { EntryCommandKind, EntryEventKind } from '../../src/coordination/entry/events.js';
+import { EntryCommandKind } from '../../src/coordination/entry/commands.js';
+import { EntryEventKind } from '../../src/coordination/entry/events.js';
 import {
   createTestDeployment,
   createTestEntry,
--- a/tests/entry/fixtures.ts
+++ b/tests/entry/fixtures.ts
@@ -2,10 +2,12 @@
  * A deployment, backend servers and requests for tests of the entry VM's decisions.
  */
 import {
-  type BackendChange,
   type EntryCommand,
   EntryCommandKind,
   type EntryCommandOf,
+} from '../../src/coordination/entry/commands.js';
+import {
+  type BackendChange,
   type EntryEvent,
   EntryEventKind,
   type ForwardRequest,
--- a/tests/entry/forwarding.test.ts
+++ b/tests/entry/forwarding.test.ts
@@ -2,11 +2,8 @@
  * What a request may become after a dispatch has failed, and what its refusal says of it.
  */
 import { describe, expect, it } from 'vitest';
-import {
-  type AttemptFailure,
-  EntryCommandKind,
-  EntryEventKind,
-} from '../../src/coordination/entry/events.js';
+import { EntryCommandKind } from '../../src/coordination/entry/commands.js';
+import { type AttemptFailure, EntryEventKind } from '../../src/coordination/entry/events.js';
 import { getForwardStatus } from '../../src/protocol/entry/refusals.js';
 import { createDiagnostic, Diagnostics } from '../../src/state/diagnostics.js';
 import { RunState } from '../../src/state/types.js';
--- a/tests/entry/lifecycle.test.ts
+++ b/tests/entry/lifecycle.test.ts
@@ -2,7 +2,8 @@
  * The planned stop, step by step.
  */
 import { describe, expect, it } from 'vitest';
-import { EntryCommandKind, EntryEventKind, StopStep } from '../../src/coordination/entry/events.js';
+import { EntryCommandKind } from '../../src/coordination/entry/commands.js';
+import { EntryEventKind, StopStep } from '../../src/coordination/entry/events.js';
 import { getForwardStatus } from '../../src/protocol/entry/refusals.js';
 import { createTestRequest, createTestVm, findCommands, getDispatch } from './fixtures.js';
 
