Test loans and prompts by tables, and take no loan without end

A lender's answer of an infinite number of tokens would have filled the bucket for good: 'that is lent no end of tokens' failed before.

--- a/src/coordination/entry/rateLoans.ts
+++ b/src/coordination/entry/rateLoans.ts
@@ -162,7 +162,9 @@
   const { lentTokens, spareTokens, vmId } = event;
   const workspace = state.deployment?.workspacesByName.get(event.workspace);
   state.answeredSpares.set(`${vmId} ${event.workspace}`, { spareTokens, atMs: nowMs });
-  if (workspace !== undefined && lentTokens > 0) {
-    getRateBucket(state, workspace, nowMs).levelTokens += lentTokens;
+  if (workspace !== undefined && Number.isFinite(lentTokens) && lentTokens > 0) {
+    const bucket = getRateBucket(state, workspace, nowMs);
+    // No question is for more than a bucket holds.
+    bucket.levelTokens += Math.min(lentTokens, bucket.capacityTokens);
   }
 }
--- /dev/null
+++ b/tests/entry/rateLoans.test.ts
@@ -0,0 +1,126 @@
+/**
+ * Loans of tokens between VMs, one question or answer at a time. What they do over many VMs is in
+ * `rates.test.ts`.
+ */
+import { describe, expect, it } from 'vitest';
+import { EntryCommandKind } from '../../src/coordination/entry/commands.js';
+import { EntryEventKind } from '../../src/coordination/entry/events.js';
+import { getRateBucket } from '../../src/coordination/entry/rates.js';
+import { getForwardStatus } from '../../src/protocol/entry/refusals.js';
+import type { RateBucket } from '../../src/state/entry/rateBucket.js';
+import type { VmReport } from '../../src/state/entry/reports.js';
+import {
+  createTestRequest,
+  createTestVm,
+  findCommands,
+  TEST_WORKSPACE,
+  type TestVm,
+} from './fixtures.js';
+
+const NOW_MS = 10_000;
+
+/** The bucket as it is now; its first use only creates it as it was at the start of the process. */
+function getBucket({ state }: TestVm): RateBucket {
+  getRateBucket(state, TEST_WORKSPACE, NOW_MS);
+  return getRateBucket(state, TEST_WORKSPACE, NOW_MS);
+}
+
+function createVm(levelTokens: number): TestVm {
+  const vm = createTestVm();
+  getBucket(vm).levelTokens = levelTokens;
+  return vm;
+}
+
+const QUESTIONS = [
+  { name: 'some tokens', workspace: 'mill', tokens: 500, isLent: true },
+  { name: 'more than it has', workspace: 'mill', tokens: 10_000_000, isLent: false },
+  { name: 'none', workspace: 'mill', tokens: 0, isLent: false },
+  { name: 'less than none', workspace: 'mill', tokens: -500, isLent: false },
+  { name: 'no number', workspace: 'mill', tokens: Number.NaN, isLent: false },
+  { name: 'no end of tokens', workspace: 'mill', tokens: Number.POSITIVE_INFINITY, isLent: false },
+  { name: 'tokens of nobody', workspace: 'nobody', tokens: 500, isLent: false },
+];
+
+const ANSWERS = [
+  { name: 'some tokens', lentTokens: 500, added: 500 },
+  { name: 'none', lentTokens: 0, added: 0 },
+  { name: 'less than none', lentTokens: -500, added: 0 },
+  { name: 'no number', lentTokens: Number.NaN, added: 0 },
+  { name: 'no end of tokens', lentTokens: Number.POSITIVE_INFINITY, added: 0 },
+];
+
+function createReport(vmId: string, spareTokens: number): VmReport {
+  return {
+    vmId,
+    incarnation: vmId,
+    failureDomain: 'fd-a',
+    peerAddress: `${vmId}:1`,
+    sequence: 1,
+    configurationVersion: 1,
+    backendsRevision: 5,
+    isLeaving: false,
+    workspaceDemands: [{ name: 'mill', tokensPerSecond: 100, spareTokens }],
+    modelDemands: [],
+  };
+}
+
+/** Creates a VM whose bucket is empty, and lets a request arrive. */
+function arriveShort(spares: readonly number[]) {
+  const vm = createVm(0);
+  const reports = spares.map((spareTokens, i) => createReport(`vm-${i + 2}`, spareTokens));
+  vm.step({ kind: EntryEventKind.PeerMessage, reports, board: null, replyId: null });
+  return { vm, commands: vm.arrive(createTestRequest('r', '/draft/x')) };
+}
+
+describe('a lender', () => {
+  it.each(QUESTIONS)('that is asked for $name', ({ isLent, tokens, workspace }) => {
+    const vm = createVm(5_000);
+    const event = { kind: EntryEventKind.RateAsked, workspace, tokens, replyId: 'q' } as const;
+    const [answer] = findCommands(vm.step(event), EntryCommandKind.AnswerRate);
+    expect(answer?.lentTokens).toBe(isLent ? tokens : 0);
+    expect(5_000 - getBucket(vm).levelTokens).toBe(isLent ? tokens : 0);
+  });
+});
+
+describe('a borrower', () => {
+  it.each(ANSWERS)('that is lent $name', ({ added, lentTokens }) => {
+    const vm = createVm(5_000);
+    const kind = EntryEventKind.RateLent;
+    const loan = { requestId: 'gone', vmId: 'vm-2', workspace: 'mill', lentTokens, spareTokens: 0 };
+    expect(vm.step({ kind, ...loan })).toEqual([]);
+    expect(getBucket(vm).levelTokens - 5_000).toBe(added);
+  });
+
+  it('asks the VM with most to spare, sends the request on, and asks nobody twice', () => {
+    const { commands, vm } = arriveShort([50, 40_000]);
+    const [question] = findCommands(commands, EntryCommandKind.BorrowRate);
+    expect(question).toMatchObject({ vmId: 'vm-3', tokens: 1_100 });
+    const kind = EntryEventKind.RateLent;
+    const answer = { kind, requestId: 'r', vmId: 'vm-3', workspace: 'mill' } as const;
+    const sent = vm.step({ ...answer, lentTokens: 1_100, spareTokens: 900 });
+    expect(findCommands(sent, EntryCommandKind.Dispatch)).toHaveLength(1);
+  });
+
+  it('refuses truly and at once if nobody lends', () => {
+    const { commands, vm } = arriveShort([50, 40_000]);
+    expect(findCommands(commands, EntryCommandKind.Refuse)).toHaveLength(0);
+    const kind = EntryEventKind.RateLent;
+    const answer = { kind, requestId: 'r', vmId: 'vm-3', workspace: 'mill' } as const;
+    const ended = vm.step({ ...answer, lentTokens: 0, spareTokens: 0 });
+    const [refusal] = findCommands(ended, EntryCommandKind.Refuse);
+    expect(getForwardStatus(refusal!.refusal)).toBe(429);
+  });
+
+  it('asks nobody if none is known to have enough', () => {
+    const { commands } = arriveShort([50, 60]);
+    expect(findCommands(commands, EntryCommandKind.BorrowRate)).toHaveLength(0);
+    expect(findCommands(commands, EntryCommandKind.Refuse)).toHaveLength(1);
+  });
+
+  it('gives nothing back for a caller that leaves while a VM is asked', () => {
+    const { vm } = arriveShort([40_000]);
+    vm.step({ kind: EntryEventKind.CallerLeft, requestId: 'r' });
+    expect(getBucket(vm).levelTokens).toBe(0);
+    expect(vm.state.requests.size).toBe(0);
+  });
+});
