--- a/bench/main.ts
+++ b/bench/main.ts
@@ -5,6 +5,7 @@
 import { runIdle } from './idle.js';
 import { runLatency } from './latency.js';
 import { runNeighbour } from './neighbour.js';
+import { runPlacement } from './placement.js';
 import { runRouting } from './routing.js';
 import { runTokens } from './tokens.js';
 
@@ -13,6 +14,7 @@
   capacity: runCapacity,
   idle: runIdle,
   neighbour: runNeighbour,
+  placement: runPlacement,
   routing: runRouting,
   tokens: runTokens,
 };
