Forget what lenders had left once it is too old to count

Read in the clean-up: the table grew by one entry for each VM that was ever asked and replaced. The case in rateLoans.test.ts holds it to what is fresh.

--- a/src/coordination/entry/rateLoans.ts
+++ b/src/coordination/entry/rateLoans.ts
@@ -35,8 +35,15 @@
   return Math.max(0, bucket.levelTokens - keptTokens);
 }
 
+function forgetAnswers({ answeredSpares }: EntryState, nowMs: number): void {
+  [...answeredSpares.entries()]
+    .filter(([, { atMs }]) => nowMs - atMs >= ANSWER_FRESH_MS)
+    .forEach(([key]) => answeredSpares.delete(key));
+}
+
 /** Describes this VM's demand and spare tokens of each workspace that was asked for here. */
 export function describeWorkspaces(state: EntryState, nowMs: number): WorkspaceDemand[] {
+  forgetAnswers(state, nowMs);
   const demands = new Map(
     listDemands(state.workspaceDemand, nowMs).map(({ name, tokensPerSecond }) => [
       name,
--- a/tests/entry/rateLoans.test.ts
+++ b/tests/entry/rateLoans.test.ts
@@ -117,6 +117,18 @@
     expect(findCommands(commands, EntryCommandKind.Refuse)).toHaveLength(1);
   });
 
+  it('forgets what lenders had left once their reports tell it', () => {
+    const vm = createVm(0);
+    const kind = EntryEventKind.RateLent;
+    const answer = { requestId: 'gone', vmId: 'vm-2', workspace: 'mill', lentTokens: 0 };
+    vm.step({ kind, ...answer, spareTokens: 7 });
+    vm.step({ kind: EntryEventKind.PeerTick }, NOW_MS + 100);
+    expect(vm.state.answeredSpares.size).toBe(1);
+    vm.state.peers.set('vm-2', { report: createReport('vm-2', 0), heardAtMs: NOW_MS + 1_000 });
+    vm.step({ kind: EntryEventKind.PeerTick }, NOW_MS + 1_000);
+    expect(vm.state.answeredSpares.size).toBe(0);
+  });
+
   it('gives nothing back for a caller that leaves while a VM is asked', () => {
     const { vm } = arriveShort([40_000]);
     vm.step({ kind: EntryEventKind.CallerLeft, requestId: 'r' });
