Choose a server once for a request that waits, and count the live VMs once for a choice

Read in the clean-up, no change of behaviour: a waiting request looked for its servers twice at each pump, and the live VMs were counted anew for each candidate. The placement bench uses the plan's own load times and sources.

--- a/bench/placement.ts
+++ b/bench/placement.ts
@@ -6,7 +6,13 @@
  * Work flows as tokens a second, not as requests, and VMs see what engines hold without errors; so the
  * figures compare plans, and say nothing of a deployment.
  */
-import { NO_NEED, planNextStep, type PlanStep } from '../src/coordination/entry/placementPlan.js';
+import {
+  LOAD_TIMES,
+  NO_NEED,
+  planNextStep,
+  type PlanStep,
+  WeightSource,
+} from '../src/coordination/entry/placementPlan.js';
 import type { EngineModel, EngineProfile } from '../src/state/entry/deployment.js';
 import { createRandom, nextRandom, nextRandomInt, type RandomState } from '../src/state/random.js';
 import { printFigure } from './figures.js';
@@ -288,15 +294,14 @@
   });
 }
 
-const LOAD_TIMES = { host: MODEL.hostLoadMs, disk: MODEL.diskLoadMs, store: MODEL.storeLoadMs };
-
 function carryOut(day: Day, step: PlanStep, atSeconds: number): void {
   const engine = day.engines.find(({ id }) => id === step.backendId)!;
   const { isLoad, model, source, wantedModel } = step;
   if (isLoad) {
     day.loads += 1;
-    day.storeLoadsAt.push(...(source === 'store' ? [atSeconds] : []));
-    const seconds = LOAD_TIMES[source ?? 'store'] / 1000;
+    day.storeLoadsAt.push(...(source === WeightSource.Store ? [atSeconds] : []));
+    const seconds =
+      LOAD_TIMES[source ?? WeightSource.Store](day.profile.modelsByName.get(model)!) / 1000;
     engine.order = { step, untilSeconds: atSeconds + seconds };
     engine.intent = null;
     return;
--- a/src/coordination/entry/forwarding.ts
+++ b/src/coordination/entry/forwarding.ts
@@ -1,7 +1,7 @@
 /**
  * Sending forwarded requests on, and the wait for a backend server that can run them.
  */
-import { getVariantKey } from '../../state/entry/backends.js';
+import { type Backend, getVariantKey } from '../../state/entry/backends.js';
 import { RouteKind } from '../../state/entry/deployment.js';
 import { createDiagnostic, Diagnostics } from '../../state/diagnostics.js';
 import { LogLevel } from '../events.js';
@@ -110,14 +110,17 @@
   ];
 }
 
+function findBackend(state: EntryState, record: ForwardRecord, nowMs: number): Backend | undefined {
+  return chooseBackend(state, record, findCandidates(state, record, nowMs), nowMs);
+}
+
 /** Sends a request to a backend server that can run it now; null if there is none. */
 export function tryDispatch(
   state: EntryState,
   record: ForwardRecord,
   nowMs: number,
 ): EntryCommand[] | null {
-  const candidates = findCandidates(state, record, nowMs);
-  const backend = chooseBackend(state, record, candidates, nowMs);
+  const backend = findBackend(state, record, nowMs);
   return backend === undefined ? null : dispatchTo(state, record, backend.entry.id, nowMs);
 }
 
@@ -172,11 +175,12 @@
 
 /** Sends on a request that waits, if a server can run it; what was sent before needs a retry of the budget. */
 function resumeWaiting(state: EntryState, record: ForwardRecord, nowMs: number): EntryCommand[] {
-  if (findCandidates(state, record, nowMs).length === 0) {
+  const backend = findBackend(state, record, nowMs);
+  if (backend === undefined) {
     return [];
   }
   const mayGo = record.attempt === 0 || takeRetry(state, record.service.name);
-  return mayGo ? (tryDispatch(state, record, nowMs) ?? []) : [];
+  return mayGo ? dispatchTo(state, record, backend.entry.id, nowMs) : [];
 }
 
 /** Sends on what waits, after servers, models or adapters have come. */
--- a/src/coordination/entry/placementPlan.ts
+++ b/src/coordination/entry/placementPlan.ts
@@ -204,7 +204,8 @@
   return engine.diskCopies.includes(model) ? WeightSource.Disk : WeightSource.Store;
 }
 
-const LOAD_TIMES: Readonly<Record<WeightSource, (model: EngineModel) => number>> = {
+/** Time of a load of a model, by where its weights come from. */
+export const LOAD_TIMES: Readonly<Record<WeightSource, (model: EngineModel) => number>> = {
   [WeightSource.Host]: ({ hostLoadMs }) => hostLoadMs,
   [WeightSource.Disk]: ({ diskLoadMs }) => diskLoadMs,
   [WeightSource.Store]: ({ storeLoadMs }) => storeLoadMs,
--- a/src/coordination/entry/selection.ts
+++ b/src/coordination/entry/selection.ts
@@ -40,9 +40,9 @@
 }
 
 /** Returns the load of a server in parts of its slots. */
-export function getBackendLoad(state: EntryState, backend: Backend, nowMs: number): number {
+function getBackendLoad(backend: Backend, liveVms: number, nowMs: number): number {
   const { entry, inFlight, loadSeenAtMs, otherRequests } = backend;
-  const guessed = inFlight * (countLiveVms(state, nowMs) - 1);
+  const guessed = inFlight * (liveVms - 1);
   const isFresh = nowMs - loadSeenAtMs < LOAD_FRESH_MS;
   const others = isFresh ? otherRequests * TOLD_PART + guessed * (1 - TOLD_PART) : guessed;
   return (inFlight + others) / Math.max(1, entry.slots);
@@ -52,12 +52,13 @@
   state: EntryState,
   record: Pick<ForwardRecord, 'request' | 'route'>,
   backend: Backend,
+  liveVms: number,
   nowMs: number,
 ): number {
   const isRemote = backend.entry.failureDomain !== state.self.failureDomain;
   const holdUp = getHoldUp(backend, record);
   return (
-    getBackendLoad(state, backend, nowMs) +
+    getBackendLoad(backend, liveVms, nowMs) +
     HOLD_UP_COST * holdUp * holdUp +
     (isRemote ? REMOTE_COST : 0) +
     backend.failurePart * FAILURE_COST +
@@ -94,7 +95,8 @@
   const pool = reachable.length > 0 ? reachable : candidates;
   // Begins at a random place, so that equals are chosen alike often.
   const first = nextRandomInt(state.random, Math.max(1, pool.length));
-  const costs = pool.map((backend) => getCost(state, record, backend, nowMs));
+  const liveVms = countLiveVms(state, nowMs);
+  const costs = pool.map((backend) => getCost(state, record, backend, liveVms, nowMs));
   let best = first;
   for (let i = 1; i < pool.length; i += 1) {
     const at = (first + i) % pool.length;
