Log the prompt parts and the progress of a failed attempt

The line on a failed attempt told neither which prompt its request had nor how long its answer had been running, so a cause in the prompt could not be told from engines that end by themselves.

--- a/src/coordination/entry/attempts.ts
+++ b/src/coordination/entry/attempts.ts
@@ -188,6 +188,8 @@
     reason: failure.diagnostic.key,
     detail: failure.diagnostic.message,
     runState: failure.runState,
+    sinceFirstEventMs: record.firstEventAtMs === null ? -1 : nowMs - record.firstEventAtMs,
+    promptParts: record.request.promptParts.join(' '),
     isRefusedByServer: failure.isRefusedByServer,
     isAnswerBegun,
   });
