Quarantine prompt parts that crash engines

Cause: nothing related a lost connection to the prompt of the request.

Fix: a VM whose connections to a server are lost probes the server; a refused connection proves a crash. The requests whose answers had not been running for 200 ms are suspects, by their prompt parts but the last. VMs exchange crashes, healthy parts and quarantines by gossip, at once when they learn something new. A part that is a suspect of three crashes, of three requests at three addresses, more often than by chance, and has not been healthy since, is quarantined with those that always occurred with it. Its requests are rejected at once with 503, truly not run, and a Retry-After up to the next trial; those in flight without an event are cancelled. A request under which two engines have crashed is not sent to a third. A quarantine ends when a request with its parts is answered: the controller lets one try after a minute, then less often.

Why it works: crashes have the part in common, sound parts are cleared by any answer under them anywhere. Crashes of another cause have nothing in common; the tests play one engine that flaps, a third of them, all of them, and random ones, and nothing is held back.

--- a/src/coordination/entry/admission.ts
+++ b/src/coordination/entry/admission.ts
@@ -30,6 +30,7 @@
 } from './commands.js';
 import { EntryEventKind, type EntryEventOf, type ForwardRequest } from './events.js';
 import { startForward } from './forwarding.js';
+import { checkQuarantine } from './quarantines.js';
 import { requestLoan, creditLoan } from './rateLoans.js';
 import { getRateBucket, chargeRate } from './rates.js';
 import {
@@ -189,6 +190,8 @@
     firstEventAtMs: null,
     dispatchedAtMs: nowMs,
     pendingPrefillTokens: 0,
+    lostAttempt: null,
+    isTrial: false,
   };
 }
 
@@ -266,7 +269,12 @@
       if (workspace !== null) {
         addDemand(state.workspaceDemand, workspace.name, costTokens, nowMs);
       }
+      const { commands, isRejected } = checkQuarantine(state, record, nowMs);
+      if (isRejected) {
+        return commands;
+      }
       return [
+        ...commands,
         createEntryTimer(getDeadlineTimerId(requestId), record.deadlineAtMs - nowMs, {
           kind: EntryEventKind.RequestDeadlineReached,
           requestId,
--- a/src/coordination/entry/attempts.ts
+++ b/src/coordination/entry/attempts.ts
@@ -1,25 +1,23 @@
 /**
- * Handles the end of attempts: answers, failures and servers that send no data. Decides which requests may be retried.
+ * Handles the end of attempts: answers, failures and servers that send no data.
  */
-import { RouteKind } from '../../state/entry/deployment.js';
-import { createDiagnostic, type Diagnostic, Diagnostics } from '../../state/diagnostics.js';
+import { Diagnostics } from '../../state/diagnostics.js';
 import { combineRunStatuses, getRunStatus } from '../../state/runState.js';
 import { RunStatus } from '../../state/types.js';
 import { LogLevel, RequestOutcome } from '../events.js';
 import { createEntryLog, type EntryCommand, EntryCommandKind, EntryLogPrefix } from './commands.js';
 import { type AttemptFailure, EntryEventKind, type EntryEventOf } from './events.js';
+import { LossCause, recordLostConnection, startVerifying } from './crashDetection.js';
 import {
-  abortForward,
   cancelAttempt,
   closeForward,
   getRequestLogFields,
-  refuseForward,
   releaseBackend,
 } from './requestCompletion.js';
 import { updatePrefillSpeed } from './prefillLoad.js';
-import { withdrawRetry } from './retryBudget.js';
+import { recordHealthyAnswer } from './quarantines.js';
+import { isRetrySafe, mayRunTwice, retryOrEnd, takeRetryIfAllowed } from './retries.js';
 import {
-  findCandidates,
   recordReportedLoad,
   markVariantMissing,
   recordAttemptOutcome,
@@ -27,29 +25,11 @@
   markUnreachable,
 } from './backendSelection.js';
 import { type EntryState, ForwardPhase, type ForwardRecord } from './state.js';
-import { OVERLOADED_RETRY_AFTER_MS, startWaiting, tryDispatch } from './forwarding.js';
+import { tryDispatch } from './forwarding.js';
 
-/** Retries allowed after attempts that provably did not run; those do not count as attempts of the route. */
-const MAX_NOT_RUN_RETRIES = 2;
-/** A request with no more time left than this is not retried. */
-const MIN_RETRY_TIME_LEFT_MS = 60;
 /** Lowest HTTP status that indicates a failure of the server rather than of the request. */
 const MIN_SERVER_ERROR_STATUS = 500;
 
-/** Returns whether a request may run more than once. */
-function mayRunTwice(record: ForwardRecord): boolean {
-  const { isResumable, kind } = record.route;
-  return kind === RouteKind.Idempotent || (kind === RouteKind.Stream && isResumable);
-}
-
-/** Returns whether a retry is safe, given whether the request may have run and whether its answer has begun. */
-function isRetrySafe(record: ForwardRecord, isAnswerBegun: boolean): boolean {
-  if (isAnswerBegun) {
-    return record.route.kind === RouteKind.Stream && record.route.isResumable;
-  }
-  return mayRunTwice(record) || record.runStatus === RunStatus.NotRun;
-}
-
 /** Returns whether a request is for a model on an engine. */
 function isEngineRequest({ request, service }: ForwardRecord): boolean {
   return service.engine !== null && request.model !== null;
@@ -101,39 +81,7 @@
   }
   const { maxGapMs, meanGapMs } = event;
   const end = { outcome: RequestOutcome.Completed, diagnostic: null, maxGapMs, meanGapMs };
-  return closeForward(state, record, end, nowMs);
-}
-
-/**
- * Takes one retry from the budget if the route's attempts, the time left and the candidate servers allow one.
- * Returns whether it was taken.
- */
-function takeRetryIfAllowed(state: EntryState, record: ForwardRecord, nowMs: number): boolean {
-  return (
-    record.possiblyRunBackendIds.length < record.route.maxAttempts &&
-    record.notRunAttempts <= MAX_NOT_RUN_RETRIES &&
-    record.deadlineAtMs - nowMs > MIN_RETRY_TIME_LEFT_MS &&
-    findCandidates(state, record, nowMs).length > 0 &&
-    withdrawRetry(state, record.service.name)
-  );
-}
-
-/** Ends a request whose last attempt failed: aborts an answer that has begun, else rejects the request. */
-function endWithFailure(
-  state: EntryState,
-  record: ForwardRecord,
-  diagnostic: Diagnostic,
-  isAnswerBegun: boolean,
-  nowMs: number,
-): EntryCommand[] {
-  if (isAnswerBegun) {
-    return abortForward(state, record, diagnostic, nowMs);
-  }
-  const isNotRun = record.runStatus === RunStatus.NotRun;
-  const reason = isNotRun
-    ? createDiagnostic(Diagnostics.Overloaded, record.service.name)
-    : diagnostic;
-  return refuseForward(state, record, reason, nowMs, isNotRun ? OVERLOADED_RETRY_AFTER_MS : null);
+  return [...closeForward(state, record, end, nowMs), ...recordHealthyAnswer(state, record, nowMs)];
 }
 
 /** Updates the record and the backend server from the failure of an attempt. */
@@ -165,10 +113,13 @@
   }
 }
 
-/**
- * Handles a failed attempt: retries the request if that is safe, lets it wait if only the model was missing, and
- * else ends it.
- */
+/** Diagnostics of attempts whose connection was lost after the request may have been sent. */
+const LOST_CONNECTION_CODES: ReadonlySet<number> = new Set([
+  Diagnostics.AnswerLost.code,
+  Diagnostics.AnswerTruncated.code,
+]);
+
+/** Handles a failed attempt. If its server may have crashed, the request goes on only after that is known. */
 export function handleAttemptFailed(
   state: EntryState,
   event: EntryEventOf<typeof EntryEventKind.AttemptFailed>,
@@ -193,19 +144,25 @@
     isRefusedByServer: failure.isRefusedByServer,
     isAnswerBegun,
   });
+  const { diagnostic, isMisdirected, isRefusedByServer } = failure;
+  const isConnectionLost = !isRefusedByServer && LOST_CONNECTION_CODES.has(diagnostic.code);
   recordFailure(state, record, failure, nowMs);
+  const { cause, commands } =
+    isConnectionLost && backend !== undefined
+      ? recordLostConnection(state, record, backend, failure.runState, nowMs)
+      : { cause: LossCause.Irrelevant, commands: [] };
   releaseBackend(state, record);
-  if (isRetrySafe(record, isAnswerBegun) && takeRetryIfAllowed(state, record, nowMs)) {
-    return [log, ...(tryDispatch(state, record, nowMs) ?? [])];
+  if (!state.requests.has(event.requestId)) {
+    return [log, ...commands];
   }
-  // An engine rejects requests while it unloads or loads the model; another engine may soon have it loaded.
-  const isModelMissing =
-    failure.isMisdirected || (failure.isRefusedByServer && isEngineRequest(record));
-  const mayWait = record.runStatus === RunStatus.NotRun && !isAnswerBegun;
-  if (isModelMissing && mayWait && record.notRunAttempts <= MAX_NOT_RUN_RETRIES) {
-    return [log, ...startWaiting(state, record, nowMs)];
+  if (cause === LossCause.Unverified && backend !== undefined) {
+    startVerifying(state, record, backend, { diagnostic, isAnswerBegun });
+    return [log, ...commands];
   }
-  return [log, ...endWithFailure(state, record, failure.diagnostic, isAnswerBegun, nowMs)];
+  const isModelMissing = isMisdirected || (isRefusedByServer && isEngineRequest(record));
+  const isCrashSuspect = cause === LossCause.Crash;
+  const failed = { diagnostic, isAnswerBegun, isModelMissing, isCrashSuspect };
+  return [log, ...commands, ...retryOrEnd(state, record, failed, nowMs)];
 }
 
 /** Delivers a buffered answer, or retries the request if the answer reports a server failure. */
@@ -242,6 +199,7 @@
   return [
     { kind: EntryCommandKind.DeliverAnswer, requestId, attempt },
     ...closeForward(state, record, end, nowMs),
+    ...(isFailure ? [] : recordHealthyAnswer(state, record, nowMs)),
   ];
 }
 
--- a/src/coordination/entry/commands.ts
+++ b/src/coordination/entry/commands.ts
@@ -3,6 +3,7 @@
  * like the events.
  */
 import type { CallerLimits } from '../../state/entry/deployment.js';
+import type { EvidenceReport } from '../../state/entry/promptEvidence.js';
 import type { PlacementBoard, VmReport } from '../../state/entry/reports.js';
 import type { Refusal } from '../../state/types.js';
 import type { LogLevel, RequestMetrics } from '../events.js';
@@ -15,6 +16,7 @@
   DeliverAnswer: 'deliverAnswer',
   Refuse: 'refuse',
   AbortAnswer: 'abortAnswer',
+  ProbeBackend: 'probeBackend',
   SetLimits: 'setLimits',
   SetReady: 'setReady',
   StopAccepting: 'stopAccepting',
@@ -48,6 +50,7 @@
   Lifecycle: 'lifecycle',
   Store: 'store',
   Rate: 'rate',
+  Quarantine: 'quarantine',
 } as const;
 export type EntryLogPrefix = (typeof EntryLogPrefix)[keyof typeof EntryLogPrefix];
 
@@ -77,6 +80,8 @@
   [EntryCommandKind.Refuse]: { readonly requestId: string; readonly refusal: Refusal };
   /** Ends a response that has started so that the caller can detect that it is incomplete. */
   [EntryCommandKind.AbortAnswer]: { readonly requestId: string; readonly refusal: Refusal };
+  /** Connects to a backend server to find out whether its process has ended. */
+  [EntryCommandKind.ProbeBackend]: { readonly address: string; readonly processKey: string };
   [EntryCommandKind.SetLimits]: { readonly limits: CallerLimits };
   [EntryCommandKind.SetReady]: { readonly isReady: boolean };
   /** Refuses new connections and closes idle ones. */
@@ -86,11 +91,15 @@
     readonly peerAddress: string;
     readonly reports: readonly VmReport[];
     readonly board: PlacementBoard | null;
+    /** Its times are relative to the time at which the message is sent. */
+    readonly evidence: EvidenceReport;
   };
   [EntryCommandKind.ReplyToPeer]: {
     readonly replyId: string;
     readonly reports: readonly VmReport[];
     readonly board: PlacementBoard | null;
+    /** Its times are relative to the time at which the message is sent. */
+    readonly evidence: EvidenceReport;
   };
   /** Fetches the configuration and the backend servers from a peer that has later versions. */
   [EntryCommandKind.FetchFromPeer]: { readonly peerAddress: string };
--- /dev/null
+++ b/src/coordination/entry/crashDetection.ts
@@ -0,0 +1,153 @@
+/**
+ * Detects crashes of backend servers. A lost connection alone may have other causes, so the server is probed: only a
+ * machine that refuses connections proves that the process has ended. The requests that lost their connections before
+ * their answers had been running for some time are suspects of having caused the crash. They are retried only after
+ * the probe.
+ */
+import {
+  getProcessKey,
+  getSharedParts,
+  recordCrash,
+  recordHealthyParts,
+  type Suspect,
+} from '../../state/entry/promptEvidence.js';
+import type { Diagnostic } from '../../state/diagnostics.js';
+import type { Backend } from '../../state/entry/backends.js';
+import { RunState } from '../../state/types.js';
+import { LogLevel } from '../events.js';
+import { createEntryLog, type EntryCommand, EntryCommandKind, EntryLogPrefix } from './commands.js';
+import { type EntryEventKind, type EntryEventOf, ProbeOutcome } from './events.js';
+import { isAnswerHealthy, reviewEvidence, spreadEvidence } from './quarantines.js';
+import { retryOrEnd } from './retries.js';
+import {
+  type EntryState,
+  ForwardPhase,
+  type ForwardRecord,
+  type LostConnections,
+} from './state.js';
+
+/** Whether the loss of a request's connection is the crash of its server. */
+export const LossCause = {
+  /** The server is leaving, or the request cannot be the cause of a crash. */
+  Irrelevant: 'irrelevant',
+  /** The server is being probed. */
+  Unverified: 'unverified',
+  Crash: 'crash',
+} as const;
+export type LossCause = (typeof LossCause)[keyof typeof LossCause];
+
+/** States of an attempt whose server had sent at least the head of its answer. */
+const ANSWERING_STATES: ReadonlySet<RunState> = new Set([RunState.Accepted, RunState.Streaming]);
+
+/** Returns whether the end of a server's process is expected: it is leaving, or no longer registered. */
+function isEndExpected({ entry, removeAtMs }: Backend): boolean {
+  return entry.isLeaving || removeAtMs !== null;
+}
+
+/** Adds a suspect to the crash of its server, and sends that to the other VMs. */
+function addSuspect(
+  state: EntryState,
+  { entry }: Backend,
+  suspect: Suspect,
+  nowMs: number,
+): EntryCommand[] {
+  const { address, bornAtWallMs, id: serverId, service } = entry;
+  const crash = { serverId, bornAtWallMs, service, address, atMs: nowMs, suspects: [suspect] };
+  return recordCrash(state.promptEvidence, crash)
+    ? [...reviewEvidence(state, nowMs), ...spreadEvidence(state)]
+    : [];
+}
+
+/**
+ * Records that a request's connection to its server was lost. Probes the server if it is not known yet whether it has
+ * crashed.
+ */
+export function recordLostConnection(
+  state: EntryState,
+  record: ForwardRecord,
+  backend: Backend,
+  runState: RunState,
+  nowMs: number,
+): { readonly cause: LossCause; readonly commands: EntryCommand[] } {
+  const { promptParts } = record.request;
+  const sharedParts = getSharedParts(promptParts);
+  const { Crash, Irrelevant, Unverified } = LossCause;
+  if (sharedParts.length === 0 || isEndExpected(backend)) {
+    return { cause: Irrelevant, commands: [] };
+  }
+  if (isAnswerHealthy(record, nowMs)) {
+    recordHealthyParts(state.promptEvidence, record.service.name, sharedParts, nowMs);
+    return { cause: Irrelevant, commands: [] };
+  }
+  const { entry } = backend;
+  const suspect = { parts: promptParts, isAnswering: ANSWERING_STATES.has(runState) };
+  const processKey = getProcessKey(entry.id, entry.bornAtWallMs);
+  if (state.promptEvidence.crashes.has(processKey)) {
+    return { cause: Crash, commands: addSuspect(state, backend, suspect, nowMs) };
+  }
+  const pending = state.lostConnections.get(processKey);
+  if (pending !== undefined) {
+    pending.suspects.push(suspect);
+    return { cause: Unverified, commands: [] };
+  }
+  state.lostConnections.set(processKey, { entry, firstLostAtMs: nowMs, suspects: [suspect] });
+  const { address } = entry;
+  const probe: EntryCommand = { kind: EntryCommandKind.ProbeBackend, address, processKey };
+  return { cause: Unverified, commands: [probe] };
+}
+
+/** Lets a request wait for the probe of its server. */
+export function startVerifying(
+  state: EntryState,
+  record: ForwardRecord,
+  backend: Backend,
+  lost: { readonly diagnostic: Diagnostic; readonly isAnswerBegun: boolean },
+): void {
+  const { bornAtWallMs, id } = backend.entry;
+  record.phase = ForwardPhase.Verifying;
+  record.lostAttempt = { ...lost, processKey: getProcessKey(id, bornAtWallMs) };
+}
+
+function reportCrash(state: EntryState, lost: LostConnections, nowMs: number): EntryCommand[] {
+  const { address, bornAtWallMs, id: serverId, service } = lost.entry;
+  const { firstLostAtMs: atMs, suspects } = lost;
+  recordCrash(state.promptEvidence, { serverId, bornAtWallMs, service, address, atMs, suspects });
+  return [
+    createEntryLog(LogLevel.Warn, EntryLogPrefix.Backend, 'A backend server has crashed.', {
+      server: serverId,
+      service,
+      address,
+      suspects: suspects.map(({ parts }) => parts.join('+')).join(' '),
+      verifiedAfterMs: Math.round(nowMs - atMs),
+    }),
+    ...reviewEvidence(state, nowMs),
+    ...spreadEvidence(state),
+  ];
+}
+
+/** Records the crash that a probe has proved, and lets the requests go on that waited for the probe. */
+export function handleBackendProbed(
+  state: EntryState,
+  event: EntryEventOf<typeof EntryEventKind.BackendProbed>,
+  nowMs: number,
+): EntryCommand[] {
+  const { outcome, processKey } = event;
+  const lost = state.lostConnections.get(processKey);
+  if (lost === undefined) {
+    return [];
+  }
+  state.lostConnections.delete(processKey);
+  const isCrashSuspect = outcome === ProbeOutcome.Gone;
+  const crash = isCrashSuspect ? reportCrash(state, lost, nowMs) : [];
+  const waiting = [...state.requests.values()].filter(
+    ({ lostAttempt, phase }) =>
+      phase === ForwardPhase.Verifying && lostAttempt?.processKey === processKey,
+  );
+  const continued = waiting.flatMap((record) => {
+    const { diagnostic, isAnswerBegun } = record.lostAttempt!;
+    record.lostAttempt = null;
+    const failed = { diagnostic, isAnswerBegun, isModelMissing: false, isCrashSuspect };
+    return retryOrEnd(state, record, failed, nowMs);
+  });
+  return [...crash, ...continued];
+}
--- a/src/coordination/entry/events.ts
+++ b/src/coordination/entry/events.ts
@@ -4,6 +4,7 @@
  */
 import type { BackendEntry } from '../../state/entry/backends.js';
 import type { Deployment } from '../../state/entry/deployment.js';
+import type { EvidenceReport } from '../../state/entry/promptEvidence.js';
 import type { PlacementBoard, VmReport } from '../../state/entry/reports.js';
 import type { Diagnostic } from '../../state/diagnostics.js';
 import type { RunState } from '../../state/types.js';
@@ -87,6 +88,16 @@
   readonly loadingAdapters: readonly string[];
 }
 
+/** What a connection to a backend server shows about its process. */
+export const ProbeOutcome = {
+  Accepting: 'accepting',
+  /** The machine refuses the connection, so that no process is listening. */
+  Gone: 'gone',
+  /** Nothing was received in time. */
+  Unknown: 'unknown',
+} as const;
+export type ProbeOutcome = (typeof ProbeOutcome)[keyof typeof ProbeOutcome];
+
 /** An entry VM as it is registered in the store. */
 export interface ListedEntryVm {
   readonly vmId: string;
@@ -106,6 +117,8 @@
   AnswerCompleted: 'answerCompleted',
   AttemptFailed: 'attemptFailed',
   AttemptStalled: 'attemptStalled',
+  BackendProbed: 'backendProbed',
+  EvidenceSpread: 'evidenceSpread',
   ConfigurationRead: 'configurationRead',
   BackendsRead: 'backendsRead',
   VmsRead: 'vmsRead',
@@ -175,6 +188,13 @@
     readonly silentMs: number;
     readonly isAnswerBegun: boolean;
   };
+  [EntryEventKind.BackendProbed]: {
+    /** The process that was probed, as `getProcessKey` returns it. */
+    readonly processKey: string;
+    readonly outcome: ProbeOutcome;
+  };
+  /** Sends new evidence to peers. */
+  [EntryEventKind.EvidenceSpread]: Record<never, never>;
   [EntryEventKind.ConfigurationRead]: {
     readonly deployment: Deployment;
     /** The origin of the configuration: the store or a peer. */
@@ -193,6 +213,8 @@
   [EntryEventKind.PeerMessage]: {
     readonly reports: readonly VmReport[];
     readonly board: PlacementBoard | null;
+    /** Its times are relative to the time at which the message was sent. */
+    readonly evidence: EvidenceReport;
     /** Null if the sender expects no response. */
     readonly replyId: string | null;
   };
--- a/src/coordination/entry/gossip.ts
+++ b/src/coordination/entry/gossip.ts
@@ -8,11 +8,14 @@
 import { createEntryTimer, type EntryCommand, EntryCommandKind } from './commands.js';
 import { EntryEventKind, type EntryEventOf } from './events.js';
 import { countWaitingRequests, dispatchWaiting } from './forwarding.js';
+import { createRelativeEvidence, mergeEvidence } from './quarantines.js';
 import { listWorkspaceDemands } from './rateLoans.js';
 import { type EntryState, isShuttingDown } from './state.js';
 
 /** Reports that were received longer ago than this are not sent on. */
 const REPORT_MAX_AGE_MS = 5_000;
+/** Number of peers to which new evidence is sent at once; three hops then reach a hundred VMs. */
+const EVIDENCE_FANOUT = 5;
 /** The record of a VM is removed if no new report of the VM was received for this time. */
 const PEER_EXPIRY_MS = 60_000;
 
@@ -73,10 +76,10 @@
   return [...new Set(addresses.values())];
 }
 
-function selectRandomPeers(state: EntryState, nowMs: number): string[] {
+function selectRandomPeers(state: EntryState, count: number, nowMs: number): string[] {
   const candidates = listPeerAddresses(state, nowMs);
   const selected: string[] = [];
-  while (candidates.length > 0 && selected.length < state.policy.peerFanout) {
+  while (candidates.length > 0 && selected.length < count) {
     selected.push(...candidates.splice(nextRandomInt(state.random, candidates.length), 1));
   }
   return selected;
@@ -92,9 +95,10 @@
   [...state.peers.entries()]
     .filter(([, { reportReceivedAtMs }]) => nowMs - reportReceivedAtMs > PEER_EXPIRY_MS)
     .forEach(([vmId]) => state.peers.delete(vmId));
-  const peerAddresses = selectRandomPeers(state, nowMs);
+  const peerAddresses = selectRandomPeers(state, state.policy.peerFanout, nowMs);
   const reports = peerAddresses.length === 0 ? [] : collectReports(state, nowMs);
   const { board } = state;
+  const evidence = createRelativeEvidence(state, nowMs);
   return [
     createEntryTimer(kind, state.policy.peerIntervalMs, { kind }),
     ...peerAddresses.map((peerAddress): EntryCommand => ({
@@ -102,10 +106,28 @@
       peerAddress,
       reports,
       board,
+      evidence,
     })),
   ];
 }
 
+/** Sends new evidence to some peers chosen at random, who send it on. */
+export function handleEvidenceSpread(
+  state: EntryState,
+  _event: EntryEventOf<typeof EntryEventKind.EvidenceSpread>,
+  nowMs: number,
+): EntryCommand[] {
+  state.isEvidenceSpreading = false;
+  const evidence = createRelativeEvidence(state, nowMs);
+  return selectRandomPeers(state, EVIDENCE_FANOUT, nowMs).map((peerAddress) => ({
+    kind: EntryCommandKind.SendPeerMessage,
+    peerAddress,
+    reports: [],
+    board: null,
+    evidence,
+  }));
+}
+
 function isNewerReport(report: VmReport, known: VmReport | undefined): boolean {
   return (
     known === undefined ||
@@ -156,9 +178,9 @@
   event: EntryEventOf<typeof EntryEventKind.PeerMessage>,
   nowMs: number,
 ): EntryCommand[] {
-  const { board, replyId, reports } = event;
+  const { board, evidence, replyId, reports } = event;
   reports.forEach((report) => mergeReport(state, report, nowMs));
-  const commands: EntryCommand[] = [];
+  const commands = mergeEvidence(state, evidence, nowMs);
   if (board !== null && isLaterBoard(board, state.board)) {
     state.board = board;
     applyBoard(state);
@@ -170,6 +192,7 @@
       replyId,
       reports: collectReports(state, nowMs),
       board: state.board,
+      evidence: createRelativeEvidence(state, nowMs),
     });
   }
   const version = state.deployment?.version ?? 0;
--- a/src/coordination/entry/handlers.ts
+++ b/src/coordination/entry/handlers.ts
@@ -40,7 +40,8 @@
   handleStopStep,
   handleMaintenanceTick,
 } from './lifecycle.js';
-import { handlePeerMessage, handlePeerTick } from './gossip.js';
+import { handleBackendProbed } from './crashDetection.js';
+import { handleEvidenceSpread, handlePeerMessage, handlePeerTick } from './gossip.js';
 import { handleLoanRequested } from './rateLoans.js';
 import type { EntryState } from './state.js';
 
@@ -62,6 +63,8 @@
   [EntryEventKind.AnswerCompleted]: handleAnswerCompleted,
   [EntryEventKind.AttemptFailed]: handleAttemptFailed,
   [EntryEventKind.AttemptStalled]: handleAttemptStalled,
+  [EntryEventKind.BackendProbed]: handleBackendProbed,
+  [EntryEventKind.EvidenceSpread]: handleEvidenceSpread,
   [EntryEventKind.ConfigurationRead]: handleConfigurationRead,
   [EntryEventKind.BackendsRead]: (state, event, nowMs) => [
     ...handleBackendsRead(state, event, nowMs),
--- a/src/coordination/entry/requestCompletion.ts
+++ b/src/coordination/entry/requestCompletion.ts
@@ -167,6 +167,7 @@
   record: ForwardRecord,
   diagnostic: Diagnostic,
   nowMs: number,
+  retryAfterMs: number | null = null,
 ): EntryCommand[] {
   const cancel = cancelAttempt(record);
   if (record.phase === ForwardPhase.Dispatched) {
@@ -174,7 +175,7 @@
   }
   const end =
     record.firstEventAtMs === null
-      ? refuseForward(state, record, diagnostic, nowMs)
+      ? refuseForward(state, record, diagnostic, nowMs, retryAfterMs)
       : abortForward(state, record, diagnostic, nowMs);
   return [...cancel, ...end];
 }
--- /dev/null
+++ b/src/coordination/entry/retries.ts
@@ -0,0 +1,108 @@
+/**
+ * Decides how a request goes on after a failed attempt: on another backend server, waiting for one, or with an error.
+ */
+import { RouteKind } from '../../state/entry/deployment.js';
+import { createDiagnostic, type Diagnostic, Diagnostics } from '../../state/diagnostics.js';
+import { RunStatus } from '../../state/types.js';
+import { findCandidates } from './backendSelection.js';
+import type { EntryCommand } from './commands.js';
+import { OVERLOADED_RETRY_AFTER_MS, startWaiting, tryDispatch } from './forwarding.js';
+import { createQuarantineRefusal, findRecordQuarantine, isRepeatDoubtful } from './quarantines.js';
+import { abortForward, refuseForward } from './requestCompletion.js';
+import { withdrawRetry } from './retryBudget.js';
+import type { EntryState, ForwardRecord } from './state.js';
+
+/** Retries allowed after attempts that provably did not run; those do not count as attempts of the route. */
+const MAX_NOT_RUN_RETRIES = 2;
+/** A request with no more time left than this is not retried. */
+const MIN_RETRY_TIME_LEFT_MS = 60;
+
+/** What a failed attempt leaves to decide about its request. */
+export interface FailedAttempt {
+  readonly diagnostic: Diagnostic;
+  /** True if any byte of a response has been sent to the caller. */
+  readonly isAnswerBegun: boolean;
+  /** True if the server rejected the request because it does not have the model, or not now. */
+  readonly isModelMissing: boolean;
+  /** True if the server has crashed while it had the request, whose answer had not been running for some time. */
+  readonly isCrashSuspect: boolean;
+}
+
+/** Returns whether a request may run more than once. */
+export function mayRunTwice(record: ForwardRecord): boolean {
+  const { isResumable, kind } = record.route;
+  return kind === RouteKind.Idempotent || (kind === RouteKind.Stream && isResumable);
+}
+
+/** Returns whether a retry is safe, given whether the request may have run and whether its answer has begun. */
+export function isRetrySafe(record: ForwardRecord, isAnswerBegun: boolean): boolean {
+  if (isAnswerBegun) {
+    return record.route.kind === RouteKind.Stream && record.route.isResumable;
+  }
+  return mayRunTwice(record) || record.runStatus === RunStatus.NotRun;
+}
+
+/**
+ * Takes one retry from the budget if the route's attempts, the time left and the candidate servers allow one.
+ * Returns whether it was taken.
+ */
+export function takeRetryIfAllowed(
+  state: EntryState,
+  record: ForwardRecord,
+  nowMs: number,
+): boolean {
+  return (
+    record.possiblyRunBackendIds.length < record.route.maxAttempts &&
+    record.notRunAttempts <= MAX_NOT_RUN_RETRIES &&
+    record.deadlineAtMs - nowMs > MIN_RETRY_TIME_LEFT_MS &&
+    findCandidates(state, record, nowMs).length > 0 &&
+    withdrawRetry(state, record.service.name)
+  );
+}
+
+/** Ends a request whose last attempt failed: aborts an answer that has begun, else rejects the request. */
+function endWithFailure(
+  state: EntryState,
+  record: ForwardRecord,
+  diagnostic: Diagnostic,
+  isAnswerBegun: boolean,
+  nowMs: number,
+): EntryCommand[] {
+  if (isAnswerBegun) {
+    return abortForward(state, record, diagnostic, nowMs);
+  }
+  const isNotRun = record.runStatus === RunStatus.NotRun;
+  const reason = isNotRun
+    ? createDiagnostic(Diagnostics.Overloaded, record.service.name)
+    : diagnostic;
+  return refuseForward(state, record, reason, nowMs, isNotRun ? OVERLOADED_RETRY_AFTER_MS : null);
+}
+
+/** Retries a request if that is safe, lets it wait if only the model was missing, and else ends it. */
+export function retryOrEnd(
+  state: EntryState,
+  record: ForwardRecord,
+  failed: FailedAttempt,
+  nowMs: number,
+): EntryCommand[] {
+  const { diagnostic, isAnswerBegun, isCrashSuspect, isModelMissing } = failed;
+  const quarantine = findRecordQuarantine(state, record);
+  if (quarantine !== undefined) {
+    const reason = createQuarantineRefusal(quarantine);
+    return endWithFailure(state, record, reason, isAnswerBegun, nowMs);
+  }
+  const isDoubtful = isCrashSuspect && isRepeatDoubtful(state, record);
+  if (
+    !isDoubtful &&
+    isRetrySafe(record, isAnswerBegun) &&
+    takeRetryIfAllowed(state, record, nowMs)
+  ) {
+    return tryDispatch(state, record, nowMs) ?? [];
+  }
+  // An engine rejects requests while it unloads or loads the model; another engine may soon have it loaded.
+  const mayWait = record.runStatus === RunStatus.NotRun && !isAnswerBegun;
+  if (isModelMissing && mayWait && record.notRunAttempts <= MAX_NOT_RUN_RETRIES) {
+    return startWaiting(state, record, nowMs);
+  }
+  return endWithFailure(state, record, diagnostic, isAnswerBegun, nowMs);
+}
--- a/src/coordination/entry/state.ts
+++ b/src/coordination/entry/state.ts
@@ -1,13 +1,19 @@
 /**
  * Defines the state of one entry VM. The event loop owns it: only event handlers change it, one event at a time.
  */
-import type { Backend } from '../../state/entry/backends.js';
+import type { Diagnostic } from '../../state/diagnostics.js';
+import type { Backend, BackendEntry } from '../../state/entry/backends.js';
 import type {
   Deployment,
   ForwardRoute,
   ForwardService,
   ForwardWorkspace,
 } from '../../state/entry/deployment.js';
+import {
+  createPromptEvidence,
+  type PromptEvidence,
+  type Suspect,
+} from '../../state/entry/promptEvidence.js';
 import type { RateBucket } from '../../state/entry/rateBucket.js';
 import type { PlacementBoard, VmReport } from '../../state/entry/reports.js';
 import { createRandom, type RandomState } from '../../state/random.js';
@@ -33,6 +39,8 @@
   /** No backend server can run it yet. */
   Waiting: 'waiting',
   Dispatched: 'dispatched',
+  /** Its connection was lost, and it is being checked whether its backend server has crashed. */
+  Verifying: 'verifying',
 } as const;
 export type ForwardPhase = (typeof ForwardPhase)[keyof typeof ForwardPhase];
 
@@ -65,6 +73,25 @@
   dispatchedAtMs: number;
   /** Prompt tokens that the server of the current attempt has yet to prefill. */
   pendingPrefillTokens: number;
+  /** The lost connection that decides how to go on; null unless the phase is `Verifying`. */
+  lostAttempt: LostAttempt | null;
+  /** True if the request tests whether quarantined prompt parts still crash servers. */
+  isTrial: boolean;
+}
+
+/** An attempt whose connection was lost before its answer had been running for some time. */
+export interface LostAttempt {
+  /** The process of the backend server, as `getProcessKey` returns it. */
+  readonly processKey: string;
+  readonly diagnostic: Diagnostic;
+  readonly isAnswerBegun: boolean;
+}
+
+/** Requests that lost their connections to one process of a backend server that is being probed. */
+export interface LostConnections {
+  readonly entry: BackendEntry;
+  readonly firstLostAtMs: number;
+  readonly suspects: Suspect[];
 }
 
 /** Reachability of the store, as the watches on it report it. */
@@ -143,6 +170,13 @@
   /** Time at which the controller was last asked to load each adapter. */
   readonly adapterRequestedAtMs: Map<string, number>;
   readonly placement: PlacementState;
+  readonly promptEvidence: PromptEvidence;
+  /** By the key of the process that is being probed. */
+  readonly lostConnections: Map<string, LostConnections>;
+  /** True while a timer is running that sends new evidence to peers. */
+  isEvidenceSpreading: boolean;
+  /** Earliest time of the next trial of each quarantine, by its key. */
+  readonly nextTrialAtMs: Map<string, number>;
 }
 
 /** Creates the state of a process that has just started. */
@@ -184,6 +218,10 @@
     controller: null,
     adapterRequestedAtMs: new Map(),
     placement: createPlacementState(),
+    promptEvidence: createPromptEvidence(),
+    lostConnections: new Map(),
+    isEvidenceSpreading: false,
+    nextTrialAtMs: new Map(),
   };
 }
 
--- a/src/state/diagnostics.ts
+++ b/src/state/diagnostics.ts
@@ -127,6 +127,12 @@
     Failure,
     'This VM has not received a configuration yet.',
   ),
+  PromptQuarantined: define(
+    1107,
+    'prompt_quarantined',
+    Failure,
+    'Requests with prompt part {0} are rejected, because {1} backend servers crashed under it.',
+  ),
   ConnectFailed: define(
     1201,
     'connect_failed',
--- a/src/transport/entry/commandTable.ts
+++ b/src/transport/entry/commandTable.ts
@@ -24,6 +24,7 @@
 import type { Metrics } from '../metrics.js';
 import { handleAnswer } from './answers.js';
 import { type AttemptContext, startAttempt } from './attempt.js';
+import { probeAddress } from './backendProbe.js';
 import type { EntryLogWriter } from './entryLog.js';
 import {
   type EntryPeerClient,
@@ -87,6 +88,7 @@
   | typeof EntryCommandKind.DeliverAnswer
   | typeof EntryCommandKind.Refuse
   | typeof EntryCommandKind.AbortAnswer
+  | typeof EntryCommandKind.ProbeBackend
   | typeof EntryCommandKind.RecordRequest;
 type PeerKind =
   | typeof EntryCommandKind.SendPeerMessage
@@ -143,6 +145,14 @@
         abortForwardAnswer(exchange, refusal, wire);
       }
     },
+    [EntryCommandKind.ProbeBackend]: ({ address, processKey }) => {
+      const kind = EntryEventKind.BackendProbed;
+      runDetached(
+        Effect.map(probeAddress(address), (outcome) =>
+          attempts.post({ kind, processKey, outcome }),
+        ),
+      );
+    },
     [EntryCommandKind.RecordRequest]: ({ measure, requestId }) => {
       metrics.record(measure, DEFAULT_OBJECTIVE, getNowMs());
       exchanges.delete(requestId);
@@ -160,8 +170,8 @@
   };
   const pendingFetches = new Set<string>();
   return {
-    [EntryCommandKind.SendPeerMessage]: ({ board, peerAddress, reports }) => {
-      const exchange = peers.exchange(peerAddress, { reports, board });
+    [EntryCommandKind.SendPeerMessage]: ({ board, evidence, peerAddress, reports }) => {
+      const exchange = peers.exchange(peerAddress, { reports, board, evidence });
       runDetached(
         Effect.match(exchange, {
           onFailure: (diagnostic) => logUnansweredCall(peerAddress, diagnostic),
@@ -169,8 +179,8 @@
         }),
       );
     },
-    [EntryCommandKind.ReplyToPeer]: ({ board, replyId, reports }) => {
-      replies.gossip.get(replyId)?.({ reports, board });
+    [EntryCommandKind.ReplyToPeer]: ({ board, evidence, replyId, reports }) => {
+      replies.gossip.get(replyId)?.({ reports, board, evidence });
     },
     [EntryCommandKind.FetchFromPeer]: ({ peerAddress }) => {
       if (pendingFetches.has(peerAddress)) {
--- a/src/transport/entry/entryPeers.ts
+++ b/src/transport/entry/entryPeers.ts
@@ -11,6 +11,7 @@
   decodeEntryGossip,
   encodeEntryGossip,
   type EntryGossip,
+  NO_EVIDENCE,
 } from '../../protocol/entry/peerMessages.js';
 import {
   EnsureAdapterResponseSchema,
@@ -31,7 +32,7 @@
 const LOAN_TIMEOUT_MS = 150;
 /** The reply of a VM that lends no tokens. */
 export const NO_LOAN: RateLoan = { lentTokens: 0, spareTokens: 0 };
-const EMPTY_GOSSIP: EntryGossip = { reports: [], board: null };
+const EMPTY_GOSSIP: EntryGossip = { reports: [], board: null, evidence: NO_EVIDENCE };
 
 /** Tokens that a VM lends to another VM, and tokens that it could lend in addition. */
 export interface RateLoan {
--- a/tests/entry/discovery.test.ts
+++ b/tests/entry/discovery.test.ts
@@ -3,6 +3,7 @@
  * servers are handled, and that an earlier configuration never replaces a later one.
  */
 import { describe, expect, it } from 'vitest';
+import { NO_EVIDENCE } from '../../src/protocol/entry/peerMessages.js';
 import { EntryCommandKind } from '../../src/coordination/entry/commands.js';
 import { EntryEventKind } from '../../src/coordination/entry/events.js';
 import {
@@ -137,7 +138,13 @@
       modelDemands: [],
     };
     const kind = EntryEventKind.PeerMessage;
-    const commands = vm.step({ kind, reports: [report], board: null, replyId: null });
+    const commands = vm.step({
+      kind,
+      reports: [report],
+      board: null,
+      evidence: NO_EVIDENCE,
+      replyId: null,
+    });
     expect(findCommands(commands, EntryCommandKind.FetchFromPeer)).toEqual([
       { kind: EntryCommandKind.FetchFromPeer, peerAddress: 'vm-2:1' },
     ]);
--- a/tests/entry/rateLoans.test.ts
+++ b/tests/entry/rateLoans.test.ts
@@ -2,6 +2,7 @@
  * Tests of single loan requests and answers between VMs. Their effect over many VMs is tested in `rates.test.ts`.
  */
 import { describe, expect, it } from 'vitest';
+import { NO_EVIDENCE } from '../../src/protocol/entry/peerMessages.js';
 import { EntryCommandKind } from '../../src/coordination/entry/commands.js';
 import { EntryEventKind } from '../../src/coordination/entry/events.js';
 import { getRateBucket } from '../../src/coordination/entry/rates.js';
@@ -72,7 +73,13 @@
 function arriveWithEmptyBucket(peerSpareTokens: readonly number[]) {
   const vm = createVm(0);
   const reports = peerSpareTokens.map((spareTokens, i) => createReport(`vm-${i + 2}`, spareTokens));
-  vm.step({ kind: EntryEventKind.PeerMessage, reports, board: null, replyId: null });
+  vm.step({
+    kind: EntryEventKind.PeerMessage,
+    reports,
+    board: null,
+    evidence: NO_EVIDENCE,
+    replyId: null,
+  });
   return { vm, commands: vm.receiveRequest(createTestRequest('r', '/draft/x')) };
 }
 
--- a/tests/entry/rates.test.ts
+++ b/tests/entry/rates.test.ts
@@ -119,11 +119,11 @@
       findCommands(
         stepEntry(vm, { kind: EntryEventKind.PeerTick }, nowMs),
         EntryCommandKind.SendPeerMessage,
-      ).forEach(({ board, peerAddress, reports }) => {
+      ).forEach(({ board, evidence, peerAddress, reports }) => {
         const peer = Number(peerAddress.split('-')[1]);
         if (!isLost(index, peer)) {
           const kind = EntryEventKind.PeerMessage;
-          stepEntry(vms[peer]!, { kind, reports, board, replyId: null }, nowMs);
+          stepEntry(vms[peer]!, { kind, reports, board, evidence, replyId: null }, nowMs);
         }
       });
     });
--- /dev/null
+++ b/tests/fakes/entryFleet.ts
@@ -0,0 +1,402 @@
+/**
+ * Many entry VMs and engines on a virtual time. The VMs run their real event handlers; timers, peer messages, dispatches
+ * and probes are simulated. An engine crashes when it begins an answer to a prompt with a deadly part, or when a test
+ * crashes it, and registers again under a new id.
+ */
+import {
+  type EntryCommand,
+  EntryCommandKind,
+  type EntryCommandOf,
+} from '../../src/coordination/entry/commands.js';
+import {
+  type EntryEvent,
+  EntryEventKind,
+  ProbeOutcome,
+} from '../../src/coordination/entry/events.js';
+import { stepEntry } from '../../src/coordination/entry/handlers.js';
+import { createEntryState, type EntryState } from '../../src/coordination/entry/state.js';
+import { createDiagnostic, Diagnostics } from '../../src/state/diagnostics.js';
+import type { BackendEntry } from '../../src/state/entry/backends.js';
+import { createRandom, nextRandom, nextRandomInt } from '../../src/state/random.js';
+import { type Refusal, RunState } from '../../src/state/types.js';
+import {
+  createTestDeployment,
+  createTestEntry,
+  createTestRequest,
+  TEST_POLICY,
+} from '../entry/fixtures.js';
+
+const ENGINE_AWAY_MS = 3_000;
+const PREFILL_MS = { min: 40, max: 160 };
+const ANSWER_MS = 1_500;
+const NETWORK_MS = 2;
+const PEER_DELAY_MS = { min: 1, max: 10 };
+const REGISTRATION_DELAY_MS = 200;
+const TENANT_COUNT = 5;
+const SESSION_COUNT = 400;
+
+export interface FleetOptions {
+  readonly seed: number;
+  readonly vmCount: number;
+  readonly engineCount: number;
+  /** Fraction of the messages between VMs that are lost. */
+  readonly peerLoss: number;
+  /** False if an engine that crashes has not sent the head of the answer that crashes it. */
+  readonly isHeadSent: boolean;
+}
+
+/** A request as a test sends it, and what became of it. */
+export interface FleetRequest {
+  readonly requestId: string;
+  readonly vm: number;
+  readonly sentAtMs: number;
+  readonly parts: readonly string[];
+  /** Times at which it reached an engine. */
+  readonly reachedAtMs: number[];
+  isAnswered: boolean;
+  refusal: Refusal | null;
+}
+
+interface Run {
+  readonly vm: number;
+  readonly state: EntryState;
+  readonly command: EntryCommandOf<typeof EntryCommandKind.Dispatch>;
+}
+
+interface Engine {
+  entry: BackendEntry;
+  isUp: boolean;
+  readonly runs: Set<Run>;
+}
+
+interface Task {
+  readonly atMs: number;
+  readonly order: number;
+  readonly run: () => void;
+}
+
+export interface EntryFleet {
+  readonly vms: EntryState[];
+  readonly engines: readonly Engine[];
+  readonly requests: readonly FleetRequest[];
+  /** Times of the crashes so far. */
+  readonly crashesAtMs: readonly number[];
+  readonly deadlyParts: Set<string>;
+  readonly getNowMs: () => number;
+  readonly nextRandom: () => number;
+  readonly nextRandomInt: (limit: number) => number;
+  readonly at: (atMs: number, run: () => void) => void;
+  /** Sends a request whose prompt has a part of its route, a session, further shared parts and a part of its own. */
+  readonly send: (options?: Partial<RequestOptions>) => FleetRequest;
+  readonly crash: (engine: number, awayMs?: number) => void;
+  readonly restartVm: (vm: number) => void;
+  readonly isolateVm: (vm: number, isIsolated: boolean) => void;
+  readonly runUntil: (atMs: number) => void;
+}
+
+export interface RequestOptions {
+  readonly vm: number;
+  readonly session: string;
+  readonly routePart: string;
+  readonly sharedParts: readonly string[];
+}
+
+/** Creates a fleet whose VMs know each other and all engines. */
+export function createEntryFleet(options: FleetOptions): EntryFleet {
+  const { engineCount, isHeadSent, peerLoss, seed, vmCount } = options;
+  const random = createRandom(seed);
+  const draw = ({ max, min }: { min: number; max: number }): number =>
+    min + nextRandom(random) * (max - min);
+  const requests: FleetRequest[] = [];
+  const requestsById = new Map<string, FleetRequest>();
+  const crashesAtMs: number[] = [];
+  const deadlyParts = new Set<string>();
+  const isolated = new Set<number>();
+  const vms: EntryState[] = [];
+  const timers: Map<string, symbol>[] = [];
+  let nowMs = 0;
+  let order = 0;
+  let revision = 10;
+  const pending: Task[] = [];
+
+  const at = (atMs: number, run: () => void): void => {
+    order += 1;
+    const task = { atMs: Math.max(nowMs, atMs), order, run };
+    let index = pending.length;
+    while (index > 0 && pending[index - 1]!.atMs > task.atMs) {
+      index -= 1;
+    }
+    pending.splice(index, 0, task);
+  };
+
+  const engines: Engine[] = Array.from({ length: engineCount }, (_, i) => ({
+    entry: createTestEntry(`e${i}-0`, 'llm', { address: `engine-${i}:80`, slots: 64 }),
+    isUp: true,
+    runs: new Set<Run>(),
+  }));
+
+  const post = (vm: number, state: EntryState, event: EntryEvent): void => {
+    if (vms[vm] === state) {
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define -- the VMs and the network call each other
+      execute(vm, state, stepEntry(state, event, nowMs));
+    }
+  };
+
+  const announce = (engine: Engine, previous: BackendEntry | null): void => {
+    revision += 1;
+    const removed = previous === null ? [] : [{ id: previous.id, revision, entry: null }];
+    const changes = [...removed, { id: engine.entry.id, revision, entry: engine.entry }];
+    const kind = EntryEventKind.BackendsRead;
+    const event = { kind, isSnapshot: false, changes, revision, source: 'test' };
+    at(nowMs + REGISTRATION_DELAY_MS, () => vms.forEach((state, vm) => post(vm, state, event)));
+  };
+
+  const crashEngine = (engine: Engine, awayMs = ENGINE_AWAY_MS, cause?: Run): void => {
+    engine.isUp = false;
+    crashesAtMs.push(nowMs);
+    const runs = [...engine.runs];
+    engine.runs.clear();
+    runs.forEach((run) => {
+      const { command, state, vm } = run;
+      const { attempt, backendId, requestId } = command;
+      const isAnswerBegun = (state.requests.get(requestId)?.firstEventAtMs ?? null) !== null;
+      const isAnswering = isAnswerBegun || (run === cause && isHeadSent);
+      const failure = {
+        diagnostic: createDiagnostic(Diagnostics.AnswerTruncated, backendId),
+        runState: isAnswering ? RunState.Accepted : RunState.MaybeSent,
+        isRefusedByServer: false,
+        isMisdirected: false,
+      };
+      const kind = EntryEventKind.AttemptFailed;
+      at(nowMs + NETWORK_MS, () =>
+        post(vm, state, { kind, requestId, attempt, failure, load: null, isAnswerBegun }),
+      );
+    });
+    at(nowMs + awayMs, () => {
+      const previous = engine.entry;
+      const [name = ''] = previous.id.split('-');
+      const entry = { ...previous, id: `${name}-${revision}`, bornAtWallMs: nowMs };
+      Object.assign(engine, { entry, isUp: true });
+      announce(engine, previous);
+    });
+  };
+
+  const endRun = (engine: Engine, run: Run): void => {
+    engine.runs.delete(run);
+    const { attempt, requestId } = run.command;
+    requestsById.get(requestId)!.isAnswered = true;
+    const kind = EntryEventKind.AnswerCompleted;
+    post(run.vm, run.state, { kind, requestId, attempt, maxGapMs: 0, meanGapMs: 0 });
+  };
+
+  const beginRun = (engine: Engine, run: Run): void => {
+    if (!engine.runs.has(run)) {
+      return;
+    }
+    const { attempt, requestId } = run.command;
+    if (requestsById.get(requestId)!.parts.some((part) => deadlyParts.has(part))) {
+      crashEngine(engine, ENGINE_AWAY_MS, run);
+      return;
+    }
+    const kind = EntryEventKind.AnswerStarted;
+    post(run.vm, run.state, { kind, requestId, attempt, load: null });
+    at(nowMs + ANSWER_MS, () => {
+      if (engine.runs.has(run)) {
+        endRun(engine, run);
+      }
+    });
+  };
+
+  const dispatch = (vm: number, state: EntryState, command: Run['command']): void => {
+    const { attempt, backendId, requestId } = command;
+    const engine = engines.find(({ entry, isUp }) => entry.id === backendId && isUp);
+    if (engine === undefined) {
+      const failure = {
+        diagnostic: createDiagnostic(Diagnostics.ConnectFailed, backendId),
+        runState: RunState.NotSent,
+        isRefusedByServer: false,
+        isMisdirected: false,
+      };
+      const kind = EntryEventKind.AttemptFailed;
+      at(nowMs + NETWORK_MS, () =>
+        post(vm, state, { kind, requestId, attempt, failure, load: null, isAnswerBegun: false }),
+      );
+      return;
+    }
+    const run = { vm, state, command };
+    engine.runs.add(run);
+    requestsById.get(requestId)!.reachedAtMs.push(nowMs);
+    at(nowMs + draw(PREFILL_MS), () => beginRun(engine, run));
+  };
+
+  const sendToPeer = (
+    vm: number,
+    state: EntryState,
+    { peerAddress, ...message }: EntryCommandOf<typeof EntryCommandKind.SendPeerMessage>,
+  ): void => {
+    const peer = Number(peerAddress.split('-')[1]);
+    const isLost = (): boolean =>
+      nextRandom(random) < peerLoss || isolated.has(vm) || isolated.has(peer);
+    const kind = EntryEventKind.PeerMessage;
+    if (isLost()) {
+      return;
+    }
+    at(nowMs + draw(PEER_DELAY_MS), () => {
+      const receiver = vms[peer]!;
+      const replies = stepEntry(receiver, { ...message, kind, replyId: 'reply' }, nowMs);
+      replies.forEach((command) => {
+        if (command.kind === EntryCommandKind.ReplyToPeer && !isLost()) {
+          at(nowMs + draw(PEER_DELAY_MS), () =>
+            post(vm, state, { ...command, kind, replyId: null }),
+          );
+        }
+      });
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define -- the VMs and the network call each other
+      execute(peer, receiver, replies);
+    });
+  };
+
+  const cancelRun = (requestId: string): void =>
+    engines.forEach(({ runs }) =>
+      [...runs]
+        .filter(({ command }) => command.requestId === requestId)
+        .forEach((run) => runs.delete(run)),
+    );
+
+  type Executor<K extends EntryCommandKind> = (
+    vm: number,
+    state: EntryState,
+    command: EntryCommandOf<K>,
+  ) => void;
+
+  const refuse = (
+    _vm: number,
+    _state: EntryState,
+    command: { requestId: string; refusal: Refusal },
+  ) => {
+    requestsById.get(command.requestId)!.refusal = command.refusal;
+  };
+
+  const executors: { readonly [K in EntryCommandKind]?: Executor<K> } = {
+    [EntryCommandKind.StartTimer]: (vm, state, { delayMs, event, timerId }) => {
+      const token = Symbol(timerId);
+      const vmTimers = timers[vm]!;
+      vmTimers.set(timerId, token);
+      at(nowMs + delayMs, () => {
+        if (vmTimers.get(timerId) === token) {
+          vmTimers.delete(timerId);
+          post(vm, state, event);
+        }
+      });
+    },
+    [EntryCommandKind.CancelTimer]: (vm, _state, { timerId }) => {
+      timers[vm]!.delete(timerId);
+    },
+    [EntryCommandKind.Dispatch]: dispatch,
+    [EntryCommandKind.CancelAttempt]: (_vm, _state, { requestId }) => cancelRun(requestId),
+    [EntryCommandKind.Refuse]: refuse,
+    [EntryCommandKind.AbortAnswer]: refuse,
+    [EntryCommandKind.SendPeerMessage]: sendToPeer,
+    [EntryCommandKind.ProbeBackend]: (vm, state, { address, processKey }) => {
+      const isUp = engines.some((engine) => engine.entry.address === address && engine.isUp);
+      const outcome = isUp ? ProbeOutcome.Accepting : ProbeOutcome.Gone;
+      const kind = EntryEventKind.BackendProbed;
+      at(nowMs + NETWORK_MS, () => post(vm, state, { kind, processKey, outcome }));
+    },
+  };
+
+  function execute(vm: number, state: EntryState, commands: readonly EntryCommand[]): void {
+    commands.forEach((command) => {
+      const executor = executors[command.kind] as Executor<EntryCommandKind> | undefined;
+      executor?.(vm, state, command);
+    });
+  }
+
+  const listedVms = Array.from({ length: vmCount }, (_, i) => ({
+    vmId: `vm-${i}`,
+    incarnation: 'a',
+    failureDomain: 'fd-a',
+    peerAddress: `vm-${i}`,
+  }));
+
+  const startVm = (vm: number): void => {
+    const state = createEntryState(listedVms[vm]!, TEST_POLICY, seed + vm, nowMs);
+    vms[vm] = state;
+    timers[vm] = new Map();
+    const base = createTestDeployment();
+    const workspace = { ...base.workspacesByName.get('mill')!, rateTokensPerSecond: 0 };
+    const deployment = {
+      ...base,
+      workspacesByKeyDigest: new Map([['digest', workspace]]),
+      workspacesByName: new Map([['mill', workspace]]),
+    };
+    post(vm, state, { kind: EntryEventKind.ConfigurationRead, deployment, source: 'test' });
+    const changes = engines
+      .filter(({ isUp }) => isUp)
+      .map(({ entry }) => ({ id: entry.id, revision, entry }));
+    const kind = EntryEventKind.BackendsRead;
+    post(vm, state, { kind, isSnapshot: true, changes, revision, source: 'test' });
+    post(vm, state, { kind: EntryEventKind.VmsRead, vms: listedVms });
+    post(vm, state, { kind: EntryEventKind.MaintenanceTick });
+    post(vm, state, { kind: EntryEventKind.PeerTick });
+  };
+  listedVms.forEach((_, vm) => startVm(vm));
+
+  return {
+    vms,
+    engines,
+    requests,
+    crashesAtMs,
+    deadlyParts,
+    getNowMs: () => nowMs,
+    nextRandom: () => nextRandom(random),
+    nextRandomInt: (limit) => nextRandomInt(random, limit),
+    at,
+    send: (given = {}) => {
+      const requestId = `r${requests.length}`;
+      const {
+        routePart = 'route',
+        session = `s${nextRandomInt(random, SESSION_COUNT)}`,
+        sharedParts = [],
+        vm = nextRandomInt(random, vmCount),
+      } = given;
+      const tenant = `t${nextRandomInt(random, TENANT_COUNT)}`;
+      const parts = [routePart, tenant, session, ...sharedParts, `own-${requestId}`];
+      const request = createTestRequest(requestId, '/draft/x', { promptParts: parts });
+      const sent: FleetRequest = {
+        requestId,
+        vm,
+        sentAtMs: nowMs,
+        parts,
+        reachedAtMs: [],
+        isAnswered: false,
+        refusal: null,
+      };
+      requests.push(sent);
+      requestsById.set(requestId, sent);
+      post(vm, vms[vm]!, { kind: EntryEventKind.RequestArrived, request });
+      return sent;
+    },
+    crash: (engine, awayMs) => {
+      if (engines[engine]!.isUp) {
+        crashEngine(engines[engine]!, awayMs);
+      }
+    },
+    restartVm: startVm,
+    isolateVm: (vm, isIsolated) => {
+      if (isIsolated) {
+        isolated.add(vm);
+      } else {
+        isolated.delete(vm);
+      }
+    },
+    runUntil: (atMs) => {
+      while (pending.length > 0 && pending[0]!.atMs <= atMs) {
+        const task = pending.shift()!;
+        nowMs = task.atMs;
+        task.run();
+      }
+      nowMs = atMs;
+    },
+  };
+}
