Keep quarantines in the store, and let operators list and lift them

Operators could neither see nor end a quarantine.

Change: the controller writes the quarantines to the key gentiandeck/quarantines, by compare-and-swap on the version that its watch has read; the watch of that prefix gives them to all VMs, also to one that has just started. gentiandeck-entry quarantine list and quarantine lift read and edit the key. Metrics: gentiandeck_quarantines, gentiandeck_known_crashes.

--- a/src/bin/gentiandeckEntry.ts
+++ b/src/bin/gentiandeckEntry.ts
@@ -1,16 +1,19 @@
 /**
  * Runs `gentiandeck-entry`, the daemon of an entry VM on the users' platform.
  */
+import { Clock, Effect } from 'effect';
 import sade from 'sade';
 import { decodeSettings, readSettingsFile } from '../../platform/settings.js';
 import { createPlatformStore } from '../../platform/store.js';
 import { PLATFORM_WIRE } from '../../platform/wire.js';
 import { EntryLogPrefix } from '../coordination/entry/commands.js';
 import { LogLevel } from '../coordination/events.js';
-import { DiagnosticError } from '../state/diagnostics.js';
+import { type Diagnostic, DiagnosticError } from '../state/diagnostics.js';
 import { type EntryDaemon, startEntryDaemon } from '../transport/entry/entryDaemon.js';
 import { createEntryLogWriter, type EntryLog } from '../transport/entry/entryLog.js';
+import { liftQuarantine, listQuarantines } from '../transport/entry/quarantineEditor.js';
 import type { EntrySettings } from '../transport/entry/settings.js';
+import type { PrefixStore } from '../transport/keyValueStore.js';
 import { VERSION } from '../transport/version.js';
 
 const EXIT_INVALID_SETTINGS = 2;
@@ -88,11 +91,40 @@
   return { metricsPort, logLevel: String(flags['log-level']) };
 }
 
-sade('gentiandeck-entry', true)
+/** Runs an operator's command on the store that the settings name. */
+async function runOnStore(
+  command: (store: PrefixStore) => Effect.Effect<readonly string[], Diagnostic>,
+): Promise<void> {
+  const text = await readSettingsFile(process.env);
+  const settings = decodeSettings(text).caseOf<EntrySettings>({
+    Left: (diagnostic) => {
+      throw new DiagnosticError(diagnostic);
+    },
+    Right: (decoded) => decoded,
+  });
+  const store = createPlatformStore(settings.storeAddress, STORE_TIMEOUT_MS);
+  const lines = await Effect.runPromise(
+    Effect.match(command(store), {
+      onFailure: (diagnostic) => {
+        throw new DiagnosticError(diagnostic);
+      },
+      onSuccess: (result) => result,
+    }),
+  );
+  lines.forEach((line) => process.stdout.write(`${line}\n`));
+  process.exit();
+}
+
+function readWallMs(): number {
+  return Effect.runSync(Clock.clockWith((clock) => clock.currentTimeMillis));
+}
+
+sade('gentiandeck-entry')
   .version(VERSION)
   .describe(
     'The daemon of an entry VM. It reads its settings from a file that the platform supplies.',
   )
+  .command('run', 'Run the daemon', { default: true })
   .option('--metrics-port', 'Port of the metrics server', DEFAULT_METRICS_PORT)
   .option('--log-level', 'Minimum log level', DEFAULT_LOG_LEVEL)
   .action((flags: Record<string, unknown>) => {
@@ -103,4 +135,14 @@
     }
     start(options).catch(fail);
   })
+  .command('quarantine list', 'List the quarantined prompt parts')
+  .action(() => {
+    runOnStore((store) => listQuarantines(store, readWallMs())).catch(fail);
+  })
+  .command('quarantine lift <service> <parts>', 'Lift the quarantine of prompt parts joined by +')
+  .action((service: string, parts: string) => {
+    runOnStore((store) =>
+      Effect.as(liftQuarantine(store, service, parts.split('+'), readWallMs()), []),
+    ).catch(fail);
+  })
   .parse(process.argv);
--- a/src/coordination/entry/commands.ts
+++ b/src/coordination/entry/commands.ts
@@ -3,7 +3,7 @@
  * like the events.
  */
 import type { CallerLimits } from '../../state/entry/deployment.js';
-import type { EvidenceReport } from '../../state/entry/promptEvidence.js';
+import type { EvidenceReport, Quarantine } from '../../state/entry/promptEvidence.js';
 import type { PlacementBoard, VmReport } from '../../state/entry/reports.js';
 import type { Refusal } from '../../state/types.js';
 import type { LogLevel, RequestMetrics } from '../events.js';
@@ -17,6 +17,7 @@
   Refuse: 'refuse',
   AbortAnswer: 'abortAnswer',
   ProbeBackend: 'probeBackend',
+  StoreQuarantines: 'storeQuarantines',
   SetLimits: 'setLimits',
   SetReady: 'setReady',
   StopAccepting: 'stopAccepting',
@@ -82,6 +83,12 @@
   [EntryCommandKind.AbortAnswer]: { readonly requestId: string; readonly refusal: Refusal };
   /** Connects to a backend server to find out whether its process has ended. */
   [EntryCommandKind.ProbeBackend]: { readonly address: string; readonly processKey: string };
+  /** Writes the quarantines to the store, with times relative to the command. */
+  [EntryCommandKind.StoreQuarantines]: {
+    readonly quarantines: readonly Quarantine[];
+    /** Version that the key must have; 0 if it must not exist. */
+    readonly expectedVersion: number;
+  };
   [EntryCommandKind.SetLimits]: { readonly limits: CallerLimits };
   [EntryCommandKind.SetReady]: { readonly isReady: boolean };
   /** Refuses new connections and closes idle ones. */
--- a/src/coordination/entry/events.ts
+++ b/src/coordination/entry/events.ts
@@ -4,7 +4,7 @@
  */
 import type { BackendEntry } from '../../state/entry/backends.js';
 import type { Deployment } from '../../state/entry/deployment.js';
-import type { EvidenceReport } from '../../state/entry/promptEvidence.js';
+import type { EvidenceReport, Quarantine } from '../../state/entry/promptEvidence.js';
 import type { PlacementBoard, VmReport } from '../../state/entry/reports.js';
 import type { Diagnostic } from '../../state/diagnostics.js';
 import type { RunState } from '../../state/types.js';
@@ -119,6 +119,7 @@
   AttemptStalled: 'attemptStalled',
   BackendProbed: 'backendProbed',
   EvidenceSpread: 'evidenceSpread',
+  QuarantinesRead: 'quarantinesRead',
   ConfigurationRead: 'configurationRead',
   BackendsRead: 'backendsRead',
   VmsRead: 'vmsRead',
@@ -195,6 +196,11 @@
   };
   /** Sends new evidence to peers. */
   [EntryEventKind.EvidenceSpread]: Record<never, never>;
+  /** The quarantines in the store, with times relative to the event, and the version of their key. */
+  [EntryEventKind.QuarantinesRead]: {
+    readonly quarantines: readonly Quarantine[];
+    readonly version: number;
+  };
   [EntryEventKind.ConfigurationRead]: {
     readonly deployment: Deployment;
     /** The origin of the configuration: the store or a peer. */
--- a/src/coordination/entry/handlers.ts
+++ b/src/coordination/entry/handlers.ts
@@ -42,6 +42,7 @@
 } from './lifecycle.js';
 import { handleBackendProbed } from './crashDetection.js';
 import { handleEvidenceSpread, handlePeerMessage, handlePeerTick } from './gossip.js';
+import { handleQuarantinesRead } from './quarantineStore.js';
 import { handleLoanRequested } from './rateLoans.js';
 import type { EntryState } from './state.js';
 
@@ -65,6 +66,7 @@
   [EntryEventKind.AttemptStalled]: handleAttemptStalled,
   [EntryEventKind.BackendProbed]: handleBackendProbed,
   [EntryEventKind.EvidenceSpread]: handleEvidenceSpread,
+  [EntryEventKind.QuarantinesRead]: handleQuarantinesRead,
   [EntryEventKind.ConfigurationRead]: handleConfigurationRead,
   [EntryEventKind.BackendsRead]: (state, event, nowMs) => [
     ...handleBackendsRead(state, event, nowMs),
--- a/src/coordination/entry/lifecycle.ts
+++ b/src/coordination/entry/lifecycle.ts
@@ -4,6 +4,7 @@
  * and aborts the rest shortly before the process would be killed.
  */
 import { createDiagnostic, Diagnostics } from '../../state/diagnostics.js';
+import { expireEvidence } from '../../state/entry/promptEvidence.js';
 import { LogLevel } from '../events.js';
 import {
   createEntryLog,
@@ -16,6 +17,7 @@
 import { requestAdapter } from './adapterRequests.js';
 import { removeExpiredBackends } from './discovery.js';
 import { dispatchWaiting } from './forwarding.js';
+import { storeQuarantines } from './quarantineStore.js';
 import { terminateForward } from './requestCompletion.js';
 import type { EntryPolicy } from './policy.js';
 import {
@@ -139,10 +141,12 @@
 ): EntryCommand[] {
   const kind = EntryEventKind.MaintenanceTick;
   updateVmsLastSeen(state, nowMs);
+  expireEvidence(state.promptEvidence, nowMs);
   return [
     createEntryTimer(kind, state.policy.tickMs, { kind }),
     ...removeExpiredBackends(state, nowMs),
     ...dispatchWaiting(state, nowMs),
     ...retryAdapterRequests(state, nowMs),
+    ...storeQuarantines(state, nowMs),
   ];
 }
--- /dev/null
+++ b/src/coordination/entry/quarantineStore.ts
@@ -0,0 +1,44 @@
+/**
+ * Keeps the quarantines in the store, so that they outlast a restart of all VMs. The controller writes them; every VM
+ * reads them. An operator lifts a quarantine by releasing it there.
+ */
+import {
+  createRelativeQuarantines,
+  getQuarantineKey,
+  isLaterQuarantine,
+} from '../../state/entry/promptEvidence.js';
+import { type EntryCommand, EntryCommandKind } from './commands.js';
+import type { EntryEventKind, EntryEventOf } from './events.js';
+import { mergeEvidence } from './quarantines.js';
+import type { EntryState } from './state.js';
+
+/** Time within which the watch shows what was written; after it, the write is taken as failed. */
+const WRITE_INTERVAL_MS = 1_000;
+
+/** Merges the quarantines in the store with those of this VM. */
+export function handleQuarantinesRead(
+  state: EntryState,
+  event: EntryEventOf<typeof EntryEventKind.QuarantinesRead>,
+  nowMs: number,
+): EntryCommand[] {
+  const { quarantines, version } = event;
+  state.storedQuarantines = new Map(quarantines.map((item) => [getQuarantineKey(item), item]));
+  state.storedQuarantinesVersion = version;
+  return mergeEvidence(state, { crashes: [], healthyParts: [], quarantines }, nowMs);
+}
+
+/** Writes the quarantines to the store if this VM is the controller and the store lacks some of them. */
+export function storeQuarantines(state: EntryState, nowMs: number): EntryCommand[] {
+  const { placement, promptEvidence, storedQuarantines } = state;
+  const isWriteDue = nowMs - state.quarantinesWrittenAtMs >= WRITE_INTERVAL_MS;
+  const isChanged = [...promptEvidence.quarantines.entries()].some(([key, quarantine]) =>
+    isLaterQuarantine(quarantine, storedQuarantines.get(key)),
+  );
+  if (placement.fence === null || !isWriteDue || !isChanged) {
+    return [];
+  }
+  state.quarantinesWrittenAtMs = nowMs;
+  const kind = EntryCommandKind.StoreQuarantines;
+  const quarantines = createRelativeQuarantines(promptEvidence, nowMs);
+  return [{ kind, quarantines, expectedVersion: state.storedQuarantinesVersion }];
+}
--- a/src/coordination/entry/state.ts
+++ b/src/coordination/entry/state.ts
@@ -12,6 +12,7 @@
 import {
   createPromptEvidence,
   type PromptEvidence,
+  type Quarantine,
   type Suspect,
 } from '../../state/entry/promptEvidence.js';
 import type { RateBucket } from '../../state/entry/rateBucket.js';
@@ -175,6 +176,11 @@
   readonly lostConnections: Map<string, LostConnections>;
   /** True while a timer is running that sends new evidence to peers. */
   isEvidenceSpreading: boolean;
+  /** The quarantines in the store as last read, by their keys. */
+  storedQuarantines: ReadonlyMap<string, Quarantine>;
+  /** Version of the store's key of the quarantines; 0 if it does not exist. */
+  storedQuarantinesVersion: number;
+  quarantinesWrittenAtMs: number;
   /** Earliest time of the next trial of each quarantine, by its key. */
   readonly nextTrialAtMs: Map<string, number>;
 }
@@ -221,6 +227,9 @@
     promptEvidence: createPromptEvidence(),
     lostConnections: new Map(),
     isEvidenceSpreading: false,
+    storedQuarantines: new Map(),
+    storedQuarantinesVersion: 0,
+    quarantinesWrittenAtMs: Number.NEGATIVE_INFINITY,
     nextTrialAtMs: new Map(),
   };
 }
--- a/src/state/entry/promptEvidence.ts
+++ b/src/state/entry/promptEvidence.ts
@@ -217,6 +217,11 @@
   return [...quarantines.values()].filter(({ status }) => status === QuarantineStatus.Held);
 }
 
+/** Returns the number of quarantines in force. */
+export function countHeldQuarantines(evidence: PromptEvidence): number {
+  return listHeld(evidence).length;
+}
+
 /** Finds the quarantine that applies to a request; undefined if there is none. */
 export function findQuarantine(
   evidence: PromptEvidence,
@@ -438,7 +443,7 @@
 }
 
 /** Returns whether a quarantine replaces the known one: it is of a later episode, or ends the same one. */
-function isLaterQuarantine(quarantine: Quarantine, known: Quarantine | undefined): boolean {
+export function isLaterQuarantine(quarantine: Quarantine, known: Quarantine | undefined): boolean {
   if (known === undefined || quarantine.episode !== known.episode) {
     return known === undefined || quarantine.episode > known.episode;
   }
@@ -546,6 +551,14 @@
   };
 }
 
+/** Returns all quarantines, with times relative to now. */
+export function createRelativeQuarantines(
+  { quarantines }: PromptEvidence,
+  nowMs: number,
+): Quarantine[] {
+  return [...quarantines.values()].map((quarantine) => shiftQuarantine(quarantine, -nowMs));
+}
+
 /** Returns the evidence that other VMs may lack, with times on this VM's clock. */
 export function createEvidenceReport(evidence: PromptEvidence, nowMs: number): EvidenceReport {
   return {
--- a/src/transport/entry/commandTable.ts
+++ b/src/transport/entry/commandTable.ts
@@ -41,7 +41,7 @@
   sendWholeAnswer,
 } from './exchange.js';
 import { applyCallerTimeouts } from './forwardServer.js';
-import { EntryKey } from './storeKeys.js';
+import { encodeQuarantines, EntryKey } from './storeKeys.js';
 import { applyBackends, applyConfiguration, type WatchContext } from './storeWatches.js';
 import type { SuspensionDetector } from './suspensionDetector.js';
 import type { EntryWire } from './wire.js';
@@ -103,6 +103,7 @@
   | typeof EntryCommandKind.RenewControllerLease
   | typeof EntryCommandKind.ReleaseControllerLease
   | typeof EntryCommandKind.SendOrder
+  | typeof EntryCommandKind.StoreQuarantines
   | typeof EntryCommandKind.ReadEngineReport;
 type LifecycleKind = Exclude<EntryCommandKind, TimerKind | RequestKind | PeerKind | PlacementKind>;
 
@@ -262,6 +263,11 @@
   context: EntryCommandContext,
 ): Pick<ExecutorTable, PlacementKind> {
   const { controllerLease, controllerLeaseMs, getNowMs, post, self, suspension, wire } = context;
+  const { watches, writeLog } = context;
+  const logFailedWrite = (reason: string): void => {
+    const text = 'The quarantines were not written to the store.';
+    writeLog(LogLevel.Info, EntryLogPrefix.Quarantine, text, { reason });
+  };
   const acquireOrRenew = (isHeld: boolean): void => {
     const sentAtMs = getNowMs();
     const lease = controllerLease.acquireOrRenew(
@@ -303,6 +309,21 @@
         }),
       );
     },
+    [EntryCommandKind.StoreQuarantines]: ({ expectedVersion, quarantines }) => {
+      const value = encodeQuarantines(quarantines, watches.getWallMs());
+      const key = EntryKey.Quarantines;
+      const write = watches.store.compareAndSwap({ key, expectedVersion, value, leaseId: null });
+      runDetached(
+        Effect.match(write, {
+          onFailure: ({ key: reason }) => logFailedWrite(reason),
+          onSuccess: (version) => {
+            if (version === null) {
+              logFailedWrite('outdated');
+            }
+          },
+        }),
+      );
+    },
     [EntryCommandKind.ReadEngineReport]: ({ address, backendId }) => {
       const kind = EntryEventKind.EngineReported;
       const call = callHttp({
--- a/src/transport/entry/entryDaemon.ts
+++ b/src/transport/entry/entryDaemon.ts
@@ -124,6 +124,7 @@
     nextRandom: () => nextRandom(random),
     view,
     isController: () => state.placement.fence !== null,
+    getWallMs: () => clock.currentTimeMillisUnsafe(),
   };
   const registration = createVmRegistration(store, self, writeLog);
   const suspension = createSuspensionDetector(
--- a/src/transport/entry/metricsServer.ts
+++ b/src/transport/entry/metricsServer.ts
@@ -3,6 +3,7 @@
  */
 import http, { type Server } from 'node:http';
 import { countLiveVms, type EntryState } from '../../coordination/entry/state.js';
+import { countHeldQuarantines } from '../../state/entry/promptEvidence.js';
 import type { Metrics } from '../metrics.js';
 import type { EntryLog } from './entryLog.js';
 
@@ -22,6 +23,8 @@
   gentiandeck_live_vms: (state) => countLiveVms(state, Number.POSITIVE_INFINITY),
   gentiandeck_store_reachable: ({ store }) => Number(store.isReachable),
   gentiandeck_controller: ({ placement }) => Number(placement.fence !== null),
+  gentiandeck_quarantines: ({ promptEvidence }) => countHeldQuarantines(promptEvidence),
+  gentiandeck_known_crashes: ({ promptEvidence }) => promptEvidence.crashes.size,
   gentiandeck_log_lines_dropped: (_state, log) => log.countDropped(),
 };
 
--- a/src/transport/entry/storeKeys.ts
+++ b/src/transport/entry/storeKeys.ts
@@ -4,6 +4,11 @@
 import { Schema } from 'effect';
 import type { Either } from 'purify-ts';
 import type { ControllerLeaseHolder, ListedEntryVm } from '../../coordination/entry/events.js';
+import {
+  type Quarantine,
+  QuarantineStatus,
+  shiftQuarantine,
+} from '../../state/entry/promptEvidence.js';
 import { decodeJson } from '../../protocol/json.js';
 import type { Diagnostic } from '../../state/diagnostics.js';
 
@@ -18,6 +23,7 @@
   Controllers: `${PREFIX}controllers/`,
   ControllerScope: 'fleet',
   Controller: `${PREFIX}controllers/fleet`,
+  Quarantines: `${PREFIX}quarantines`,
 } as const;
 
 const VmSchema = Schema.Struct({
@@ -33,6 +39,34 @@
   peerAddress: Schema.String,
 });
 
+/** Quarantines in the store; their times are wall clock times. */
+const QuarantinesSchema = Schema.Array(
+  Schema.Struct({
+    service: Schema.String,
+    parts: Schema.Array(Schema.String),
+    episode: Schema.Number,
+    status: Schema.Literals([QuarantineStatus.Held, QuarantineStatus.Released]),
+    firstCrashAtMs: Schema.Number,
+    lastCrashAtMs: Schema.Number,
+    crashCount: Schema.Number,
+  }),
+);
+
+/** Encodes quarantines whose times are relative to now. */
+export function encodeQuarantines(quarantines: readonly Quarantine[], wallMs: number): string {
+  return JSON.stringify(quarantines.map((quarantine) => shiftQuarantine(quarantine, wallMs)));
+}
+
+/** Decodes quarantines, with times relative to now. */
+export function decodeQuarantines(
+  text: string,
+  wallMs: number,
+): Either<Diagnostic, readonly Quarantine[]> {
+  return decodeJson(QuarantinesSchema, text).map((quarantines) =>
+    quarantines.map((quarantine) => shiftQuarantine(quarantine, -wallMs)),
+  );
+}
+
 /** Encodes the registration of a VM. */
 export function encodeListedVm(vm: ListedEntryVm): string {
   return JSON.stringify(vm);
--- a/src/transport/entry/storeWatches.ts
+++ b/src/transport/entry/storeWatches.ts
@@ -15,7 +15,12 @@
 import type { Diagnostic } from '../../state/diagnostics.js';
 import type { PrefixStore, StoredItem, StoredItems } from '../keyValueStore.js';
 import type { EntryLogWriter } from './entryLog.js';
-import { decodeControllerLeaseHolder, decodeListedVm, EntryKey } from './storeKeys.js';
+import {
+  decodeControllerLeaseHolder,
+  decodeListedVm,
+  decodeQuarantines,
+  EntryKey,
+} from './storeKeys.js';
 import type { EntryWire } from './wire.js';
 
 /**
@@ -49,6 +54,8 @@
   readonly nextRandom: () => number;
   readonly view: StoreView;
   readonly isController: () => boolean;
+  /** Reads the wall clock. */
+  readonly getWallMs: () => number;
 }
 
 /** Creates an empty view. */
@@ -178,7 +185,7 @@
 }
 
 function createEntryKeysWatcher(context: WatchContext): PrefixWatch {
-  const { post, writeLog } = context;
+  const { getWallMs, post, writeLog } = context;
   const vms = new Map<string, ListedEntryVm>();
   let holder: ControllerLeaseHolder | null = null;
   const decodeLeaseHolder = (value: string, version: number): ControllerLeaseHolder | null =>
@@ -194,8 +201,22 @@
       },
       Right: (leaseHolder) => leaseHolder,
     });
+  const applyQuarantines = (value: string, version: number): void => {
+    decodeQuarantines(value, getWallMs()).caseOf({
+      Left: ({ message: detail }) =>
+        writeLog(
+          LogLevel.Error,
+          EntryLogPrefix.Quarantine,
+          'The quarantines in the store could not be decoded.',
+          { detail },
+        ),
+      Right: (quarantines) => post({ kind: EntryEventKind.QuarantinesRead, quarantines, version }),
+    });
+  };
   const applyItem = ({ key, value, version }: StoredItem): void => {
-    if (key === EntryKey.Controller) {
+    if (key === EntryKey.Quarantines) {
+      applyQuarantines(value ?? '[]', value === null ? 0 : version);
+    } else if (key === EntryKey.Controller) {
       holder = value === null ? null : decodeLeaseHolder(value, version);
     } else if (key.startsWith(EntryKey.Vms) && value === null) {
       vms.delete(key);
