Send no requests to a server that is known to have crashed

Callers saw: beside engines that crash, 502 and 503 for requests sent to engines that were gone. Cause: each VM found out by itself that an engine was gone, by a refused connect, and again after 1.5 s, until the registration expired 3.6 s after the crash.

Fix: a VM that hears of a crash, by its own probe or from a peer, sends the server nothing until it registers a new process, for at most 4 s. So requests wait for another engine, and their attempts and the retry budget are not spent on one that is gone.

--- a/src/coordination/entry/backendSelection.ts
+++ b/src/coordination/entry/backendSelection.ts
@@ -7,6 +7,7 @@
  * server.
  */
 import { type Backend, getVariantKey, holdsVariant } from '../../state/entry/backends.js';
+import type { CrashReport } from '../../state/entry/promptEvidence.js';
 import { nextRandomInt } from '../../state/random.js';
 import { getPrefillDelay } from './prefillLoad.js';
 import { countLiveVms, type EntryState, type ForwardRecord } from './state.js';
@@ -25,6 +26,11 @@
 const FAILURE_AVERAGE_WEIGHT = 0.15;
 /** How long an unreachable server is avoided. */
 const AVOID_UNREACHABLE_MS = 1_500;
+/**
+ * How long a server that has crashed gets no requests, unless it registers a new process: a crashed server's
+ * registration expires within this time.
+ */
+const AVOID_CRASHED_MS = 4_000;
 /** How long a model that a server has reported missing counts as missing, unless its registration changes. */
 const MISSING_MODEL_MS = 1_000;
 /** The same for an adapter, which loads within milliseconds. */
@@ -85,7 +91,14 @@
       service.engine === null ||
       request.model === null ||
       holdsVariant(backend, request.model, request.adapter, nowMs);
-    return offeredService === service.name && !isTried && isHeld && isAcceptingRequests(backend);
+    const hasCrashed = backend.crashedUntilMs > nowMs;
+    return (
+      offeredService === service.name &&
+      !isTried &&
+      !hasCrashed &&
+      isHeld &&
+      isAcceptingRequests(backend)
+    );
   });
 }
 
@@ -132,6 +145,14 @@
   backend.avoidUntilMs = nowMs + AVOID_UNREACHABLE_MS;
 }
 
+/** Marks the server whose process has crashed, if it has not registered a new one. */
+export function markCrashed(state: EntryState, crash: CrashReport): void {
+  const backend = state.backends.get(crash.serverId);
+  if (backend?.entry.bornAtWallMs === crash.bornAtWallMs) {
+    backend.crashedUntilMs = crash.atMs + AVOID_CRASHED_MS;
+  }
+}
+
 /** Marks a model or adapter as missing on a server that reported so. */
 export function markVariantMissing(
   backend: Backend,
--- a/src/coordination/entry/crashDetection.ts
+++ b/src/coordination/entry/crashDetection.ts
@@ -15,6 +15,7 @@
 import type { Backend } from '../../state/entry/backends.js';
 import { RunState } from '../../state/types.js';
 import { LogLevel } from '../events.js';
+import { markCrashed } from './backendSelection.js';
 import { createEntryLog, type EntryCommand, EntryCommandKind, EntryLogPrefix } from './commands.js';
 import { type EntryEventKind, type EntryEventOf, ProbeOutcome } from './events.js';
 import { isAnswerHealthy, reviewEvidence, spreadEvidence } from './quarantines.js';
@@ -111,7 +112,9 @@
 function reportCrash(state: EntryState, lost: LostConnections, nowMs: number): EntryCommand[] {
   const { address, bornAtWallMs, id: serverId, service } = lost.entry;
   const { firstLostAtMs: atMs, suspects } = lost;
-  recordCrash(state.promptEvidence, { serverId, bornAtWallMs, service, address, atMs, suspects });
+  const crash = { serverId, bornAtWallMs, service, address, atMs, suspects };
+  recordCrash(state.promptEvidence, crash);
+  markCrashed(state, crash);
   return [
     createEntryLog(LogLevel.Warn, EntryLogPrefix.Backend, 'A backend server has crashed.', {
       server: serverId,
--- a/src/coordination/entry/quarantines.ts
+++ b/src/coordination/entry/quarantines.ts
@@ -24,6 +24,7 @@
   shiftEvidenceReport,
 } from '../../state/entry/promptEvidence.js';
 import { LogLevel } from '../events.js';
+import { markCrashed } from './backendSelection.js';
 import {
   createEntryLog,
   createEntryTimer,
@@ -180,6 +181,7 @@
     recordHealthyParts(promptEvidence, service, [part], Math.min(nowMs, atMs)),
   );
   const newCrashes = crashes.filter((crash) => recordCrash(promptEvidence, crash));
+  newCrashes.forEach((crash) => markCrashed(state, crash));
   const merged = quarantines.flatMap((quarantine) => mergeOneQuarantine(state, quarantine, nowMs));
   return newCrashes.length === 0
     ? merged
--- a/src/state/entry/backends.ts
+++ b/src/state/entry/backends.ts
@@ -47,6 +47,8 @@
   failureRate: number;
   /** Time until which the server is used only if there is no other candidate. */
   avoidUntilMs: number;
+  /** Time until which the server gets no requests, because its process has crashed. */
+  crashedUntilMs: number;
   /** Models and adapters that the server reported as not loaded, with the time until which that is assumed. */
   readonly missingUntilMs: Map<string, number>;
   /** Adapters that the controller reports as loaded before the entry lists them, as `model/adapter`. */
@@ -66,6 +68,7 @@
     loadSeenAtMs: Number.NEGATIVE_INFINITY,
     failureRate: 0,
     avoidUntilMs: Number.NEGATIVE_INFINITY,
+    crashedUntilMs: Number.NEGATIVE_INFINITY,
     missingUntilMs: new Map(),
     controllerAdapters: new Set(),
   };
