Decode and log the request limits that backend servers state

The limit is now decoded into the state of the server, its changes are logged, and the number of limited servers is a gauge. Decisions do not use it yet. A refusal without the header says nothing; neither does a value that is no decimal number.

--- a/src/coordination/entry/commands.ts
+++ b/src/coordination/entry/commands.ts
@@ -75,6 +75,8 @@
     /** The same limit once the response has started, between two events of a stream. */
     readonly eventGapTimeoutMs: number;
     readonly isStream: boolean;
+    /** True if the server had a request limit, so that an answer without one shows that the limit has ended. */
+    readonly isServerLimited: boolean;
   };
   [EntryCommandKind.CancelAttempt]: { readonly requestId: string; readonly attempt: number };
   [EntryCommandKind.DeliverAnswer]: { readonly requestId: string; readonly attempt: number };
--- a/src/coordination/entry/events.ts
+++ b/src/coordination/entry/events.ts
@@ -117,6 +117,7 @@
   AnswerCompleted: 'answerCompleted',
   AttemptFailed: 'attemptFailed',
   AttemptStalled: 'attemptStalled',
+  LimitReported: 'limitReported',
   BackendProbed: 'backendProbed',
   EvidenceSpread: 'evidenceSpread',
   QuarantinesRead: 'quarantinesRead',
@@ -189,6 +190,14 @@
     readonly silentMs: number;
     readonly isAnswerBegun: boolean;
   };
+  /** The head of a response states the requests that its server takes from all VMs together. */
+  [EntryEventKind.LimitReported]: {
+    readonly backendId: string;
+    /** Null if the server has no limit. */
+    readonly requestsPerSecond: number | null;
+    /** Time at which the request was dispatched. */
+    readonly dispatchedAtMs: number;
+  };
   [EntryEventKind.BackendProbed]: {
     /** The process that was probed, as `getProcessKey` returns it. */
     readonly processKey: string;
--- a/src/coordination/entry/forwarding.ts
+++ b/src/coordination/entry/forwarding.ts
@@ -116,6 +116,7 @@
       startTimeoutMs: getFirstDataTimeoutMs(record),
       eventGapTimeoutMs: getEventGapTimeoutMs(record),
       isStream: record.route.kind === RouteKind.Stream,
+      isServerLimited: backend.limit !== null,
     },
     createEntryLog(LogLevel.Debug, EntryLogPrefix.Request, 'The request was dispatched.', {
       ...getRequestLogFields(record, nowMs),
--- a/src/coordination/entry/handlers.ts
+++ b/src/coordination/entry/handlers.ts
@@ -44,6 +44,7 @@
 import { handleEvidenceSpread, handlePeerMessage, handlePeerTick } from './gossip.js';
 import { handleQuarantinesRead } from './quarantineStore.js';
 import { handleLoanRequested } from './rateLoans.js';
+import { handleLimitReported } from './serverLimits.js';
 import type { EntryState } from './state.js';
 
 type EntryHandler<K extends EntryEventKind> = (
@@ -64,6 +65,7 @@
   [EntryEventKind.AnswerCompleted]: handleAnswerCompleted,
   [EntryEventKind.AttemptFailed]: handleAttemptFailed,
   [EntryEventKind.AttemptStalled]: handleAttemptStalled,
+  [EntryEventKind.LimitReported]: handleLimitReported,
   [EntryEventKind.BackendProbed]: handleBackendProbed,
   [EntryEventKind.EvidenceSpread]: handleEvidenceSpread,
   [EntryEventKind.QuarantinesRead]: handleQuarantinesRead,
--- a/src/state/entry/backends.ts
+++ b/src/state/entry/backends.ts
@@ -27,6 +27,13 @@
   readonly diskCopies: readonly string[];
 }
 
+/** A limit that a backend server has stated for its requests from all VMs together. */
+export interface ServerLimit {
+  readonly requestsPerSecond: number;
+  /** Time of the last answer that stated it. */
+  readonly statedAtMs: number;
+}
+
 /** The state that this VM keeps about a backend server. Mutable; owned by the event loop. */
 export interface Backend {
   entry: BackendEntry;
@@ -49,6 +56,8 @@
   avoidUntilMs: number;
   /** Time until which the server gets no requests, because its process has crashed. */
   crashedUntilMs: number;
+  /** Null if the server states no limit. */
+  limit: ServerLimit | null;
   /** Models and adapters that the server reported as not loaded, with the time until which that is assumed. */
   readonly missingUntilMs: Map<string, number>;
   /** Adapters that the controller reports as loaded before the entry lists them, as `model/adapter`. */
@@ -69,6 +78,7 @@
     failureRate: 0,
     avoidUntilMs: Number.NEGATIVE_INFINITY,
     crashedUntilMs: Number.NEGATIVE_INFINITY,
+    limit: null,
     missingUntilMs: new Map(),
     controllerAdapters: new Set(),
   };
--- a/src/transport/entry/attempt.ts
+++ b/src/transport/entry/attempt.ts
@@ -37,6 +37,7 @@
   runState: RunState;
   load: BackendLoad | null;
   isSettled: boolean;
+  readonly startedAtMs: number;
   lastByteAtMs: number;
   stallTimer: NodeJS.Timeout | null;
 }
@@ -166,6 +167,16 @@
   attempt.stallTimer = setTimeout(check, command.startTimeoutMs);
 }
 
+/** Reports the request limit that the head of a response states, or that a limit has ended. */
+function reportLimit({ command, context, startedAtMs }: Attempt, { limit }: AnswerHead): void {
+  const { isStated, requestsPerSecond } = limit;
+  if (isStated && (requestsPerSecond !== null || command.isServerLimited)) {
+    const kind = EntryEventKind.LimitReported;
+    const { backendId } = command;
+    context.post({ kind, backendId, requestsPerSecond, dispatchedAtMs: startedAtMs });
+  }
+}
+
 function createRequest(attempt: Attempt): ClientRequest {
   const { command, context, exchange } = attempt;
   const { body, request: incoming } = exchange;
@@ -206,6 +217,7 @@
     runState: RunState.NotSent,
     load: null,
     isSettled: false,
+    startedAtMs: context.getNowMs(),
     lastByteAtMs: context.getNowMs(),
     stallTimer: null,
   };
@@ -235,6 +247,7 @@
     const head = context.wire.decodeAnswerHead(response.statusCode ?? 0, response.headers);
     recordSignal(attempt, DispatchSignal.HeadersReceived);
     attempt.load = head.load;
+    reportLimit(attempt, head);
     context.agents.recordIdleTimeout(response);
     response.on('error', () => failForLostConnection(attempt));
     onResponse(attempt, response, head);
--- a/src/transport/entry/metricsServer.ts
+++ b/src/transport/entry/metricsServer.ts
@@ -18,6 +18,8 @@
   gentiandeck_ready: ({ isReady }) => Number(isReady),
   gentiandeck_configuration_version: ({ deployment }) => deployment?.version ?? 0,
   gentiandeck_backends: ({ backends }) => backends.size,
+  gentiandeck_limited_backends: ({ backends }) =>
+    [...backends.values()].filter(({ limit }) => limit !== null).length,
   gentiandeck_backends_revision: ({ backendsRevision }) => backendsRevision,
   gentiandeck_open_requests: ({ requests }) => requests.size,
   gentiandeck_live_vms: (state) => countLiveVms(state, Number.POSITIVE_INFINITY),
--- a/src/transport/entry/wire.ts
+++ b/src/transport/entry/wire.ts
@@ -41,6 +41,15 @@
   /** True if another server is at the address, or the server does not have the model. */
   readonly isMisdirected: boolean;
   readonly load: BackendLoad | null;
+  readonly limit: LimitStatement;
+}
+
+/** What an answer states about the requests that its server takes from all VMs together. */
+export interface LimitStatement {
+  /** False if the answer does not show whether there is a limit. */
+  readonly isStated: boolean;
+  /** Null if there is no limit. */
+  readonly requestsPerSecond: number | null;
 }
 
 /** Header names and values in alternation, as Node.js has raw headers. */
--- a/tests/platform/decoding.test.ts
+++ b/tests/platform/decoding.test.ts
@@ -238,6 +238,33 @@
   });
 });
 
+const LIMIT_CASES = [
+  { name: 'a decimal number', value: '2.8', status: 200, stated: true, limit: 2.8 },
+  { name: 'a fraction below one', value: '0.2', status: 200, stated: true, limit: 0.2 },
+  { name: 'zero', value: '0', status: 200, stated: true, limit: 0 },
+  { name: 'a large number', value: '1000000', status: 200, stated: true, limit: 1_000_000 },
+  { name: 'a refusal with a number', value: '3', status: 421, stated: true, limit: 3 },
+  { name: 'two values', value: '5, 3', status: 200, stated: true, limit: 3 },
+  { name: 'a text and a number', value: 'many, 3', status: 200, stated: true, limit: 3 },
+  { name: 'no value', value: undefined, status: 200, stated: true, limit: null },
+  { name: 'a refusal without a value', value: undefined, status: 421, stated: false, limit: null },
+  { name: 'a text', value: 'many', status: 200, stated: false, limit: null },
+  { name: 'a negative number', value: '-1', status: 200, stated: false, limit: null },
+  { name: 'infinity', value: 'Infinity', status: 200, stated: false, limit: null },
+  { name: 'an exponent', value: '1e3', status: 200, stated: false, limit: null },
+  { name: 'an empty value', value: '', status: 200, stated: false, limit: null },
+];
+
+describe('the request limit in the head of an answer', () => {
+  it.each(LIMIT_CASES)('is decoded from $name', ({ limit, stated, status, value }) => {
+    const headers = value === undefined ? {} : { 'server-limit': value };
+    expect(decodeAnswerHead(status, headers).limit).toEqual({
+      isStated: stated,
+      requestsPerSecond: limit,
+    });
+  });
+});
+
 const OUTCOME_CASES = [
   { status: 200, outcome: 'done' },
   { status: 202, outcome: 'accepted' },
