Keep all VMs together within the request limits of backend servers

Cause: no decision used the limit. Engines were chosen by their load, which a limit lowers, so that a limited engine looked idle.

Fix: a VM that reads a limit, or its end, tells the others at once; a version orders the changes. Of the VMs, as many as the limit per second and three more have a share of it: every VM finds the same ones by hashing. A share is a token bucket that starts empty, and each dispatch takes a token, also that of a retry or of a resumed stream. A VM without a token uses other servers, else borrows from a VM with a share, by the loans that serve the workspaces' rates. If all servers of a model have limits and the wait would be too long, the request is rejected at once with the expected wait. A share that was not used for five seconds is used first, since only an answer shows the end of a limit.

Why it works: the shares add up to 1.2 times the limit, and their first requests to the limit and three, so any four seconds hold at most 5.8 times the limit and three requests; loans do not add to it.

Found on the way, by the case with 77 VMs: when the changes were ordered by the time at which a VM had read them, the delay of each message moved that time on, and the end of a limit was taken as older than the limit. Hence the version.

--- a/src/coordination/entry/admission.ts
+++ b/src/coordination/entry/admission.ts
@@ -285,8 +285,8 @@
   });
 }
 
-/** Resumes the admission of a request once another VM has answered the loan request for it. */
-export function handleLoanAnswered(
+/** Resumes the admission of a request once another VM has answered the request for a loan of its workspace's rate. */
+export function handleRateLoan(
   state: EntryState,
   event: EntryEventOf<typeof EntryEventKind.LoanAnswered>,
   nowMs: number,
--- a/src/coordination/entry/backendSelection.ts
+++ b/src/coordination/entry/backendSelection.ts
@@ -10,6 +10,7 @@
 import type { CrashReport } from '../../state/entry/promptEvidence.js';
 import { nextRandomInt } from '../../state/random.js';
 import { getPrefillDelay } from './prefillLoad.js';
+import { hasPermit, isLimitUnverified } from './serverLimits.js';
 import { countLiveVms, type EntryState, type ForwardRecord } from './state.js';
 
 /** Reported load is ignored from this age on. */
@@ -76,8 +77,8 @@
   );
 }
 
-/** Returns the servers of a request's service that can run it now and have not been tried. */
-export function findCandidates(
+/** Returns the servers of a request's service that hold its model and have not been tried, whatever their limits. */
+export function findHolders(
   state: EntryState,
   record: Pick<ForwardRecord, 'request' | 'service' | 'possiblyRunBackendIds' | 'notRunBackendIds'>,
   nowMs: number,
@@ -102,6 +103,15 @@
   });
 }
 
+/** Returns the servers of a request's service that can run it now and have not been tried. */
+export function findCandidates(
+  state: EntryState,
+  record: Parameters<typeof findHolders>[1],
+  nowMs: number,
+): Backend[] {
+  return findHolders(state, record, nowMs).filter((backend) => hasPermit(backend, nowMs));
+}
+
 /** Returns the candidate with the lowest cost; undefined if there are no candidates. */
 export function chooseBackend(
   state: EntryState,
@@ -111,6 +121,10 @@
 ): Backend | undefined {
   const reachable = candidates.filter((backend) => backend.avoidUntilMs <= nowMs);
   const pool = reachable.length > 0 ? reachable : candidates;
+  const unverified = pool.find((backend) => isLimitUnverified(backend, nowMs));
+  if (unverified !== undefined) {
+    return unverified;
+  }
   // The scan starts at a random index, to break ties at random.
   const first = nextRandomInt(state.random, Math.max(1, pool.length));
   const liveVms = countLiveVms(state, nowMs);
--- a/src/coordination/entry/commands.ts
+++ b/src/coordination/entry/commands.ts
@@ -7,7 +7,7 @@
 import type { PlacementBoard, VmReport } from '../../state/entry/reports.js';
 import type { Refusal } from '../../state/types.js';
 import type { LogLevel, RequestMetrics } from '../events.js';
-import type { EngineOrder, EntryEvent } from './events.js';
+import type { EngineOrder, EntryEvent, LimitName } from './events.js';
 
 /** The kinds of commands that the event loop issues. */
 export const EntryCommandKind = {
@@ -126,12 +126,12 @@
     /** Time until the adapter is loaded. */
     readonly delayMs: number;
   };
-  /** Requests a loan of the tokens of a workspace's rate that this VM lacks for a request. */
+  /** Requests a loan of the tokens of a limit that this VM lacks for a request. */
   [EntryCommandKind.RequestLoan]: {
     readonly requestId: string;
     readonly vmId: string;
     readonly peerAddress: string;
-    readonly workspace: string;
+    readonly limit: LimitName;
     readonly tokens: number;
   };
   [EntryCommandKind.ReplyToLoanRequest]: {
--- a/src/coordination/entry/crashDetection.ts
+++ b/src/coordination/entry/crashDetection.ts
@@ -18,7 +18,8 @@
 import { markCrashed } from './backendSelection.js';
 import { createEntryLog, type EntryCommand, EntryCommandKind, EntryLogPrefix } from './commands.js';
 import { type EntryEventKind, type EntryEventOf, ProbeOutcome } from './events.js';
-import { isAnswerHealthy, reviewEvidence, spreadEvidence } from './quarantines.js';
+import { spreadEvidence } from './evidenceSpread.js';
+import { isAnswerHealthy, reviewEvidence } from './quarantines.js';
 import { retryOrEnd } from './retries.js';
 import {
   type EntryState,
--- a/src/coordination/entry/events.ts
+++ b/src/coordination/entry/events.ts
@@ -58,6 +58,21 @@
   readonly expectedOrderCount: number;
 }
 
+/** The kinds of limits that the VMs divide among themselves, and whose tokens they lend each other. */
+export const LimitKind = {
+  /** The rate of a workspace. */
+  Workspace: 'workspace',
+  /** The requests that a backend server takes from all VMs. */
+  Server: 'server',
+} as const;
+export type LimitKind = (typeof LimitKind)[keyof typeof LimitKind];
+
+/** A limit, by the name of its workspace or the id of its server. */
+export interface LimitName {
+  readonly kind: LimitKind;
+  readonly name: string;
+}
+
 /** The actions that an order can request. */
 export const OrderAction = { Load: 'load', Unload: 'unload' } as const;
 export type OrderAction = (typeof OrderAction)[keyof typeof OrderAction];
@@ -249,9 +264,9 @@
     /** Null if no engine could load the adapter. */
     readonly backendId: string | null;
   };
-  /** Another VM requests a loan of tokens from this VM's share of a workspace's rate. */
+  /** Another VM requests a loan of tokens from this VM's share of a limit. */
   [EntryEventKind.LoanRequested]: {
-    readonly workspace: string;
+    readonly limit: LimitName;
     readonly tokens: number;
     readonly replyId: string;
   };
@@ -259,7 +274,7 @@
   [EntryEventKind.LoanAnswered]: {
     readonly requestId: string;
     readonly vmId: string;
-    readonly workspace: string;
+    readonly limit: LimitName;
     readonly lentTokens: number;
     readonly spareTokens: number;
   };
--- /dev/null
+++ b/src/coordination/entry/evidenceExchange.ts
@@ -0,0 +1,32 @@
+/**
+ * Exchanges with the other VMs what was learned of backend servers: crashes and their suspects, healthy prompt parts,
+ * quarantines and request limits. Times in messages are relative to the time of sending.
+ */
+import {
+  createEvidenceReport,
+  type EvidenceReport,
+  shiftEvidenceReport,
+} from '../../state/entry/promptEvidence.js';
+import type { EntryCommand } from './commands.js';
+import { mergePromptEvidence } from './quarantines.js';
+import { listLimits, mergeLimits } from './serverLimits.js';
+import type { EntryState } from './state.js';
+
+/** Returns the evidence to send to a peer, with times relative to now. */
+export function createRelativeEvidence(state: EntryState, nowMs: number): EvidenceReport {
+  const evidence = createEvidenceReport(state.promptEvidence, listLimits(state), nowMs);
+  return shiftEvidenceReport(evidence, -nowMs);
+}
+
+/** Merges evidence of another VM, whose times are relative to now. */
+export function mergeEvidence(
+  state: EntryState,
+  report: EvidenceReport,
+  nowMs: number,
+): EntryCommand[] {
+  const evidence = shiftEvidenceReport(report, nowMs);
+  return [
+    ...mergePromptEvidence(state, evidence, nowMs),
+    ...mergeLimits(state, evidence.limits, nowMs),
+  ];
+}
--- a/src/coordination/entry/forwarding.ts
+++ b/src/coordination/entry/forwarding.ts
@@ -21,7 +21,14 @@
 } from './requestCompletion.js';
 import { addPendingPrefill } from './prefillLoad.js';
 import { depositRetry, withdrawRetry } from './retryBudget.js';
-import { chooseBackend, findCandidates } from './backendSelection.js';
+import { chooseBackend, findCandidates, findHolders } from './backendSelection.js';
+import {
+  countLimited,
+  creditPermits,
+  getExpectedPermitWaitMs,
+  requestPermit,
+  takePermit,
+} from './serverLimits.js';
 import { requestAdapter } from './adapterRequests.js';
 import {
   countVmsSharingLimits,
@@ -49,6 +56,8 @@
 export const OVERLOADED_RETRY_AFTER_MS = 700;
 /** Retry-After time when no server has the model: about half the time of a load from the weight store. */
 const MODEL_RETRY_AFTER_MS = 2_500;
+/** Lower bound of the Retry-After time of a request that waited for the limit of a server. */
+const MIN_PERMIT_RETRY_AFTER_MS = 200;
 /** Time without data before a stream's first event that causes a retry, as a multiple of the objective. */
 const STREAM_TIMEOUT_OBJECTIVES = 1.5;
 /** The same for a request that is not a stream. */
@@ -100,6 +109,7 @@
   record.attempt += 1;
   record.backendId = backendId;
   backend.inFlight += 1;
+  takePermit(backend, nowMs);
   addPendingPrefill(backend, record, nowMs);
   return [
     { kind: EntryCommandKind.CancelTimer, timerId: getWaitTimerId(requestId) },
@@ -158,6 +168,38 @@
   );
 }
 
+/** Asks another VM for a permit to send a request to a server whose limit leaves this VM none. */
+function borrowPermit(state: EntryState, record: ForwardRecord, nowMs: number): EntryCommand[] {
+  const holders = findHolders(state, record, nowMs);
+  return requestPermit(state, record.request.requestId, holders, nowMs);
+}
+
+/** Returns the expected wait for the limits of the servers that hold a request's model; null if not all have one. */
+function getLimitWaitMs(state: EntryState, record: ForwardRecord, nowMs: number): number | null {
+  const { model } = record.request;
+  const isAhead = (other: ForwardRecord): boolean =>
+    other !== record &&
+    other.phase === ForwardPhase.Waiting &&
+    other.service === record.service &&
+    other.request.model === model &&
+    getUrgency(other) <= getUrgency(record);
+  const requestsAhead = [...state.requests.values()].filter(isAhead).length;
+  const holders = findHolders(state, record, nowMs);
+  return getExpectedPermitWaitMs(state, holders, requestsAhead, nowMs);
+}
+
+/** Rejects a request that would wait too long for the limits of its servers. */
+function refuseForLimits(
+  state: EntryState,
+  record: ForwardRecord,
+  permitWaitMs: number,
+  nowMs: number,
+): EntryCommand[] {
+  const diagnostic = createDiagnostic(Diagnostics.Overloaded, record.service.name);
+  const retryAfterMs = Math.max(MIN_PERMIT_RETRY_AFTER_MS, permitWaitMs);
+  return refuseForward(state, record, diagnostic, nowMs, retryAfterMs);
+}
+
 /** Lets a request wait until a backend server can run it, and asks the controller for a missing adapter. */
 export function startWaiting(
   state: EntryState,
@@ -174,6 +216,7 @@
       requestId,
     }),
     ...requestAdapter(state, record, nowMs),
+    ...borrowPermit(state, record, nowMs),
     createEntryLog(
       LogLevel.Info,
       EntryLogPrefix.Request,
@@ -182,21 +225,12 @@
         ...getRequestLogFields(record, nowMs),
         waitMs: Math.round(waitMs),
         backendsRevision: state.backendsRevision,
+        limitedServers: countLimited(findHolders(state, record, nowMs)),
       },
     ),
   ];
 }
 
-/** Dispatches an admitted request, or lets it wait. */
-export function startForward(
-  state: EntryState,
-  record: ForwardRecord,
-  nowMs: number,
-): EntryCommand[] {
-  depositRetry(state, record.service.name);
-  return tryDispatch(state, record, nowMs) ?? startWaiting(state, record, nowMs);
-}
-
 /** Dispatches a waiting request if a server can run it; after an earlier attempt this takes a retry from the budget. */
 function tryDispatchWaiting(
   state: EntryState,
@@ -205,12 +239,42 @@
 ): EntryCommand[] {
   const backend = findBackend(state, record, nowMs);
   if (backend === undefined) {
-    return [];
+    return borrowPermit(state, record, nowMs);
   }
   const mayDispatch = record.attempt === 0 || withdrawRetry(state, record.service.name);
   return mayDispatch ? dispatchTo(state, record, backend.entry.id, nowMs) : [];
 }
 
+/**
+ * Dispatches a request with the permit that another VM has lent. Without one it goes on waiting, unless that would take
+ * too long: no VM has a permit to spare then.
+ */
+export function handlePermitLoan(
+  state: EntryState,
+  event: EntryEventOf<typeof EntryEventKind.LoanAnswered>,
+  nowMs: number,
+): EntryCommand[] {
+  creditPermits(state, event.limit.name, event.lentTokens, nowMs);
+  const record = state.requests.get(event.requestId);
+  if (record?.phase !== ForwardPhase.Waiting) {
+    return [];
+  }
+  const dispatch = tryDispatchWaiting(state, record, nowMs);
+  const permitWaitMs = dispatch.length > 0 ? null : getLimitWaitMs(state, record, nowMs);
+  const isTooLong = permitWaitMs !== null && permitWaitMs > getWaitMs(record, nowMs);
+  return isTooLong ? refuseForLimits(state, record, permitWaitMs, nowMs) : dispatch;
+}
+
+/** Dispatches an admitted request, or lets it wait. */
+export function startForward(
+  state: EntryState,
+  record: ForwardRecord,
+  nowMs: number,
+): EntryCommand[] {
+  depositRetry(state, record.service.name);
+  return tryDispatch(state, record, nowMs) ?? startWaiting(state, record, nowMs);
+}
+
 /** Dispatches waiting requests, most urgent first, once servers, models or adapters have become available. */
 export function dispatchWaiting(state: EntryState, nowMs: number): EntryCommand[] {
   return [...state.requests.values()]
@@ -229,6 +293,10 @@
   if (record?.phase !== ForwardPhase.Waiting) {
     return [];
   }
+  const permitWaitMs = getLimitWaitMs(state, record, nowMs);
+  if (permitWaitMs !== null) {
+    return refuseForLimits(state, record, permitWaitMs, nowMs);
+  }
   const target = getVariantKey(record.request.model ?? record.service.name, record.request.adapter);
   const diagnostic = createDiagnostic(Diagnostics.NoBackendServer, target);
   const retryAfterMs =
--- a/src/coordination/entry/gossip.ts
+++ b/src/coordination/entry/gossip.ts
@@ -8,7 +8,7 @@
 import { createEntryTimer, type EntryCommand, EntryCommandKind } from './commands.js';
 import { EntryEventKind, type EntryEventOf } from './events.js';
 import { countWaitingRequests, dispatchWaiting } from './forwarding.js';
-import { createRelativeEvidence, mergeEvidence } from './quarantines.js';
+import { createRelativeEvidence, mergeEvidence } from './evidenceExchange.js';
 import { listWorkspaceDemands } from './rateLoans.js';
 import { type EntryState, isShuttingDown } from './state.js';
 
--- a/src/coordination/entry/handlers.ts
+++ b/src/coordination/entry/handlers.ts
@@ -4,7 +4,6 @@
 import { handleAdapterRequestAnswered } from './adapterAnswers.js';
 import {
   handleCallerDisconnected,
-  handleLoanAnswered,
   handleRequestArrived,
   handleRequestDeadlineReached,
 } from './admission.js';
@@ -43,7 +42,7 @@
 import { handleBackendProbed } from './crashDetection.js';
 import { handleEvidenceSpread, handlePeerMessage, handlePeerTick } from './gossip.js';
 import { handleQuarantinesRead } from './quarantineStore.js';
-import { handleLoanRequested } from './rateLoans.js';
+import { handleLoanAnswered, handleLoanRequested } from './loans.js';
 import { handleLimitReported } from './serverLimits.js';
 import type { EntryState } from './state.js';
 
--- a/src/coordination/entry/lifecycle.ts
+++ b/src/coordination/entry/lifecycle.ts
@@ -20,6 +20,7 @@
 import { storeQuarantines } from './quarantineStore.js';
 import { terminateForward } from './requestCompletion.js';
 import type { EntryPolicy } from './policy.js';
+import { updatePermitShares } from './serverLimits.js';
 import {
   EntryLifecycle,
   type EntryState,
@@ -142,6 +143,7 @@
   const kind = EntryEventKind.MaintenanceTick;
   updateVmsLastSeen(state, nowMs);
   expireEvidence(state.promptEvidence, nowMs);
+  updatePermitShares(state, nowMs);
   return [
     createEntryTimer(kind, state.policy.tickMs, { kind }),
     ...removeExpiredBackends(state, nowMs),
--- a/src/coordination/entry/quarantineStore.ts
+++ b/src/coordination/entry/quarantineStore.ts
@@ -6,10 +6,11 @@
   createRelativeQuarantines,
   getQuarantineKey,
   isLaterQuarantine,
+  shiftQuarantine,
 } from '../../state/entry/promptEvidence.js';
 import { type EntryCommand, EntryCommandKind } from './commands.js';
 import type { EntryEventKind, EntryEventOf } from './events.js';
-import { mergeEvidence } from './quarantines.js';
+import { mergePromptEvidence } from './quarantines.js';
 import type { EntryState } from './state.js';
 
 /** Time within which the watch shows what was written; after it, the write is taken as failed. */
@@ -24,7 +25,8 @@
   const { quarantines, version } = event;
   state.storedQuarantines = new Map(quarantines.map((item) => [getQuarantineKey(item), item]));
   state.storedQuarantinesVersion = version;
-  return mergeEvidence(state, { crashes: [], healthyParts: [], quarantines }, nowMs);
+  const shifted = quarantines.map((quarantine) => shiftQuarantine(quarantine, nowMs));
+  return mergePromptEvidence(state, { crashes: [], healthyParts: [], quarantines: shifted }, nowMs);
 }
 
 /** Writes the quarantines to the store if this VM is the controller and the store lacks some of them. */
--- a/src/coordination/entry/quarantines.ts
+++ b/src/coordination/entry/quarantines.ts
@@ -1,14 +1,10 @@
 /**
  * Applies the evidence about prompts that crash backend servers: quarantines prompt parts, rejects requests that have
- * them, and exchanges evidence and quarantines with the other VMs.
- *
- * No VM sees enough crashes by itself, so each sends what it learns to some peers at once, and they pass it on.
+ * them, and merges the evidence of the other VMs. No VM sees enough crashes by itself.
  */
 import { createDiagnostic, type Diagnostic, Diagnostics } from '../../state/diagnostics.js';
 import {
   addQuarantines,
-  createEvidenceReport,
-  type EvidenceReport,
   extendQuarantines,
   findQuarantine,
   getQuarantineKey,
@@ -17,29 +13,21 @@
   isRefuted,
   isRetryDoubtful,
   mergeQuarantine,
+  type PromptEvidenceReport,
   type Quarantine,
   recordCrash,
   recordHealthyParts,
   releaseQuarantine,
-  shiftEvidenceReport,
 } from '../../state/entry/promptEvidence.js';
 import { LogLevel } from '../events.js';
 import { markCrashed } from './backendSelection.js';
-import {
-  createEntryLog,
-  createEntryTimer,
-  type EntryCommand,
-  EntryLogPrefix,
-  type LogFields,
-} from './commands.js';
-import { EntryEventKind } from './events.js';
+import { createEntryLog, type EntryCommand, EntryLogPrefix, type LogFields } from './commands.js';
+import { spreadEvidence } from './evidenceSpread.js';
 import { getRequestLogFields, refuseForward, terminateForward } from './requestCompletion.js';
 import { type EntryState, ForwardPhase, type ForwardRecord } from './state.js';
 
 /** An answer that has been running for this time shows that its prompt does not crash its server. */
 const HEALTHY_AFTER_MS = 200;
-/** Delay before new evidence is sent on, so that one message has all that arrives together. */
-const SPREAD_DELAY_MS = 20;
 /** Time within which a trial that ended without a result is not repeated. */
 const TRIAL_INTERVAL_MS = 10_000;
 
@@ -88,16 +76,6 @@
   return createEntryLog(LogLevel.Warn, EntryLogPrefix.Quarantine, text, fields);
 }
 
-/** Starts the timer that sends new evidence to peers, unless it is running. */
-export function spreadEvidence(state: EntryState): EntryCommand[] {
-  if (state.isEvidenceSpreading) {
-    return [];
-  }
-  state.isEvidenceSpreading = true;
-  const kind = EntryEventKind.EvidenceSpread;
-  return [createEntryTimer(kind, SPREAD_DELAY_MS, { kind })];
-}
-
 /** Rejects the requests in flight that have the parts of a quarantine and whose answers have not begun. */
 function rejectQuarantined(
   state: EntryState,
@@ -169,14 +147,13 @@
     : [log, ...rejectQuarantined(state, quarantine, nowMs), ...spreadEvidence(state)];
 }
 
-/** Merges evidence of another VM or of the store, whose times are relative to now. */
-export function mergeEvidence(
+/** Merges evidence of another VM or of the store. */
+export function mergePromptEvidence(
   state: EntryState,
-  report: EvidenceReport,
+  { crashes, healthyParts, quarantines }: PromptEvidenceReport,
   nowMs: number,
 ): EntryCommand[] {
   const { promptEvidence } = state;
-  const { crashes, healthyParts, quarantines } = shiftEvidenceReport(report, nowMs);
   healthyParts.forEach(({ atMs, part, service }) =>
     recordHealthyParts(promptEvidence, service, [part], Math.min(nowMs, atMs)),
   );
@@ -188,14 +165,6 @@
     : [...merged, ...reviewEvidence(state, nowMs), ...spreadEvidence(state)];
 }
 
-/** Returns the evidence to send to a peer, with times relative to now. */
-export function createRelativeEvidence(
-  { promptEvidence }: EntryState,
-  nowMs: number,
-): EvidenceReport {
-  return shiftEvidenceReport(createEvidenceReport(promptEvidence, nowMs), -nowMs);
-}
-
 /**
  * Lets one request pass to test whether a quarantine is still needed, if that is due. Only the controller does, so that
  * there is one trial at a time in the fleet.
--- a/src/coordination/entry/rateLoans.ts
+++ b/src/coordination/entry/rateLoans.ts
@@ -9,7 +9,7 @@
 import { nextRandomInt } from '../../state/random.js';
 import { getDemand, listDemands } from './demand.js';
 import { type EntryCommand, EntryCommandKind } from './commands.js';
-import type { EntryEventKind, EntryEventOf } from './events.js';
+import { type EntryEventKind, type EntryEventOf, LimitKind } from './events.js';
 import { getRateBucket } from './rates.js';
 import { type EntryState, ForwardPhase, type ForwardRecord } from './state.js';
 
@@ -134,15 +134,17 @@
   const { peerAddress, vmId } = lender;
   const { requestId } = record.request;
   const kind = EntryCommandKind.RequestLoan;
-  return [{ kind, requestId, vmId, peerAddress, workspace: workspace.name, tokens }];
+  const limit = { kind: LimitKind.Workspace, name: workspace.name };
+  return [{ kind, requestId, vmId, peerAddress, limit, tokens }];
 }
 
-function lend(
-  state: EntryState,
-  workspace: ForwardWorkspace,
-  tokens: number,
-  nowMs: number,
-): { readonly lentTokens: number; readonly spareTokens: number } {
+/** Tokens that a VM lends, and tokens that it could lend in addition. */
+export interface Loan {
+  readonly lentTokens: number;
+  readonly spareTokens: number;
+}
+
+function lend(state: EntryState, workspace: ForwardWorkspace, tokens: number, nowMs: number): Loan {
   const bucket = getRateBucket(state, workspace, nowMs);
   const spareTokens = getSpareTokens(state, workspace.name, bucket, nowMs);
   const lentTokens = spareTokens >= tokens ? tokens : 0;
@@ -150,20 +152,13 @@
   return { lentTokens, spareTokens: spareTokens - lentTokens };
 }
 
-/** Lends another VM the requested tokens if this VM has that many to spare, else none. */
-export function handleLoanRequested(
-  state: EntryState,
-  event: EntryEventOf<typeof EntryEventKind.LoanRequested>,
-  nowMs: number,
-): EntryCommand[] {
-  const { replyId, tokens } = event;
-  const workspace = state.deployment?.workspacesByName.get(event.workspace);
+/** Lends the requested tokens of a workspace's rate if this VM has that many to spare, else none. */
+export function lendRate(state: EntryState, name: string, tokens: number, nowMs: number): Loan {
+  const workspace = state.deployment?.workspacesByName.get(name);
   const isValid = Number.isFinite(tokens) && tokens > 0;
-  const loan =
-    workspace === undefined || !isValid
-      ? { lentTokens: 0, spareTokens: 0 }
-      : lend(state, workspace, tokens, nowMs);
-  return [{ kind: EntryCommandKind.ReplyToLoanRequest, replyId, ...loan }];
+  return workspace === undefined || !isValid
+    ? { lentTokens: 0, spareTokens: 0 }
+    : lend(state, workspace, tokens, nowMs);
 }
 
 /** Adds the lent tokens to this VM's bucket, and records the spare tokens that the lender has left. */
@@ -172,9 +167,9 @@
   event: EntryEventOf<typeof EntryEventKind.LoanAnswered>,
   nowMs: number,
 ): void {
-  const { lentTokens, spareTokens, vmId } = event;
-  const workspace = state.deployment?.workspacesByName.get(event.workspace);
-  state.spareTokensByLender.set(`${vmId} ${event.workspace}`, { spareTokens, atMs: nowMs });
+  const { lentTokens, limit, spareTokens, vmId } = event;
+  const workspace = state.deployment?.workspacesByName.get(limit.name);
+  state.spareTokensByLender.set(`${vmId} ${limit.name}`, { spareTokens, atMs: nowMs });
   if (workspace !== undefined && Number.isFinite(lentTokens) && lentTokens > 0) {
     const bucket = getRateBucket(state, workspace, nowMs);
     // Limits an invalid loan: a loan request is normally for no more than the capacity.
--- a/src/protocol/entry/peerMessages.ts
+++ b/src/protocol/entry/peerMessages.ts
@@ -23,7 +23,12 @@
   readonly evidence: EvidenceReport;
 }
 
-export const NO_EVIDENCE: EvidenceReport = { crashes: [], healthyParts: [], quarantines: [] };
+export const NO_EVIDENCE: EvidenceReport = {
+  crashes: [],
+  healthyParts: [],
+  quarantines: [],
+  limits: [],
+};
 
 function encodeQuarantine({ status, ...quarantine }: Quarantine) {
   const isHeld = status === QuarantineStatus.Held;
@@ -53,6 +58,12 @@
       lastCrashAtMs: quarantine.lastCrashAtMs,
       crashCount: quarantine.crashCount,
     })),
+    limits: wire.limits.map(({ bornAtWallMs, requestsPerSecond, serverId, version }) => ({
+      serverId,
+      bornAtWallMs,
+      requestsPerSecond: requestsPerSecond ?? null,
+      version,
+    })),
   };
 }
 
@@ -84,6 +95,10 @@
       })),
       healthyParts: [...evidence.healthyParts],
       quarantines: evidence.quarantines.map(encodeQuarantine),
+      limits: evidence.limits.map((limit) => ({
+        ...limit,
+        requestsPerSecond: limit.requestsPerSecond ?? undefined,
+      })),
     },
   });
 }
--- a/src/state/entry/backends.ts
+++ b/src/state/entry/backends.ts
@@ -2,6 +2,8 @@
  * Backend servers: the entry that each server registers in the store, and the state that this VM keeps about it.
  */
 
+import type { RateBucket } from './rateBucket.js';
+
 /** A model that an engine has loaded, with the loaded adapters of that model. */
 export interface ResidentModel {
   readonly name: string;
@@ -30,8 +32,12 @@
 /** A limit that a backend server has stated for its requests from all VMs together. */
 export interface ServerLimit {
   readonly requestsPerSecond: number;
-  /** Time of the last answer that stated it. */
-  readonly statedAtMs: number;
+  /** Holds this VM's share of the limit; each request takes one token. */
+  readonly permits: RateBucket;
+  /** Time until which no VM is asked to lend a permit, because one has just refused to. */
+  noLoanUntilMs: number;
+  /** Time of this VM's last request to the server, or of the limit's start. */
+  usedAtMs: number;
 }
 
 /** The state that this VM keeps about a backend server. Mutable; owned by the event loop. */
@@ -58,6 +64,10 @@
   crashedUntilMs: number;
   /** Null if the server states no limit. */
   limit: ServerLimit | null;
+  /** Increases with each change of the limit that a VM has read from an answer; 0 if none was ever stated. */
+  limitVersion: number;
+  /** Time at which this VM learned of the last change. */
+  limitChangedAtMs: number;
   /** Models and adapters that the server reported as not loaded, with the time until which that is assumed. */
   readonly missingUntilMs: Map<string, number>;
   /** Adapters that the controller reports as loaded before the entry lists them, as `model/adapter`. */
@@ -79,6 +89,8 @@
     avoidUntilMs: Number.NEGATIVE_INFINITY,
     crashedUntilMs: Number.NEGATIVE_INFINITY,
     limit: null,
+    limitVersion: 0,
+    limitChangedAtMs: Number.NEGATIVE_INFINITY,
     missingUntilMs: new Map(),
     controllerAdapters: new Set(),
   };
--- a/src/state/entry/promptEvidence.ts
+++ b/src/state/entry/promptEvidence.ts
@@ -522,13 +522,27 @@
     .map(({ atMs, part, service }) => ({ service, part, atMs }));
 }
 
-/** Evidence for other VMs, or from one of them. */
-export interface EvidenceReport {
+/** Evidence on prompts, for other VMs or from one of them. */
+export interface PromptEvidenceReport {
   readonly crashes: readonly CrashReport[];
   readonly healthyParts: readonly HealthyPart[];
   readonly quarantines: readonly Quarantine[];
 }
 
+/** What answers of a server have stated of its request limit. */
+export interface LimitReport {
+  readonly serverId: string;
+  readonly bornAtWallMs: number;
+  /** Null if the limit has ended. */
+  readonly requestsPerSecond: number | null;
+  readonly version: number;
+}
+
+/** All that VMs tell each other of backend servers. */
+export interface EvidenceReport extends PromptEvidenceReport {
+  readonly limits: readonly LimitReport[];
+}
+
 /** Moves all times of a quarantine to a clock that is ahead by an offset. */
 export function shiftQuarantine(quarantine: Quarantine, offsetMs: number): Quarantine {
   return {
@@ -548,6 +562,7 @@
     crashes: report.crashes.map(shift),
     healthyParts: report.healthyParts.map(shift),
     quarantines: report.quarantines.map((quarantine) => shiftQuarantine(quarantine, offsetMs)),
+    limits: report.limits,
   };
 }
 
@@ -560,8 +575,13 @@
 }
 
 /** Returns the evidence that other VMs may lack, with times on this VM's clock. */
-export function createEvidenceReport(evidence: PromptEvidence, nowMs: number): EvidenceReport {
+export function createEvidenceReport(
+  evidence: PromptEvidence,
+  limits: readonly LimitReport[],
+  nowMs: number,
+): EvidenceReport {
   return {
+    limits,
     crashes: listSharedCrashes(evidence, nowMs),
     healthyParts: listHealthySuspects(evidence, nowMs),
     quarantines: [...evidence.quarantines.values()],
--- a/src/transport/entry/commandTable.ts
+++ b/src/transport/entry/commandTable.ts
@@ -238,12 +238,11 @@
         reply();
       }
     },
-    [EntryCommandKind.RequestLoan]: ({ peerAddress, requestId, tokens, vmId, workspace }) => {
+    [EntryCommandKind.RequestLoan]: ({ limit, peerAddress, requestId, tokens, vmId }) => {
       const kind = EntryEventKind.LoanAnswered;
-      const postLoan = (loan: RateLoan): void =>
-        post({ kind, requestId, vmId, workspace, ...loan });
+      const postLoan = (loan: RateLoan): void => post({ kind, requestId, vmId, limit, ...loan });
       runDetached(
-        Effect.match(peers.requestLoan(peerAddress, workspace, tokens), {
+        Effect.match(peers.requestLoan(peerAddress, limit, tokens), {
           onFailure: (diagnostic) => {
             logUnansweredCall(peerAddress, diagnostic);
             postLoan(NO_LOAN);
--- a/src/transport/entry/entryPeers.ts
+++ b/src/transport/entry/entryPeers.ts
@@ -6,7 +6,12 @@
 import { create } from '@bufbuild/protobuf';
 import { connectNodeAdapter } from '@connectrpc/connect-node';
 import { Effect } from 'effect';
-import { type EntryEvent, EntryEventKind } from '../../coordination/entry/events.js';
+import {
+  type EntryEvent,
+  EntryEventKind,
+  LimitKind,
+  type LimitName,
+} from '../../coordination/entry/events.js';
 import {
   decodeEntryGossip,
   encodeEntryGossip,
@@ -112,10 +117,11 @@
           return create(EnsureAdapterResponseSchema, { backendId });
         },
         fetchState: () => encodeStoreView(view),
-        lendRate: async ({ tokens, workspace }) => {
+        lendRate: async ({ isServer, name, tokens }) => {
           const replyId = createReplyId();
           const reply = waitForReply(replies.loans, replyId, LOAN_TIMEOUT_MS, NO_LOAN);
-          post({ kind: EntryEventKind.LoanRequested, workspace, tokens, replyId });
+          const limit = { kind: isServer ? LimitKind.Server : LimitKind.Workspace, name };
+          post({ kind: EntryEventKind.LoanRequested, limit, tokens, replyId });
           return create(LendRateResponseSchema, await reply);
         },
       });
@@ -146,7 +152,7 @@
   readonly fetchState: (address: string) => Effect.Effect<FetchStateResponse, Diagnostic>;
   readonly requestLoan: (
     address: string,
-    workspace: string,
+    limit: LimitName,
     tokens: number,
   ) => Effect.Effect<RateLoan, Diagnostic>;
   readonly close: () => void;
@@ -166,9 +172,12 @@
         client.ensureAdapter(request, { timeoutMs: ADAPTER_TIMEOUT_MS }),
       ).pipe(Effect.map(({ backendId }) => backendId ?? null)),
     fetchState: (address) => call(address, (client) => client.fetchState({}, { timeoutMs })),
-    requestLoan: (address, workspace, tokens) =>
+    requestLoan: (address, { kind, name }, tokens) =>
       call(address, (client) =>
-        client.lendRate({ workspace, tokens }, { timeoutMs: LOAN_TIMEOUT_MS }),
+        client.lendRate(
+          { name, tokens, isServer: kind === LimitKind.Server },
+          { timeoutMs: LOAN_TIMEOUT_MS },
+        ),
       ).pipe(Effect.map(({ lentTokens, spareTokens }) => ({ lentTokens, spareTokens }))),
     close,
   };
--- a/tests/entry/rateLoans.test.ts
+++ b/tests/entry/rateLoans.test.ts
@@ -4,7 +4,7 @@
 import { describe, expect, it } from 'vitest';
 import { NO_EVIDENCE } from '../../src/protocol/entry/peerMessages.js';
 import { EntryCommandKind } from '../../src/coordination/entry/commands.js';
-import { EntryEventKind } from '../../src/coordination/entry/events.js';
+import { EntryEventKind, LimitKind } from '../../src/coordination/entry/events.js';
 import { getRateBucket } from '../../src/coordination/entry/rates.js';
 import { getForwardRefusalStatus } from '../../src/protocol/entry/refusals.js';
 import type { RateBucket } from '../../src/state/entry/rateBucket.js';
@@ -18,6 +18,7 @@
 } from './fixtures.js';
 
 const NOW_MS = 10_000;
+const MILL_RATE = { kind: LimitKind.Workspace, name: 'mill' } as const;
 
 /** Returns the bucket as of `NOW_MS`: the first call creates it as of the process start, the second refills it. */
 function getBucket({ state }: TestVm): RateBucket {
@@ -90,7 +91,7 @@
       const vm = createVm(5_000);
       const event = {
         kind: EntryEventKind.LoanRequested,
-        workspace,
+        limit: { kind: LimitKind.Workspace, name: workspace },
         tokens,
         replyId: 'q',
       } as const;
@@ -110,7 +111,7 @@
       const loan = {
         requestId: 'gone',
         vmId: 'vm-2',
-        workspace: 'mill',
+        limit: MILL_RATE,
         lentTokens,
         spareTokens: 0,
       };
@@ -124,7 +125,7 @@
     const [loanRequest] = findCommands(commands, EntryCommandKind.RequestLoan);
     expect(loanRequest).toMatchObject({ vmId: 'vm-3', tokens: 1_100 });
     const kind = EntryEventKind.LoanAnswered;
-    const answer = { kind, requestId: 'r', vmId: 'vm-3', workspace: 'mill' } as const;
+    const answer = { kind, requestId: 'r', vmId: 'vm-3', limit: MILL_RATE } as const;
     const sent = vm.step({ ...answer, lentTokens: 1_100, spareTokens: 900 });
     expect(findCommands(sent, EntryCommandKind.Dispatch)).toHaveLength(1);
   });
@@ -133,7 +134,7 @@
     const { commands, vm } = arriveWithEmptyBucket([50, 40_000]);
     expect(findCommands(commands, EntryCommandKind.Refuse)).toHaveLength(0);
     const kind = EntryEventKind.LoanAnswered;
-    const answer = { kind, requestId: 'r', vmId: 'vm-3', workspace: 'mill' } as const;
+    const answer = { kind, requestId: 'r', vmId: 'vm-3', limit: MILL_RATE } as const;
     const ended = vm.step({ ...answer, lentTokens: 0, spareTokens: 0 });
     const [refusal] = findCommands(ended, EntryCommandKind.Refuse);
     expect(getForwardRefusalStatus(refusal!.refusal)).toBe(429);
@@ -148,7 +149,7 @@
   it('discards the answer of a lender after some time, so that its newer report counts', () => {
     const vm = createVm(0);
     const kind = EntryEventKind.LoanAnswered;
-    const answer = { requestId: 'gone', vmId: 'vm-2', workspace: 'mill', lentTokens: 0 };
+    const answer = { requestId: 'gone', vmId: 'vm-2', limit: MILL_RATE, lentTokens: 0 };
     vm.step({ kind, ...answer, spareTokens: 7 });
     vm.step({ kind: EntryEventKind.PeerTick }, NOW_MS + 100);
     expect(vm.state.spareTokensByLender.size).toBe(1);
--- a/tests/entry/rates.test.ts
+++ b/tests/entry/rates.test.ts
@@ -83,16 +83,16 @@
   if (loanRequest === undefined) {
     return isSent(commands);
   }
-  const { requestId, tokens, vmId, workspace } = loanRequest;
+  const { limit, requestId, tokens, vmId } = loanRequest;
   const lender = Number(vmId.split('-')[1]);
-  const asked = { kind: EntryEventKind.LoanRequested, workspace, tokens, replyId: 'x' } as const;
+  const asked = { kind: EntryEventKind.LoanRequested, limit, tokens, replyId: 'x' } as const;
   const answers = isLost(index, lender) ? [] : stepEntry(vms[lender]!, asked, nowMs);
   const [answer] = findCommands(answers, EntryCommandKind.ReplyToLoanRequest);
   const isAnswered = answer !== undefined && !isLost(lender, index);
   const lentTokens = isAnswered ? answer.lentTokens : 0;
   const spareTokens = isAnswered ? answer.spareTokens : 0;
   const kind = EntryEventKind.LoanAnswered;
-  const lent = { kind, requestId, vmId, workspace, lentTokens, spareTokens } as const;
+  const lent = { kind, requestId, vmId, limit, lentTokens, spareTokens } as const;
   return executeLoanRequests(vms, index, stepEntry(vms[index]!, lent, nowMs), isLost, nowMs);
 }
 
--- a/tests/fakes/entryFleet.ts
+++ b/tests/fakes/entryFleet.ts
@@ -31,6 +31,7 @@
 const ANSWER_MS = 1_500;
 const NETWORK_MS = 2;
 const PEER_DELAY_MS = { min: 1, max: 10 };
+const LOAN_TIMEOUT_MS = 150;
 const REGISTRATION_DELAY_MS = 200;
 const TENANT_COUNT = 5;
 const SESSION_COUNT = 400;
@@ -59,6 +60,7 @@
 
 interface Run {
   readonly vm: number;
+  readonly sentAtMs: number;
   readonly state: EntryState;
   readonly command: EntryCommandOf<typeof EntryCommandKind.Dispatch>;
 }
@@ -66,6 +68,9 @@
 interface Engine {
   entry: BackendEntry;
   isUp: boolean;
+  /** Requests per second that it states in its answers; null for none. */
+  limit: number | null;
+  readonly arrivedAtMs: number[];
   readonly runs: Set<Run>;
 }
 
@@ -89,6 +94,7 @@
   /** Sends a request whose prompt has a part of its route, a session, further shared parts and a part of its own. */
   readonly send: (options?: Partial<RequestOptions>) => FleetRequest;
   readonly crash: (engine: number, awayMs?: number) => void;
+  readonly setLimit: (engine: number, requestsPerSecond: number | null) => void;
   readonly restartVm: (vm: number) => void;
   readonly isolateVm: (vm: number, isIsolated: boolean) => void;
   readonly runUntil: (atMs: number) => void;
@@ -132,6 +138,8 @@
   const engines: Engine[] = Array.from({ length: engineCount }, (_, i) => ({
     entry: createTestEntry(`e${i}-0`, 'llm', { address: `engine-${i}:80`, slots: 64 }),
     isUp: true,
+    limit: null,
+    arrivedAtMs: [],
     runs: new Set<Run>(),
   }));
 
@@ -198,8 +206,16 @@
       crashEngine(engine, ENGINE_AWAY_MS, run);
       return;
     }
+    const { backendId, isServerLimited } = run.command;
+    if (engine.limit !== null || isServerLimited) {
+      const { limit: requestsPerSecond } = engine;
+      const dispatchedAtMs = run.sentAtMs;
+      const limited = { kind: EntryEventKind.LimitReported, backendId, requestsPerSecond };
+      post(run.vm, run.state, { ...limited, dispatchedAtMs });
+    }
     const kind = EntryEventKind.AnswerStarted;
-    post(run.vm, run.state, { kind, requestId, attempt, load: null });
+    const load = { running: engine.runs.size, waiting: 0, slots: 64 };
+    post(run.vm, run.state, { kind, requestId, attempt, load });
     at(nowMs + ANSWER_MS, () => {
       if (engine.runs.has(run)) {
         endRun(engine, run);
@@ -223,8 +239,9 @@
       );
       return;
     }
-    const run = { vm, state, command };
+    const run = { vm, state, command, sentAtMs: nowMs };
     engine.runs.add(run);
+    engine.arrivedAtMs.push(nowMs);
     requestsById.get(requestId)!.reachedAtMs.push(nowMs);
     at(nowMs + draw(PREFILL_MS), () => beginRun(engine, run));
   };
@@ -256,6 +273,35 @@
     });
   };
 
+  const requestLoan = (
+    vm: number,
+    state: EntryState,
+    command: EntryCommandOf<typeof EntryCommandKind.RequestLoan>,
+  ): void => {
+    const { limit, requestId, tokens, vmId } = command;
+    const lender = Number(vmId.split('-')[1]);
+    const isLost = (): boolean =>
+      nextRandom(random) < peerLoss || isolated.has(vm) || isolated.has(lender);
+    const answer = (lentTokens: number, delayMs: number): void => {
+      const loan = { requestId, vmId, limit, lentTokens, spareTokens: 0 };
+      const kind = EntryEventKind.LoanAnswered;
+      at(nowMs + delayMs, () => post(vm, state, { kind, ...loan }));
+    };
+    if (isLost()) {
+      answer(0, LOAN_TIMEOUT_MS);
+      return;
+    }
+    at(nowMs + draw(PEER_DELAY_MS), () => {
+      const kind = EntryEventKind.LoanRequested;
+      const asked = { kind, limit, tokens, replyId: 'loan' } as const;
+      stepEntry(vms[lender]!, asked, nowMs).forEach((reply) => {
+        if (reply.kind === EntryCommandKind.ReplyToLoanRequest) {
+          answer(isLost() ? 0 : reply.lentTokens, draw(PEER_DELAY_MS));
+        }
+      });
+    });
+  };
+
   const cancelRun = (requestId: string): void =>
     engines.forEach(({ runs }) =>
       [...runs]
@@ -297,6 +343,7 @@
     [EntryCommandKind.Refuse]: refuse,
     [EntryCommandKind.AbortAnswer]: refuse,
     [EntryCommandKind.SendPeerMessage]: sendToPeer,
+    [EntryCommandKind.RequestLoan]: requestLoan,
     [EntryCommandKind.ProbeBackend]: (vm, state, { address, processKey }) => {
       const isUp = engines.some((engine) => engine.entry.address === address && engine.isUp);
       const outcome = isUp ? ProbeOutcome.Accepting : ProbeOutcome.Gone;
@@ -382,6 +429,9 @@
         crashEngine(engines[engine]!, awayMs);
       }
     },
+    setLimit: (engine, requestsPerSecond) => {
+      engines[engine]!.limit = requestsPerSecond;
+    },
     restartVm: startVm,
     isolateVm: (vm, isIsolated) => {
       if (isIsolated) {
