Cut off backend servers that send bytes without end

Cause: the reader of events kept an incomplete event of any length, and searched it again from the start with each chunk. A body was passed on for as long as it came, and the body of a rejection was read to its end, which never came. An overlong or malformed head was counted as a lost connection. A server that trickled bytes inside one event counted as making progress.

Fix: a head may have 16 KB, an event 1 MB, a body 64 MB, the body of a rejection 64 KB and one second. Beyond that the attempt fails with answer_too_large and its connection is closed; bytes that are no HTTP fail with answer_mismatched. Only a whole event counts as progress of a stream, so the time limit between events holds inside one as well. Bodies end with the request's deadline as before.

--- a/src/protocol/entry/eventFrames.ts
+++ b/src/protocol/entry/eventFrames.ts
@@ -21,10 +21,10 @@
   readonly getIncompleteLength: () => number;
 }
 
-/** Returns the index after the first blank line, or -1 if there is none. */
-function findFrameEnd(bytes: Buffer): number {
+/** Returns the index after the first blank line that ends at or after an index, or -1 if there is none. */
+function findFrameEnd(bytes: Buffer, fromIndex: number): number {
   for (
-    let lineEnd = bytes.indexOf(LINE_FEED);
+    let lineEnd = bytes.indexOf(LINE_FEED, fromIndex);
     lineEnd >= 0;
     lineEnd = bytes.indexOf(LINE_FEED, lineEnd + 1)
   ) {
@@ -43,17 +43,27 @@
   return ID_PATTERN.exec(bytes.toString('latin1'))?.[1]?.trim() ?? null;
 }
 
+/** Length of the longest blank line and the line end before it: the part of a blank line that may have been received. */
+const MAX_BLANK_LINE_LENGTH = 3;
+
 /** Creates a reader for one stream. */
 export function createEventFrameReader(): EventFrameReader {
   let incomplete: Buffer = Buffer.alloc(0);
   return {
     addChunk: (chunk) => {
       const frames: EventFrame[] = [];
+      // The bytes received before hold no blank line, so a long event is not searched again with each chunk.
+      let fromIndex = Math.max(0, incomplete.length - MAX_BLANK_LINE_LENGTH);
       incomplete = incomplete.length === 0 ? chunk : Buffer.concat([incomplete, chunk]);
-      for (let end = findFrameEnd(incomplete); end >= 0; end = findFrameEnd(incomplete)) {
+      for (
+        let end = findFrameEnd(incomplete, fromIndex);
+        end >= 0;
+        end = findFrameEnd(incomplete, fromIndex)
+      ) {
         const bytes = incomplete.subarray(0, end);
         frames.push({ bytes, id: decodeId(bytes) });
         incomplete = incomplete.subarray(end);
+        fromIndex = 0;
       }
       return frames;
     },
--- a/src/state/diagnostics.ts
+++ b/src/state/diagnostics.ts
@@ -163,6 +163,12 @@
     Failure,
     'Backend server "{0}" rejected the request with status {1}.',
   ),
+  AnswerTooLarge: define(
+    1208,
+    'answer_too_large',
+    Failure,
+    'Backend server "{0}" sent a head, body or event of more than {1} bytes.',
+  ),
   ClaimUnavailable: define(
     1206,
     'claim_unavailable',
--- a/src/transport/entry/answers.ts
+++ b/src/transport/entry/answers.ts
@@ -12,11 +12,13 @@
 import { Diagnostics } from '../../state/diagnostics.js';
 import { DispatchSignal } from '../../state/runState.js';
 import {
+  advanceAttempt,
   type Attempt,
   completeAttempt,
   failAttempt,
   failForLostConnection,
   completeBufferedAttempt,
+  recordProgress,
   recordSignal,
 } from './attempt.js';
 import { type ForwardExchange, isAnswerBegun, recordStreamEvent } from './exchange.js';
@@ -28,12 +30,37 @@
 const EVENT_STREAM_PATTERN = /^text\/event-stream\b/i;
 /** Larger responses are forwarded as they arrive. If one is cut off, the caller's connection is closed. */
 const MAX_BUFFERED_BYTES = 1_048_576;
+/** Longest body of a response. */
+const MAX_ANSWER_BYTES = 67_108_864;
+/** Longest event of a stream. */
+const MAX_EVENT_BYTES = 1_048_576;
+/** Limits on the body of a rejection, which is read only so that its connection can be used again. */
+const MAX_REJECTION_BYTES = 65_536;
+const MAX_REJECTION_MS = 1_000;
 
 /** Fails an attempt whose response cannot be delivered to the caller. Its connection is closed, not reused. */
 function rejectAnswer(attempt: Attempt): void {
   failAttempt(attempt, Diagnostics.AnswerMismatched);
 }
 
+/** Fails an attempt whose server has sent more than a limit allows. Its connection is closed. */
+function rejectTooLarge(attempt: Attempt, maxBytes: number): void {
+  failAttempt(attempt, Diagnostics.AnswerTooLarge, null, maxBytes);
+}
+
+/** Reads the body of a rejection and drops it; closes the connection if the body is long or slow. */
+function dropBody(response: IncomingMessage): void {
+  let receivedBytes = 0;
+  const timer = setTimeout(() => response.destroy(), MAX_REJECTION_MS);
+  response.on('data', (chunk: Buffer) => {
+    receivedBytes += chunk.length;
+    if (receivedBytes > MAX_REJECTION_BYTES) {
+      response.destroy();
+    }
+  });
+  response.on('close', () => clearTimeout(timer));
+}
+
 function postAnswerStarted({ command, context, load }: Attempt): void {
   const { attempt, requestId } = command;
   context.post({ kind: EntryEventKind.AnswerStarted, requestId, attempt, load });
@@ -96,13 +123,24 @@
 
 function forwardEventStream(attempt: Attempt, response: IncomingMessage): void {
   const reader = createEventFrameReader();
+  let receivedBytes = 0;
   const isComplete = createCompletenessCheck(response);
   response.on('data', (chunk: Buffer) => {
     if (attempt.isSettled) {
       return;
     }
-    recordSignal(attempt, DispatchSignal.BodyReceived);
-    reader.addChunk(chunk).forEach((frame) => forwardEvent(attempt, response, frame));
+    advanceAttempt(attempt, DispatchSignal.BodyReceived);
+    receivedBytes += chunk.length;
+    const frames = reader.addChunk(chunk);
+    if (frames.length > 0) {
+      recordProgress(attempt);
+    }
+    frames.forEach((frame) => forwardEvent(attempt, response, frame));
+    if (reader.getIncompleteLength() > MAX_EVENT_BYTES) {
+      rejectTooLarge(attempt, MAX_EVENT_BYTES);
+    } else if (receivedBytes > MAX_ANSWER_BYTES) {
+      rejectTooLarge(attempt, MAX_ANSWER_BYTES);
+    }
   });
   response.on('end', () => {
     if (attempt.isSettled) {
@@ -131,6 +169,10 @@
     }
     recordSignal(attempt, DispatchSignal.BodyReceived);
     receivedBytes += chunk.length;
+    if (receivedBytes > MAX_ANSWER_BYTES) {
+      rejectTooLarge(attempt, MAX_ANSWER_BYTES);
+      return;
+    }
     if (isForwarding) {
       writeWithBackpressure(attempt, response, chunk);
       return;
@@ -177,7 +219,7 @@
     return;
   }
   if (head.isRefused) {
-    response.resume();
+    dropBody(response);
     failAttempt(attempt, Diagnostics.BackendRefused, head, response.statusCode ?? 0);
     return;
   }
--- a/src/transport/entry/attempt.ts
+++ b/src/transport/entry/attempt.ts
@@ -18,6 +18,12 @@
 import { type ForwardExchange, isAnswerBegun } from './exchange.js';
 import type { AnswerHead, EntryWire } from './wire.js';
 
+/** Longest head of a response. */
+const MAX_ANSWER_HEAD_BYTES = 16_384;
+/** Prefix of the codes of errors that the HTTP parser of Node.js reports. */
+const PARSER_ERROR_PREFIX = 'HPE_';
+const HEAD_OVERFLOW_CODE = 'HPE_HEADER_OVERFLOW';
+
 export type DispatchCommand = EntryCommandOf<typeof EntryCommandKind.Dispatch>;
 
 /** Dependencies that all attempts share. */
@@ -38,14 +44,24 @@
   load: BackendLoad | null;
   isSettled: boolean;
   readonly startedAtMs: number;
-  lastByteAtMs: number;
+  progressAtMs: number;
   stallTimer: NodeJS.Timeout | null;
 }
 
-/** Advances the run state of an attempt and records the time of its last progress. */
-export function recordSignal(attempt: Attempt, signal: DispatchSignal): void {
+/** Advances the run state of an attempt. */
+export function advanceAttempt(attempt: Attempt, signal: DispatchSignal): void {
   attempt.runState = advanceRunState(attempt.runState, signal);
-  attempt.lastByteAtMs = attempt.context.getNowMs();
+}
+
+/** Records that an attempt has made progress, so that it does not count as stalled. */
+export function recordProgress(attempt: Attempt): void {
+  attempt.progressAtMs = attempt.context.getNowMs();
+}
+
+/** Advances the run state of an attempt and records its progress. */
+export function recordSignal(attempt: Attempt, signal: DispatchSignal): void {
+  advanceAttempt(attempt, signal);
+  recordProgress(attempt);
 }
 
 /** Ends an attempt. Returns false if it has already ended. */
@@ -143,12 +159,23 @@
   failAttempt(attempt, CONNECTION_LOSS_MESSAGES[attempt.runState]);
 }
 
+/** Fails an attempt whose connection reported an error: bytes that are no response, or a loss of the connection. */
+function failForError(attempt: Attempt, { code = '' }: NodeJS.ErrnoException): void {
+  if (code === HEAD_OVERFLOW_CODE) {
+    failAttempt(attempt, Diagnostics.AnswerTooLarge, null, MAX_ANSWER_HEAD_BYTES);
+  } else if (code.startsWith(PARSER_ERROR_PREFIX)) {
+    failAttempt(attempt, Diagnostics.AnswerMismatched);
+  } else {
+    failForLostConnection(attempt);
+  }
+}
+
 /** Reports to the event loop, repeatedly, while the server sends no data for longer than the timeout in force. */
 function startStallDetection(attempt: Attempt): void {
   const { command, context, exchange } = attempt;
   const check = (): void => {
     const timeoutMs = isAnswerBegun(exchange) ? command.eventGapTimeoutMs : command.startTimeoutMs;
-    const silentMs = context.getNowMs() - attempt.lastByteAtMs;
+    const silentMs = context.getNowMs() - attempt.progressAtMs;
     if (silentMs >= timeoutMs) {
       const { attempt: attemptNumber, requestId } = command;
       context.post({
@@ -195,6 +222,7 @@
     path: incoming.url ?? '/',
     headers: [...headers, ...framing] as unknown as http.OutgoingHttpHeaders,
     setHost: false,
+    maxHeaderSize: MAX_ANSWER_HEAD_BYTES,
     agent: context.agents.getAgent(command.address, command.maxConnections),
   });
 }
@@ -218,7 +246,7 @@
     load: null,
     isSettled: false,
     startedAtMs: context.getNowMs(),
-    lastByteAtMs: context.getNowMs(),
+    progressAtMs: context.getNowMs(),
     stallTimer: null,
   };
   const request = createRequest(attempt);
@@ -237,7 +265,7 @@
     }
   };
   context.agents.onConnection(request, send);
-  request.on('error', () => failForLostConnection(attempt));
+  request.on('error', (error) => failForError(attempt, error));
   request.on('close', () => failForLostConnection(attempt));
   request.on('response', (response) => {
     if (attempt.isSettled) {
@@ -249,7 +277,7 @@
     attempt.load = head.load;
     reportLimit(attempt, head);
     context.agents.recordIdleTimeout(response);
-    response.on('error', () => failForLostConnection(attempt));
+    response.on('error', (error) => failForError(attempt, error));
     onResponse(attempt, response, head);
   });
   startStallDetection(attempt);
