Do not let the exchange of healthy parts renew them

A part that had once been healthy would stay so while VMs spoke of it, even if it had begun to crash engines; it would never have been quarantined.

Fix: a reported time replaces the known one only if it is later by more than the longest delay of a message. Crash times were not affected, as the earliest counts.

--- a/src/coordination/entry/quarantines.ts
+++ b/src/coordination/entry/quarantines.ts
@@ -12,6 +12,7 @@
   getTrialAtMs,
   isRefuted,
   isRetryDoubtful,
+  mergeHealthyParts,
   mergeQuarantine,
   type PromptEvidenceReport,
   type Quarantine,
@@ -154,9 +155,7 @@
   nowMs: number,
 ): EntryCommand[] {
   const { promptEvidence } = state;
-  healthyParts.forEach(({ atMs, part, service }) =>
-    recordHealthyParts(promptEvidence, service, [part], Math.min(nowMs, atMs)),
-  );
+  mergeHealthyParts(promptEvidence, healthyParts, nowMs);
   const newCrashes = crashes.filter((crash) => recordCrash(promptEvidence, crash));
   newCrashes.forEach((crash) => markCrashed(state, crash));
   const merged = quarantines.flatMap((quarantine) => mergeOneQuarantine(state, quarantine, nowMs));
--- a/src/state/entry/promptEvidence.ts
+++ b/src/state/entry/promptEvidence.ts
@@ -64,6 +64,8 @@
 const MAX_SHARED_HEALTHY_PARTS = 128;
 /** Crashes that are further apart than this are not related to each other. */
 const CRASH_MEMORY_MS = 600_000;
+/** Longest delay of a message between VMs. */
+const MAX_MESSAGE_DELAY_MS = 1_000;
 /** Later than this after a crash, VMs that have not heard of it need only know the quarantines. */
 const CRASH_SHARING_MS = 3_000;
 /** A part that was healthy within this time before its first crash is not quarantined: it occurs in sound requests. */
@@ -162,6 +164,25 @@
   );
 }
 
+/**
+ * Records healthy parts that another VM has reported. A slightly later time than the known one is the delay of the
+ * messages: taken over, it would move on with each exchange.
+ */
+export function mergeHealthyParts(
+  evidence: PromptEvidence,
+  healthyParts: readonly HealthyPart[],
+  nowMs: number,
+): void {
+  healthyParts
+    .filter(
+      ({ atMs, part, service }) =>
+        atMs > getHealthyMs(evidence, service, part) + MAX_MESSAGE_DELAY_MS,
+    )
+    .forEach(({ atMs, part, service }) =>
+      recordHealthyParts(evidence, service, [part], Math.min(nowMs, atMs)),
+    );
+}
+
 function getSuspectKey({ parts }: Suspect): string {
   return parts.join(',');
 }
