Split the evidence on prompts into four modules

The table of evidence, the attribution of crashes to parts, the quarantines and what VMs tell each other are modules of their own now. No behaviour changes.

--- a/src/coordination/entry/commands.ts
+++ b/src/coordination/entry/commands.ts
@@ -3,7 +3,8 @@
  * like the events.
  */
 import type { CallerLimits } from '../../state/entry/deployment.js';
-import type { EvidenceReport, Quarantine } from '../../state/entry/promptEvidence.js';
+import type { EvidenceReport } from '../../state/entry/evidenceReports.js';
+import type { Quarantine } from '../../state/entry/promptEvidence.js';
 import type { PlacementBoard, VmReport } from '../../state/entry/reports.js';
 import type { Refusal } from '../../state/types.js';
 import type { LogLevel, RequestMetrics } from '../events.js';
--- a/src/coordination/entry/events.ts
+++ b/src/coordination/entry/events.ts
@@ -4,7 +4,8 @@
  */
 import type { BackendEntry } from '../../state/entry/backends.js';
 import type { Deployment } from '../../state/entry/deployment.js';
-import type { EvidenceReport, Quarantine } from '../../state/entry/promptEvidence.js';
+import type { EvidenceReport } from '../../state/entry/evidenceReports.js';
+import type { Quarantine } from '../../state/entry/promptEvidence.js';
 import type { PlacementBoard, VmReport } from '../../state/entry/reports.js';
 import type { Diagnostic } from '../../state/diagnostics.js';
 import type { RunState } from '../../state/types.js';
--- a/src/coordination/entry/evidenceExchange.ts
+++ b/src/coordination/entry/evidenceExchange.ts
@@ -6,7 +6,7 @@
   createEvidenceReport,
   type EvidenceReport,
   shiftEvidenceReport,
-} from '../../state/entry/promptEvidence.js';
+} from '../../state/entry/evidenceReports.js';
 import type { EntryCommand } from './commands.js';
 import { mergePromptEvidence } from './quarantines.js';
 import { listLimits, mergeLimits } from './serverLimits.js';
--- a/src/coordination/entry/lifecycle.ts
+++ b/src/coordination/entry/lifecycle.ts
@@ -4,7 +4,7 @@
  * and aborts the rest shortly before the process would be killed.
  */
 import { createDiagnostic, Diagnostics } from '../../state/diagnostics.js';
-import { expireEvidence } from '../../state/entry/promptEvidence.js';
+import { expireEvidence } from '../../state/entry/quarantineTable.js';
 import { LogLevel } from '../events.js';
 import {
   createEntryLog,
--- a/src/coordination/entry/quarantineStore.ts
+++ b/src/coordination/entry/quarantineStore.ts
@@ -2,12 +2,8 @@
  * Keeps the quarantines in the store, so that they outlast a restart of all VMs. The controller writes them; every VM
  * reads them. An operator lifts a quarantine by releasing it there.
  */
-import {
-  createRelativeQuarantines,
-  getQuarantineKey,
-  isLaterQuarantine,
-  shiftQuarantine,
-} from '../../state/entry/promptEvidence.js';
+import { createRelativeQuarantines, shiftQuarantine } from '../../state/entry/evidenceReports.js';
+import { getQuarantineKey, isLaterQuarantine } from '../../state/entry/quarantineTable.js';
 import { type EntryCommand, EntryCommandKind } from './commands.js';
 import type { EntryEventKind, EntryEventOf } from './events.js';
 import { mergePromptEvidence } from './quarantines.js';
--- a/src/coordination/entry/quarantines.ts
+++ b/src/coordination/entry/quarantines.ts
@@ -3,23 +3,24 @@
  * them, and merges the evidence of the other VMs. No VM sees enough crashes by itself.
  */
 import { createDiagnostic, type Diagnostic, Diagnostics } from '../../state/diagnostics.js';
+import { addQuarantines, isRetryDoubtful } from '../../state/entry/crashAttribution.js';
+import { type PromptEvidenceReport } from '../../state/entry/evidenceReports.js';
+import {
+  getSharedParts,
+  mergeHealthyParts,
+  type Quarantine,
+  recordCrash,
+  recordHealthyParts,
+} from '../../state/entry/promptEvidence.js';
 import {
-  addQuarantines,
   extendQuarantines,
   findQuarantine,
   getQuarantineKey,
-  getSharedParts,
   getTrialAtMs,
   isRefuted,
-  isRetryDoubtful,
-  mergeHealthyParts,
   mergeQuarantine,
-  type PromptEvidenceReport,
-  type Quarantine,
-  recordCrash,
-  recordHealthyParts,
   releaseQuarantine,
-} from '../../state/entry/promptEvidence.js';
+} from '../../state/entry/quarantineTable.js';
 import { LogLevel } from '../events.js';
 import { markCrashed } from './backendSelection.js';
 import { createEntryLog, type EntryCommand, EntryLogPrefix, type LogFields } from './commands.js';
--- a/src/coordination/entry/serverLimits.ts
+++ b/src/coordination/entry/serverLimits.ts
@@ -10,7 +10,7 @@
   getUsableRate,
   selectShareHolders,
 } from '../../state/entry/permitShares.js';
-import type { LimitReport } from '../../state/entry/promptEvidence.js';
+import type { LimitReport } from '../../state/entry/evidenceReports.js';
 import {
   createRateBucket,
   getBucketWaitMs,
--- a/src/protocol/entry/peerMessages.ts
+++ b/src/protocol/entry/peerMessages.ts
@@ -2,11 +2,8 @@
  * Converts between the core types and the generated messages that entry VMs exchange.
  */
 import { create } from '@bufbuild/protobuf';
-import {
-  type EvidenceReport,
-  type Quarantine,
-  QuarantineStatus,
-} from '../../state/entry/promptEvidence.js';
+import { type EvidenceReport } from '../../state/entry/evidenceReports.js';
+import { type Quarantine, QuarantineStatus } from '../../state/entry/promptEvidence.js';
 import type { PlacementBoard, VmReport } from '../../state/entry/reports.js';
 import {
   type PeerMessage as PeerMessageWire,
--- /dev/null
+++ b/src/state/entry/evidenceReports.ts
@@ -0,0 +1,106 @@
+/**
+ * What VMs tell each other of backend servers: evidence on prompts, quarantines and request limits.
+ */
+import {
+  type CrashReport,
+  getHealthyMs,
+  getPartKey,
+  HEALTH_MEMORY_MS,
+  type HealthyPart,
+  listSuspectParts,
+  type PromptEvidence,
+  type Quarantine,
+} from './promptEvidence.js';
+
+const MAX_SHARED_HEALTHY_PARTS = 128;
+
+/** Later than this after a crash, VMs that have not heard of it need only know the quarantines. */
+const CRASH_SHARING_MS = 3_000;
+
+function listSharedCrashes({ crashes }: PromptEvidence, nowMs: number): CrashReport[] {
+  return [...crashes.values()].filter(({ atMs }) => nowMs - atMs < CRASH_SHARING_MS);
+}
+
+/** Lists the parts that are suspects of several crashes and were healthy recently, for VMs that have not seen that. */
+function listHealthySuspects(evidence: PromptEvidence, nowMs: number): HealthyPart[] {
+  const crashCounts = new Map<string, HealthyPart & { readonly crashCount: number }>();
+  listSharedCrashes(evidence, nowMs).forEach((crash) => {
+    const { service } = crash;
+    listSuspectParts(crash).forEach((part) => {
+      const key = getPartKey(service, part);
+      const atMs = getHealthyMs(evidence, service, part);
+      const crashCount = (crashCounts.get(key)?.crashCount ?? 0) + 1;
+      crashCounts.set(key, { service, part, atMs, crashCount });
+    });
+  });
+  return [...crashCounts.values()]
+    .filter(({ atMs, crashCount }) => crashCount > 1 && nowMs - atMs < HEALTH_MEMORY_MS)
+    .slice(0, MAX_SHARED_HEALTHY_PARTS)
+    .map(({ atMs, part, service }) => ({ service, part, atMs }));
+}
+
+/** Evidence on prompts, for other VMs or from one of them. */
+export interface PromptEvidenceReport {
+  readonly crashes: readonly CrashReport[];
+  readonly healthyParts: readonly HealthyPart[];
+  readonly quarantines: readonly Quarantine[];
+}
+
+/** What answers of a server have stated of its request limit. */
+export interface LimitReport {
+  readonly serverId: string;
+  readonly bornAtWallMs: number;
+  /** Null if the limit has ended. */
+  readonly requestsPerSecond: number | null;
+  readonly version: number;
+}
+
+/** All that VMs tell each other of backend servers. */
+export interface EvidenceReport extends PromptEvidenceReport {
+  readonly limits: readonly LimitReport[];
+}
+
+/** Moves all times of a quarantine to a clock that is ahead by an offset. */
+export function shiftQuarantine(quarantine: Quarantine, offsetMs: number): Quarantine {
+  return {
+    ...quarantine,
+    firstCrashAtMs: quarantine.firstCrashAtMs + offsetMs,
+    lastCrashAtMs: quarantine.lastCrashAtMs + offsetMs,
+  };
+}
+
+/** Moves all times of a report to a clock that is ahead by an offset. */
+export function shiftEvidenceReport(report: EvidenceReport, offsetMs: number): EvidenceReport {
+  const shift = <T extends { readonly atMs: number }>(item: T): T => ({
+    ...item,
+    atMs: item.atMs + offsetMs,
+  });
+  return {
+    crashes: report.crashes.map(shift),
+    healthyParts: report.healthyParts.map(shift),
+    quarantines: report.quarantines.map((quarantine) => shiftQuarantine(quarantine, offsetMs)),
+    limits: report.limits,
+  };
+}
+
+/** Returns all quarantines, with times relative to now. */
+export function createRelativeQuarantines(
+  { quarantines }: PromptEvidence,
+  nowMs: number,
+): Quarantine[] {
+  return [...quarantines.values()].map((quarantine) => shiftQuarantine(quarantine, -nowMs));
+}
+
+/** Returns the evidence that other VMs may lack, with times on this VM's clock. */
+export function createEvidenceReport(
+  evidence: PromptEvidence,
+  limits: readonly LimitReport[],
+  nowMs: number,
+): EvidenceReport {
+  return {
+    limits,
+    crashes: listSharedCrashes(evidence, nowMs),
+    healthyParts: listHealthySuspects(evidence, nowMs),
+    quarantines: [...evidence.quarantines.values()],
+  };
+}
--- /dev/null
+++ b/src/state/entry/quarantineTable.ts
@@ -0,0 +1,145 @@
+/**
+ * The quarantines of prompt parts: which requests they apply to, how those of several VMs are merged, and how they end.
+ */
+import {
+  containsAll,
+  type CrashReport,
+  findSuspects,
+  getHealthyMs,
+  isPart,
+  MAX_PARTS_OF_SUSPECT,
+  type PromptEvidence,
+  type Quarantine,
+  QuarantineStatus,
+  trimOldest,
+} from './promptEvidence.js';
+
+export const MAX_QUARANTINES = 256;
+
+/** Crashes that are further apart than this are not related to each other. */
+const CRASH_MEMORY_MS = 600_000;
+
+/** Time after the last crash until one request may test whether the cause has gone; doubles with each failed test. */
+const FIRST_TRIAL_DELAY_MS = 60_000;
+
+const MAX_TRIAL_DELAY_MS = 1_800_000;
+
+/** A quarantine begins with this number of crashes; each further one is that of a failed test. */
+const UNDOUBLED_CRASHES = 3;
+
+/** A quarantine without a crash for this time is forgotten. */
+const QUARANTINE_MEMORY_MS = 3_600_000;
+
+/** Returns the key under which a quarantine is stored. */
+export function getQuarantineKey({
+  parts,
+  service,
+}: Pick<Quarantine, 'parts' | 'service'>): string {
+  return `${service} ${parts.join('+')}`;
+}
+
+export function isExplainedBy(crash: CrashReport, quarantine: Quarantine): boolean {
+  return crash.service === quarantine.service && findSuspects(crash, quarantine.parts).length > 0;
+}
+
+export function listHeld({ quarantines }: PromptEvidence): Quarantine[] {
+  return [...quarantines.values()].filter(({ status }) => status === QuarantineStatus.Held);
+}
+
+/** Returns the number of quarantines in force. */
+export function countHeldQuarantines(evidence: PromptEvidence): number {
+  return listHeld(evidence).length;
+}
+
+/** Finds the quarantine that applies to a request; undefined if there is none. */
+export function findQuarantine(
+  evidence: PromptEvidence,
+  service: string,
+  parts: readonly string[],
+): Quarantine | undefined {
+  return listHeld(evidence).find(
+    (quarantine) => quarantine.service === service && containsAll(parts, quarantine.parts),
+  );
+}
+
+export function setQuarantine({ quarantines }: PromptEvidence, quarantine: Quarantine): void {
+  quarantines.set(getQuarantineKey(quarantine), quarantine);
+  trimOldest(quarantines, MAX_QUARANTINES);
+}
+
+/** Adds crashes after the start of a quarantine to it, so that its next trial is put off. */
+export function extendQuarantines(evidence: PromptEvidence): void {
+  listHeld(evidence).forEach((quarantine) => {
+    const later = [...evidence.crashes.values()].filter(
+      (crash) => crash.atMs > quarantine.lastCrashAtMs && isExplainedBy(crash, quarantine),
+    );
+    if (later.length > 0) {
+      setQuarantine(evidence, {
+        ...quarantine,
+        lastCrashAtMs: Math.max(...later.map(({ atMs }) => atMs)),
+        crashCount: quarantine.crashCount + later.length,
+      });
+    }
+  });
+}
+
+/** Ends a quarantine, for instance because a request with its parts was answered. */
+export function releaseQuarantine(evidence: PromptEvidence, quarantine: Quarantine): void {
+  setQuarantine(evidence, { ...quarantine, status: QuarantineStatus.Released });
+  [...evidence.crashes.entries()]
+    .filter(([, crash]) => isExplainedBy(crash, quarantine))
+    .forEach(([key]) => evidence.crashes.delete(key));
+}
+
+/** Returns whether the only part of a quarantine has been healthy since the first crash that it is blamed for. */
+export function isRefuted(
+  evidence: PromptEvidence,
+  { firstCrashAtMs, parts, service }: Quarantine,
+): boolean {
+  const [part = ''] = parts;
+  return parts.length === 1 && getHealthyMs(evidence, service, part) > firstCrashAtMs;
+}
+
+/** Returns whether a quarantine replaces the known one: it is of a later episode, or ends the same one. */
+export function isLaterQuarantine(quarantine: Quarantine, known: Quarantine | undefined): boolean {
+  if (known === undefined || quarantine.episode !== known.episode) {
+    return known === undefined || quarantine.episode > known.episode;
+  }
+  const isStatusChanged = quarantine.status !== known.status;
+  return isStatusChanged
+    ? quarantine.status === QuarantineStatus.Released
+    : quarantine.crashCount > known.crashCount;
+}
+
+/** Merges a quarantine of another VM or of the store. Returns false if it changes nothing. */
+export function mergeQuarantine(evidence: PromptEvidence, quarantine: Quarantine): boolean {
+  const { parts } = quarantine;
+  const isValid = parts.length > 0 && parts.length <= MAX_PARTS_OF_SUSPECT && parts.every(isPart);
+  const known = evidence.quarantines.get(getQuarantineKey(quarantine));
+  if (!isValid || !isLaterQuarantine(quarantine, known)) {
+    return false;
+  }
+  if (quarantine.status === QuarantineStatus.Released) {
+    releaseQuarantine(evidence, quarantine);
+  } else {
+    setQuarantine(evidence, quarantine);
+  }
+  return true;
+}
+
+/** Returns the time from which one request with the parts may test whether they still crash servers. */
+export function getTrialAtMs({ crashCount, lastCrashAtMs }: Quarantine): number {
+  const failedTrials = Math.max(0, crashCount - UNDOUBLED_CRASHES);
+  const delayMs = Math.min(MAX_TRIAL_DELAY_MS, FIRST_TRIAL_DELAY_MS * 2 ** failedTrials);
+  return lastCrashAtMs + delayMs;
+}
+
+/** Removes evidence that no longer counts. */
+export function expireEvidence(evidence: PromptEvidence, nowMs: number): void {
+  [...evidence.crashes.entries()]
+    .filter(([, { atMs }]) => nowMs - atMs > CRASH_MEMORY_MS)
+    .forEach(([key]) => evidence.crashes.delete(key));
+  [...evidence.quarantines.entries()]
+    .filter(([, { lastCrashAtMs }]) => nowMs - lastCrashAtMs > QUARANTINE_MEMORY_MS)
+    .forEach(([key]) => evidence.quarantines.delete(key));
+}
--- a/src/transport/entry/metricsServer.ts
+++ b/src/transport/entry/metricsServer.ts
@@ -3,7 +3,7 @@
  */
 import http, { type Server } from 'node:http';
 import { countLiveVms, type EntryState } from '../../coordination/entry/state.js';
-import { countHeldQuarantines } from '../../state/entry/promptEvidence.js';
+import { countHeldQuarantines } from '../../state/entry/quarantineTable.js';
 import type { Metrics } from '../metrics.js';
 import type { EntryLog } from './entryLog.js';
 
--- a/src/transport/entry/quarantineEditor.ts
+++ b/src/transport/entry/quarantineEditor.ts
@@ -2,11 +2,8 @@
  * Lists the quarantines in the store and lifts one of them, for operators.
  */
 import { Effect } from 'effect';
-import {
-  getQuarantineKey,
-  type Quarantine,
-  QuarantineStatus,
-} from '../../state/entry/promptEvidence.js';
+import { type Quarantine, QuarantineStatus } from '../../state/entry/promptEvidence.js';
+import { getQuarantineKey } from '../../state/entry/quarantineTable.js';
 import { createDiagnostic, type Diagnostic, Diagnostics } from '../../state/diagnostics.js';
 import type { KeyValueStore } from '../keyValueStore.js';
 import { decodeQuarantines, encodeQuarantines, EntryKey } from './storeKeys.js';
--- a/src/transport/entry/storeKeys.ts
+++ b/src/transport/entry/storeKeys.ts
@@ -4,11 +4,8 @@
 import { Schema } from 'effect';
 import type { Either } from 'purify-ts';
 import type { ControllerLeaseHolder, ListedEntryVm } from '../../coordination/entry/events.js';
-import {
-  type Quarantine,
-  QuarantineStatus,
-  shiftQuarantine,
-} from '../../state/entry/promptEvidence.js';
+import { shiftQuarantine } from '../../state/entry/evidenceReports.js';
+import { type Quarantine, QuarantineStatus } from '../../state/entry/promptEvidence.js';
 import { decodeJson } from '../../protocol/json.js';
 import type { Diagnostic } from '../../state/diagnostics.js';
 
--- a/tests/state/promptEvidence.test.ts
+++ b/tests/state/promptEvidence.test.ts
@@ -2,19 +2,20 @@
  * Tests the evidence on prompts: what the exchange of it between VMs changes, and the bounds of its size.
  */
 import { describe, expect, it } from 'vitest';
+import { addQuarantines } from '../../src/state/entry/crashAttribution.js';
 import {
-  addQuarantines,
-  type CrashReport,
   createEvidenceReport,
+  shiftEvidenceReport,
+} from '../../src/state/entry/evidenceReports.js';
+import {
+  type CrashReport,
   createPromptEvidence,
-  expireEvidence,
-  findQuarantine,
   mergeHealthyParts,
   type PromptEvidence,
   recordCrash,
   recordHealthyParts,
-  shiftEvidenceReport,
 } from '../../src/state/entry/promptEvidence.js';
+import { expireEvidence, findQuarantine } from '../../src/state/entry/quarantineTable.js';
 
 const SERVICE = 'llm';
 const MESSAGE_DELAY_MS = 8;
