Compute the shares of request limits only when the VMs change

Each VM hashed all VMs for each limited server every 200 ms, which does not fit the processor time of 460 VMs. The shares depend only on the limit and on the list of VMs. The tests of the limits, which restart and add VMs, pass as before.

--- a/src/coordination/entry/serverLimits.ts
+++ b/src/coordination/entry/serverLimits.ts
@@ -49,9 +49,13 @@
   }
 }
 
-/** Adapts this VM's shares of all limits to the VMs that there are now. */
+/** Adapts this VM's shares of all limits to the VMs that there are now, if these have changed. */
 export function updatePermitShares(state: EntryState, nowMs: number): void {
-  state.backends.forEach((backend) => updateShare(state, backend, nowMs));
+  const vmIds = [...state.vmsLastSeenAtMs.keys()].sort().join(' ');
+  if (vmIds !== state.permitShareVmIds) {
+    state.permitShareVmIds = vmIds;
+    state.backends.forEach((backend) => updateShare(state, backend, nowMs));
+  }
 }
 
 /** Sets or ends the limit of a server. A new limit starts without permits, as requests were sent just before. */
--- a/src/coordination/entry/state.ts
+++ b/src/coordination/entry/state.ts
@@ -181,6 +181,8 @@
   /** Version of the store's key of the quarantines; 0 if it does not exist. */
   storedQuarantinesVersion: number;
   quarantinesWrittenAtMs: number;
+  /** The other VMs for which the shares of servers' request limits were last computed. */
+  permitShareVmIds: string;
   /** Earliest time of the next trial of each quarantine, by its key. */
   readonly nextTrialAtMs: Map<string, number>;
 }
@@ -230,6 +232,7 @@
     storedQuarantines: new Map(),
     storedQuarantinesVersion: 0,
     quarantinesWrittenAtMs: Number.NEGATIVE_INFINITY,
+    permitShareVmIds: '',
     nextTrialAtMs: new Map(),
   };
 }
