Time the trials of a quarantine by how long its parts have crashed servers

Requests that were in flight when a quarantine began counted as failed trials, so that the first trial, and with it the Retry-After, could be a quarter of an hour away. The delay is now the time over which the parts have crashed servers, at least a minute, which doubles with each failed trial without a count. Also: the suspects in the line on a crash are limited, the times of trials are dropped with their quarantine, and public items that had none have a comment.

--- a/src/coordination/entry/crashDetection.ts
+++ b/src/coordination/entry/crashDetection.ts
@@ -38,6 +38,8 @@
 } as const;
 export type LossCause = (typeof LossCause)[keyof typeof LossCause];
 
+/** Keeps the line on a crash short; the evidence has all suspects. */
+const MAX_LOGGED_SUSPECTS = 16;
 /** States of an attempt whose server had sent at least the head of its answer. */
 const ANSWERING_STATES: ReadonlySet<RunState> = new Set([RunState.Accepted, RunState.Streaming]);
 
@@ -121,7 +123,10 @@
       server: serverId,
       service,
       address,
-      suspects: suspects.map(({ parts }) => parts.join('+')).join(' '),
+      suspects: suspects
+        .slice(0, MAX_LOGGED_SUSPECTS)
+        .map(({ parts }) => parts.join('+'))
+        .join(' '),
       verifiedAfterMs: Math.round(nowMs - atMs),
     }),
     ...reviewEvidence(state, nowMs),
--- a/src/coordination/entry/lifecycle.ts
+++ b/src/coordination/entry/lifecycle.ts
@@ -4,7 +4,6 @@
  * and aborts the rest shortly before the process would be killed.
  */
 import { createDiagnostic, Diagnostics } from '../../state/diagnostics.js';
-import { expireEvidence } from '../../state/entry/quarantineTable.js';
 import { LogLevel } from '../events.js';
 import {
   createEntryLog,
@@ -17,6 +16,7 @@
 import { requestAdapter } from './adapterRequests.js';
 import { removeExpiredBackends } from './discovery.js';
 import { dispatchWaiting } from './forwarding.js';
+import { expirePromptEvidence } from './quarantines.js';
 import { storeQuarantines } from './quarantineStore.js';
 import { terminateForward } from './requestCompletion.js';
 import type { EntryPolicy } from './policy.js';
@@ -142,7 +142,7 @@
 ): EntryCommand[] {
   const kind = EntryEventKind.MaintenanceTick;
   updateVmsLastSeen(state, nowMs);
-  expireEvidence(state.promptEvidence, nowMs);
+  expirePromptEvidence(state, nowMs);
   updatePermitShares(state, nowMs);
   return [
     createEntryTimer(kind, state.policy.tickMs, { kind }),
--- a/src/coordination/entry/quarantines.ts
+++ b/src/coordination/entry/quarantines.ts
@@ -4,7 +4,7 @@
  */
 import { createDiagnostic, type Diagnostic, Diagnostics } from '../../state/diagnostics.js';
 import { addQuarantines, isRetryDoubtful } from '../../state/entry/crashAttribution.js';
-import { type PromptEvidenceReport } from '../../state/entry/evidenceReports.js';
+import type { PromptEvidenceReport } from '../../state/entry/evidenceReports.js';
 import {
   getSharedParts,
   mergeHealthyParts,
@@ -13,6 +13,7 @@
   recordHealthyParts,
 } from '../../state/entry/promptEvidence.js';
 import {
+  expireEvidence,
   extendQuarantines,
   findQuarantine,
   getQuarantineKey,
@@ -185,6 +186,15 @@
   return true;
 }
 
+/** Removes evidence that no longer counts. */
+export function expirePromptEvidence(state: EntryState, nowMs: number): void {
+  const { nextTrialAtMs, promptEvidence } = state;
+  expireEvidence(promptEvidence, nowMs);
+  [...nextTrialAtMs.keys()]
+    .filter((key) => !promptEvidence.quarantines.has(key))
+    .forEach((key) => nextTrialAtMs.delete(key));
+}
+
 /** Whether a request was rejected, and the commands that follow from the check. */
 export interface QuarantineCheck {
   readonly isRejected: boolean;
--- a/src/state/entry/crashAttribution.ts
+++ b/src/state/entry/crashAttribution.ts
@@ -22,7 +22,7 @@
   setQuarantine,
 } from './quarantineTable.js';
 
-/** Crashes within this time have one cause outside the prompts, such as a power failure, or count as one. */
+/** Crashes within this time count as one: a power failure, for instance, ends several servers at the same moment. */
 const SIMULTANEOUS_MS = 30;
 
 /**
--- a/src/state/entry/promptEvidence.ts
+++ b/src/state/entry/promptEvidence.ts
@@ -65,6 +65,7 @@
 /** For each crash. */
 const MAX_SUSPECTS = 32;
 
+/** Number of parts that are kept of a prompt; the last ones count. */
 export const MAX_PARTS_OF_SUSPECT = 16;
 
 const MAX_PART_LENGTH = 64;
@@ -82,6 +83,7 @@
   return { crashes: new Map(), healthyAtMs: new Map(), quarantines: new Map() };
 }
 
+/** Returns the key under which the times of a part are stored. */
 export function getPartKey(service: string, part: string): string {
   return `${service} ${part}`;
 }
@@ -127,6 +129,7 @@
   trimOldest(healthyAtMs, MAX_HEALTHY_PARTS);
 }
 
+/** Returns whether a text has the length of a part id. */
 export function isPart(part: string): boolean {
   return part.length > 0 && part.length <= MAX_PART_LENGTH;
 }
@@ -194,6 +197,7 @@
   return true;
 }
 
+/** Returns whether a prompt has all of some parts. */
 export function containsAll(parts: readonly string[], required: readonly string[]): boolean {
   return required.every((part) => parts.includes(part));
 }
--- a/src/state/entry/quarantineTable.ts
+++ b/src/state/entry/quarantineTable.ts
@@ -14,19 +14,16 @@
   trimOldest,
 } from './promptEvidence.js';
 
+/** Number of quarantines that are kept; the oldest are dropped. */
 export const MAX_QUARANTINES = 256;
 
 /** Crashes that are further apart than this are not related to each other. */
 const CRASH_MEMORY_MS = 600_000;
 
-/** Time after the last crash until one request may test whether the cause has gone; doubles with each failed test. */
-const FIRST_TRIAL_DELAY_MS = 60_000;
-
+/** Shortest and longest time after the last crash until one request may test whether the cause has gone. */
+const MIN_TRIAL_DELAY_MS = 60_000;
 const MAX_TRIAL_DELAY_MS = 1_800_000;
 
-/** A quarantine begins with this number of crashes; each further one is that of a failed test. */
-const UNDOUBLED_CRASHES = 3;
-
 /** A quarantine without a crash for this time is forgotten. */
 const QUARANTINE_MEMORY_MS = 3_600_000;
 
@@ -38,10 +35,12 @@
   return `${service} ${parts.join('+')}`;
 }
 
+/** Returns whether a request with the parts of a quarantine was a suspect of a crash. */
 export function isExplainedBy(crash: CrashReport, quarantine: Quarantine): boolean {
   return crash.service === quarantine.service && findSuspects(crash, quarantine.parts).length > 0;
 }
 
+/** Returns the quarantines in force. */
 export function listHeld({ quarantines }: PromptEvidence): Quarantine[] {
   return [...quarantines.values()].filter(({ status }) => status === QuarantineStatus.Held);
 }
@@ -62,6 +61,7 @@
   );
 }
 
+/** Adds or replaces a quarantine. */
 export function setQuarantine({ quarantines }: PromptEvidence, quarantine: Quarantine): void {
   quarantines.set(getQuarantineKey(quarantine), quarantine);
   trimOldest(quarantines, MAX_QUARANTINES);
@@ -127,11 +127,13 @@
   return true;
 }
 
-/** Returns the time from which one request with the parts may test whether they still crash servers. */
-export function getTrialAtMs({ crashCount, lastCrashAtMs }: Quarantine): number {
-  const failedTrials = Math.max(0, crashCount - UNDOUBLED_CRASHES);
-  const delayMs = Math.min(MAX_TRIAL_DELAY_MS, FIRST_TRIAL_DELAY_MS * 2 ** failedTrials);
-  return lastCrashAtMs + delayMs;
+/**
+ * Returns the time from which one request with the parts may test whether they still crash servers. The longer they have
+ * done so, the later it is, so that the time doubles with each failed test.
+ */
+export function getTrialAtMs({ firstCrashAtMs, lastCrashAtMs }: Quarantine): number {
+  const crashingMs = lastCrashAtMs - firstCrashAtMs;
+  return lastCrashAtMs + Math.min(MAX_TRIAL_DELAY_MS, Math.max(MIN_TRIAL_DELAY_MS, crashingMs));
 }
 
 /** Removes evidence that no longer counts. */
