--- a/src/coordination/entry/adapterPlacement.ts
+++ b/src/coordination/entry/adapterPlacement.ts
@@ -159,7 +159,7 @@
 }
 
 /** Returns the adapters on each engine, for the placement board. */
-export function listEngineAdapters(state: EntryState): EngineAdapters[] {
+export function listEngineAdapters(state: EntryState): Omit<EngineAdapters, 'sequence'>[] {
   return [...state.placement.engines.values()].map((control) => ({
     backendId: control.backendId,
     bornAtWallMs: control.bornAtWallMs,
--- a/src/coordination/entry/commands.ts
+++ b/src/coordination/entry/commands.ts
@@ -3,12 +3,10 @@
  * like the events.
  */
 import type { CallerLimits } from '../../state/entry/deployment.js';
-import type { EvidenceReport } from '../../state/entry/evidenceReports.js';
 import type { Quarantine } from '../../state/entry/promptEvidence.js';
-import type { PlacementBoard, VmReport } from '../../state/entry/reports.js';
 import type { Refusal } from '../../state/types.js';
 import type { LogLevel, RequestMetrics } from '../events.js';
-import type { EngineOrder, EntryEvent, LimitName } from './events.js';
+import type { EngineOrder, EntryEvent, LimitName, PeerMessage, StoreRequest } from './events.js';
 
 /** The kinds of commands that the event loop issues. */
 export const EntryCommandKind = {
@@ -25,7 +23,7 @@
   Exit: 'exit',
   SendPeerMessage: 'sendPeerMessage',
   ReplyToPeer: 'replyToPeer',
-  FetchFromPeer: 'fetchFromPeer',
+  SetStoreAccess: 'setStoreAccess',
   RequestAdapter: 'requestAdapter',
   ReplyToAdapterRequest: 'replyToAdapterRequest',
   RequestLoan: 'requestLoan',
@@ -98,21 +96,14 @@
   [EntryCommandKind.StopAccepting]: Record<never, never>;
   [EntryCommandKind.Exit]: Record<never, never>;
   [EntryCommandKind.SendPeerMessage]: {
+    readonly vmId: string;
     readonly peerAddress: string;
-    readonly reports: readonly VmReport[];
-    readonly board: PlacementBoard | null;
-    /** Its times are relative to the time at which the message is sent. */
-    readonly evidence: EvidenceReport;
-  };
-  [EntryCommandKind.ReplyToPeer]: {
-    readonly replyId: string;
-    readonly reports: readonly VmReport[];
-    readonly board: PlacementBoard | null;
-    /** Its times are relative to the time at which the message is sent. */
-    readonly evidence: EvidenceReport;
+    readonly message: PeerMessage;
+    readonly storeRequest: StoreRequest;
   };
-  /** Fetches the configuration and the backend servers from a peer that has later versions. */
-  [EntryCommandKind.FetchFromPeer]: { readonly peerAddress: string };
+  [EntryCommandKind.ReplyToPeer]: { readonly replyId: string; readonly message: PeerMessage };
+  /** Starts or stops to read the store. */
+  [EntryCommandKind.SetStoreAccess]: { readonly isReader: boolean };
   /** Requests an adapter from the controller. */
   [EntryCommandKind.RequestAdapter]: {
     readonly peerAddress: string;
--- a/src/coordination/entry/controller.ts
+++ b/src/coordination/entry/controller.ts
@@ -3,6 +3,7 @@
  * fencing token is the store's revision of the lease's key, which only increases.
  */
 import type { ForwardService } from '../../state/entry/deployment.js';
+import type { EngineAdapters } from '../../state/entry/reports.js';
 import { LogLevel } from '../events.js';
 import {
   listEngineAdapters,
@@ -30,6 +31,7 @@
 import { type EngineView, type PlanStep, planNextStep, WeightSource } from './placementPlanner.js';
 import type { EngineControl } from './placementState.js';
 import { isAcceptingRequests } from './backendSelection.js';
+import { compareRelayRank } from './relays.js';
 import { EntryLifecycle, type EntryState } from './state.js';
 
 /** Renewals in the duration of a lease, so that one lost response does not let it expire. */
@@ -63,9 +65,9 @@
 const MODEL_CHANGE_COOLDOWN_MS = 2_000;
 const MS_PER_SECOND = 1000;
 
-/** Returns this VM's index in the sorted list of VMs. */
+/** Returns this VM's index among the VMs, in the order in which they claim the lease. */
 function getRank(state: EntryState): number {
-  const ids = state.listedVms.map(({ vmId }) => vmId).sort();
+  const ids = [...state.listedVms].sort(compareRelayRank).map(({ vmId }) => vmId);
   return Math.max(0, ids.indexOf(state.self.vmId));
 }
 
@@ -173,12 +175,22 @@
 }
 
 function updateBoard(state: EntryState): void {
-  const { fence } = state.placement;
-  const engines = listEngineAdapters(state);
-  const isUnchanged = JSON.stringify(state.board?.engines) === JSON.stringify(engines);
-  if (fence !== null && (!isUnchanged || state.board?.fence !== fence)) {
+  const { boardSequence, fence } = state.placement;
+  if (fence === null) {
+    return;
+  }
+  const known = state.board?.fence === fence ? state.board.engines : [];
+  const engines = listEngineAdapters(state).map((engine): EngineAdapters => {
+    const previous = known.find(({ backendId }) => backendId === engine.backendId);
+    const isUnchanged =
+      previous?.bornAtWallMs === engine.bornAtWallMs &&
+      previous.variants.join(' ') === engine.variants.join(' ');
+    return { ...engine, sequence: isUnchanged ? previous.sequence : boardSequence + 1 };
+  });
+  const hasChanged = engines.some(({ sequence }) => sequence > boardSequence);
+  if (hasChanged || state.board?.fence !== fence) {
     state.placement.boardSequence += 1;
-    state.board = { fence, sequence: state.placement.boardSequence, engines };
+    state.board = { fence, sequence: boardSequence + 1, engines, baseSequence: 0 };
   }
 }
 
--- a/src/coordination/entry/discovery.ts
+++ b/src/coordination/entry/discovery.ts
@@ -12,6 +12,7 @@
 import { createEntryLog, type EntryCommand, EntryCommandKind, EntryLogPrefix } from './commands.js';
 import type { BackendChange, EntryEventKind, EntryEventOf } from './events.js';
 import { dispatchWaiting } from './forwarding.js';
+import { selectRelays, updateRelayRole } from './relays.js';
 import { EntryLifecycle, type EntryState, updateVmsLastSeen } from './state.js';
 
 /**
@@ -253,13 +254,17 @@
 ): EntryCommand[] {
   const previousIds = state.listedVms.map(({ vmId }) => vmId).join(' ');
   state.listedVms = event.vms;
+  state.relays = selectRelays(event.vms);
   updateVmsLastSeen(state, nowMs);
   const currentIds = event.vms.map(({ vmId }) => vmId).join(' ');
+  const accessCommands = updateRelayRole(state, nowMs);
   return previousIds === currentIds
-    ? []
+    ? accessCommands
     : [
+        ...accessCommands,
         createEntryLog(LogLevel.Info, EntryLogPrefix.Peer, 'The list of VMs changed.', {
-          vms: currentIds,
+          count: event.vms.length,
+          relays: state.relays.map(({ vmId }) => vmId).join(' '),
         }),
       ];
 }
--- a/src/coordination/entry/events.ts
+++ b/src/coordination/entry/events.ts
@@ -6,7 +6,13 @@
 import type { Deployment } from '../../state/entry/deployment.js';
 import type { EvidenceReport } from '../../state/entry/evidenceReports.js';
 import type { Quarantine } from '../../state/entry/promptEvidence.js';
-import type { PlacementBoard, VmReport } from '../../state/entry/reports.js';
+import type {
+  BoardVersion,
+  FleetDemand,
+  ModelDemand,
+  PlacementBoard,
+  VmReport,
+} from '../../state/entry/reports.js';
 import type { Diagnostic } from '../../state/diagnostics.js';
 import type { RunState } from '../../state/types.js';
 import type { EntryPolicy } from './policy.js';
@@ -120,6 +126,35 @@
   readonly incarnation: string;
   readonly failureDomain: string;
   readonly peerAddress: string;
+  /** Processor time that the VM may use, in cores. */
+  readonly processorShare: number;
+}
+
+/** Whether a message requests the changes of the store that its sender lacks. */
+export const StoreRequest = {
+  None: 'none',
+  /** From the sender's relay, which must have current data. */
+  Relay: 'relay',
+  /** From a VM that has later data than the sender. */
+  Fetch: 'fetch',
+} as const;
+export type StoreRequest = (typeof StoreRequest)[keyof typeof StoreRequest];
+
+/** A message between VMs. */
+export interface PeerMessage {
+  readonly senderId: string;
+  readonly reports: readonly VmReport[];
+  readonly board: PlacementBoard | null;
+  /** The version of the board that the sender has; null if it has none. */
+  readonly knownBoard: BoardVersion | null;
+  /** Its times are relative to the time at which the message was sent. */
+  readonly evidence: EvidenceReport;
+  /** True if the receiver is the sender's relay. */
+  readonly isRelayed: boolean;
+  /** Demands for models at the sender and at the VMs that it relays for; empty except for relays and the controller. */
+  readonly modelDemands: readonly ModelDemand[];
+  /** From a relay to a VM that it relays for, else null. */
+  readonly fleet: FleetDemand | null;
 }
 
 /** The kinds of events that the event loop of an entry VM handles. */
@@ -144,6 +179,7 @@
   MaintenanceTick: 'maintenanceTick',
   PeerMessage: 'peerMessage',
   PeerTick: 'peerTick',
+  PeerCallFailed: 'peerCallFailed',
   AdapterRequested: 'adapterRequested',
   AdapterRequestAnswered: 'adapterRequestAnswered',
   LoanRequested: 'loanRequested',
@@ -242,14 +278,13 @@
   [EntryEventKind.StoreReachabilityRead]: { readonly isReachable: boolean };
   [EntryEventKind.MaintenanceTick]: Record<never, never>;
   [EntryEventKind.PeerMessage]: {
-    readonly reports: readonly VmReport[];
-    readonly board: PlacementBoard | null;
-    /** Its times are relative to the time at which the message was sent. */
-    readonly evidence: EvidenceReport;
+    readonly message: PeerMessage;
     /** Null if the sender expects no response. */
     readonly replyId: string | null;
   };
   [EntryEventKind.PeerTick]: Record<never, never>;
+  /** A VM did not answer a message, or answered as a relay without current data. */
+  [EntryEventKind.PeerCallFailed]: { readonly vmId: string };
   /** Another VM requests an adapter from this VM as the controller. */
   [EntryEventKind.AdapterRequested]: {
     readonly service: string;
--- a/src/coordination/entry/gossip.ts
+++ b/src/coordination/entry/gossip.ts
@@ -1,16 +1,30 @@
 /**
- * Gossip between entry VMs. Each round sends the reports of all known VMs to a few peers chosen at random, so that a
- * report also reaches VMs that cannot connect to the VM it comes from.
+ * The exchange between entry VMs. Relays exchange the reports of all relays in rounds with a few others chosen at random;
+ * each report includes the demands of the VMs that the relay relays for. Any other VM exchanges its own report with its
+ * relay. So what a VM sends and receives does not grow with the number of VMs.
  */
-import { isLaterBoard, type ModelDemand, type VmReport } from '../../state/entry/reports.js';
+import {
+  createBoardUpdate,
+  mergeBoard,
+  type PlacementBoard,
+  type VmReport,
+} from '../../state/entry/reports.js';
 import { nextRandomInt } from '../../state/random.js';
-import { getDemand, listDemands } from './demand.js';
 import { createEntryTimer, type EntryCommand, EntryCommandKind } from './commands.js';
-import { EntryEventKind, type EntryEventOf } from './events.js';
-import { countWaitingRequests, dispatchWaiting } from './forwarding.js';
+import {
+  EntryEventKind,
+  type EntryEventOf,
+  type ListedEntryVm,
+  type PeerMessage,
+  StoreRequest,
+} from './events.js';
 import { createRelativeEvidence, mergeEvidence } from './evidenceExchange.js';
-import { listWorkspaceDemands } from './rateLoans.js';
-import { type EntryState, isShuttingDown } from './state.js';
+import { summarizeFleet, summarizeModelDemands, summarizeOwnReports } from './fleetDemands.js';
+import { dispatchWaiting } from './forwarding.js';
+import { listModelDemands, listWorkspaceDemands } from './ownDemands.js';
+import { expireLoanAnswers } from './rateLoans.js';
+import { countVmsPerRelay, markRelayFailed, selectRelay, updateRelayRole } from './relays.js';
+import { type EntryState, isShuttingDown, RelayRole } from './state.js';
 
 /** Reports that were received longer ago than this are not sent on. */
 const REPORT_MAX_AGE_MS = 5_000;
@@ -18,30 +32,25 @@
 const EVIDENCE_FANOUT = 5;
 /** The record of a VM is removed if no new report of the VM was received for this time. */
 const PEER_EXPIRY_MS = 60_000;
+/** Work of a relay for each VM that it relays for: their exchanges are spread over this time each. */
+const RELAYED_EXCHANGE_MS = 40;
+const MAX_RELAYED_INTERVAL_MS = 1_000;
+/** With more relays than this, each round goes to one peer only, which keeps the bytes of a relay bounded. */
+const MAX_RELAYS_FOR_FULL_FANOUT = 9;
+/** How long a VM that has just started asks its relay again, which may be reading the store for the first time. */
+const RELAY_START_MS = 1_500;
+const RELAY_START_RETRY_MS = 150;
+/** Minimum time between two requests for a newer configuration. */
+const MIN_FETCH_INTERVAL_MS = 300;
 
-function listModelDemands(state: EntryState, nowMs: number): ModelDemand[] {
-  const waiting = countWaitingRequests(state);
-  return listDemands(state.modelDemand, nowMs).map(({ name, tokensPerSecond }) => {
-    const [service = '', variant = ''] = name.split(' ');
-    const [model = '', adapter = null] = variant.split('/');
-    return {
-      service,
-      model,
-      adapter,
-      tokensPerSecond,
-      valuePerSecond: getDemand(state.weightedModelDemand, name, nowMs),
-      waitingRequests: waiting.get(name) ?? 0,
-    };
-  });
-}
-
-/** Creates the report of this VM, with the next sequence number. */
-export function createOwnReport(state: EntryState, nowMs: number): VmReport {
+/** Creates the report of this VM and of the VMs that it relays for, with the next sequence number. */
+function createReport(state: EntryState, nowMs: number): VmReport {
   const { failureDomain, incarnation, peerAddress, vmId } = state.self;
-  const workspaceDemands = listWorkspaceDemands(state, nowMs);
+  const ownDemands = listWorkspaceDemands(state, nowMs);
+  const { demands, vmCount } = summarizeOwnReports(state, ownDemands, nowMs);
   state.reportSequence += 1;
   state.reportedDemands = new Map(
-    workspaceDemands.map(({ name, tokensPerSecond }) => [name, tokensPerSecond]),
+    ownDemands.map(({ name, tokensPerSecond }) => [name, tokensPerSecond]),
   );
   return {
     vmId,
@@ -52,16 +61,34 @@
     configurationVersion: state.deployment?.version ?? 0,
     backendsRevision: state.backendsRevision,
     isLeaving: isShuttingDown(state),
-    workspaceDemands,
-    modelDemands: listModelDemands(state, nowMs),
+    workspaceDemands: demands,
+    vmCount,
   };
 }
 
 function collectReports(state: EntryState, nowMs: number): VmReport[] {
   const known = [...state.peers.values()]
-    .filter(({ reportReceivedAtMs }) => nowMs - reportReceivedAtMs < REPORT_MAX_AGE_MS)
+    .filter(
+      ({ isRelayedHere, reportReceivedAtMs }) =>
+        !isRelayedHere && nowMs - reportReceivedAtMs < REPORT_MAX_AGE_MS,
+    )
     .map(({ report }) => report);
-  return [createOwnReport(state, nowMs), ...known];
+  return [createReport(state, nowMs), ...known];
+}
+
+/** Creates a message without reports. */
+function createMessage(state: EntryState, nowMs: number): PeerMessage {
+  const { board } = state;
+  return {
+    senderId: state.self.vmId,
+    reports: [],
+    board: null,
+    knownBoard: board === null ? null : { fence: board.fence, sequence: board.sequence },
+    evidence: createRelativeEvidence(state, nowMs),
+    isRelayed: false,
+    modelDemands: [],
+    fleet: null,
+  };
 }
 
 /** Returns the addresses of the other VMs, from the store's list and from recent reports. */
@@ -76,16 +103,93 @@
   return [...new Set(addresses.values())];
 }
 
-function selectRandomPeers(state: EntryState, count: number, nowMs: number): string[] {
-  const candidates = listPeerAddresses(state, nowMs);
-  const selected: string[] = [];
+function selectRandom<T>(state: EntryState, from: readonly T[], count: number): T[] {
+  const candidates = [...from];
+  const selected: T[] = [];
   while (candidates.length > 0 && selected.length < count) {
     selected.push(...candidates.splice(nextRandomInt(state.random, candidates.length), 1));
   }
   return selected;
 }
 
-/** Sends one gossip round and starts the timer of the next. */
+/** The address and id of a VM that takes part in the exchange between relays. */
+type ExchangePeer = Pick<ListedEntryVm, 'vmId' | 'peerAddress'>;
+
+/** Returns the other VMs that read the store: the relays, the controller, and those that have no relay for now. */
+function listExchangePeers(state: EntryState, nowMs: number): ExchangePeer[] {
+  const peers = new Map<string, ExchangePeer>();
+  state.relays.forEach((relay) => peers.set(relay.vmId, relay));
+  if (state.controller !== null) {
+    peers.set(state.controller.vmId, state.controller);
+  }
+  state.peers.forEach(({ isRelayedHere, report, reportReceivedAtMs }, vmId) => {
+    if (!isRelayedHere && nowMs - reportReceivedAtMs < state.policy.vmGoneMs) {
+      peers.set(vmId, report);
+    }
+  });
+  peers.delete(state.self.vmId);
+  return [...peers.values()];
+}
+
+function sendToPeer(
+  peer: ExchangePeer,
+  message: PeerMessage,
+  storeRequest: StoreRequest = StoreRequest.None,
+): EntryCommand {
+  const { peerAddress, vmId } = peer;
+  return { kind: EntryCommandKind.SendPeerMessage, vmId, peerAddress, message, storeRequest };
+}
+
+/** Sends this VM's report to its relay, which answers with the changes of the store and the demands of the fleet. */
+function exchangeWithRelay(state: EntryState, relay: ListedEntryVm, nowMs: number): EntryCommand {
+  const message = {
+    ...createMessage(state, nowMs),
+    reports: [createReport(state, nowMs)],
+    isRelayed: true,
+    modelDemands: listModelDemands(state, nowMs),
+  };
+  return sendToPeer(relay, message, StoreRequest.Relay);
+}
+
+function selectExchangePeers(state: EntryState, nowMs: number): ExchangePeer[] {
+  const peers = listExchangePeers(state, nowMs);
+  const fanout = peers.length > MAX_RELAYS_FOR_FULL_FANOUT ? 1 : state.policy.peerFanout;
+  const isFixed = ({ vmId }: ExchangePeer): boolean =>
+    vmId === state.controller?.vmId || vmId === state.relayId;
+  const random = peers.filter((peer) => !isFixed(peer));
+  return [...peers.filter(isFixed), ...selectRandom(state, random, fanout)];
+}
+
+/**
+ * Sends the reports of the relays to some peers, and the demands for models to the controller. A standby requests the
+ * changes of the store from the first relay of its failure domain.
+ */
+function exchangeWithPeers(state: EntryState, nowMs: number): EntryCommand[] {
+  const peers = selectExchangePeers(state, nowMs);
+  if (peers.length === 0) {
+    return [];
+  }
+  const reports = collectReports(state, nowMs);
+  const message = createMessage(state, nowMs);
+  return peers.map((peer) => {
+    const isController = peer.vmId === state.controller?.vmId;
+    const board = createBoardUpdate(state.board, state.peers.get(peer.vmId)?.knownBoard ?? null);
+    const modelDemands = isController ? summarizeModelDemands(state, nowMs) : [];
+    const storeRequest = peer.vmId === state.relayId ? StoreRequest.Relay : StoreRequest.None;
+    return sendToPeer(peer, { ...message, reports, board, modelDemands }, storeRequest);
+  });
+}
+
+function getIntervalMs(state: EntryState, isRelayed: boolean): number {
+  const { peerIntervalMs } = state.policy;
+  const relayedMs = Math.min(
+    MAX_RELAYED_INTERVAL_MS,
+    countVmsPerRelay(state) * RELAYED_EXCHANGE_MS,
+  );
+  return isRelayed ? Math.max(peerIntervalMs, relayedMs) : peerIntervalMs;
+}
+
+/** Sends one round of the exchange and starts the timer of the next. */
 export function handlePeerTick(
   state: EntryState,
   _event: EntryEventOf<typeof EntryEventKind.PeerTick>,
@@ -95,22 +199,36 @@
   [...state.peers.entries()]
     .filter(([, { reportReceivedAtMs }]) => nowMs - reportReceivedAtMs > PEER_EXPIRY_MS)
     .forEach(([vmId]) => state.peers.delete(vmId));
-  const peerAddresses = selectRandomPeers(state, state.policy.peerFanout, nowMs);
-  const reports = peerAddresses.length === 0 ? [] : collectReports(state, nowMs);
-  const { board } = state;
-  const evidence = createRelativeEvidence(state, nowMs);
+  expireLoanAnswers(state, nowMs);
+  const roleCommands = state.relayRole === null ? [] : updateRelayRole(state, nowMs);
+  const relay = state.relayRole === RelayRole.Relayed ? selectRelay(state, nowMs) : null;
   return [
-    createEntryTimer(kind, state.policy.peerIntervalMs, { kind }),
-    ...peerAddresses.map((peerAddress): EntryCommand => ({
-      kind: EntryCommandKind.SendPeerMessage,
-      peerAddress,
-      reports,
-      board,
-      evidence,
-    })),
+    ...roleCommands,
+    createEntryTimer(kind, getIntervalMs(state, relay !== null), { kind }),
+    ...(relay === null
+      ? exchangeWithPeers(state, nowMs)
+      : [exchangeWithRelay(state, relay, nowMs)]),
   ];
 }
 
+/** Uses the other relay at once if this VM's relay did not answer or had no current data. */
+export function handlePeerCallFailed(
+  state: EntryState,
+  event: EntryEventOf<typeof EntryEventKind.PeerCallFailed>,
+  nowMs: number,
+): EntryCommand[] {
+  if (event.vmId !== state.relayId || state.relayId === '') {
+    return [];
+  }
+  const isStarting = state.deployment === null && nowMs - state.startedAtMs < RELAY_START_MS;
+  if (isStarting) {
+    const kind = EntryEventKind.PeerTick;
+    return [createEntryTimer(kind, RELAY_START_RETRY_MS, { kind })];
+  }
+  markRelayFailed(state, event.vmId, nowMs);
+  return updateRelayRole(state, nowMs);
+}
+
 /** Sends new evidence to some peers chosen at random, who send it on. */
 export function handleEvidenceSpread(
   state: EntryState,
@@ -118,14 +236,10 @@
   nowMs: number,
 ): EntryCommand[] {
   state.isEvidenceSpreading = false;
-  const evidence = createRelativeEvidence(state, nowMs);
-  return selectRandomPeers(state, EVIDENCE_FANOUT, nowMs).map((peerAddress) => ({
-    kind: EntryCommandKind.SendPeerMessage,
-    peerAddress,
-    reports: [],
-    board: null,
-    evidence,
-  }));
+  const message = createMessage(state, nowMs);
+  return selectRandom(state, listPeerAddresses(state, nowMs), EVIDENCE_FANOUT).map((peerAddress) =>
+    sendToPeer({ vmId: '', peerAddress }, message),
+  );
 }
 
 function isNewerReport(report: VmReport, known: VmReport | undefined): boolean {
@@ -150,11 +264,17 @@
   );
 }
 
-function mergeReport(state: EntryState, report: VmReport, nowMs: number): void {
-  const known = state.peers.get(report.vmId)?.report;
+function mergeReport(
+  state: EntryState,
+  report: VmReport,
+  isRelayedHere: boolean,
+  nowMs: number,
+): void {
+  const known = state.peers.get(report.vmId);
   const isOwn = report.vmId === state.self.vmId;
-  if (!isOwn && !isFromUnlistedProcess(state, report) && isNewerReport(report, known)) {
-    state.peers.set(report.vmId, { report, reportReceivedAtMs: nowMs });
+  if (!isOwn && !isFromUnlistedProcess(state, report) && isNewerReport(report, known?.report)) {
+    const knownBoard = known?.knownBoard ?? null;
+    state.peers.set(report.vmId, { report, reportReceivedAtMs: nowMs, isRelayedHere, knownBoard });
   }
 }
 
@@ -168,41 +288,82 @@
   });
 }
 
-/**
- * Merges the reports and the board of a peer message, and answers it if the sender expects an answer. Fetches the
- * configuration and the backend servers from a VM that reports a newer configuration, or newer backend servers while
- * the store is unreachable.
- */
-export function handlePeerMessage(
+function mergeBoardUpdate(
   state: EntryState,
-  event: EntryEventOf<typeof EntryEventKind.PeerMessage>,
+  update: PlacementBoard | null,
   nowMs: number,
 ): EntryCommand[] {
-  const { board, evidence, replyId, reports } = event;
-  reports.forEach((report) => mergeReport(state, report, nowMs));
-  const commands = mergeEvidence(state, evidence, nowMs);
-  if (board !== null && isLaterBoard(board, state.board)) {
-    state.board = board;
-    applyBoard(state);
-    commands.push(...dispatchWaiting(state, nowMs));
+  const merged = mergeBoard(state.board, update);
+  if (merged === state.board) {
+    return [];
   }
-  if (replyId !== null) {
-    commands.push({
-      kind: EntryCommandKind.ReplyToPeer,
-      replyId,
-      reports: collectReports(state, nowMs),
-      board: state.board,
-      evidence: createRelativeEvidence(state, nowMs),
-    });
+  state.board = merged;
+  applyBoard(state);
+  return dispatchWaiting(state, nowMs);
+}
+
+function mergeMessage(state: EntryState, message: PeerMessage, nowMs: number): EntryCommand[] {
+  const { board, evidence, fleet, isRelayed, knownBoard, modelDemands, reports, senderId } =
+    message;
+  reports.forEach((report) => mergeReport(state, report, isRelayed, nowMs));
+  const sender = state.peers.get(senderId);
+  if (sender !== undefined) {
+    sender.knownBoard = knownBoard;
+  }
+  if (isRelayed || modelDemands.length > 0) {
+    const demands = { demands: modelDemands, receivedAtMs: nowMs, isRelayedHere: isRelayed };
+    state.modelDemandsByVm.set(senderId, demands);
+  }
+  if (fleet !== null) {
+    state.fleetDemand = { ...fleet, receivedAtMs: nowMs };
   }
+  return [...mergeEvidence(state, evidence, nowMs), ...mergeBoardUpdate(state, board, nowMs)];
+}
+
+function createReply(state: EntryState, request: PeerMessage, nowMs: number): PeerMessage {
+  return {
+    ...createMessage(state, nowMs),
+    board: createBoardUpdate(state.board, request.knownBoard),
+    reports: request.isRelayed || request.reports.length === 0 ? [] : collectReports(state, nowMs),
+    fleet: request.isRelayed ? summarizeFleet(state, nowMs) : null,
+  };
+}
+
+/** Requests the store's contents from a VM that reports a later configuration, or later servers in an outage. */
+function fetchNewerState(
+  state: EntryState,
+  reports: readonly VmReport[],
+  nowMs: number,
+): EntryCommand[] {
   const version = state.deployment?.version ?? 0;
   const newer = reports.find(
     (report) =>
-      report.configurationVersion > version ||
-      (!state.store.isReachable && report.backendsRevision > state.backendsRevision),
+      report.vmId !== state.self.vmId &&
+      (report.configurationVersion > version ||
+        (!state.store.isReachable && report.backendsRevision > state.backendsRevision)),
   );
-  if (newer !== undefined && newer.vmId !== state.self.vmId) {
-    commands.push({ kind: EntryCommandKind.FetchFromPeer, peerAddress: newer.peerAddress });
+  if (newer === undefined || nowMs - state.fetchedAtMs < MIN_FETCH_INTERVAL_MS) {
+    return [];
+  }
+  state.fetchedAtMs = nowMs;
+  return [sendToPeer(newer, createMessage(state, nowMs), StoreRequest.Fetch)];
+}
+
+/**
+ * Merges a peer message, and answers it if the sender expects an answer. A relay answers a VM that it relays for with the
+ * demands of the fleet, any other peer with the reports that it knows.
+ */
+export function handlePeerMessage(
+  state: EntryState,
+  { message, replyId }: EntryEventOf<typeof EntryEventKind.PeerMessage>,
+  nowMs: number,
+): EntryCommand[] {
+  const commands = mergeMessage(state, message, nowMs);
+  if (replyId !== null) {
+    const reply = createReply(state, message, nowMs);
+    commands.push({ kind: EntryCommandKind.ReplyToPeer, replyId, message: reply });
   }
-  return commands;
+  return message.isRelayed
+    ? commands
+    : [...commands, ...fetchNewerState(state, message.reports, nowMs)];
 }
--- a/src/coordination/entry/handlers.ts
+++ b/src/coordination/entry/handlers.ts
@@ -40,7 +40,12 @@
   handleMaintenanceTick,
 } from './lifecycle.js';
 import { handleBackendProbed } from './crashDetection.js';
-import { handleEvidenceSpread, handlePeerMessage, handlePeerTick } from './gossip.js';
+import {
+  handleEvidenceSpread,
+  handlePeerCallFailed,
+  handlePeerMessage,
+  handlePeerTick,
+} from './gossip.js';
 import { handleQuarantinesRead } from './quarantineStore.js';
 import { handleLoanAnswered, handleLoanRequested } from './loans.js';
 import { handleLimitReported } from './serverLimits.js';
@@ -78,6 +83,7 @@
   [EntryEventKind.MaintenanceTick]: handleMaintenanceTick,
   [EntryEventKind.PeerMessage]: handlePeerMessage,
   [EntryEventKind.PeerTick]: handlePeerTick,
+  [EntryEventKind.PeerCallFailed]: handlePeerCallFailed,
   [EntryEventKind.AdapterRequested]: handleAdapterRequested,
   [EntryEventKind.AdapterRequestAnswered]: handleAdapterRequestAnswered,
   [EntryEventKind.LoanRequested]: handleLoanRequested,
--- a/src/coordination/entry/modelDemands.ts
+++ b/src/coordination/entry/modelDemands.ts
@@ -4,14 +4,10 @@
  */
 import { getVariantKey } from '../../state/entry/backends.js';
 import type { ForwardService } from '../../state/entry/deployment.js';
-import { getDemand, listDemands } from './demand.js';
-import { countWaitingRequests } from './forwarding.js';
+import { listFleetModelDemands } from './fleetDemands.js';
 import { type ModelDemandTotals, NO_DEMAND } from './placementPlanner.js';
 import type { EntryState } from './state.js';
 
-/** Reports older than this are left out of the demand. */
-const REPORT_MAX_AGE_MS = 5_000;
-
 /** Records the highest urgency seen for a model, which is kept after its demand has decayed. */
 function recordUrgencyWeight(state: EntryState, key: string, demand: ModelDemandTotals): void {
   const { urgencyWeights } = state.placement;
@@ -62,23 +58,8 @@
       variants.add(variant);
     }
   };
-  const prefix = `${service.name} `;
-  const waiting = countWaitingRequests(state);
-  listDemands(state.modelDemand, nowMs)
-    .filter(({ name }) => name.startsWith(prefix))
-    .forEach(({ name, tokensPerSecond }) =>
-      add(name.slice(prefix.length), {
-        tokensPerSecond,
-        valuePerSecond: getDemand(state.weightedModelDemand, name, nowMs),
-        waitingRequests: waiting.get(name) ?? 0,
-      }),
-    );
-  state.peers.forEach(({ reportReceivedAtMs, report }) => {
-    if (nowMs - reportReceivedAtMs < REPORT_MAX_AGE_MS) {
-      report.modelDemands
-        .filter((demand) => demand.service === service.name)
-        .forEach((demand) => add(getVariantKey(demand.model, demand.adapter), demand));
-    }
-  });
+  listFleetModelDemands(state, nowMs)
+    .filter((demand) => demand.service === service.name)
+    .forEach((demand) => add(getVariantKey(demand.model, demand.adapter), demand));
   return { demands, variants };
 }
--- /dev/null
+++ b/src/coordination/entry/ownDemands.ts
@@ -0,0 +1,45 @@
+/**
+ * The demands at this VM, in the form in which it reports them to the other VMs.
+ */
+import type { ModelDemand, WorkspaceDemand } from '../../state/entry/reports.js';
+import { getDemand, listDemands } from './demand.js';
+import { countWaitingRequests } from './forwarding.js';
+import { getWorkspaceSpareTokens } from './rateLoans.js';
+import { type EntryState, isShuttingDown } from './state.js';
+
+/** Returns the demand and the spare tokens at this VM for each workspace that has a demand or a bucket here. */
+export function listWorkspaceDemands(state: EntryState, nowMs: number): WorkspaceDemand[] {
+  const demands = new Map(
+    listDemands(state.workspaceDemand, nowMs).map(({ name, tokensPerSecond }) => [
+      name,
+      tokensPerSecond,
+    ]),
+  );
+  const names = new Set([...demands.keys(), ...state.buckets.keys()]);
+  const { vmId } = state.self;
+  return [...names].map((name) => {
+    const spareTokens = isShuttingDown(state) ? 0 : getWorkspaceSpareTokens(state, name, nowMs);
+    return {
+      name,
+      tokensPerSecond: demands.get(name) ?? 0,
+      lenders: spareTokens >= 1 ? [{ vmId, spareTokens }] : [],
+    };
+  });
+}
+
+/** Returns the demand at this VM for each model and adapter. */
+export function listModelDemands(state: EntryState, nowMs: number): ModelDemand[] {
+  const waiting = countWaitingRequests(state);
+  return listDemands(state.modelDemand, nowMs).map(({ name, tokensPerSecond }) => {
+    const [service = '', variant = ''] = name.split(' ');
+    const [model = '', adapter = null] = variant.split('/');
+    return {
+      service,
+      model,
+      adapter,
+      tokensPerSecond,
+      valuePerSecond: getDemand(state.weightedModelDemand, name, nowMs),
+      waitingRequests: waiting.get(name) ?? 0,
+    };
+  });
+}
--- a/src/coordination/entry/policy.ts
+++ b/src/coordination/entry/policy.ts
@@ -20,6 +20,11 @@
   /** Window and tolerance factor of the rate limit on loads from the weight store; from the settings. */
   readonly loadWindowMs: number;
   readonly loadFactor: number;
+  /**
+   * Time for which one call to the store waits for changes; from the settings. With the client's timeout and one retry,
+   * a dead connection is replaced within the time for which the platform tolerates that a VM has no contact.
+   */
+  readonly watchWaitMs: number;
   /** Time from SIGTERM to SIGKILL; from the settings. */
   readonly stopGraceMs: number;
   /** Interval of the task that removes expired entries and retries waiting requests. */
--- a/src/coordination/entry/rateLoans.ts
+++ b/src/coordination/entry/rateLoans.ts
@@ -5,22 +5,22 @@
  */
 import type { ForwardWorkspace } from '../../state/entry/deployment.js';
 import { getBucketShortage, type RateBucket } from '../../state/entry/rateBucket.js';
-import type { WorkspaceDemand } from '../../state/entry/reports.js';
+import type { Lender } from '../../state/entry/reports.js';
 import { nextRandomInt } from '../../state/random.js';
-import { getDemand, listDemands } from './demand.js';
+import { getDemand } from './demand.js';
 import { type EntryCommand, EntryCommandKind } from './commands.js';
 import { type EntryEventKind, type EntryEventOf, LimitKind } from './events.js';
-import { getRateBucket } from './rates.js';
+import { findLender, type LenderAddress } from './lenders.js';
+import { getOthersDemand } from './othersDemand.js';
+import { getRateBucket, getRateHolders } from './rates.js';
 import { type EntryState, ForwardPhase, type ForwardRecord } from './state.js';
 
 /** Maximum number of VMs asked for one request. Each loan request delays it by a few milliseconds. */
-const MAX_LENDERS = 2;
+const MAX_LENDERS = 3;
 /** A lender keeps the tokens that its own callers need for this time: one gossip round. */
 const OWN_DEMAND_RESERVE_MS = 400;
 /** A lender's answer takes precedence over its report, which may be older, for a gossip round and its propagation. */
 const ANSWER_MAX_AGE_MS = 800;
-/** VMs whose report is older than this, several gossip rounds, are not asked. */
-const REPORT_MAX_AGE_MS = 2_500;
 /** Random candidates to compare. If all VMs asked the one with the most spare tokens, it would soon run out. */
 const LENDER_SAMPLE_SIZE = 3;
 const MS_PER_SECOND = 1000;
@@ -36,70 +36,68 @@
   return Math.max(0, bucket.levelTokens - reservedTokens);
 }
 
-function expireAnswers({ spareTokensByLender }: EntryState, nowMs: number): void {
+/** Removes lenders' answers that are older than their reports. */
+export function expireLoanAnswers({ spareTokensByLender }: EntryState, nowMs: number): void {
   [...spareTokensByLender.entries()]
     .filter(([, { atMs }]) => nowMs - atMs >= ANSWER_MAX_AGE_MS)
     .forEach(([key]) => spareTokensByLender.delete(key));
 }
 
-/** Returns the demand and the spare tokens at this VM for each workspace that has a demand or a bucket here. */
-export function listWorkspaceDemands(state: EntryState, nowMs: number): WorkspaceDemand[] {
-  expireAnswers(state, nowMs);
-  const demands = new Map(
-    listDemands(state.workspaceDemand, nowMs).map(({ name, tokensPerSecond }) => [
-      name,
-      tokensPerSecond,
-    ]),
-  );
-  const names = new Set([...demands.keys(), ...state.buckets.keys()]);
-  return [...names].map((name) => {
-    const workspace = state.deployment?.workspacesByName.get(name);
-    const isLimited = workspace !== undefined && workspace.rateTokensPerSecond > 0;
-    return {
-      name,
-      tokensPerSecond: demands.get(name) ?? 0,
-      spareTokens: isLimited
-        ? getSpareTokens(state, name, getRateBucket(state, workspace, nowMs), nowMs)
-        : 0,
-    };
-  });
+/** Returns the tokens of a workspace's rate that this VM can lend. */
+export function getWorkspaceSpareTokens(state: EntryState, name: string, nowMs: number): number {
+  const workspace = state.deployment?.workspacesByName.get(name);
+  return workspace !== undefined && workspace.rateTokensPerSecond > 0
+    ? getSpareTokens(state, name, getRateBucket(state, workspace, nowMs), nowMs)
+    : 0;
 }
 
-interface Lender {
-  readonly vmId: string;
-  readonly peerAddress: string;
+interface LoanCandidate extends LenderAddress {
   readonly spareTokens: number;
 }
 
+/** Returns the VMs that may have tokens to lend, although none of them has reported so. */
+function listUnreportedLenders(
+  state: EntryState,
+  workspace: ForwardWorkspace,
+  bucket: RateBucket,
+): Lender[] {
+  // A VM that has had no request of the workspace has an unused bucket.
+  const holders = getRateHolders(state, workspace);
+  const isBorrower = holders !== null && bucket.rateTokensPerSecond === 0;
+  const spareTokens = bucket.capacityTokens / (isBorrower ? holders.length : 1);
+  return (holders ?? state.sharingVmIds).map((vmId) => ({ vmId, spareTokens }));
+}
+
 function listLenders(
   state: EntryState,
   record: ForwardRecord,
   bucket: RateBucket,
   nowMs: number,
-): Lender[] {
-  const { name } = record.workspace!;
-  return [...state.peers.entries()]
-    .filter(
-      ([vmId, { reportReceivedAtMs, report }]) =>
-        nowMs - reportReceivedAtMs < REPORT_MAX_AGE_MS &&
-        !report.isLeaving &&
-        !record.askedLenders.includes(vmId),
-    )
-    .map(([vmId, { report }]) => {
-      const answered = state.spareTokensByLender.get(`${vmId} ${name}`);
+): LoanCandidate[] {
+  const workspace = record.workspace!;
+  const { name } = workspace;
+  const { lenders } = getOthersDemand(state, name, nowMs);
+  const reported = new Map(lenders.map((lender) => [lender.vmId, lender]));
+  const unreported = listUnreportedLenders(state, workspace, bucket).filter(
+    ({ vmId }) => !reported.has(vmId),
+  );
+  return [...reported.values(), ...unreported]
+    .filter(({ vmId }) => !record.askedLenders.includes(vmId))
+    .flatMap((lender): LoanCandidate[] => {
+      const address = findLender(state, lender.vmId, nowMs);
+      const answered = state.spareTokensByLender.get(`${lender.vmId} ${name}`);
       const isFresh = answered !== undefined && nowMs - answered.atMs < ANSWER_MAX_AGE_MS;
-      const reported = report.workspaceDemands.find((demand) => demand.name === name);
-      // A VM that has had no request of the workspace has an unused bucket with the same capacity as this VM's.
-      const spareTokens = isFresh
-        ? answered.spareTokens
-        : (reported?.spareTokens ?? bucket.capacityTokens);
-      return { vmId, peerAddress: report.peerAddress, spareTokens };
+      const spareTokens = isFresh ? answered.spareTokens : lender.spareTokens;
+      return address === null ? [] : [{ ...address, spareTokens }];
     });
 }
 
-function selectLender(state: EntryState, lenders: Lender[]): Lender | undefined {
+function selectLender(
+  state: EntryState,
+  lenders: readonly LoanCandidate[],
+): LoanCandidate | undefined {
   const candidates = [...lenders];
-  const sample: Lender[] = [];
+  const sample: LoanCandidate[] = [];
   while (candidates.length > 0 && sample.length < LENDER_SAMPLE_SIZE) {
     sample.push(...candidates.splice(nextRandomInt(state.random, candidates.length), 1));
   }
--- a/src/coordination/entry/rates.ts
+++ b/src/coordination/entry/rates.ts
@@ -3,7 +3,8 @@
  *
  * Each VM's share follows its share of the demand in the peers' reports. An equal minimum share leaves tokens for
  * callers that move to a VM before the reports show them. The shares sum to one when all VMs have the same reports;
- * otherwise the excess that the platform tolerates covers the difference. Without reports a VM takes an equal share.
+ * otherwise the excess that the platform tolerates covers the difference. Without reports a VM takes an equal share. In a
+ * large fleet only some VMs have a share of a workspace's rate, since the others' would be smaller than a request.
  */
 import type { ForwardWorkspace } from '../../state/entry/deployment.js';
 import {
@@ -14,6 +15,8 @@
   resizeRateBucket,
   takeFromBucket,
 } from '../../state/entry/rateBucket.js';
+import { selectByRendezvous } from '../../state/entry/rendezvous.js';
+import { getOthersDemand } from './othersDemand.js';
 import { countVmsSharingLimits, type EntryState } from './state.js';
 
 /** Fraction of the rate that is divided equally, regardless of demand. */
@@ -25,74 +28,117 @@
  * hold a request. The rest covers shares that do not sum to one while reports propagate.
  */
 const EXCESS_FRACTION = 0.6;
-/** Maximum age of a report that counts: five gossip rounds. */
-const REPORT_MAX_AGE_MS = 2_000;
+/** A share below this fraction of the tolerated tokens holds less than a typical request. */
+const MIN_SHARE_FRACTION = 0.1;
+/** Size of a share as a fraction of the same tokens where only some VMs have one. */
+const HOLDER_SHARE_FRACTION = 0.5;
+const MIN_HOLDERS = 2;
 const MS_PER_SECOND = 1000;
 
 /**
  * Estimates the total demand at the other VMs. A VM without a recent report counts with the mean of the known
- * demands, this VM's included, and at least with this VM's own. Old reports are ignored: while the store lists a
- * process that another one has replaced, reports of the new process are rejected, and the last report of the old one
- * must not keep counting.
+ * demands, this VM's included, and at least with this VM's own.
  */
-function getOthersDemand(
+function estimateOthersDemand(
   state: EntryState,
   workspace: string,
   ownDemand: number,
-  vmCount: number,
   nowMs: number,
 ): number {
-  let reportingVms = 0;
-  let demand = 0;
-  state.peers.forEach(({ reportReceivedAtMs, report }, vmId) => {
-    if (state.vmsLastSeenAtMs.has(vmId) && nowMs - reportReceivedAtMs < REPORT_MAX_AGE_MS) {
-      reportingVms += 1;
-      demand +=
-        report.workspaceDemands.find(({ name }) => name === workspace)?.tokensPerSecond ?? 0;
-    }
-  });
-  const missingReports = Math.max(0, vmCount - 1 - reportingVms);
-  return demand + missingReports * Math.max(ownDemand, (ownDemand + demand) / (reportingVms + 1));
+  const { tokensPerSecond, vmCount } = getOthersDemand(state, workspace, nowMs);
+  const missingReports = Math.max(0, countVmsSharingLimits(state) - 1 - vmCount);
+  const meanDemand = (ownDemand + tokensPerSecond) / (vmCount + 1);
+  return tokensPerSecond + missingReports * Math.max(ownDemand, meanDemand);
+}
+
+/** Returns the capacity of all buckets of a workspace together. */
+function getTotalCapacity(state: EntryState, workspace: ForwardWorkspace): number {
+  const { burstTokens, rateTokensPerSecond } = workspace;
+  const { rateExcessPart, rateReserveTokens, rateWindowMs } = state.policy;
+  const windowTokens = (rateTokensPerSecond * rateWindowMs) / MS_PER_SECOND + burstTokens;
+  return burstTokens + (windowTokens * rateExcessPart + rateReserveTokens) * EXCESS_FRACTION;
+}
+
+/**
+ * Returns the VMs that have a share of a workspace's rate; null if all have one. Where the shares of all VMs would be
+ * too small for a request, only some have one, and the others borrow from them.
+ */
+export function getRateHolders(
+  state: EntryState,
+  workspace: ForwardWorkspace,
+): readonly string[] | null {
+  const capacity = getTotalCapacity(state, workspace);
+  const { rateReserveTokens } = state.policy;
+  const vmCount = countVmsSharingLimits(state);
+  if (capacity >= rateReserveTokens * MIN_SHARE_FRACTION * vmCount) {
+    return null;
+  }
+  const shareCount = Math.floor(capacity / (rateReserveTokens * HOLDER_SHARE_FRACTION));
+  const count = Math.min(vmCount, Math.max(MIN_HOLDERS, shareCount));
+  const { name } = workspace;
+  const { sharingVmIds } = state;
+  const known = state.rateHolders.get(name);
+  if (known !== undefined && known.vmIds === sharingVmIds && known.holders.length === count) {
+    return known.holders;
+  }
+  const holders = selectByRendezvous(name, [...sharingVmIds, state.self.vmId], count);
+  state.rateHolders.set(name, { vmIds: sharingVmIds, holders });
+  return holders;
 }
 
 /**
  * Returns this VM's share of a workspace's rate, in [0, 1]. Its own demand counts as last reported to the peers. They
  * have no newer value, so with one this VM would take a share that they have not given up yet.
  */
-export function getRateShare(state: EntryState, workspace: string, nowMs: number): number {
+export function getRateShare(
+  state: EntryState,
+  workspace: ForwardWorkspace,
+  nowMs: number,
+): number {
+  const holders = getRateHolders(state, workspace);
+  if (holders !== null) {
+    return holders.includes(state.self.vmId) ? 1 / holders.length : 0;
+  }
+  const { name } = workspace;
   const vmCount = countVmsSharingLimits(state);
-  const ownDemand = state.reportedDemands.get(workspace) ?? 0;
-  const total = ownDemand + getOthersDemand(state, workspace, ownDemand, vmCount, nowMs);
+  const ownDemand = state.reportedDemands.get(name) ?? 0;
+  const total = ownDemand + estimateOthersDemand(state, name, ownDemand, nowMs);
   const demandShare = total > 0 ? ownDemand / total : 1 / vmCount;
   return EQUAL_FRACTION / vmCount + (1 - EQUAL_FRACTION) * demandShare;
 }
 
+/** Returns the capacity of this VM's bucket. A VM without a share has room for what it borrows. */
+function getCapacity(state: EntryState, workspace: ForwardWorkspace, share: number): number {
+  const totalCapacity = getTotalCapacity(state, workspace);
+  if (share === 0 || getRateHolders(state, workspace) !== null) {
+    return share === 0 ? totalCapacity : totalCapacity * share;
+  }
+  const reserveTokens = state.policy.rateReserveTokens * EXCESS_FRACTION;
+  return (totalCapacity - reserveTokens) * share + reserveTokens / countVmsSharingLimits(state);
+}
+
 /** Returns this VM's bucket of a workspace, resized to the VM's current share. */
 export function getRateBucket(
   state: EntryState,
   workspace: ForwardWorkspace,
   nowMs: number,
 ): RateBucket {
-  const { burstTokens, name, rateTokensPerSecond } = workspace;
-  const { rateExcessPart, rateReserveTokens, rateWindowMs } = state.policy;
-  const share = getRateShare(state, name, nowMs);
-  const windowTokens = (rateTokensPerSecond * rateWindowMs) / MS_PER_SECOND + burstTokens;
-  const excessTokens = windowTokens * rateExcessPart * EXCESS_FRACTION * share;
-  const reserveTokens = (rateReserveTokens * EXCESS_FRACTION) / countVmsSharingLimits(state);
-  const capacity = burstTokens * share + excessTokens + reserveTokens;
+  const { name, rateTokensPerSecond } = workspace;
+  const share = getRateShare(state, workspace, nowMs);
+  const capacity = getCapacity(state, workspace, share);
   const rate = rateTokensPerSecond * share;
   const existing = state.buckets.get(name);
   if (existing === undefined) {
     // A bucket is created on first use, but refills from the start of the process.
-    const bucket = createRateBucket(
-      capacity,
-      rate,
-      capacity * INITIAL_LEVEL_FRACTION,
-      state.startedAtMs,
-    );
+    const level = share === 0 ? 0 : capacity * INITIAL_LEVEL_FRACTION;
+    const bucket = createRateBucket(capacity, rate, level, state.startedAtMs);
     state.buckets.set(name, bucket);
     return bucket;
   }
+  if (share === 0 && existing.rateTokensPerSecond > 0) {
+    // The share that these tokens are from now belongs to another VM.
+    existing.levelTokens = Math.min(0, existing.levelTokens);
+  }
   resizeRateBucket(existing, capacity, rate, nowMs);
   return existing;
 }
@@ -112,8 +158,12 @@
     return null;
   }
   const bucket = getRateBucket(state, workspace, nowMs);
-  return takeFromBucket(bucket, costTokens, nowMs)
-    ? null
+  if (takeFromBucket(bucket, costTokens, nowMs)) {
+    return null;
+  }
+  // A VM without a share waits for the others' buckets to refill.
+  return bucket.rateTokensPerSecond === 0
+    ? (costTokens * MS_PER_SECOND) / workspace.rateTokensPerSecond
     : getBucketWaitMs(bucket, costTokens, nowMs);
 }
 
--- /dev/null
+++ b/src/coordination/entry/relays.ts
@@ -0,0 +1,108 @@
+/**
+ * Chooses the VMs that read the store for the others.
+ *
+ * Each failure domain has two relays, which all VMs determine alike from the list of VMs: those with the most processor
+ * time, ties by hashing. The first reads the store, the second gets its changes from the first. Any other VM exchanges its
+ * reports for the store's changes and the demands of the fleet with one of them. A VM reads the store itself while it is
+ * the controller, and while no relay that it may use answers with current data.
+ */
+import { hashText } from '../../state/random.js';
+import { LogLevel } from '../events.js';
+import {
+  createEntryLog,
+  createEntryTimer,
+  type EntryCommand,
+  EntryCommandKind,
+  EntryLogPrefix,
+} from './commands.js';
+import { EntryEventKind, type ListedEntryVm } from './events.js';
+import { type EntryState, RelayRole } from './state.js';
+
+/** Two relays, so that the failure of one leaves another with the same data. */
+const RELAYS_PER_DOMAIN = 2;
+/** How long a relay that did not answer, or had no current data, is not asked again. */
+const RELAY_FAILURE_MS = 2_000;
+
+/** Orders VMs by their suitability as a relay or as the controller. */
+export function compareRelayRank(a: ListedEntryVm, b: ListedEntryVm): number {
+  return (
+    b.processorShare - a.processorShare ||
+    hashText(b.vmId) - hashText(a.vmId) ||
+    (a.vmId < b.vmId ? -1 : 1)
+  );
+}
+
+/** Returns the relays of all failure domains. */
+export function selectRelays(vms: readonly ListedEntryVm[]): ListedEntryVm[] {
+  const countsByDomain = new Map<string, number>();
+  return [...vms].sort(compareRelayRank).filter(({ failureDomain }) => {
+    const count = countsByDomain.get(failureDomain) ?? 0;
+    countsByDomain.set(failureDomain, count + 1);
+    return count < RELAYS_PER_DOMAIN;
+  });
+}
+
+function isRelay({ relays }: EntryState, vmId: string): boolean {
+  return relays.some((relay) => relay.vmId === vmId);
+}
+
+/** Returns the relays that this VM may use: the relays of its failure domain that come before it. */
+function listUsableRelays(state: EntryState): readonly ListedEntryVm[] {
+  const { failureDomain, vmId } = state.self;
+  const relays = state.relays.filter((relay) => relay.failureDomain === failureDomain);
+  const ownIndex = relays.findIndex((relay) => relay.vmId === vmId);
+  return ownIndex < 0 ? relays : relays.slice(0, ownIndex);
+}
+
+/** Returns the relay that this VM uses now; null if it reads the store itself. */
+export function selectRelay(state: EntryState, nowMs: number): ListedEntryVm | null {
+  if (state.placement.fence !== null) {
+    return null;
+  }
+  const getWeight = (relay: ListedEntryVm): number => hashText(`${state.self.vmId} ${relay.vmId}`);
+  const [relay = null] = listUsableRelays(state)
+    .filter(({ vmId }) => (state.relayFailedUntilMs.get(vmId) ?? 0) <= nowMs)
+    .sort((a, b) => getWeight(b) - getWeight(a));
+  return relay;
+}
+
+function getRole(state: EntryState, relay: ListedEntryVm | null): RelayRole {
+  if (relay === null) {
+    return RelayRole.Reader;
+  }
+  return isRelay(state, state.self.vmId) ? RelayRole.Standby : RelayRole.Relayed;
+}
+
+/** Adopts the role that the list of VMs and the failures of relays call for. */
+export function updateRelayRole(state: EntryState, nowMs: number): EntryCommand[] {
+  const relay = selectRelay(state, nowMs);
+  const relayId = relay?.vmId ?? '';
+  const role = getRole(state, relay);
+  if (role === state.relayRole && relayId === state.relayId) {
+    return [];
+  }
+  state.relayRole = role;
+  state.relayId = relayId;
+  const kind = EntryEventKind.PeerTick;
+  return [
+    { kind: EntryCommandKind.SetStoreAccess, isReader: role === RelayRole.Reader },
+    createEntryTimer(kind, 0, { kind }),
+    createEntryLog(LogLevel.Info, EntryLogPrefix.Store, 'The access to the store has changed.', {
+      role,
+      relay: relayId,
+    }),
+  ];
+}
+
+/** Records that a relay has not answered, or had no current data. */
+export function markRelayFailed(state: EntryState, vmId: string, nowMs: number): void {
+  state.relayFailedUntilMs.set(vmId, nowMs + RELAY_FAILURE_MS);
+}
+
+/** Returns the number of VMs of this VM's failure domain for each relay there. */
+export function countVmsPerRelay(state: EntryState): number {
+  const { failureDomain } = state.self;
+  const isLocal = (vm: ListedEntryVm): boolean => vm.failureDomain === failureDomain;
+  const relayCount = state.relays.filter(isLocal).length;
+  return state.listedVms.filter(isLocal).length / Math.max(1, relayCount);
+}
--- a/src/coordination/entry/serverLimits.ts
+++ b/src/coordination/entry/serverLimits.ts
@@ -22,6 +22,7 @@
 import { createEntryLog, type EntryCommand, EntryCommandKind, EntryLogPrefix } from './commands.js';
 import { type EntryEventKind, type EntryEventOf, LimitKind } from './events.js';
 import { spreadEvidence } from './evidenceSpread.js';
+import { findLender } from './lenders.js';
 import type { Loan } from './rateLoans.js';
 import { countVmsSharingLimits, type EntryState } from './state.js';
 
@@ -32,11 +33,9 @@
 const LOAN_REFUSAL_DELAY_MS = 300;
 /** A share of a limit that was unused for this time is used before other servers. */
 const LIMIT_VERIFICATION_MS = 5_000;
-/** VMs whose last report is older than this are not asked to lend. */
-const REPORT_MAX_AGE_MS = 2_500;
 
 function listHolders(state: EntryState, serverId: string, requestsPerSecond: number): string[] {
-  const vmIds = [state.self.vmId, ...state.vmsLastSeenAtMs.keys()];
+  const vmIds = [state.self.vmId, ...state.sharingVmIds];
   return selectShareHolders(serverId, vmIds, requestsPerSecond);
 }
 
@@ -51,9 +50,8 @@
 
 /** Adapts this VM's shares of all limits to the VMs that there are now, if these have changed. */
 export function updatePermitShares(state: EntryState, nowMs: number): void {
-  const vmIds = [...state.vmsLastSeenAtMs.keys()].sort().join(' ');
-  if (vmIds !== state.permitShareVmIds) {
-    state.permitShareVmIds = vmIds;
+  if (state.sharingVmIds !== state.permitShareVmIds) {
+    state.permitShareVmIds = state.sharingVmIds;
     state.backends.forEach((backend) => updateShare(state, backend, nowMs));
   }
 }
@@ -191,14 +189,9 @@
   { entry, limit }: Backend,
   nowMs: number,
 ): { readonly vmId: string; readonly peerAddress: string } | null {
-  const lenders = listHolders(state, entry.id, limit!.requestsPerSecond).flatMap((vmId) => {
-    const peer = state.peers.get(vmId);
-    const isAvailable =
-      peer !== undefined &&
-      nowMs - peer.reportReceivedAtMs < REPORT_MAX_AGE_MS &&
-      !peer.report.isLeaving;
-    return isAvailable ? [{ vmId, peerAddress: peer.report.peerAddress }] : [];
-  });
+  const lenders = listHolders(state, entry.id, limit!.requestsPerSecond).flatMap(
+    (vmId) => findLender(state, vmId, nowMs) ?? [],
+  );
   return lenders[nextRandomInt(state.random, Math.max(1, lenders.length))] ?? null;
 }
 
--- a/src/coordination/entry/state.ts
+++ b/src/coordination/entry/state.ts
@@ -16,7 +16,13 @@
   type Suspect,
 } from '../../state/entry/promptEvidence.js';
 import type { RateBucket } from '../../state/entry/rateBucket.js';
-import type { PlacementBoard, VmReport } from '../../state/entry/reports.js';
+import type {
+  BoardVersion,
+  FleetDemand,
+  ModelDemand,
+  PlacementBoard,
+  VmReport,
+} from '../../state/entry/reports.js';
 import { createRandom, type RandomState } from '../../state/random.js';
 import type { RunStatus } from '../../state/types.js';
 import { createDemandTable, type DemandTable } from './demand.js';
@@ -31,6 +37,8 @@
   readonly incarnation: string;
   readonly failureDomain: string;
   readonly peerAddress: string;
+  /** Processor time that the VM may use, in cores. */
+  readonly processorShare: number;
 }
 
 /** Phase of a forwarded request. */
@@ -104,10 +112,32 @@
   becameUnreachableAtMs: number;
 }
 
+/** How a VM gets the contents of the store. */
+export const RelayRole = {
+  /** It reads the store itself. */
+  Reader: 'reader',
+  /** It is a relay, and gets the changes from the first relay of its failure domain. */
+  Standby: 'standby',
+  /** It gets the changes from a relay, which also reports its demands. */
+  Relayed: 'relayed',
+} as const;
+export type RelayRole = (typeof RelayRole)[keyof typeof RelayRole];
+
 /** The last report of another VM and the time of its receipt. */
 export interface PeerRecord {
   report: VmReport;
   reportReceivedAtMs: number;
+  /** True if this VM relays for the VM, and so reports its demands. */
+  isRelayedHere: boolean;
+  /** The version of the board that the VM had when it last sent a message; null if it had none. */
+  knownBoard: BoardVersion | null;
+}
+
+/** The demands for models that another VM has reported. */
+export interface ReportedModelDemands {
+  readonly demands: readonly ModelDemand[];
+  readonly receivedAtMs: number;
+  readonly isRelayedHere: boolean;
 }
 
 /** Lifecycle of the process, which determines whether it accepts requests. */
@@ -157,6 +187,18 @@
   readonly retryBudgets: Map<string, RetryBudget>;
   readonly store: StoreStatus;
   listedVms: readonly ListedEntryVm[];
+  /** The VMs of all failure domains that read the store for the others. */
+  relays: readonly ListedEntryVm[];
+  readonly relayFailedUntilMs: Map<string, number>;
+  /** Null until the list of VMs was first read. */
+  relayRole: RelayRole | null;
+  /** The relay from which this VM gets the changes of the store; empty if it reads the store itself. */
+  relayId: string;
+  /** The demands of the fleet as the relay last sent them. */
+  fleetDemand: (FleetDemand & { readonly receivedAtMs: number }) | null;
+  readonly modelDemandsByVm: Map<string, ReportedModelDemands>;
+  /** Time of the last request for a newer configuration. */
+  fetchedAtMs: number;
   readonly peers: Map<string, PeerRecord>;
   /**
    * Time at which each other VM was last listed in the store or sent a report. A VM keeps its share of the
@@ -181,8 +223,15 @@
   /** Version of the store's key of the quarantines; 0 if it does not exist. */
   storedQuarantinesVersion: number;
   quarantinesWrittenAtMs: number;
-  /** The other VMs for which the shares of servers' request limits were last computed. */
-  permitShareVmIds: string;
+  /** The other VMs among which limits are divided, sorted; replaced when they change. */
+  sharingVmIds: readonly string[];
+  /** The value of `sharingVmIds` for which the shares of servers' request limits were last computed. */
+  permitShareVmIds: readonly string[];
+  /** The VMs with a share of each workspace's rate, and the value of `sharingVmIds` that they were selected from. */
+  readonly rateHolders: Map<
+    string,
+    { readonly vmIds: readonly string[]; readonly holders: readonly string[] }
+  >;
   /** Earliest time of the next trial of each quarantine, by its key. */
   readonly nextTrialAtMs: Map<string, number>;
 }
@@ -218,6 +267,13 @@
       becameUnreachableAtMs: Number.NEGATIVE_INFINITY,
     },
     listedVms: [],
+    relays: [],
+    relayFailedUntilMs: new Map(),
+    relayRole: null,
+    relayId: '',
+    fleetDemand: null,
+    modelDemandsByVm: new Map(),
+    fetchedAtMs: Number.NEGATIVE_INFINITY,
     peers: new Map(),
     vmsLastSeenAtMs: new Map(),
     reportSequence: 0,
@@ -232,7 +288,9 @@
     storedQuarantines: new Map(),
     storedQuarantinesVersion: 0,
     quarantinesWrittenAtMs: Number.NEGATIVE_INFINITY,
-    permitShareVmIds: '',
+    sharingVmIds: [],
+    permitShareVmIds: [],
+    rateHolders: new Map(),
     nextTrialAtMs: new Map(),
   };
 }
@@ -251,6 +309,10 @@
   [...vmsLastSeenAtMs.entries()]
     .filter(([, seenAtMs]) => nowMs - seenAtMs > state.policy.sharingGoneMs)
     .forEach(([vmId]) => vmsLastSeenAtMs.delete(vmId));
+  const vmIds = [...vmsLastSeenAtMs.keys()].sort();
+  if (vmIds.join(' ') !== state.sharingVmIds.join(' ')) {
+    state.sharingVmIds = vmIds;
+  }
 }
 
 /** Returns the number of VMs among which shared limits are divided, this VM included. */
--- a/src/protocol/entry/peerMessages.ts
+++ b/src/protocol/entry/peerMessages.ts
@@ -4,20 +4,36 @@
 import { create } from '@bufbuild/protobuf';
 import { type EvidenceReport } from '../../state/entry/evidenceReports.js';
 import { type Quarantine, QuarantineStatus } from '../../state/entry/promptEvidence.js';
-import type { PlacementBoard, VmReport } from '../../state/entry/reports.js';
+import type {
+  ModelDemand,
+  PlacementBoard,
+  VmReport,
+  WorkspaceDemand,
+} from '../../state/entry/reports.js';
+import type { PeerMessage } from '../../coordination/entry/events.js';
+import type { StoreUpdate } from '../../state/storedItems.js';
 import {
+  type ModelDemand as ModelDemandWire,
   type PeerMessage as PeerMessageWire,
   PeerMessageSchema,
+  type PlacementBoard as PlacementBoardWire,
   type PromptEvidence as PromptEvidenceWire,
   type VmReport as VmReportWire,
+  type WorkspaceDemand as WorkspaceDemandWire,
 } from '../gen/entry_pb.js';
 
-/** The content of a gossip message: VM reports, the controller's placement board if one is known, and evidence. */
-export interface EntryGossip {
-  readonly reports: readonly VmReport[];
-  readonly board: PlacementBoard | null;
-  /** Its times are relative to the time at which the message was sent. */
-  readonly evidence: EvidenceReport;
+/** What a VM answers to a request for the changes of the store. */
+export interface StoreReply {
+  /** Null if the VM knows nothing of the store, or less than the VM that asks. */
+  readonly changes: StoreUpdate | null;
+  /** True if the VM reads the store itself and its last read succeeded. */
+  readonly isCurrent: boolean;
+}
+
+/** The answer to a message. */
+export interface PeerReply {
+  readonly message: PeerMessage;
+  readonly store: StoreReply;
 }
 
 export const NO_EVIDENCE: EvidenceReport = {
@@ -64,42 +80,136 @@
   };
 }
 
-/** Encodes a gossip message. */
-export function encodeEntryGossip({ board, evidence, reports }: EntryGossip): PeerMessageWire {
-  return create(PeerMessageSchema, {
+function encodeModelDemand({ adapter, ...demand }: ModelDemand) {
+  return { ...demand, adapter: adapter ?? undefined };
+}
+
+function encodeWorkspaceDemand({ lenders, ...demand }: WorkspaceDemand) {
+  return { ...demand, lenders: [...lenders] };
+}
+
+function encodeBoard({ engines, ...board }: PlacementBoard) {
+  return {
+    ...board,
+    engines: engines.map((engine) => ({ ...engine, variants: [...engine.variants] })),
+  };
+}
+
+function encodeEvidence({ crashes, healthyParts, limits, quarantines }: EvidenceReport) {
+  return {
+    crashes: crashes.map((crash) => ({
+      ...crash,
+      suspects: crash.suspects.map(({ isAnswering, parts }) => ({
+        isAnswering,
+        parts: [...parts],
+      })),
+    })),
+    healthyParts: [...healthyParts],
+    quarantines: quarantines.map(encodeQuarantine),
+    limits: limits.map((limit) => ({
+      ...limit,
+      requestsPerSecond: limit.requestsPerSecond ?? undefined,
+    })),
+  };
+}
+
+function encodeMessage(message: PeerMessage) {
+  const { board, evidence, fleet, isRelayed, knownBoard, modelDemands, reports, senderId } =
+    message;
+  return {
+    senderId,
     reports: reports.map((report) => ({
       ...report,
-      workspaceDemands: [...report.workspaceDemands],
-      modelDemands: report.modelDemands.map((demand) => ({
-        ...demand,
-        adapter: demand.adapter ?? undefined,
-      })),
+      workspaceDemands: report.workspaceDemands.map(encodeWorkspaceDemand),
     })),
-    board:
-      board === null
+    board: board === null ? undefined : encodeBoard(board),
+    knownBoard: knownBoard ?? undefined,
+    evidence: encodeEvidence(evidence),
+    isRelayed,
+    modelDemands: modelDemands.map(encodeModelDemand),
+    fleet:
+      fleet === null ? undefined : { ...fleet, demands: fleet.demands.map(encodeWorkspaceDemand) },
+  };
+}
+
+/** Encodes a message that requests the changes of the store after a revision, unless that is null. */
+export function encodePeerRequest(
+  message: PeerMessage,
+  storeAfter: number | null,
+): PeerMessageWire {
+  return create(PeerMessageSchema, {
+    ...encodeMessage(message),
+    storeAfter: storeAfter ?? undefined,
+  });
+}
+
+/** Encodes the answer to a message. */
+export function encodePeerMessage(message: PeerMessage, store: StoreReply): PeerMessageWire {
+  const { changes, isCurrent } = store;
+  return create(PeerMessageSchema, {
+    ...encodeMessage(message),
+    store:
+      changes === null
         ? undefined
         : {
-            ...board,
-            engines: board.engines.map((engine) => ({ ...engine, variants: [...engine.variants] })),
+            isSnapshot: changes.isSnapshot,
+            items: changes.items.map(({ value, ...item }) => ({
+              ...item,
+              value: value ?? undefined,
+            })),
+            revision: changes.revision,
+            isCurrent,
           },
-    evidence: {
-      crashes: evidence.crashes.map((crash) => ({
-        ...crash,
-        suspects: crash.suspects.map(({ isAnswering, parts }) => ({
-          isAnswering,
-          parts: [...parts],
-        })),
-      })),
-      healthyParts: [...evidence.healthyParts],
-      quarantines: evidence.quarantines.map(encodeQuarantine),
-      limits: evidence.limits.map((limit) => ({
-        ...limit,
-        requestsPerSecond: limit.requestsPerSecond ?? undefined,
-      })),
-    },
   });
 }
 
+/** Decodes the changes of the store in an answer. */
+export function decodeStoreReply({ store }: PeerMessageWire): StoreReply {
+  if (store === undefined) {
+    return { changes: null, isCurrent: false };
+  }
+  const { isCurrent, isSnapshot, items, revision } = store;
+  const changes = {
+    isSnapshot,
+    items: items.map(({ key, value, version }) => ({ key, value: value ?? null, version })),
+    revision,
+  };
+  return { changes, isCurrent };
+}
+
+function decodeWorkspaceDemand(wire: WorkspaceDemandWire): WorkspaceDemand {
+  return {
+    name: wire.name,
+    tokensPerSecond: wire.tokensPerSecond,
+    lenders: wire.lenders.map(({ spareTokens, vmId }) => ({ vmId, spareTokens })),
+  };
+}
+
+function decodeModelDemand(wire: ModelDemandWire): ModelDemand {
+  return {
+    service: wire.service,
+    model: wire.model,
+    adapter: wire.adapter ?? null,
+    tokensPerSecond: wire.tokensPerSecond,
+    valuePerSecond: wire.valuePerSecond,
+    waitingRequests: wire.waitingRequests,
+  };
+}
+
+function decodeBoard(wire: PlacementBoardWire): PlacementBoard {
+  return {
+    fence: wire.fence,
+    sequence: wire.sequence,
+    baseSequence: wire.baseSequence,
+    engines: wire.engines.map(({ backendId, bornAtWallMs, sequence, variants }) => ({
+      backendId,
+      bornAtWallMs,
+      variants,
+      sequence,
+    })),
+  };
+}
+
 function decodeReport(wire: VmReportWire): VmReport {
   return {
     vmId: wire.vmId,
@@ -110,39 +220,26 @@
     configurationVersion: wire.configurationVersion,
     backendsRevision: wire.backendsRevision,
     isLeaving: wire.isLeaving,
-    workspaceDemands: wire.workspaceDemands.map(({ name, spareTokens, tokensPerSecond }) => ({
-      name,
-      tokensPerSecond,
-      spareTokens,
-    })),
-    modelDemands: wire.modelDemands.map((demand) => ({
-      service: demand.service,
-      model: demand.model,
-      adapter: demand.adapter ?? null,
-      tokensPerSecond: demand.tokensPerSecond,
-      valuePerSecond: demand.valuePerSecond,
-      waitingRequests: demand.waitingRequests,
-    })),
+    workspaceDemands: wire.workspaceDemands.map(decodeWorkspaceDemand),
+    vmCount: wire.vmCount,
   };
 }
 
-/** Decodes a gossip message. */
-export function decodeEntryGossip(wire: PeerMessageWire): EntryGossip {
-  const { board } = wire;
+/** Decodes a message, without the changes of the store. */
+export function decodePeerMessage(wire: PeerMessageWire): PeerMessage {
+  const { board, fleet, knownBoard } = wire;
   return {
+    senderId: wire.senderId,
     reports: wire.reports.map(decodeReport),
+    board: board === undefined ? null : decodeBoard(board),
+    knownBoard:
+      knownBoard === undefined ? null : { fence: knownBoard.fence, sequence: knownBoard.sequence },
     evidence: decodeEvidence(wire.evidence),
-    board:
-      board === undefined
+    isRelayed: wire.isRelayed,
+    modelDemands: wire.modelDemands.map(decodeModelDemand),
+    fleet:
+      fleet === undefined
         ? null
-        : {
-            fence: board.fence,
-            sequence: board.sequence,
-            engines: board.engines.map(({ backendId, bornAtWallMs, variants }) => ({
-              backendId,
-              bornAtWallMs,
-              variants,
-            })),
-          },
+        : { demands: fleet.demands.map(decodeWorkspaceDemand), vmCount: fleet.vmCount },
   };
 }
--- a/src/state/entry/permitShares.ts
+++ b/src/state/entry/permitShares.ts
@@ -3,7 +3,7 @@
  * add their first requests to those of all. Every VM finds the same ones from the list of VMs, without asking. The rest
  * borrow.
  */
-import { hashText } from '../random.js';
+import { selectByRendezvous } from './rendezvous.js';
 
 /** VMs beyond the limit per second that may have a share; a low limit then still has several. */
 const MIN_SHARES = 3;
@@ -30,10 +30,6 @@
   return Math.max(MIN_REQUESTS_PER_SECOND, requestsPerSecond) * SHARES_FACTOR;
 }
 
-function getWeight(serverId: string, vmId: string): number {
-  return hashText(`${vmId} ${serverId}`);
-}
-
 /** Returns the VMs that have a share of a server's limit: those with the highest weights. */
 export function selectShareHolders(
   serverId: string,
@@ -42,11 +38,7 @@
 ): string[] {
   const limit = Math.max(MIN_REQUESTS_PER_SECOND, requestsPerSecond);
   const count = Math.min(vmIds.length, Math.floor(limit) + MIN_SHARES);
-  return vmIds
-    .map((vmId) => ({ vmId, weight: getWeight(serverId, vmId) }))
-    .sort((a, b) => b.weight - a.weight || (a.vmId < b.vmId ? -1 : 1))
-    .slice(0, count)
-    .map(({ vmId }) => vmId);
+  return selectByRendezvous(serverId, vmIds, count);
 }
 
 /** Returns one VM's share of a server's limit; a VM without one earns nothing, and may hold one borrowed permit. */
--- a/src/state/entry/reports.ts
+++ b/src/state/entry/reports.ts
@@ -1,14 +1,20 @@
 /**
- * Data that entry VMs exchange: the demand at each VM, and the adapters that the controller has placed on engines.
+ * Data that entry VMs exchange: the demand at the VMs, and the adapters that the controller has placed on engines.
  * Peer messages carry these types, so their members have the names of the wire format.
  */
 
-/** Demand for a workspace's rate at one VM, as an exponentially decaying average of the requested tokens. */
+/** A VM that has tokens of a workspace's rate that it can lend. */
+export interface Lender {
+  readonly vmId: string;
+  readonly spareTokens: number;
+}
+
+/** Demand for a workspace's rate, as an exponentially decaying average of the requested tokens. */
 export interface WorkspaceDemand {
   readonly name: string;
   readonly tokensPerSecond: number;
-  /** Tokens of the workspace's rate that the VM can lend to other VMs. */
-  readonly spareTokens: number;
+  /** VMs with the most spare tokens. */
+  readonly lenders: readonly Lender[];
 }
 
 /** Demand for a model, or for an adapter on it. */
@@ -23,7 +29,10 @@
   readonly waitingRequests: number;
 }
 
-/** A VM's report of its own state. A report with a higher sequence number replaces one of the same incarnation. */
+/**
+ * A VM's report of its own state, and of the demand at the VMs that it relays for. A report with a higher sequence
+ * number replaces one of the same incarnation.
+ */
 export interface VmReport {
   readonly vmId: string;
   readonly incarnation: string;
@@ -34,7 +43,14 @@
   readonly backendsRevision: number;
   readonly isLeaving: boolean;
   readonly workspaceDemands: readonly WorkspaceDemand[];
-  readonly modelDemands: readonly ModelDemand[];
+  /** Number of VMs whose demands the report includes. */
+  readonly vmCount: number;
+}
+
+/** The demands over all VMs that have reported recently. */
+export interface FleetDemand {
+  readonly demands: readonly WorkspaceDemand[];
+  readonly vmCount: number;
 }
 
 /** Adapters that an engine holds according to the controller's orders, each as `model/adapter`. */
@@ -42,23 +58,62 @@
   readonly backendId: string;
   readonly bornAtWallMs: number;
   readonly variants: readonly string[];
+  /** Sequence number of the board at which the variants last changed. */
+  readonly sequence: number;
 }
 
-/**
- * The controller's current placement of adapters on engines. A board with a higher fencing token replaces another, and
- * among those with the same token the one with the higher sequence number.
- */
-export interface PlacementBoard {
+/** Version of a board. A higher fencing token is later, and among equal ones a higher sequence number. */
+export interface BoardVersion {
   readonly fence: number;
   readonly sequence: number;
+}
+
+/** The controller's placement of adapters on engines, or what has changed in it since an earlier version. */
+export interface PlacementBoard extends BoardVersion {
   readonly engines: readonly EngineAdapters[];
+  /** Sequence number of the version that the changes follow; 0 for the whole placement. */
+  readonly baseSequence: number;
 }
 
-/** Returns true if a board replaces the known one. */
-export function isLaterBoard(board: PlacementBoard, known: PlacementBoard | null): boolean {
+/** Returns true if a board is later than the known version. */
+export function isLaterBoard(board: BoardVersion, known: BoardVersion | null): boolean {
   return (
     known === null ||
     board.fence > known.fence ||
     (board.fence === known.fence && board.sequence > known.sequence)
   );
 }
+
+/** Returns what a VM that has the known version lacks of a board; null if it lacks nothing. */
+export function createBoardUpdate(
+  board: PlacementBoard | null,
+  known: BoardVersion | null,
+): PlacementBoard | null {
+  if (board === null || !isLaterBoard(board, known)) {
+    return null;
+  }
+  if (known?.fence !== board.fence) {
+    return board;
+  }
+  const engines = board.engines.filter(({ sequence }) => sequence > known.sequence);
+  return { ...board, engines, baseSequence: known.sequence };
+}
+
+/** Applies an update to a board. Returns the known board if the update is not later or follows an unknown version. */
+export function mergeBoard(
+  known: PlacementBoard | null,
+  update: PlacementBoard | null,
+): PlacementBoard | null {
+  if (update === null || !isLaterBoard(update, known)) {
+    return known;
+  }
+  if (update.baseSequence === 0) {
+    return update;
+  }
+  if (known?.fence !== update.fence || known.sequence < update.baseSequence) {
+    return known;
+  }
+  const changed = new Set(update.engines.map(({ backendId }) => backendId));
+  const kept = known.engines.filter(({ backendId }) => !changed.has(backendId));
+  return { ...update, engines: [...kept, ...update.engines], baseSequence: 0 };
+}
--- a/src/transport/entry/commandTable.ts
+++ b/src/transport/entry/commandTable.ts
@@ -13,6 +13,7 @@
   type EntryEvent,
   EntryEventKind,
   EngineOrderOutcome,
+  StoreRequest,
 } from '../../coordination/entry/events.js';
 import type { EntryVmIdentity } from '../../coordination/entry/state.js';
 import { LogLevel } from '../../coordination/events.js';
@@ -42,7 +43,7 @@
 } from './exchange.js';
 import { applyCallerTimeouts } from './forwardServer.js';
 import { encodeQuarantines, EntryKey } from './storeKeys.js';
-import { applyBackends, applyConfiguration, type WatchContext } from './storeWatches.js';
+import { applyStoreUpdate, type StoreAccess, type WatchContext } from './storeWatches.js';
 import type { SuspensionDetector } from './suspensionDetector.js';
 import type { EntryWire } from './wire.js';
 
@@ -66,6 +67,7 @@
   readonly replies: EntryReplies;
   readonly createReplyId: () => string;
   readonly watches: WatchContext;
+  readonly storeAccess: StoreAccess;
   readonly controllerLease: ControllerLease;
   readonly controllerLeaseMs: number;
   readonly suspension: SuspensionDetector;
@@ -93,7 +95,7 @@
 type PeerKind =
   | typeof EntryCommandKind.SendPeerMessage
   | typeof EntryCommandKind.ReplyToPeer
-  | typeof EntryCommandKind.FetchFromPeer
+  | typeof EntryCommandKind.SetStoreAccess
   | typeof EntryCommandKind.RequestAdapter
   | typeof EntryCommandKind.ReplyToAdapterRequest
   | typeof EntryCommandKind.RequestLoan
@@ -163,49 +165,46 @@
 
 function createPeerExecutors(context: EntryCommandContext): Pick<ExecutorTable, PeerKind> {
   const { createReplyId, peers, post, replies, self, suspension, watches, writeLog } = context;
+  const { storeAccess } = context;
   const logUnansweredCall = (peerAddress: string, { key: reason }: Diagnostic): void => {
     writeLog(LogLevel.Debug, EntryLogPrefix.Peer, 'A peer did not answer.', {
       peerAddress,
       reason,
     });
   };
-  const pendingFetches = new Set<string>();
+  const recordRelayAnswer = (vmId: string, isCurrent: boolean): void => {
+    if (isCurrent) {
+      storeAccess.recordRelayed();
+      post({ kind: EntryEventKind.StoreReachabilityRead, isReachable: true });
+    } else {
+      post({ kind: EntryEventKind.PeerCallFailed, vmId });
+    }
+  };
   return {
-    [EntryCommandKind.SendPeerMessage]: ({ board, evidence, peerAddress, reports }) => {
-      const exchange = peers.exchange(peerAddress, { reports, board, evidence });
+    [EntryCommandKind.SendPeerMessage]: ({ message, peerAddress, storeRequest, vmId }) => {
+      const storeAfter = storeRequest === StoreRequest.None ? null : watches.mirror.revision;
       runDetached(
-        Effect.match(exchange, {
-          onFailure: (diagnostic) => logUnansweredCall(peerAddress, diagnostic),
-          onSuccess: (reply) => post({ kind: EntryEventKind.PeerMessage, ...reply, replyId: null }),
-        }),
-      );
-    },
-    [EntryCommandKind.ReplyToPeer]: ({ board, evidence, replyId, reports }) => {
-      replies.gossip.get(replyId)?.({ reports, board, evidence });
-    },
-    [EntryCommandKind.FetchFromPeer]: ({ peerAddress }) => {
-      if (pendingFetches.has(peerAddress)) {
-        return;
-      }
-      pendingFetches.add(peerAddress);
-      runDetached(
-        Effect.match(peers.fetchState(peerAddress), {
+        Effect.match(peers.exchange(peerAddress, message, storeAfter), {
           onFailure: (diagnostic) => {
-            pendingFetches.delete(peerAddress);
             logUnansweredCall(peerAddress, diagnostic);
+            post({ kind: EntryEventKind.PeerCallFailed, vmId });
           },
-          onSuccess: ({ backends, backendsRevision: revision, configuration }) => {
-            pendingFetches.delete(peerAddress);
-            if (configuration !== undefined) {
-              applyConfiguration(watches, configuration, peerAddress);
+          onSuccess: ({ message: reply, store }) => {
+            if (store.changes !== null) {
+              applyStoreUpdate(watches, store.changes, peerAddress);
             }
-            if (revision > 0) {
-              applyBackends(watches, { items: backends, revision }, true, peerAddress);
+            post({ kind: EntryEventKind.PeerMessage, message: reply, replyId: null });
+            if (storeRequest === StoreRequest.Relay) {
+              recordRelayAnswer(vmId, store.isCurrent);
             }
           },
         }),
       );
     },
+    [EntryCommandKind.ReplyToPeer]: ({ message, replyId }) => {
+      replies.exchanges.get(replyId)?.(message);
+    },
+    [EntryCommandKind.SetStoreAccess]: ({ isReader }) => storeAccess.setReader(isReader),
     [EntryCommandKind.RequestAdapter]: ({ peerAddress, ...request }) => {
       const { adapter, failureDomain, model, service } = request;
       const replyId = createReplyId();
--- a/src/transport/entry/entryDaemon.ts
+++ b/src/transport/entry/entryDaemon.ts
@@ -13,6 +13,7 @@
 import { createEventLoop, readClockMs } from '../../coordination/loop.js';
 import { createDiagnostic, DiagnosticError, Diagnostics } from '../../state/diagnostics.js';
 import type { CallerLimits } from '../../state/entry/deployment.js';
+import { createStoreMirror } from '../../state/entry/storeMirror.js';
 import { createRandom, nextRandom } from '../../state/random.js';
 import { createControllerLease } from '../controllerLease.js';
 import { splitAddress } from '../httpCall.js';
@@ -27,7 +28,7 @@
 import { createMetricsServer } from './metricsServer.js';
 import { createEntryPolicy, type EntrySettings } from './settings.js';
 import { encodeControllerLeaseHolder, EntryKey } from './storeKeys.js';
-import { createStoreView, createStoreWatches, type WatchContext } from './storeWatches.js';
+import { createStoreAccess, createWatchContext } from './storeWatches.js';
 import { createSuspensionDetector } from './suspensionDetector.js';
 import { createVmRegistration } from './vmRegistration.js';
 import type { EntryWire } from './wire.js';
@@ -98,8 +99,8 @@
   const clock = Effect.runSync(Clock.clockWith(Effect.succeed));
   const getNowMs = (): number => readClockMs(clock);
   const incarnation = randomBytes(INCARNATION_BYTES).toString('hex');
-  const { failureDomain, peerAddress, vmId } = settings;
-  const self = { vmId, incarnation, failureDomain, peerAddress };
+  const { failureDomain, peerAddress, processorShare, vmId } = settings;
+  const self = { vmId, incarnation, failureDomain, peerAddress, processorShare };
   const seed = randomBytes(4).readUInt32LE();
   const random = createRandom(seed);
   const state = createEntryState(self, createEntryPolicy(settings), seed, getNowMs());
@@ -107,8 +108,8 @@
   const eventSink: { post: (event: EntryEvent) => void } = { post: () => {} };
   const post = (event: EntryEvent): void => eventSink.post(event);
   const exchanges = new Map<string, ForwardExchange>();
-  const replies: EntryReplies = { gossip: new Map(), adapters: new Map(), loans: new Map() };
-  const view = createStoreView();
+  const replies: EntryReplies = { exchanges: new Map(), adapters: new Map(), loans: new Map() };
+  const mirror = createStoreMirror();
   const metrics = createMetrics();
   const agents = createBackendAgents();
   const peers = createEntryPeerClient();
@@ -116,21 +117,29 @@
     limits: null,
     isReady: false,
   };
-  const watches: WatchContext = {
+  const watches = createWatchContext({
     store,
     wire,
     post,
     writeLog,
     nextRandom: () => nextRandom(random),
-    view,
+    mirror,
     isController: () => state.placement.fence !== null,
+    getWatchWaitMs: () => state.policy.watchWaitMs,
+    getNowMs,
     getWallMs: () => clock.currentTimeMillisUnsafe(),
-  };
-  const registration = createVmRegistration(store, self, writeLog);
+  });
+  const storeAccess = createStoreAccess(watches);
+  const registration = createVmRegistration(store, self, writeLog, (vms) =>
+    post({ kind: EntryEventKind.VmsRead, vms }),
+  );
   const suspension = createSuspensionDetector(
     getNowMs,
     () => clock.currentTimeMillisUnsafe(),
-    (lostMs) => post({ kind: EntryEventKind.Suspended, lostMs }),
+    (lostMs) => {
+      storeAccess.invalidate();
+      post({ kind: EntryEventKind.Suspended, lostMs });
+    },
   );
 
   const server = createForwardServer({
@@ -144,7 +153,13 @@
   });
   const readyServer = createReadinessServer(wire.readyPath, () => current.isReady);
   const createReplyId = createIdGenerator('reply');
-  const peerServer = createEntryPeerServer({ post, replies, createReplyId, view });
+  const peerServer = createEntryPeerServer({
+    post,
+    replies,
+    createReplyId,
+    mirror,
+    isStoreCurrent: storeAccess.isCurrent,
+  });
   const metricsServer = createMetricsServer(metrics, state, log);
 
   let resolveEnded = (): void => {};
@@ -175,6 +190,7 @@
     replies,
     createReplyId,
     watches,
+    storeAccess,
     controllerLease: createControllerLease(
       store,
       encodeControllerLeaseHolder({ vmId, incarnation, peerAddress }),
@@ -214,7 +230,7 @@
       }),
     ),
   );
-  createStoreWatches(watches).forEach((watch) => Effect.runFork(watch));
+  Effect.runFork(storeAccess.run);
   Effect.runFork(registration.run);
   post({ kind: EntryEventKind.MaintenanceTick });
   post({ kind: EntryEventKind.PeerTick });
--- a/src/transport/entry/entryPeers.ts
+++ b/src/transport/entry/entryPeers.ts
@@ -4,6 +4,7 @@
  */
 import http, { type Server } from 'node:http';
 import { create } from '@bufbuild/protobuf';
+import { Code, ConnectError } from '@connectrpc/connect';
 import { connectNodeAdapter } from '@connectrpc/connect-node';
 import { Effect } from 'effect';
 import {
@@ -11,23 +12,23 @@
   EntryEventKind,
   LimitKind,
   type LimitName,
+  type PeerMessage,
 } from '../../coordination/entry/events.js';
 import {
-  decodeEntryGossip,
-  encodeEntryGossip,
-  type EntryGossip,
-  NO_EVIDENCE,
+  decodePeerMessage,
+  decodeStoreReply,
+  encodePeerMessage,
+  encodePeerRequest,
+  type PeerReply,
 } from '../../protocol/entry/peerMessages.js';
 import {
   EnsureAdapterResponseSchema,
   EntryPeerService,
-  type FetchStateResponse,
-  FetchStateResponseSchema,
   LendRateResponseSchema,
 } from '../../protocol/gen/entry_pb.js';
 import type { Diagnostic } from '../../state/diagnostics.js';
+import { readStoreMirror, type StoreMirror } from '../../state/entry/storeMirror.js';
 import { createPeerCalls, MAX_PEER_MESSAGE_BYTES } from '../peerCalls.js';
-import type { StoreView } from './storeWatches.js';
 
 /** A peer that does not reply within this time is partitioned or suspended. */
 const PEER_TIMEOUT_MS = 700;
@@ -37,7 +38,6 @@
 const LOAN_TIMEOUT_MS = 150;
 /** The reply of a VM that lends no tokens. */
 export const NO_LOAN: RateLoan = { lentTokens: 0, spareTokens: 0 };
-const EMPTY_GOSSIP: EntryGossip = { reports: [], board: null, evidence: NO_EVIDENCE };
 
 /** Tokens that a VM lends to another VM, and tokens that it could lend in addition. */
 export interface RateLoan {
@@ -47,7 +47,7 @@
 
 /** Callbacks of the calls from peers that wait for a reply of the event loop, by reply id. */
 export interface EntryReplies {
-  readonly gossip: Map<string, (gossip: EntryGossip) => void>;
+  readonly exchanges: Map<string, (message: PeerMessage | null) => void>;
   readonly adapters: Map<string, (backendId: string | null) => void>;
   readonly loans: Map<string, (loan: RateLoan) => void>;
 }
@@ -57,7 +57,9 @@
   readonly post: (event: EntryEvent) => void;
   readonly replies: EntryReplies;
   readonly createReplyId: () => string;
-  readonly view: StoreView;
+  readonly mirror: StoreMirror;
+  /** Returns true if the mirror has the current contents of the store. */
+  readonly isStoreCurrent: () => boolean;
 }
 
 /** Waits for a reply of the event loop. Resolves with the fallback after the timeout. */
@@ -80,33 +82,25 @@
   });
 }
 
-function encodeStoreView({
-  backends,
-  backendsRevision,
-  configuration,
-}: StoreView): FetchStateResponse {
-  return create(FetchStateResponseSchema, {
-    configuration: configuration ?? undefined,
-    backends: [...backends.values()].map(({ key, value, version }) => ({
-      key,
-      value: value ?? '',
-      version,
-    })),
-    backendsRevision,
-  });
-}
-
 /** Creates the server for peers. The caller starts it with `listen`. */
 export function createEntryPeerServer(context: EntryPeerContext): Server {
-  const { createReplyId, post, replies, view } = context;
+  const { createReplyId, post, replies } = context;
   const handler = connectNodeAdapter({
     routes: (router) => {
       router.service(EntryPeerService, {
         exchange: async (request) => {
           const replyId = createReplyId();
-          const reply = waitForReply(replies.gossip, replyId, PEER_TIMEOUT_MS, EMPTY_GOSSIP);
-          post({ kind: EntryEventKind.PeerMessage, ...decodeEntryGossip(request), replyId });
-          return encodeEntryGossip(await reply);
+          const reply = waitForReply(replies.exchanges, replyId, PEER_TIMEOUT_MS, null);
+          const message = decodePeerMessage(request);
+          post({ kind: EntryEventKind.PeerMessage, message, replyId });
+          const answer = await reply;
+          if (answer === null) {
+            throw new ConnectError('the event loop did not answer in time', Code.Unavailable);
+          }
+          const { storeAfter } = request;
+          const changes =
+            storeAfter === undefined ? null : readStoreMirror(context.mirror, storeAfter);
+          return encodePeerMessage(answer, { changes, isCurrent: context.isStoreCurrent() });
         },
         ensureAdapter: async ({ adapter, failureDomain, model, service }) => {
           const replyId = createReplyId();
@@ -116,7 +110,6 @@
           const backendId = (await reply) ?? undefined;
           return create(EnsureAdapterResponseSchema, { backendId });
         },
-        fetchState: () => encodeStoreView(view),
         lendRate: async ({ isServer, name, tokens }) => {
           const replyId = createReplyId();
           const reply = waitForReply(replies.loans, replyId, LOAN_TIMEOUT_MS, NO_LOAN);
@@ -141,15 +134,16 @@
 
 /** Calls peers. Every call has a timeout. */
 export interface EntryPeerClient {
+  /** Sends a message, and requests the changes of the store after a revision unless that is null. */
   readonly exchange: (
     address: string,
-    gossip: EntryGossip,
-  ) => Effect.Effect<EntryGossip, Diagnostic>;
+    message: PeerMessage,
+    storeAfter: number | null,
+  ) => Effect.Effect<PeerReply, Diagnostic>;
   readonly ensureAdapter: (
     address: string,
     request: AdapterRequest,
   ) => Effect.Effect<string | null, Diagnostic>;
-  readonly fetchState: (address: string) => Effect.Effect<FetchStateResponse, Diagnostic>;
   readonly requestLoan: (
     address: string,
     limit: LimitName,
@@ -163,15 +157,19 @@
   const { call, close } = createPeerCalls(EntryPeerService);
   const timeoutMs = PEER_TIMEOUT_MS;
   return {
-    exchange: (address, gossip) =>
-      call(address, (client) => client.exchange(encodeEntryGossip(gossip), { timeoutMs })).pipe(
-        Effect.map(decodeEntryGossip),
+    exchange: (address, message, storeAfter) =>
+      call(address, (client) =>
+        client.exchange(encodePeerRequest(message, storeAfter), { timeoutMs }),
+      ).pipe(
+        Effect.map((reply) => ({
+          message: decodePeerMessage(reply),
+          store: decodeStoreReply(reply),
+        })),
       ),
     ensureAdapter: (address, request) =>
       call(address, (client) =>
         client.ensureAdapter(request, { timeoutMs: ADAPTER_TIMEOUT_MS }),
       ).pipe(Effect.map(({ backendId }) => backendId ?? null)),
-    fetchState: (address) => call(address, (client) => client.fetchState({}, { timeoutMs })),
     requestLoan: (address, { kind, name }, tokens) =>
       call(address, (client) =>
         client.lendRate(
--- a/src/transport/entry/metricsServer.ts
+++ b/src/transport/entry/metricsServer.ts
@@ -2,7 +2,7 @@
  * Serves the metrics of an entry VM over HTTP in the Prometheus text format.
  */
 import http, { type Server } from 'node:http';
-import { countLiveVms, type EntryState } from '../../coordination/entry/state.js';
+import { countLiveVms, type EntryState, RelayRole } from '../../coordination/entry/state.js';
 import { countHeldQuarantines } from '../../state/entry/quarantineTable.js';
 import type { Metrics } from '../metrics.js';
 import type { EntryLog } from './entryLog.js';
@@ -23,6 +23,7 @@
   gentiandeck_backends_revision: ({ backendsRevision }) => backendsRevision,
   gentiandeck_open_requests: ({ requests }) => requests.size,
   gentiandeck_live_vms: (state) => countLiveVms(state, Number.POSITIVE_INFINITY),
+  gentiandeck_store_reader: ({ relayRole }) => Number(relayRole === RelayRole.Reader),
   gentiandeck_store_reachable: ({ store }) => Number(store.isReachable),
   gentiandeck_controller: ({ placement }) => Number(placement.fence !== null),
   gentiandeck_quarantines: ({ promptEvidence }) => countHeldQuarantines(promptEvidence),
--- a/src/transport/entry/storeKeys.ts
+++ b/src/transport/entry/storeKeys.ts
@@ -11,7 +11,7 @@
 
 const PREFIX = 'gentiandeck/';
 
-/** Keys and key prefixes. All keys have one common prefix, so that a single watch covers them. */
+/** Keys and key prefixes. All keys have one common prefix. */
 export const EntryKey = {
   Prefix: PREFIX,
   /** Prefix of the VMs' registrations: one key for each VM, bound to a lease. */
@@ -28,6 +28,7 @@
   incarnation: Schema.String,
   failureDomain: Schema.String,
   peerAddress: Schema.String,
+  processorShare: Schema.Number,
 });
 
 const LeaseHolderSchema = Schema.Struct({
--- a/src/transport/entry/storeWatches.ts
+++ b/src/transport/entry/storeWatches.ts
@@ -1,8 +1,8 @@
 /**
- * Watches the store and posts what changes as events to the event loop. Keeps the configuration and the entries of the
- * backend servers as they were written, for peers that cannot reach the store.
+ * Reads the store and posts what changes as events to the event loop. Keeps its contents as they were written, for the
+ * VMs that do not read the store themselves.
  */
-import { Effect } from 'effect';
+import { Effect, Latch } from 'effect';
 import { EntryLogPrefix } from '../../coordination/entry/commands.js';
 import {
   type BackendChange,
@@ -13,7 +13,9 @@
 } from '../../coordination/entry/events.js';
 import { LogLevel } from '../../coordination/events.js';
 import type { Diagnostic } from '../../state/diagnostics.js';
-import type { PrefixStore, StoredItem, StoredItems } from '../keyValueStore.js';
+import { type StoreMirror, updateStoreMirror } from '../../state/entry/storeMirror.js';
+import type { StoredItem, StoreUpdate } from '../../state/storedItems.js';
+import type { PrefixStore } from '../keyValueStore.js';
 import type { EntryLogWriter } from './entryLog.js';
 import {
   decodeControllerLeaseHolder,
@@ -23,28 +25,21 @@
 } from './storeKeys.js';
 import type { EntryWire } from './wire.js';
 
-/**
- * Time for which one call waits for changes. A shorter time detects a dead connection sooner, but costs more calls.
- * This time, the client's timeout margin and one retry together take less than the three seconds for which the
- * platform tolerates that a VM has no contact with the store.
- */
-const WATCH_WAIT_MS = 1_900;
+/** The prefix of all keys. One watch on it takes fewer calls than one on each part of the store. */
+const WHOLE_STORE = '';
+/** Names the store as the source of what was read, in log lines. */
+const STORE_SOURCE = 'store';
 /**
  * Delay after a change, so that one call reads several changes in quick succession. It is shorter on the controller,
  * which waits for the changes of each engine.
  */
 const BATCH_DELAY_MS = 200;
 const CONTROLLER_BATCH_DELAY_MS = 40;
+/** Data that a relay has sent counts as current for this time. */
+const RELAYED_DATA_MAX_AGE_MS = 1_000;
 const MIN_RETRY_DELAY_MS = 100;
 const MAX_RETRY_DELAY_MS = 400;
 
-/** The configuration and the backend servers' entries as this VM last read them. */
-export interface StoreView {
-  configuration: string | null;
-  readonly backends: Map<string, StoredItem>;
-  backendsRevision: number;
-}
-
 /** Dependencies of the watches. */
 export interface WatchContext {
   readonly store: PrefixStore;
@@ -52,62 +47,19 @@
   readonly post: (event: EntryEvent) => void;
   readonly writeLog: EntryLogWriter;
   readonly nextRandom: () => number;
-  readonly view: StoreView;
+  readonly mirror: StoreMirror;
   readonly isController: () => boolean;
+  readonly getWatchWaitMs: () => number;
+  /** Posts what the VMs have written to the store. */
+  readonly applyEntryKeys: (items: readonly StoredItem[], isSnapshot: boolean) => void;
+  readonly getNowMs: () => number;
   /** Reads the wall clock. */
   readonly getWallMs: () => number;
 }
 
-/** Creates an empty view. */
-export function createStoreView(): StoreView {
-  return { configuration: null, backends: new Map(), backendsRevision: 0 };
-}
-
-/** The prefix of one watch, and the handlers of what it reads. */
-interface PrefixWatch {
-  readonly prefix: string;
-  readonly apply: (items: StoredItems, isSnapshot: boolean) => void;
-  readonly recordReachability: (isReachable: boolean) => void;
-}
-
-/** Lists a prefix, then waits for its changes in an endless loop; lists it again if the store has dropped changes. */
-function watchPrefix(context: WatchContext, watch: PrefixWatch): Effect.Effect<never> {
-  const { nextRandom, store } = context;
-  const { apply, prefix, recordReachability } = watch;
-  let revision: number | null = null;
-  const readOnce: Effect.Effect<void, Diagnostic> = Effect.gen(function* readStep() {
-    if (revision === null) {
-      const items = yield* store.list(prefix);
-      recordReachability(true);
-      apply(items, true);
-      revision = items.revision;
-      return;
-    }
-    const changes = yield* store.waitForChanges(prefix, revision, WATCH_WAIT_MS);
-    recordReachability(true);
-    revision = changes?.revision ?? null;
-    if (changes !== null && changes.items.length > 0) {
-      apply(changes, false);
-      yield* Effect.sleep(context.isController() ? CONTROLLER_BATCH_DELAY_MS : BATCH_DELAY_MS);
-    }
-  });
-  const waitBeforeRetry = Effect.suspend(() => {
-    recordReachability(false);
-    return Effect.sleep(
-      MIN_RETRY_DELAY_MS + nextRandom() * (MAX_RETRY_DELAY_MS - MIN_RETRY_DELAY_MS),
-    );
-  });
-  return Effect.forever(
-    Effect.matchEffect(readOnce, {
-      onFailure: () => waitBeforeRetry,
-      onSuccess: () => Effect.void,
-    }),
-  );
-}
-
-/** Decodes a configuration from the store or a peer, records it in the view and posts it to the event loop. */
-export function applyConfiguration(context: WatchContext, text: string, source: string): void {
-  const { post, view, wire, writeLog } = context;
+/** Decodes a configuration and posts it to the event loop. */
+function applyConfiguration(context: WatchContext, text: string, source: string): void {
+  const { post, wire, writeLog } = context;
   wire.decodeConfiguration(text).caseOf({
     Left: ({ message }) =>
       writeLog(
@@ -119,10 +71,7 @@
           detail: message,
         },
       ),
-    Right: (deployment) => {
-      view.configuration = text;
-      post({ kind: EntryEventKind.ConfigurationRead, deployment, source });
-    },
+    Right: (deployment) => post({ kind: EntryEventKind.ConfigurationRead, deployment, source }),
   });
 }
 
@@ -155,36 +104,10 @@
   });
 }
 
-/**
- * Records entries of backend servers from the store or a peer in the view and posts them to the event loop. Ignores a
- * revision older than the one in the view.
- */
-export function applyBackends(
-  context: WatchContext,
-  { items, revision }: StoredItems,
-  isSnapshot: boolean,
-  source: string,
-): void {
-  const { post, view } = context;
-  if (revision < view.backendsRevision) {
-    return;
-  }
-  if (isSnapshot) {
-    view.backends.clear();
-  }
-  items.forEach((item) => {
-    if (item.value === null) {
-      view.backends.delete(item.key);
-    } else {
-      view.backends.set(item.key, item);
-    }
-  });
-  view.backendsRevision = revision;
-  const changes = decodeBackendChanges(context, items);
-  post({ kind: EntryEventKind.BackendsRead, isSnapshot, changes, revision, source });
-}
-
-function createEntryKeysWatcher(context: WatchContext): PrefixWatch {
+/** Creates the function that posts what the VMs have written to the store. It keeps what it has decoded. */
+function createEntryKeysReader(
+  context: Omit<WatchContext, 'applyEntryKeys'>,
+): WatchContext['applyEntryKeys'] {
   const { getWallMs, post, writeLog } = context;
   const vms = new Map<string, ListedEntryVm>();
   let holder: ControllerLeaseHolder | null = null;
@@ -236,41 +159,135 @@
       });
     }
   };
-  return {
-    prefix: EntryKey.Prefix,
-    apply: ({ items }, isSnapshot) => {
-      if (isSnapshot) {
-        vms.clear();
-        holder = null;
-      }
-      items.forEach(applyItem);
-      post({ kind: EntryEventKind.VmsRead, vms: [...vms.values()] });
-      post({ kind: EntryEventKind.ControllerLeaseRead, holder });
-    },
-    recordReachability: () => {},
+  return (items, isSnapshot) => {
+    if (isSnapshot) {
+      vms.clear();
+      holder = null;
+    }
+    items.forEach(applyItem);
+    post({ kind: EntryEventKind.VmsRead, vms: [...vms.values()] });
+    post({ kind: EntryEventKind.ControllerLeaseRead, holder });
   };
 }
 
-/** Creates all watches of an entry VM. Each runs until it is interrupted. */
-export function createStoreWatches(context: WatchContext): readonly Effect.Effect<never>[] {
-  const { post, wire } = context;
-  const configuration: PrefixWatch = {
-    prefix: wire.configurationKey,
-    apply: ({ items }) => {
-      const text = items.findLast(({ key }) => key === wire.configurationKey)?.value ?? null;
-      if (text !== null) {
-        applyConfiguration(context, text, 'store');
+/** Creates the context of the reads of the store. */
+export function createWatchContext(context: Omit<WatchContext, 'applyEntryKeys'>): WatchContext {
+  return { ...context, applyEntryKeys: createEntryKeysReader(context) };
+}
+
+/**
+ * Applies an update from the store or a relay to the mirror, and posts what it contains to the event loop. Ignores one that
+ * is older than the mirror.
+ */
+export function applyStoreUpdate(context: WatchContext, update: StoreUpdate, source: string): void {
+  const { applyEntryKeys, mirror, post, wire } = context;
+  if (!updateStoreMirror(mirror, update)) {
+    return;
+  }
+  const { isSnapshot, items, revision } = update;
+  const configuration = items.findLast(({ key }) => key === wire.configurationKey)?.value ?? null;
+  if (configuration !== null) {
+    applyConfiguration(context, configuration, source);
+  }
+  const backendItems = items.filter(({ key }) => key.startsWith(wire.backendsPrefix));
+  if (isSnapshot || backendItems.length > 0) {
+    const changes = decodeBackendChanges(context, backendItems);
+    post({ kind: EntryEventKind.BackendsRead, isSnapshot, changes, revision, source });
+  }
+  const entryItems = items.filter(({ key }) => key.startsWith(EntryKey.Prefix));
+  if (isSnapshot || entryItems.length > 0) {
+    applyEntryKeys(entryItems, isSnapshot);
+  }
+}
+
+/** Reads the whole store, then waits for its changes; reads it again if the store has dropped changes. */
+function readStore(context: WatchContext, access: StoreAccess): Effect.Effect<void, Diagnostic> {
+  const { getWatchWaitMs, isController, mirror, store } = context;
+  return Effect.gen(function* readStep() {
+    if (mirror.revision === 0 || access.isListNeeded) {
+      const items = yield* store.list(WHOLE_STORE);
+      access.isListNeeded = false;
+      access.recordSuccess();
+      applyStoreUpdate(context, { ...items, isSnapshot: true }, STORE_SOURCE);
+      return;
+    }
+    const changes = yield* store.waitForChanges(WHOLE_STORE, mirror.revision, getWatchWaitMs());
+    access.recordSuccess();
+    access.isListNeeded = changes === null;
+    if (changes !== null) {
+      applyStoreUpdate(context, { ...changes, isSnapshot: false }, STORE_SOURCE);
+    }
+    if (changes !== null && changes.items.length > 0) {
+      yield* Effect.sleep(isController() ? CONTROLLER_BATCH_DELAY_MS : BATCH_DELAY_MS);
+    }
+  });
+}
+
+/** This VM's own access to the store. */
+export interface StoreAccess {
+  /** Starts or stops to read the store. */
+  readonly setReader: (isReader: boolean) => void;
+  /** Returns true if this VM's last call to the store succeeded, or its relay has just sent current data. */
+  readonly isCurrent: () => boolean;
+  /** Records that the relay has sent current data. */
+  readonly recordRelayed: () => void;
+  /** Requires a successful call before the mirror counts as current again. */
+  readonly invalidate: () => void;
+  /** True if the store has dropped changes that the mirror lacks. */
+  isListNeeded: boolean;
+  readonly recordSuccess: () => void;
+  /** Reads the store while this VM is a reader, until it is interrupted. */
+  readonly run: Effect.Effect<never>;
+}
+
+/** Creates the access to the store, which is not used before `setReader`. */
+export function createStoreAccess(context: WatchContext): StoreAccess {
+  const { getNowMs, nextRandom, post } = context;
+  const gate = Latch.makeUnsafe(false);
+  let isReader = false;
+  let isConfirmed = false;
+  let relayedAtMs = Number.NEGATIVE_INFINITY;
+  const recordReachability = (isReachable: boolean): void => {
+    isConfirmed = isReachable;
+    if (isReader) {
+      post({ kind: EntryEventKind.StoreReachabilityRead, isReachable });
+    }
+  };
+  const waitBeforeRetry = Effect.suspend(() => {
+    recordReachability(false);
+    return Effect.sleep(
+      MIN_RETRY_DELAY_MS + nextRandom() * (MAX_RETRY_DELAY_MS - MIN_RETRY_DELAY_MS),
+    );
+  });
+  const access: StoreAccess = {
+    setReader: (isReaderNow) => {
+      isReader = isReaderNow;
+      isConfirmed = false;
+      if (isReader) {
+        gate.openUnsafe();
+      } else {
+        gate.closeUnsafe();
       }
     },
-    recordReachability: () => {},
-  };
-  const backends: PrefixWatch = {
-    prefix: wire.backendsPrefix,
-    apply: (items, isSnapshot) => applyBackends(context, items, isSnapshot, 'store'),
-    recordReachability: (isReachable) =>
-      post({ kind: EntryEventKind.StoreReachabilityRead, isReachable }),
+    isCurrent: () =>
+      (isReader && isConfirmed) || getNowMs() - relayedAtMs < RELAYED_DATA_MAX_AGE_MS,
+    recordRelayed: () => {
+      relayedAtMs = getNowMs();
+    },
+    invalidate: () => {
+      isConfirmed = false;
+      relayedAtMs = Number.NEGATIVE_INFINITY;
+    },
+    isListNeeded: false,
+    recordSuccess: () => recordReachability(true),
+    run: Effect.forever(
+      gate.whenOpen(
+        Effect.matchEffect(
+          Effect.suspend(() => readStore(context, access)),
+          { onFailure: () => waitBeforeRetry, onSuccess: () => Effect.void },
+        ),
+      ),
+    ),
   };
-  return [configuration, backends, createEntryKeysWatcher(context)].map((watch) =>
-    watchPrefix(context, watch),
-  );
+  return access;
 }
--- a/src/transport/entry/vmRegistration.ts
+++ b/src/transport/entry/vmRegistration.ts
@@ -1,6 +1,6 @@
 /**
- * Registers this VM in the store under a lease, so that the other VMs can discover it. The store deletes the entry when
- * the lease expires, some seconds after the VM has failed.
+ * Registers this VM in the store under a lease, so that the other VMs can discover it, and discovers the others. The store
+ * deletes the entry when the lease expires, some seconds after the VM has failed.
  */
 import { Effect } from 'effect';
 import type { ListedEntryVm } from '../../coordination/entry/events.js';
@@ -9,11 +9,11 @@
 import { createDiagnostic, type Diagnostic, Diagnostics } from '../../state/diagnostics.js';
 import type { PrefixStore } from '../keyValueStore.js';
 import type { EntryLogWriter } from './entryLog.js';
-import { encodeListedVm, EntryKey } from './storeKeys.js';
+import { decodeListedVm, encodeListedVm, EntryKey } from './storeKeys.js';
 
 /** Longer than most network partitions and outages, so that these do not redistribute the rate limits among the VMs. */
-const LEASE_SECONDS = 8;
-const RENEW_INTERVAL_MS = 2_000;
+const LEASE_SECONDS = 12;
+const RENEW_INTERVAL_MS = 4_000;
 const RETRY_DELAY_MS = 400;
 
 /** The registration of this VM. */
@@ -29,25 +29,45 @@
   store: PrefixStore,
   vm: ListedEntryVm,
   writeLog: EntryLogWriter,
+  onVmsListed: (vms: readonly ListedEntryVm[]) => void,
 ): VmRegistration {
   const key = EntryKey.Vms + vm.vmId;
   const value = encodeListedVm(vm);
   let leaseId: string | null = null;
 
+  /** Finds the other VMs, one of which relays the contents of the store. */
+  const discoverVms: Effect.Effect<void, Diagnostic> = Effect.map(
+    store.list(EntryKey.Vms),
+    ({ items }) =>
+      onVmsListed(
+        items.flatMap((item) =>
+          decodeListedVm(item.value ?? '').caseOf<ListedEntryVm[]>({
+            Left: ({ message: detail }) => {
+              const text = 'The registration of a VM could not be decoded.';
+              writeLog(LogLevel.Warn, EntryLogPrefix.Peer, text, { key: item.key, detail });
+              return [];
+            },
+            Right: (listed) => [listed],
+          }),
+        ),
+      ),
+  );
+
   const register: Effect.Effect<void, Diagnostic> = Effect.gen(function* registerVm() {
-    const stored = yield* store.get(key);
     const newLeaseId = yield* store.grantLease(LEASE_SECONDS);
-    const expectedVersion = stored?.version ?? 0;
-    const version = yield* store.compareAndSwap({
-      key,
-      expectedVersion,
-      value,
-      leaseId: newLeaseId,
-    });
+    const write = (expectedVersion: number) =>
+      store.compareAndSwap({ key, expectedVersion, value, leaseId: newLeaseId });
+    let version = yield* write(0);
+    if (version === null) {
+      // An earlier process of this VM has left its registration.
+      const stored = yield* store.get(key);
+      version = yield* write(stored?.version ?? 0);
+    }
     if (version === null) {
       yield* Effect.fail(createDiagnostic(Diagnostics.StoreUnknown));
     }
     leaseId = newLeaseId;
+    yield* discoverVms;
     writeLog(LogLevel.Info, EntryLogPrefix.Peer, 'This VM has been registered in the store.', {
       version: version ?? 0,
     });
--- a/src/transport/keyValueStore.ts
+++ b/src/transport/keyValueStore.ts
@@ -5,6 +5,7 @@
 import type { Effect } from 'effect';
 import type { StoredValue, Swap } from '../protocol/storeMessages.js';
 import type { Diagnostic } from '../state/diagnostics.js';
+import type { StoredItems } from '../state/storedItems.js';
 
 /** Operations that every store supports: reads of single keys, compare-and-swap and leases. */
 export interface KeyValueStore {
@@ -16,19 +17,6 @@
   readonly renewLease: (leaseId: string) => Effect.Effect<boolean, Diagnostic>;
 }
 
-/** A key with its value and version. A null value means that the key was removed. */
-export interface StoredItem {
-  readonly key: string;
-  readonly value: string | null;
-  readonly version: number;
-}
-
-/** Keys and values at one revision of the store. */
-export interface StoredItems {
-  readonly items: readonly StoredItem[];
-  readonly revision: number;
-}
-
 /** A store whose keys can be listed and watched by prefix. */
 export interface PrefixStore extends KeyValueStore {
   /** Succeeds with all keys that have a prefix, and the revision after which to wait for changes. */
--- a/tests/entry/crashedServer.test.ts
+++ b/tests/entry/crashedServer.test.ts
@@ -10,6 +10,7 @@
 import { RunState } from '../../src/state/types.js';
 import {
   createTestEntry,
+  createPeerMessage,
   createTestRequest,
   createTestVm,
   findCommands,
@@ -32,7 +33,7 @@
 function hearOfCrash(vm: TestVm, crash: CrashReport): void {
   const evidence = { ...NO_EVIDENCE, crashes: [crash] };
   const kind = EntryEventKind.PeerMessage;
-  vm.step({ kind, reports: [], board: null, evidence, replyId: null }, NOW_MS);
+  vm.step({ kind, message: createPeerMessage({ evidence }), replyId: null }, NOW_MS);
 }
 
 function loseConnection(vm: TestVm, outcome: ProbeOutcome): void {
--- a/tests/entry/discovery.test.ts
+++ b/tests/entry/discovery.test.ts
@@ -3,10 +3,10 @@
  * servers are handled, and that an earlier configuration never replaces a later one.
  */
 import { describe, expect, it } from 'vitest';
-import { NO_EVIDENCE } from '../../src/protocol/entry/peerMessages.js';
 import { EntryCommandKind } from '../../src/coordination/entry/commands.js';
-import { EntryEventKind } from '../../src/coordination/entry/events.js';
+import { EntryEventKind, StoreRequest } from '../../src/coordination/entry/events.js';
 import {
+  createPeerMessage,
   createTestDeployment,
   createTestEntry,
   createTestRequest,
@@ -135,18 +135,13 @@
       backendsRevision: 0,
       isLeaving: false,
       workspaceDemands: [],
-      modelDemands: [],
+      vmCount: 1,
     };
     const kind = EntryEventKind.PeerMessage;
-    const commands = vm.step({
-      kind,
-      reports: [report],
-      board: null,
-      evidence: NO_EVIDENCE,
-      replyId: null,
-    });
-    expect(findCommands(commands, EntryCommandKind.FetchFromPeer)).toEqual([
-      { kind: EntryCommandKind.FetchFromPeer, peerAddress: 'vm-2:1' },
+    const message = createPeerMessage({ reports: [report] });
+    const commands = vm.step({ kind, message, replyId: null });
+    expect(findCommands(commands, EntryCommandKind.SendPeerMessage)).toMatchObject([
+      { peerAddress: 'vm-2:1', storeRequest: StoreRequest.Fetch },
     ]);
   });
 });
--- a/tests/entry/fixtures.ts
+++ b/tests/entry/fixtures.ts
@@ -11,9 +11,11 @@
   type EntryEvent,
   EntryEventKind,
   type ForwardRequest,
+  type PeerMessage,
 } from '../../src/coordination/entry/events.js';
 import { stepEntry } from '../../src/coordination/entry/handlers.js';
 import { ENTRY_POLICY_DEFAULTS, type EntryPolicy } from '../../src/coordination/entry/policy.js';
+import { NO_EVIDENCE } from '../../src/protocol/entry/peerMessages.js';
 import { createEntryState, type EntryState } from '../../src/coordination/entry/state.js';
 import type { BackendEntry } from '../../src/state/entry/backends.js';
 import {
@@ -35,6 +37,7 @@
   takeoverWaitMs: 0,
   loadWindowMs: 5_000,
   loadFactor: 1.1,
+  watchWaitMs: 1_900,
   stopGraceMs: 8_000,
 };
 
@@ -189,6 +192,21 @@
   };
 }
 
+/** Creates a message of another VM; its parts are empty unless given. */
+export function createPeerMessage(changes: Partial<PeerMessage> = {}): PeerMessage {
+  return {
+    senderId: changes.reports?.[0]?.vmId ?? 'vm-2',
+    reports: [],
+    board: null,
+    knownBoard: null,
+    evidence: NO_EVIDENCE,
+    isRelayed: false,
+    modelDemands: [],
+    fleet: null,
+    ...changes,
+  };
+}
+
 /** The state of one VM, with functions that pass events to its event handlers. */
 export interface TestVm {
   readonly state: EntryState;
@@ -203,7 +221,13 @@
 
 /** Creates a VM that is ready and has two backend servers of each service. */
 export function createTestVm(policy: Partial<EntryPolicy> = {}): TestVm {
-  const self = { vmId: 'vm-1', incarnation: 'a', failureDomain: 'fd-a', peerAddress: 'vm-1:1' };
+  const self = {
+    vmId: 'vm-1',
+    incarnation: 'a',
+    failureDomain: 'fd-a',
+    peerAddress: 'vm-1:1',
+    processorShare: 1,
+  };
   const state = createEntryState(self, { ...TEST_POLICY, ...policy }, 1, 0);
   const step = (event: EntryEvent, nowMs = 10_000): EntryCommand[] =>
     stepEntry(state, event, nowMs);
--- a/tests/entry/rateLoans.test.ts
+++ b/tests/entry/rateLoans.test.ts
@@ -2,7 +2,6 @@
  * Tests of single loan requests and answers between VMs. Their effect over many VMs is tested in `rates.test.ts`.
  */
 import { describe, expect, it } from 'vitest';
-import { NO_EVIDENCE } from '../../src/protocol/entry/peerMessages.js';
 import { EntryCommandKind } from '../../src/coordination/entry/commands.js';
 import { EntryEventKind, LimitKind } from '../../src/coordination/entry/events.js';
 import { getRateBucket } from '../../src/coordination/entry/rates.js';
@@ -10,6 +9,7 @@
 import type { RateBucket } from '../../src/state/entry/rateBucket.js';
 import type { VmReport } from '../../src/state/entry/reports.js';
 import {
+  createPeerMessage,
   createTestRequest,
   createTestVm,
   findCommands,
@@ -65,8 +65,8 @@
     configurationVersion: 1,
     backendsRevision: 5,
     isLeaving: false,
-    workspaceDemands: [{ name: 'mill', tokensPerSecond: 100, spareTokens }],
-    modelDemands: [],
+    workspaceDemands: [{ name: 'mill', tokensPerSecond: 100, lenders: [{ vmId, spareTokens }] }],
+    vmCount: 1,
   };
 }
 
@@ -76,9 +76,7 @@
   const reports = peerSpareTokens.map((spareTokens, i) => createReport(`vm-${i + 2}`, spareTokens));
   vm.step({
     kind: EntryEventKind.PeerMessage,
-    reports,
-    board: null,
-    evidence: NO_EVIDENCE,
+    message: createPeerMessage({ reports }),
     replyId: null,
   });
   return { vm, commands: vm.receiveRequest(createTestRequest('r', '/draft/x')) };
@@ -156,6 +154,8 @@
     vm.state.peers.set('vm-2', {
       report: createReport('vm-2', 0),
       reportReceivedAtMs: NOW_MS + 1_000,
+      isRelayedHere: false,
+      knownBoard: null,
     });
     vm.step({ kind: EntryEventKind.PeerTick }, NOW_MS + 1_000);
     expect(vm.state.spareTokensByLender.size).toBe(0);
--- a/tests/entry/rates.test.ts
+++ b/tests/entry/rates.test.ts
@@ -5,7 +5,7 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 import { type EntryCommand, EntryCommandKind } from '../../src/coordination/entry/commands.js';
-import { EntryEventKind } from '../../src/coordination/entry/events.js';
+import { EntryEventKind, type PeerMessage } from '../../src/coordination/entry/events.js';
 import { stepEntry } from '../../src/coordination/entry/handlers.js';
 import { createEntryState, type EntryState } from '../../src/coordination/entry/state.js';
 import { createRandom, nextRandom, nextRandomInt } from '../../src/state/random.js';
@@ -46,7 +46,13 @@
 
 function createVm(index: number, nowMs: number, start: number): EntryState {
   const vmId = `vm-${index}`;
-  const self = { vmId, incarnation: `${index}/${start}`, failureDomain: 'fd', peerAddress: vmId };
+  const self = {
+    vmId,
+    incarnation: `${index}/${start}`,
+    failureDomain: 'fd',
+    peerAddress: vmId,
+    processorShare: 1,
+  };
   const state = createEntryState(self, TEST_POLICY, index + 1, nowMs);
   const deployment = createTestDeployment();
   stepEntry(state, { kind: EntryEventKind.ConfigurationRead, deployment, source: 'test' }, nowMs);
@@ -59,6 +65,7 @@
     incarnation: `${i}/0`,
     failureDomain: 'fd',
     peerAddress: `vm-${i}`,
+    processorShare: 1,
   }));
   stepEntry(state, { kind: EntryEventKind.VmsRead, vms }, nowMs);
   return state;
@@ -96,6 +103,26 @@
   return executeLoanRequests(vms, index, stepEntry(vms[index]!, lent, nowMs), isLost, nowMs);
 }
 
+/** Delivers a message and its answer, or reports the failure of the call. */
+function exchange(
+  vms: readonly EntryState[],
+  from: number,
+  to: number,
+  message: PeerMessage,
+  isLost: LossPredicate,
+  nowMs: number,
+): void {
+  const kind = EntryEventKind.PeerMessage;
+  if (isLost(from, to)) {
+    stepEntry(vms[from]!, { kind: EntryEventKind.PeerCallFailed, vmId: `vm-${to}` }, nowMs);
+    return;
+  }
+  const replies = stepEntry(vms[to]!, { kind, message, replyId: 'reply' }, nowMs);
+  findCommands(replies, EntryCommandKind.ReplyToPeer).forEach((reply) =>
+    stepEntry(vms[from]!, { kind, message: reply.message, replyId: null }, nowMs),
+  );
+}
+
 function simulate(scenario: Scenario): AdmittedCost[] {
   const random = createRandom(scenario.seed);
   const vms = Array.from({ length: VM_COUNT }, (_, i) => createVm(i, 0, 0));
@@ -119,13 +146,9 @@
       findCommands(
         stepEntry(vm, { kind: EntryEventKind.PeerTick }, nowMs),
         EntryCommandKind.SendPeerMessage,
-      ).forEach(({ board, evidence, peerAddress, reports }) => {
-        const peer = Number(peerAddress.split('-')[1]);
-        if (!isLost(index, peer)) {
-          const kind = EntryEventKind.PeerMessage;
-          stepEntry(vms[peer]!, { kind, reports, board, evidence, replyId: null }, nowMs);
-        }
-      });
+      ).forEach(({ message, peerAddress }) =>
+        exchange(vms, index, Number(peerAddress.split('-')[1]), message, isLost, nowMs),
+      );
     });
     const factor = elapsedMs >= scenario.overloadFromMs ? scenario.factor : 0.55;
     pendingTokens += (TEST_WORKSPACE.rateTokensPerSecond * factor * STEP_MS) / 1000;
--- a/tests/fakes/entryFleet.ts
+++ b/tests/fakes/entryFleet.ts
@@ -32,6 +32,7 @@
 const NETWORK_MS = 2;
 const PEER_DELAY_MS = { min: 1, max: 10 };
 const LOAN_TIMEOUT_MS = 150;
+const PEER_TIMEOUT_MS = 700;
 const REGISTRATION_DELAY_MS = 200;
 const TENANT_COUNT = 5;
 const SESSION_COUNT = 400;
@@ -249,25 +250,33 @@
   const sendToPeer = (
     vm: number,
     state: EntryState,
-    { peerAddress, ...message }: EntryCommandOf<typeof EntryCommandKind.SendPeerMessage>,
+    { message, peerAddress, vmId }: EntryCommandOf<typeof EntryCommandKind.SendPeerMessage>,
   ): void => {
     const peer = Number(peerAddress.split('-')[1]);
     const isLost = (): boolean =>
       nextRandom(random) < peerLoss || isolated.has(vm) || isolated.has(peer);
     const kind = EntryEventKind.PeerMessage;
+    const fail = (): void =>
+      at(nowMs + PEER_TIMEOUT_MS, () =>
+        post(vm, state, { kind: EntryEventKind.PeerCallFailed, vmId }),
+      );
     if (isLost()) {
+      fail();
       return;
     }
     at(nowMs + draw(PEER_DELAY_MS), () => {
       const receiver = vms[peer]!;
-      const replies = stepEntry(receiver, { ...message, kind, replyId: 'reply' }, nowMs);
-      replies.forEach((command) => {
-        if (command.kind === EntryCommandKind.ReplyToPeer && !isLost()) {
-          at(nowMs + draw(PEER_DELAY_MS), () =>
-            post(vm, state, { ...command, kind, replyId: null }),
-          );
-        }
-      });
+      const replies = stepEntry(receiver, { kind, message, replyId: 'reply' }, nowMs);
+      const reply = replies.find(
+        ({ kind: replyKind }) => replyKind === EntryCommandKind.ReplyToPeer,
+      );
+      if (reply?.kind !== EntryCommandKind.ReplyToPeer || isLost()) {
+        fail();
+      } else {
+        at(nowMs + draw(PEER_DELAY_MS), () =>
+          post(vm, state, { kind, message: reply.message, replyId: null }),
+        );
+      }
       // eslint-disable-next-line @typescript-eslint/no-use-before-define -- the VMs and the network call each other
       execute(peer, receiver, replies);
     });
@@ -364,6 +373,7 @@
     incarnation: 'a',
     failureDomain: 'fd-a',
     peerAddress: `vm-${i}`,
+    processorShare: 1,
   }));
 
   const startVm = (vm: number): void => {
