--- a/src/coordination/entry/events.ts
+++ b/src/coordination/entry/events.ts
@@ -151,6 +151,8 @@
   readonly evidence: EvidenceReport;
   /** True if the receiver is the sender's relay. */
   readonly isRelayed: boolean;
+  /** True if the answer has to contain the reports that the receiver knows. */
+  readonly isReportRequested: boolean;
   /** Demands for models at the sender and at the VMs that it relays for; empty except for relays and the controller. */
   readonly modelDemands: readonly ModelDemand[];
   /** From a relay to a VM that it relays for, else null. */
--- a/src/coordination/entry/fleetDemands.ts
+++ b/src/coordination/entry/fleetDemands.ts
@@ -51,16 +51,24 @@
   return sample;
 }
 
-/** Returns the demands of the whole fleet for a VM that this VM relays for. */
-export function summarizeFleet(state: EntryState, nowMs: number): FleetDemand {
+/** Returns the demands of the whole fleet for a VM that this VM relays for, for the workspaces that it has reported. */
+export function summarizeFleet(
+  state: EntryState,
+  names: ReadonlySet<string>,
+  nowMs: number,
+): FleetDemand {
   const reports = [...state.peers.values()]
     .filter((peer) => isFreshReport(peer, nowMs))
     .map(({ report }) => report);
   const demands = reports.flatMap(({ workspaceDemands }) => workspaceDemands);
+  const reported = [...listWorkspaceDemands(state, nowMs), ...demands].filter(({ name }) =>
+    names.has(name),
+  );
   return {
-    demands: sumWorkspaceDemands([...listWorkspaceDemands(state, nowMs), ...demands]).map(
-      ({ lenders, ...demand }) => ({ ...demand, lenders: sampleLenders(state, lenders) }),
-    ),
+    demands: sumWorkspaceDemands(reported).map(({ lenders, ...demand }) => ({
+      ...demand,
+      lenders: sampleLenders(state, lenders),
+    })),
     vmCount: reports.reduce((sum, { vmCount }) => sum + vmCount, 1),
   };
 }
--- a/src/coordination/entry/gossip.ts
+++ b/src/coordination/entry/gossip.ts
@@ -35,6 +35,8 @@
 /** Work of a relay for each VM that it relays for: their exchanges are spread over this time each. */
 const RELAYED_EXCHANGE_MS = 40;
 const MAX_RELAYED_INTERVAL_MS = 1_000;
+/** The same for each report that relays exchange. */
+const RELAY_REPORT_MS = 25;
 /** With more relays than this, each round goes to one peer only, which keeps the bytes of a relay bounded. */
 const MAX_RELAYS_FOR_FULL_FANOUT = 9;
 /** How long a VM that has just started asks its relay again, which may be reading the store for the first time. */
@@ -66,14 +68,14 @@
   };
 }
 
-function collectReports(state: EntryState, nowMs: number): VmReport[] {
-  const known = [...state.peers.values()]
+/** Returns the recent reports of the other relays. */
+function listKnownReports(state: EntryState, nowMs: number): VmReport[] {
+  return [...state.peers.values()]
     .filter(
       ({ isRelayedHere, reportReceivedAtMs }) =>
         !isRelayedHere && nowMs - reportReceivedAtMs < REPORT_MAX_AGE_MS,
     )
     .map(({ report }) => report);
-  return [createReport(state, nowMs), ...known];
 }
 
 /** Creates a message without reports. */
@@ -86,6 +88,7 @@
     knownBoard: board === null ? null : { fence: board.fence, sequence: board.sequence },
     evidence: createRelativeEvidence(state, nowMs),
     isRelayed: false,
+    isReportRequested: false,
     modelDemands: [],
     fleet: null,
   };
@@ -151,42 +154,54 @@
   return sendToPeer(relay, message, StoreRequest.Relay);
 }
 
-function selectExchangePeers(state: EntryState, nowMs: number): ExchangePeer[] {
-  const peers = listExchangePeers(state, nowMs);
-  const fanout = peers.length > MAX_RELAYS_FOR_FULL_FANOUT ? 1 : state.policy.peerFanout;
-  const isFixed = ({ vmId }: ExchangePeer): boolean =>
-    vmId === state.controller?.vmId || vmId === state.relayId;
-  const random = peers.filter((peer) => !isFixed(peer));
-  return [...peers.filter(isFixed), ...selectRandom(state, random, fanout)];
-}
-
-/**
- * Sends the reports of the relays to some peers, and the demands for models to the controller. A standby requests the
- * changes of the store from the first relay of its failure domain.
- */
-function exchangeWithPeers(state: EntryState, nowMs: number): EntryCommand[] {
-  const peers = selectExchangePeers(state, nowMs);
-  if (peers.length === 0) {
+/** Sends the demands for models to the controller. */
+function reportToController(state: EntryState, report: VmReport, nowMs: number): EntryCommand[] {
+  const { controller } = state;
+  if (controller === null || controller.vmId === state.self.vmId) {
     return [];
   }
-  const reports = collectReports(state, nowMs);
+  const modelDemands = summarizeModelDemands(state, nowMs);
+  const message = { ...createMessage(state, nowMs), reports: [report], modelDemands };
+  return [sendToPeer(controller, message)];
+}
+
+/** Requests the changes of the store from the first relay of the failure domain, if this VM is the second. */
+function requestStoreChanges(state: EntryState, nowMs: number): EntryCommand[] {
+  const relay = state.relays.find(({ vmId }) => vmId === state.relayId);
+  return relay === undefined
+    ? []
+    : [sendToPeer(relay, createMessage(state, nowMs), StoreRequest.Relay)];
+}
+
+/** Sends all known reports to some other relays, which answer with those that they know. */
+function exchangeReports(state: EntryState, report: VmReport, nowMs: number): EntryCommand[] {
+  const peers = listExchangePeers(state, nowMs);
+  const fanout = peers.length > MAX_RELAYS_FOR_FULL_FANOUT ? 1 : state.policy.peerFanout;
+  const reports = [report, ...listKnownReports(state, nowMs)];
   const message = createMessage(state, nowMs);
-  return peers.map((peer) => {
-    const isController = peer.vmId === state.controller?.vmId;
+  return selectRandom(state, peers, fanout).map((peer) => {
     const board = createBoardUpdate(state.board, state.peers.get(peer.vmId)?.knownBoard ?? null);
-    const modelDemands = isController ? summarizeModelDemands(state, nowMs) : [];
-    const storeRequest = peer.vmId === state.relayId ? StoreRequest.Relay : StoreRequest.None;
-    return sendToPeer(peer, { ...message, reports, board, modelDemands }, storeRequest);
+    return sendToPeer(peer, { ...message, reports, board, isReportRequested: true });
   });
 }
 
-function getIntervalMs(state: EntryState, isRelayed: boolean): number {
+function exchangeWithPeers(state: EntryState, nowMs: number): EntryCommand[] {
+  const report = createReport(state, nowMs);
+  return [
+    ...requestStoreChanges(state, nowMs),
+    ...reportToController(state, report, nowMs),
+    ...exchangeReports(state, report, nowMs),
+  ];
+}
+
+/** Returns the time between two rounds, which grows where a relay has to answer or to know many others. */
+function getIntervalMs(state: EntryState): number {
   const { peerIntervalMs } = state.policy;
-  const relayedMs = Math.min(
-    MAX_RELAYED_INTERVAL_MS,
-    countVmsPerRelay(state) * RELAYED_EXCHANGE_MS,
-  );
-  return isRelayed ? Math.max(peerIntervalMs, relayedMs) : peerIntervalMs;
+  const loadMs =
+    state.relayRole === RelayRole.Relayed
+      ? Math.min(MAX_RELAYED_INTERVAL_MS, countVmsPerRelay(state) * RELAYED_EXCHANGE_MS)
+      : state.relays.length * RELAY_REPORT_MS;
+  return Math.max(peerIntervalMs, loadMs);
 }
 
 /** Sends one round of the exchange and starts the timer of the next. */
@@ -204,7 +219,7 @@
   const relay = state.relayRole === RelayRole.Relayed ? selectRelay(state, nowMs) : null;
   return [
     ...roleCommands,
-    createEntryTimer(kind, getIntervalMs(state, relay !== null), { kind }),
+    createEntryTimer(kind, getIntervalMs(state), { kind }),
     ...(relay === null
       ? exchangeWithPeers(state, nowMs)
       : [exchangeWithRelay(state, relay, nowMs)]),
@@ -321,11 +336,17 @@
 }
 
 function createReply(state: EntryState, request: PeerMessage, nowMs: number): PeerMessage {
+  const { isRelayed, knownBoard, reports } = request;
+  const names = new Set(
+    reports.flatMap(({ workspaceDemands }) => workspaceDemands.map(({ name }) => name)),
+  );
   return {
     ...createMessage(state, nowMs),
-    board: createBoardUpdate(state.board, request.knownBoard),
-    reports: request.isRelayed || request.reports.length === 0 ? [] : collectReports(state, nowMs),
-    fleet: request.isRelayed ? summarizeFleet(state, nowMs) : null,
+    board: createBoardUpdate(state.board, knownBoard),
+    reports: request.isReportRequested
+      ? [createReport(state, nowMs), ...listKnownReports(state, nowMs)]
+      : [],
+    fleet: isRelayed ? summarizeFleet(state, names, nowMs) : null,
   };
 }
 
--- a/src/coordination/entry/ownDemands.ts
+++ b/src/coordination/entry/ownDemands.ts
@@ -5,9 +5,23 @@
 import { getDemand, listDemands } from './demand.js';
 import { countWaitingRequests } from './forwarding.js';
 import { getWorkspaceSpareTokens } from './rateLoans.js';
+import { getRateHolders } from './rates.js';
 import { type EntryState, isShuttingDown } from './state.js';
 
-/** Returns the demand and the spare tokens at this VM for each workspace that has a demand or a bucket here. */
+/** Returns whether the VMs divide a workspace's rate by their demands. */
+function isDividedByDemand(state: EntryState, name: string): boolean {
+  const workspace = state.deployment?.workspacesByName.get(name);
+  return (
+    workspace !== undefined &&
+    workspace.rateTokensPerSecond > 0 &&
+    getRateHolders(state, workspace) === null
+  );
+}
+
+/**
+ * Returns the demand and the spare tokens at this VM for each workspace that has a demand or a bucket here and whose rate
+ * is divided by demand.
+ */
 export function listWorkspaceDemands(state: EntryState, nowMs: number): WorkspaceDemand[] {
   const demands = new Map(
     listDemands(state.workspaceDemand, nowMs).map(({ name, tokensPerSecond }) => [
@@ -17,14 +31,16 @@
   );
   const names = new Set([...demands.keys(), ...state.buckets.keys()]);
   const { vmId } = state.self;
-  return [...names].map((name) => {
-    const spareTokens = isShuttingDown(state) ? 0 : getWorkspaceSpareTokens(state, name, nowMs);
-    return {
-      name,
-      tokensPerSecond: demands.get(name) ?? 0,
-      lenders: spareTokens >= 1 ? [{ vmId, spareTokens }] : [],
-    };
-  });
+  return [...names]
+    .filter((name) => isDividedByDemand(state, name))
+    .map((name) => {
+      const spareTokens = isShuttingDown(state) ? 0 : getWorkspaceSpareTokens(state, name, nowMs);
+      return {
+        name,
+        tokensPerSecond: demands.get(name) ?? 0,
+        lenders: spareTokens >= 1 ? [{ vmId, spareTokens }] : [],
+      };
+    });
 }
 
 /** Returns the demand at this VM for each model and adapter. */
--- a/src/coordination/entry/rates.ts
+++ b/src/coordination/entry/rates.ts
@@ -28,8 +28,8 @@
  * hold a request. The rest covers shares that do not sum to one while reports propagate.
  */
 const EXCESS_FRACTION = 0.6;
-/** A share below this fraction of the tolerated tokens holds less than a typical request. */
-const MIN_SHARE_FRACTION = 0.1;
+/** A share below this fraction of the tolerated tokens holds hardly more than one typical request. */
+const MIN_SHARE_FRACTION = 0.3;
 /** Size of a share as a fraction of the same tokens where only some VMs have one. */
 const HOLDER_SHARE_FRACTION = 0.5;
 const MIN_HOLDERS = 2;
--- a/src/protocol/entry/peerMessages.ts
+++ b/src/protocol/entry/peerMessages.ts
@@ -126,6 +126,7 @@
     knownBoard: knownBoard ?? undefined,
     evidence: encodeEvidence(evidence),
     isRelayed,
+    isReportRequested: message.isReportRequested,
     modelDemands: modelDemands.map(encodeModelDemand),
     fleet:
       fleet === null ? undefined : { ...fleet, demands: fleet.demands.map(encodeWorkspaceDemand) },
@@ -236,6 +237,7 @@
       knownBoard === undefined ? null : { fence: knownBoard.fence, sequence: knownBoard.sequence },
     evidence: decodeEvidence(wire.evidence),
     isRelayed: wire.isRelayed,
+    isReportRequested: wire.isReportRequested,
     modelDemands: wire.modelDemands.map(decodeModelDemand),
     fleet:
       fleet === undefined
--- a/tests/entry/fixtures.ts
+++ b/tests/entry/fixtures.ts
@@ -201,6 +201,7 @@
     knownBoard: null,
     evidence: NO_EVIDENCE,
     isRelayed: false,
+    isReportRequested: false,
     modelDemands: [],
     fleet: null,
     ...changes,
