Reject requests that a busy VM has read too late, and make its own work cheaper

The delay is now measured (gauges gentiandeck_loop_delay_ms and _max_ms) and taken from a request's time; one whose time is over is rejected, not run (vm_behind), and a VM that is late reads its connections once more before it sends a request on. The controller is claimed in the order of strength only once the list of VMs is complete.

--- a/src/coordination/entry/admission.ts
+++ b/src/coordination/entry/admission.ts
@@ -45,12 +45,13 @@
 import { EntryLifecycle, type EntryState, ForwardPhase, type ForwardRecord } from './state.js';
 
 /**
- * Retry-After time by diagnostic code. Reading the configuration takes less than 500 ms. While this VM stops,
- * another VM accepts the request immediately.
+ * Retry-After time by diagnostic code. Reading the configuration takes less than 500 ms. While this VM stops or is
+ * behind, another VM accepts the request immediately.
  */
 const RETRY_AFTER_MS_BY_CODE: ReadonlyMap<number, number> = new Map([
   [Diagnostics.NotConfigured.code, 500],
   [Diagnostics.Stopping.code, 50],
+  [Diagnostics.VmBehind.code, 50],
 ]);
 /** Lower bound of the Retry-After time of a request over the rate limit. */
 const MIN_RATE_RETRY_AFTER_MS = 100;
@@ -163,13 +164,18 @@
   ];
 }
 
+function getTimeLimitMs({ deadlineMs }: ForwardRequest, { timeoutMs }: ForwardRoute): number {
+  return Math.min(deadlineMs ?? timeoutMs, timeoutMs);
+}
+
 function createForwardRecord(
   request: ForwardRequest,
   admission: Admission,
+  delayMs: number,
   nowMs: number,
 ): ForwardRecord {
   const { route, service, workspace } = admission;
-  const timeLimitMs = Math.min(request.deadlineMs ?? route.timeoutMs, route.timeoutMs);
+  const timeLimitMs = getTimeLimitMs(request, route) - delayMs;
   return {
     request,
     route,
@@ -258,11 +264,16 @@
   event: EntryEventOf<typeof EntryEventKind.RequestArrived>,
   nowMs: number,
 ): EntryCommand[] {
-  const { request } = event;
-  return admit(state, request).caseOf<EntryCommand[]>({
+  const { delayMs, request } = event;
+  const admission = admit(state, request).chain((admitted) =>
+    getTimeLimitMs(request, admitted.route) > delayMs
+      ? Right(admitted)
+      : Left(createDiagnostic(Diagnostics.VmBehind, Math.round(delayMs))),
+  );
+  return admission.caseOf<EntryCommand[]>({
     Left: (diagnostic) => refuseUnadmitted(state, request, diagnostic),
-    Right: (admission) => {
-      const record = createForwardRecord(request, admission, nowMs);
+    Right: (admitted) => {
+      const record = createForwardRecord(request, admitted, delayMs, nowMs);
       const { costTokens, workspace } = record;
       const { requestId } = request;
       state.requests.set(requestId, record);
--- a/src/coordination/entry/controller.ts
+++ b/src/coordination/entry/controller.ts
@@ -46,6 +46,8 @@
  * once.
  */
 const CLAIM_DELAY_PER_RANK_MS = 150;
+/** The list of VMs is not complete in this time after all have started, and with it their order. */
+const CLAIM_AFTER_START_MS = 1_000;
 /**
  * Minimum time between two claims by one VM. If the response to a claim is lost, its effect shows
  * in the change of the key.
@@ -77,7 +79,9 @@
   if (!isVacant || !store.isReachable || state.lifecycle !== EntryLifecycle.Running) {
     return [];
   }
+  const isJustStarted = nowMs - state.startedAtMs < CLAIM_AFTER_START_MS;
   const isMyTurn =
+    !isJustStarted &&
     nowMs - placement.leaseVacantSinceMs! >= getRank(state) * CLAIM_DELAY_PER_RANK_MS;
   if (!isMyTurn || nowMs - placement.claimedAtMs < MIN_CLAIM_INTERVAL_MS) {
     return [];
--- a/src/coordination/entry/discovery.ts
+++ b/src/coordination/entry/discovery.ts
@@ -89,6 +89,13 @@
   };
 }
 
+/** Returns whether two entries offer the same models and accept requests alike. */
+function hasSameUse(a: BackendEntry, b: BackendEntry): boolean {
+  const listModels = (entry: BackendEntry): string =>
+    entry.models.map(({ name, version }) => `${name}@${version}`).join(' ');
+  return isSameIncarnation(a, b) && a.isLeaving === b.isLeaving && listModels(a) === listModels(b);
+}
+
 function applyEntry(
   state: EntryState,
   entry: BackendEntry,
@@ -99,6 +106,8 @@
   if (existing !== undefined && revision < existing.revision) {
     return [];
   }
+  const fields = createChangeFields(entry, revision, source);
+  const isRoutine = existing !== undefined && hasSameUse(existing.entry, entry);
   if (existing === undefined || !isSameIncarnation(existing.entry, entry)) {
     const backend = createBackend(entry, revision);
     state.backends.set(entry.id, backend);
@@ -110,10 +119,10 @@
   }
   return [
     createEntryLog(
-      LogLevel.Info,
+      isRoutine ? LogLevel.Debug : LogLevel.Info,
       EntryLogPrefix.Backend,
       existing === undefined ? 'A backend server was registered.' : 'A backend server was updated.',
-      createChangeFields(entry, revision, source),
+      fields,
     ),
   ];
 }
--- a/src/coordination/entry/events.ts
+++ b/src/coordination/entry/events.ts
@@ -208,7 +208,11 @@
 
 /** The payload of each event, by kind. */
 export interface EntryEventPayloads {
-  [EntryEventKind.RequestArrived]: { readonly request: ForwardRequest };
+  [EntryEventKind.RequestArrived]: {
+    readonly request: ForwardRequest;
+    /** Time that the request may have waited to be read. */
+    readonly delayMs: number;
+  };
   [EntryEventKind.CallerDisconnected]: { readonly requestId: string };
   [EntryEventKind.RequestDeadlineReached]: { readonly requestId: string };
   [EntryEventKind.WaitTimedOut]: { readonly requestId: string };
--- a/src/protocol/statusCodes.ts
+++ b/src/protocol/statusCodes.ts
@@ -28,6 +28,7 @@
       [Diagnostics.NoBackendServer, 503],
       [Diagnostics.Overloaded, 503],
       [Diagnostics.Stopping, 503],
+      [Diagnostics.VmBehind, 503],
       [Diagnostics.NotConfigured, 503],
       [Diagnostics.PromptQuarantined, 503],
       [Diagnostics.ClaimUnavailable, 503],
--- a/src/state/diagnostics.ts
+++ b/src/state/diagnostics.ts
@@ -115,6 +115,12 @@
     'All backend servers for "{0}" are at capacity.',
   ),
   Stopping: define(1104, 'stopping', Capacity, 'This VM is stopping.'),
+  VmBehind: define(
+    1108,
+    'vm_behind',
+    Capacity,
+    'This VM is {0} ms behind, longer than the request may take.',
+  ),
   DeadlineExceeded: define(
     1105,
     'deadline_exceeded',
--- a/src/transport/entry/entryDaemon.ts
+++ b/src/transport/entry/entryDaemon.ts
@@ -25,6 +25,7 @@
 import { createEntryPeerClient, createEntryPeerServer, type EntryReplies } from './entryPeers.js';
 import type { ForwardExchange } from './exchange.js';
 import { createForwardServer, createReadinessServer } from './forwardServer.js';
+import { createLoopDelayMonitor } from './loopDelay.js';
 import { createMetricsServer } from './metricsServer.js';
 import { createEntryPolicy, type EntrySettings } from './settings.js';
 import { encodeControllerLeaseHolder, EntryKey } from './storeKeys.js';
@@ -142,6 +143,7 @@
     },
   );
 
+  const loopDelay = createLoopDelayMonitor(getNowMs);
   const server = createForwardServer({
     post,
     wire,
@@ -150,6 +152,7 @@
     getLimits: () => current.limits,
     isShuttingDown: () => isShuttingDown(state),
     maxConnections: getMaxCallerConnections(settings.maxDescriptors),
+    getLoopDelayMs: loopDelay.getDelayMs,
   });
   const readyServer = createReadinessServer(wire.readyPath, () => current.isReady);
   const createReplyId = createIdGenerator('reply');
@@ -160,7 +163,7 @@
     mirror,
     isStoreCurrent: storeAccess.isCurrent,
   });
-  const metricsServer = createMetricsServer(metrics, state, log);
+  const metricsServer = createMetricsServer({ metrics, state, log, loopDelay });
 
   let resolveEnded = (): void => {};
   const ended = new Promise<void>((resolve) => {
--- a/src/transport/entry/entryPeers.ts
+++ b/src/transport/entry/entryPeers.ts
@@ -120,6 +120,7 @@
       });
     },
     readMaxBytes: MAX_PEER_MESSAGE_BYTES,
+    acceptCompression: [],
   });
   return http.createServer(handler);
 }
--- a/src/transport/entry/forwardServer.ts
+++ b/src/transport/entry/forwardServer.ts
@@ -41,6 +41,8 @@
   /** Returns true during a graceful shutdown: every response then closes its connection. */
   readonly isShuttingDown: () => boolean;
   readonly maxConnections: number;
+  /** Returns how long data that is read now may have waited. */
+  readonly getLoopDelayMs: () => number;
 }
 
 /** Rejects a request for which no exchange exists, and closes its connection. */
@@ -79,7 +81,19 @@
       context.post({ kind: EntryEventKind.CallerDisconnected, requestId });
     }
   });
-  context.post({ kind: EntryEventKind.RequestArrived, request: { ...head, requestId } });
+  const arrive = (delayMs: number): void => {
+    if (!response.destroyed) {
+      const kind = EntryEventKind.RequestArrived;
+      context.post({ kind, request: { ...head, requestId }, delayMs });
+    }
+  };
+  const delayMs = context.getLoopDelayMs();
+  if (delayMs === 0) {
+    arrive(0);
+  } else {
+    // Reads the connections once more first: the caller may have closed this one in the meantime.
+    setImmediate(() => setImmediate(() => arrive(delayMs)));
+  }
 }
 
 function handleRequest(
--- /dev/null
+++ b/src/transport/entry/loopDelay.ts
@@ -0,0 +1,39 @@
+/**
+ * Measures how late the runtime's loop is. While it is late, requests wait unread on their connections, and their callers
+ * may have left by the time they are read.
+ */
+
+const CHECK_INTERVAL_MS = 100;
+/** A smaller delay is normal. */
+const MIN_DELAY_MS = 50;
+
+/** Measures the delay of the loop by a periodic timer. */
+export interface LoopDelayMonitor {
+  /** Returns the delay in milliseconds that data which is read now may have had; 0 if the loop is on time. */
+  readonly getDelayMs: () => number;
+  /** Returns the longest delay since the start. */
+  readonly getMaxDelayMs: () => number;
+  readonly close: () => void;
+}
+
+/** Starts the periodic timer. */
+export function createLoopDelayMonitor(getNowMs: () => number): LoopDelayMonitor {
+  let dueAtMs = getNowMs() + CHECK_INTERVAL_MS;
+  let lastDelayMs = 0;
+  let maxDelayMs = 0;
+  const timer = setInterval(() => {
+    const nowMs = getNowMs();
+    lastDelayMs = Math.max(0, nowMs - dueAtMs);
+    maxDelayMs = Math.max(maxDelayMs, lastDelayMs);
+    dueAtMs = nowMs + CHECK_INTERVAL_MS;
+  }, CHECK_INTERVAL_MS);
+  timer.unref();
+  return {
+    getDelayMs: () => {
+      const delayMs = Math.max(lastDelayMs, getNowMs() - dueAtMs);
+      return delayMs < MIN_DELAY_MS ? 0 : delayMs;
+    },
+    getMaxDelayMs: () => maxDelayMs,
+    close: () => clearInterval(timer),
+  };
+}
--- a/src/transport/entry/metricsServer.ts
+++ b/src/transport/entry/metricsServer.ts
@@ -6,13 +6,22 @@
 import { countHeldQuarantines } from '../../state/entry/quarantineTable.js';
 import type { Metrics } from '../metrics.js';
 import type { EntryLog } from './entryLog.js';
+import type { LoopDelayMonitor } from './loopDelay.js';
 
 const METRICS_PATH = '/metrics';
 const HTTP_OK = 200;
 const HTTP_NOT_FOUND = 404;
 
+/** What the metrics are read from. */
+export interface MetricsSources {
+  readonly metrics: Metrics;
+  readonly state: EntryState;
+  readonly log: EntryLog;
+  readonly loopDelay: LoopDelayMonitor;
+}
+
 /** Reads the current value of a gauge. */
-type GaugeReader = (state: EntryState, log: EntryLog) => number;
+type GaugeReader = (state: EntryState, sources: MetricsSources) => number;
 
 const GAUGES: Readonly<Record<string, GaugeReader>> = {
   gentiandeck_ready: ({ isReady }) => Number(isReady),
@@ -28,17 +37,19 @@
   gentiandeck_controller: ({ placement }) => Number(placement.fence !== null),
   gentiandeck_quarantines: ({ promptEvidence }) => countHeldQuarantines(promptEvidence),
   gentiandeck_known_crashes: ({ promptEvidence }) => promptEvidence.crashes.size,
-  gentiandeck_log_lines_dropped: (_state, log) => log.countDropped(),
+  gentiandeck_log_lines_dropped: (_state, { log }) => log.countDropped(),
+  gentiandeck_loop_delay_ms: (_state, { loopDelay }) => loopDelay.getDelayMs(),
+  gentiandeck_loop_delay_max_ms: (_state, { loopDelay }) => loopDelay.getMaxDelayMs(),
 };
 
-function formatGauges(state: EntryState, log: EntryLog): string {
+function formatGauges(sources: MetricsSources): string {
   return Object.entries(GAUGES)
-    .map(([name, read]) => `# TYPE ${name} gauge\n${name} ${read(state, log)}\n`)
+    .map(([name, read]) => `# TYPE ${name} gauge\n${name} ${read(sources.state, sources)}\n`)
     .join('');
 }
 
 /** Creates the metrics server. The caller starts it with `listen`. */
-export function createMetricsServer(metrics: Metrics, state: EntryState, log: EntryLog): Server {
+export function createMetricsServer(sources: MetricsSources): Server {
   return http.createServer((request, response) => {
     if ((request.url ?? '').split('?')[0] !== METRICS_PATH) {
       response.writeHead(HTTP_NOT_FOUND);
@@ -46,6 +57,6 @@
       return;
     }
     response.writeHead(HTTP_OK, { 'content-type': 'text/plain; version=0.0.4' });
-    response.end(metrics.formatPrometheus() + formatGauges(state, log));
+    response.end(sources.metrics.formatPrometheus() + formatGauges(sources));
   });
 }
--- a/src/transport/peerCalls.ts
+++ b/src/transport/peerCalls.ts
@@ -36,6 +36,8 @@
       baseUrl: `http://${address}`,
       httpVersion: '1.1',
       nodeOptions: { agent },
+      // Compression costs more processor time than the bytes between VMs are worth.
+      acceptCompression: [],
       readMaxBytes: MAX_PEER_MESSAGE_BYTES,
     });
     const client = createClient(service, transport);
--- a/tests/entry/fixtures.ts
+++ b/tests/entry/fixtures.ts
@@ -254,7 +254,7 @@
     0,
   );
   const receiveRequest = (request: ForwardRequest, nowMs = 10_000): EntryCommand[] =>
-    step({ kind: EntryEventKind.RequestArrived, request }, nowMs);
+    step({ kind: EntryEventKind.RequestArrived, request, delayMs: 0 }, nowMs);
   return { state, step, receiveRequest, readBackends };
 }
 
--- a/tests/entry/rates.test.ts
+++ b/tests/entry/rates.test.ts
@@ -160,7 +160,7 @@
         promptTokens: COST_TOKENS,
         maxOutputTokens: 0,
       });
-      const arrival = { kind: EntryEventKind.RequestArrived, request } as const;
+      const arrival = { kind: EntryEventKind.RequestArrived, request, delayMs: 0 } as const;
       if (executeLoanRequests(vms, index, stepEntry(vms[index]!, arrival, nowMs), isLost, nowMs)) {
         admitted.push({ atMs: nowMs, tokens: COST_TOKENS });
       }
--- a/tests/fakes/entryFleet.ts
+++ b/tests/fakes/entryFleet.ts
@@ -431,7 +431,7 @@
       };
       requests.push(sent);
       requestsById.set(requestId, sent);
-      post(vm, vms[vm]!, { kind: EntryEventKind.RequestArrived, request });
+      post(vm, vms[vm]!, { kind: EntryEventKind.RequestArrived, request, delayMs: 0 });
       return sent;
     },
     crash: (engine, awayMs) => {
--- a/tests/fakes/exchangeFleet.ts
+++ b/tests/fakes/exchangeFleet.ts
@@ -257,6 +257,27 @@
   };
   vms.forEach(start);
 
+  const runVm = (vm: ExchangeVm, index: number): void => {
+    if (!vm.isRunning) {
+      return;
+    }
+    if (nowMs % DEMAND_PERIOD_MS < STEP_MS) {
+      addDemands(vm, index);
+      updateVmsLastSeen(vm.state, nowMs);
+    }
+    if (vm.isReader && (nowMs + index * STEP_MS) % STORE_READ_MS < STEP_MS) {
+      readStore(vm);
+    }
+    fireTimers(vm);
+  };
+
+  const runStep = (): void => {
+    const due = pending.filter(({ atMs }) => atMs <= nowMs);
+    pending.splice(0, pending.length, ...pending.filter(({ atMs }) => atMs > nowMs));
+    due.forEach(({ run }) => run());
+    vms.forEach(runVm);
+  };
+
   return {
     vms,
     getNowMs: () => nowMs,
@@ -284,22 +305,7 @@
       const endMs = nowMs + durationMs;
       while (nowMs < endMs) {
         nowMs += STEP_MS;
-        const due = pending.filter(({ atMs }) => atMs <= nowMs);
-        pending.splice(0, pending.length, ...pending.filter(({ atMs }) => atMs > nowMs));
-        due.forEach(({ run }) => run());
-        vms.forEach((vm, index) => {
-          if (!vm.isRunning) {
-            return;
-          }
-          if (nowMs % DEMAND_PERIOD_MS < STEP_MS) {
-            addDemands(vm, index);
-            updateVmsLastSeen(vm.state, nowMs);
-          }
-          if (vm.isReader && (nowMs + index * STEP_MS) % STORE_READ_MS < STEP_MS) {
-            readStore(vm);
-          }
-          fireTimers(vm);
-        });
+        runStep();
       }
     },
   };
