--- a/src/coordination/entry/gossip.ts
+++ b/src/coordination/entry/gossip.ts
@@ -65,6 +65,7 @@
     isLeaving: isShuttingDown(state),
     workspaceDemands: demands,
     vmCount,
+    ageMs: 0,
   };
 }
 
@@ -75,7 +76,7 @@
       ({ isRelayedHere, reportReceivedAtMs }) =>
         !isRelayedHere && nowMs - reportReceivedAtMs < REPORT_MAX_AGE_MS,
     )
-    .map(({ report }) => report);
+    .map(({ report, reportReceivedAtMs }) => ({ ...report, ageMs: nowMs - reportReceivedAtMs }));
 }
 
 /** Creates a message without reports. */
@@ -289,7 +290,8 @@
   const isOwn = report.vmId === state.self.vmId;
   if (!isOwn && !isFromUnlistedProcess(state, report) && isNewerReport(report, known?.report)) {
     const knownBoard = known?.knownBoard ?? null;
-    state.peers.set(report.vmId, { report, reportReceivedAtMs: nowMs, isRelayedHere, knownBoard });
+    const reportReceivedAtMs = nowMs - report.ageMs;
+    state.peers.set(report.vmId, { report, reportReceivedAtMs, isRelayedHere, knownBoard });
   }
 }
 
--- a/src/coordination/entry/state.ts
+++ b/src/coordination/entry/state.ts
@@ -126,6 +126,7 @@
 /** The last report of another VM and the time of its receipt. */
 export interface PeerRecord {
   report: VmReport;
+  /** Time of the receipt at the VM that received it from its sender. */
   reportReceivedAtMs: number;
   /** True if this VM relays for the VM, and so reports its demands. */
   isRelayedHere: boolean;
--- a/src/protocol/entry/peerMessages.ts
+++ b/src/protocol/entry/peerMessages.ts
@@ -223,6 +223,7 @@
     isLeaving: wire.isLeaving,
     workspaceDemands: wire.workspaceDemands.map(decodeWorkspaceDemand),
     vmCount: wire.vmCount,
+    ageMs: wire.ageMs,
   };
 }
 
--- a/src/state/entry/reports.ts
+++ b/src/state/entry/reports.ts
@@ -45,6 +45,8 @@
   readonly workspaceDemands: readonly WorkspaceDemand[];
   /** Number of VMs whose demands the report includes. */
   readonly vmCount: number;
+  /** Age of the report when it was sent, so that it does not count as recent again at each VM that passes it on. */
+  readonly ageMs: number;
 }
 
 /** The demands over all VMs that have reported recently. */
--- a/tests/entry/discovery.test.ts
+++ b/tests/entry/discovery.test.ts
@@ -136,6 +136,7 @@
       isLeaving: false,
       workspaceDemands: [],
       vmCount: 1,
+      ageMs: 0,
     };
     const kind = EntryEventKind.PeerMessage;
     const message = createPeerMessage({ reports: [report] });
--- a/tests/entry/rateLoans.test.ts
+++ b/tests/entry/rateLoans.test.ts
@@ -67,6 +67,7 @@
     isLeaving: false,
     workspaceDemands: [{ name: 'mill', tokensPerSecond: 100, lenders: [{ vmId, spareTokens }] }],
     vmCount: 1,
+    ageMs: 0,
   };
 }
 
