Do not take a rejection that a server sends once more for that of the next request

A faulty server wrote an earlier rejection once more on a kept connection. A rejection without an id was believed on any connection, and one with the id of the request also if it was that of an earlier dispatch: the caller was told 'not run', or the request ran at a second server, while the first ran it. A rejection without an id now counts only as the first answer on its connection, one id is rejected at most once on a connection, and a request that a server has rejected goes there again on a connection of its own; what is not clear is 'may have run', and the connection is closed. The stand-in's rejections now echo the id, as the platform's pages say.

--- a/src/transport/entry/answers.ts
+++ b/src/transport/entry/answers.ts
@@ -210,15 +210,19 @@
 
 /** Handles the response of a backend server once its headers have been received. */
 export function handleAnswer(attempt: Attempt, response: IncomingMessage, head: AnswerHead): void {
-  const { command, exchange } = attempt;
-  const isForThisRequest = head.callerRequestId === exchange.callerRequestId;
-  const isRefusalWithoutId = head.callerRequestId === null && head.isRefused;
+  const { command, context, exchange } = attempt;
+  const { callerRequestId } = head;
+  const isForThisRequest = callerRequestId === exchange.callerRequestId;
+  const isRefusalWithoutId = callerRequestId === null && head.isRefused;
   const isEncoded = response.headers['content-encoding'] !== undefined;
-  if (!(isForThisRequest || isRefusalWithoutId) || isEncoded) {
+  // A server may send an earlier rejection once more, while it runs this request.
+  const isReplay = !context.agents.recordAnswer(response, callerRequestId) && head.isRefused;
+  if (!(isForThisRequest || isRefusalWithoutId) || isEncoded || isReplay) {
     rejectAnswer(attempt);
     return;
   }
   if (head.isRefused) {
+    exchange.rejectedAddresses.add(command.address);
     dropBody(response);
     failAttempt(attempt, Diagnostics.BackendRefused, head, response.statusCode ?? 0);
     return;
--- a/src/transport/entry/attempt.ts
+++ b/src/transport/entry/attempt.ts
@@ -223,7 +223,10 @@
     headers: [...headers, ...framing] as unknown as http.OutgoingHttpHeaders,
     setHost: false,
     maxHeaderSize: MAX_ANSWER_HEAD_BYTES,
-    agent: context.agents.getAgent(command.address, command.maxConnections),
+    // On a kept connection, the rejection of this dispatch could not be told from that of the earlier one.
+    agent:
+      !exchange.rejectedAddresses.has(command.address) &&
+      context.agents.getAgent(command.address, command.maxConnections),
   });
 }
 
--- a/src/transport/entry/backendAgent.ts
+++ b/src/transport/entry/backendAgent.ts
@@ -25,6 +25,12 @@
   readonly onConnection: (request: ClientRequest, send: () => void) => void;
   /** Records how long a connection may stay idle, from the `Keep-Alive` header of a response. */
   readonly recordIdleTimeout: (response: IncomingMessage) => void;
+  /**
+   * Records an answer, and returns whether it can only be that of the request that is open on its connection. An answer
+   * without an id can on a new connection; one with the id of the request can unless the connection has already had an
+   * answer with that id, from an earlier dispatch.
+   */
+  readonly recordAnswer: (response: IncomingMessage, id: string | null) => boolean;
   readonly close: () => void;
 }
 
@@ -32,6 +38,7 @@
 export function createBackendAgents(): BackendAgents {
   const agents = new Map<string, http.Agent>();
   const idleTimeoutsMs = new WeakMap<Socket, number>();
+  const answeredIds = new WeakMap<Socket, Set<string | null>>();
 
   const handleIdleSocket = (socket: Socket): void => {
     socket.setTimeout(idleTimeoutsMs.get(socket) ?? DEFAULT_IDLE_TIMEOUT_MS);
@@ -89,6 +96,12 @@
       agents.set(address, agent);
       return agent;
     },
+    recordAnswer: ({ socket }, id) => {
+      const ids = answeredIds.get(socket) ?? new Set();
+      const isUnambiguous = id === null ? ids.size === 0 : !ids.has(id);
+      answeredIds.set(socket, ids.add(id));
+      return isUnambiguous;
+    },
     recordIdleTimeout: (response) => {
       const header = response.headers['keep-alive'];
       const seconds = KEEP_ALIVE_PATTERN.exec(typeof header === 'string' ? header : '')?.[1];
--- a/src/transport/entry/exchange.ts
+++ b/src/transport/entry/exchange.ts
@@ -29,6 +29,8 @@
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
   readonly body: Buffer;
+  /** Addresses of the servers that have rejected the request. */
+  readonly rejectedAddresses: Set<string>;
   /** Id of the last event that was sent to the caller, over all attempts. */
   lastEventId: string | null;
   lastEventAtMs: number | null;
@@ -48,6 +50,7 @@
 ): ForwardExchange {
   return {
     ...fields,
+    rejectedAddresses: new Set(),
     lastEventId: null,
     lastEventAtMs: null,
     maxGapMs: 0,
--- a/tests/stand-ins/platformRunner.ts
+++ b/tests/stand-ins/platformRunner.ts
@@ -111,8 +111,8 @@
 
   const ANSWER_SENDERS: Readonly<Record<RunnerFault, SendAnswer>> = {
     [RunnerFault.None]: sendNormalAnswer,
-    [RunnerFault.NotExecuted]: (_request, response) => {
-      response.writeHead(503, { 'x-not-executed': '1' });
+    [RunnerFault.NotExecuted]: (_request, response, headers) => {
+      response.writeHead(503, { ...headers, 'x-not-executed': '1' });
       response.end();
     },
     [RunnerFault.LoseAnswer]: (_request, response) => response.destroy(),
