Keep the process alive when the handling of one event fails

An exception in an event handler or in an executor ended the event loop, and with it the process and all its requests; so did an unexpected error on a socket or in a promise. The loop now reports the event, answers its request with 'internal error' (which promises nothing) and goes on; errors that nothing else catches are logged. gentiandeckd is not changed yet: it passes no handler for errors and ends as before.

--- a/src/bin/gentiandeckEntry.ts
+++ b/src/bin/gentiandeckEntry.ts
@@ -53,6 +53,14 @@
   const store = createPlatformStore(settings.storeAddress, STORE_TIMEOUT_MS);
   const wire = PLATFORM_WIRE;
   const daemon = await startEntryDaemon({ settings, metricsPort, store, wire, log });
+  const logUnexpected = (error: unknown): void => {
+    const detail = error instanceof Error ? (error.stack ?? error.message) : String(error);
+    const text = 'An unexpected error was caught.';
+    log.write(LogLevel.Error, EntryLogPrefix.Lifecycle, text, { detail });
+  };
+  // One failed socket or promise is not allowed to end the process and all other requests.
+  process.on('uncaughtException', logUnexpected);
+  process.on('unhandledRejection', logUnexpected);
   process.on('SIGTERM', daemon.stop);
   process.on('SIGINT', daemon.stop);
   process.on('SIGHUP', () => {
--- a/src/coordination/loop.ts
+++ b/src/coordination/loop.ts
@@ -50,6 +50,8 @@
   readonly execute: (command: C, timers: LoopTimers<E>) => void;
   /** Called after each event, if sessions are recorded. */
   readonly record?: (entry: LoopRecord<E, C>) => void;
+  /** Called if the handler of an event or the executor of a command throws; the loop then goes on. */
+  readonly onError?: (event: E, error: unknown) => void;
 }
 
 /** Returns the monotonic time of a clock in whole milliseconds. Its origin differs between VMs. */
@@ -85,20 +87,35 @@
 
 /** Creates an event loop for any type of state, event and command. */
 export function createEventLoop<S, E, C>(parts: LoopOptions<S, E, C>): Loop<E> {
-  const { execute, record, state, step } = parts;
+  const { execute, onError, record, state, step } = parts;
   const queue = Effect.runSync(Queue.unbounded<E>());
   const post = (event: E): void => {
     Queue.offerUnsafe(queue, event);
   };
+  /** Runs one part of the work for an event. A failure there is not allowed to end the process and all other requests. */
+  const guard = <T>(event: E, fallback: T, work: () => T): T => {
+    try {
+      return work();
+    } catch (error) {
+      if (onError === undefined) {
+        throw error;
+      }
+      onError(event, error);
+      return fallback;
+    }
+  };
+  const handle = (event: E, nowMs: number, timers: LoopTimers<E>): void => {
+    const commands = guard<readonly C[]>(event, [], () => step(state, event, nowMs));
+    record?.({ nowMs, event, commands });
+    commands.forEach((command) => guard(event, undefined, () => execute(command, timers)));
+  };
   const run = Effect.gen(function* runLoop() {
     const context = yield* Effect.context();
     const timers = createTimers(Effect.runForkWith(context), post);
     while (true) {
       const event = yield* Queue.take(queue);
       const nowMs = yield* getNowMs;
-      const commands = step(state, event, nowMs);
-      record?.({ nowMs, event, commands });
-      commands.forEach((command) => execute(command, timers));
+      handle(event, nowMs, timers);
     }
   });
   return { post, run };
--- a/src/transport/entry/entryDaemon.ts
+++ b/src/transport/entry/entryDaemon.ts
@@ -10,9 +10,11 @@
 import { stepEntry } from '../../coordination/entry/handlers.js';
 import { createEntryState, isShuttingDown } from '../../coordination/entry/state.js';
 import { LogLevel } from '../../coordination/events.js';
+import { createRefusal } from '../../coordination/requestCompletion.js';
 import { createEventLoop, readClockMs } from '../../coordination/loop.js';
 import { createDiagnostic, DiagnosticError, Diagnostics } from '../../state/diagnostics.js';
 import type { CallerLimits } from '../../state/entry/deployment.js';
+import { RunStatus } from '../../state/types.js';
 import { createStoreMirror } from '../../state/entry/storeMirror.js';
 import { createRandom, nextRandom } from '../../state/random.js';
 import { createControllerLease } from '../controllerLease.js';
@@ -23,7 +25,7 @@
 import { createEntryCommandExecutor } from './commandTable.js';
 import type { EntryLog } from './entryLog.js';
 import { createEntryPeerClient, createEntryPeerServer, type EntryReplies } from './entryPeers.js';
-import type { ForwardExchange } from './exchange.js';
+import { abortForwardAnswer, type ForwardExchange } from './exchange.js';
 import { createForwardServer, createReadinessServer } from './forwardServer.js';
 import { createLoopDelayMonitor } from './loopDelay.js';
 import { createMetricsServer } from './metricsServer.js';
@@ -183,6 +185,21 @@
     server.closeIdleConnections();
   };
 
+  /** Answers the request of an event that could not be handled; without an answer its caller would wait in vain. */
+  const failRequestOf = (event: EntryEvent): void => {
+    const requestId =
+      event.kind === EntryEventKind.RequestArrived
+        ? event.request.requestId
+        : 'requestId' in event && event.requestId;
+    const exchange = requestId === false ? undefined : exchanges.get(requestId);
+    if (exchange !== undefined) {
+      const diagnostic = createDiagnostic(Diagnostics.InternalError);
+      exchange.cancel?.run();
+      abortForwardAnswer(exchange, createRefusal(diagnostic, RunStatus.Unknown), wire);
+      exchanges.delete(exchange.requestId);
+      post({ kind: EntryEventKind.CallerDisconnected, requestId: exchange.requestId });
+    }
+  };
   const execute = createEntryCommandExecutor({
     self,
     post,
@@ -214,7 +231,17 @@
     stopAccepting,
     exit,
   });
-  const loop = createEventLoop({ state, step: stepEntry, execute });
+  const loop = createEventLoop({
+    state,
+    step: stepEntry,
+    execute,
+    onError: (event, error) => {
+      const text = 'An event could not be handled.';
+      const detail = error instanceof Error ? (error.stack ?? error.message) : String(error);
+      writeLog(LogLevel.Error, EntryLogPrefix.Lifecycle, text, { event: event.kind, detail });
+      failRequestOf(event);
+    },
+  });
   eventSink.post = loop.post;
 
   await listen(readyServer, settings.readyAddress);
