Count only events with data as progress of a stream

A server that sent nothing but comments ('kept open') or events without data never counted as stalled, so that a resumable stream waited for its deadline instead of going on elsewhere.

--- a/src/protocol/entry/eventFrames.ts
+++ b/src/protocol/entry/eventFrames.ts
@@ -5,12 +5,15 @@
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const ID_PATTERN = /^id:[ ]?(.*)$/m;
+const DATA_PATTERN = /^data(?::|$)/m;
 
 /** One complete event with the blank line that ends it. */
 export interface EventFrame {
   readonly bytes: Buffer;
   /** The id of the event; null if it has none. */
   readonly id: string | null;
+  /** False for comments, which servers send to keep a connection open. */
+  readonly hasData: boolean;
 }
 
 /** Collects the chunks of one stream in order. */
@@ -39,8 +42,8 @@
   return -1;
 }
 
-function decodeId(bytes: Buffer): string | null {
-  return ID_PATTERN.exec(bytes.toString('latin1'))?.[1]?.trim() ?? null;
+function decodeId(text: string): string | null {
+  return ID_PATTERN.exec(text)?.[1]?.trim() ?? null;
 }
 
 /** Length of the longest blank line and the line end before it: the part of a blank line that may have been received. */
@@ -61,7 +64,8 @@
         end = findFrameEnd(incomplete, fromIndex)
       ) {
         const bytes = incomplete.subarray(0, end);
-        frames.push({ bytes, id: decodeId(bytes) });
+        const text = bytes.toString('latin1');
+        frames.push({ bytes, id: decodeId(text), hasData: DATA_PATTERN.test(text) });
         incomplete = incomplete.subarray(end);
         fromIndex = 0;
       }
--- a/src/transport/entry/answers.ts
+++ b/src/transport/entry/answers.ts
@@ -132,7 +132,7 @@
     advanceAttempt(attempt, DispatchSignal.BodyReceived);
     receivedBytes += chunk.length;
     const frames = reader.addChunk(chunk);
-    if (frames.length > 0) {
+    if (frames.some(({ hasData }) => hasData)) {
       recordProgress(attempt);
     }
     frames.forEach((frame) => forwardEvent(attempt, response, frame));
