Reset the connection of a stream that broke off if nothing else shows its end

A stream whose server gave neither a length nor chunks ends with its connection, towards the caller too. When it broke off and could not go on, that connection was closed in good order, so that the caller took the stream for complete. Shown by a table of tests over real sockets (three framings of the broken stream, eight kinds of next answer: errors, a rejection, a redirect, another content type, half a head, no answer, a second break): eight of them failed before, those without framing. Such connections are now reset. No byte of an error was seen in a stream, before or after. Also tested: requests that a busy VM has read late (vm_behind).

--- a/src/transport/entry/answers.ts
+++ b/src/transport/entry/answers.ts
@@ -100,6 +100,7 @@
   if (!isAnswerBegun(exchange) && !exchange.response.destroyed) {
     const headers = context.wire.encodeAnswerHead(response.rawHeaders);
     if (!isFramed(exchange, response)) {
+      exchange.endsWithConnection = true;
       exchange.response.shouldKeepAlive = false;
       exchange.response.useChunkedEncodingByDefault = false;
     }
--- a/src/transport/entry/exchange.ts
+++ b/src/transport/entry/exchange.ts
@@ -41,6 +41,8 @@
   bufferedAnswer: BufferedAnswer | null;
   /** Cancels the attempt in progress, which has this number. */
   cancel: { readonly attempt: number; readonly run: () => void } | null;
+  /** True if the response ends with its connection, so that only a reset shows that it is incomplete. */
+  endsWithConnection: boolean;
   isEnded: boolean;
 }
 
@@ -58,6 +60,7 @@
     eventCount: 0,
     bufferedAnswer: null,
     cancel: null,
+    endsWithConnection: false,
     isEnded: false,
   };
 }
@@ -129,7 +132,11 @@
     return;
   }
   exchange.isEnded = true;
-  exchange.response.destroy();
+  if (exchange.endsWithConnection) {
+    exchange.response.socket?.resetAndDestroy();
+  } else {
+    exchange.response.destroy();
+  }
 }
 
 /** Records the id and the time of a stream event that is sent to the caller. */
