--- a/src/coordination/entry/events.ts
+++ b/src/coordination/entry/events.ts
@@ -153,7 +153,7 @@
   readonly isRelayed: boolean;
   /** True if the answer has to contain the reports that the receiver knows. */
   readonly isReportRequested: boolean;
-  /** Demands for models at the sender and at the VMs that it relays for; empty except for relays and the controller. */
+  /** Demands for models at the sender and at the VMs that it relays for; empty unless the receiver is its relay or the controller. */
   readonly modelDemands: readonly ModelDemand[];
   /** From a relay to a VM that it relays for, else null. */
   readonly fleet: FleetDemand | null;
--- a/tests/entry/answerEnds.test.ts
+++ b/tests/entry/answerEnds.test.ts
@@ -272,13 +272,19 @@
     },
   );
 
-  it('is reported as stalled while an event grows without end', async () => {
+  const STALLS = [
+    { name: 'an event grows without end', first: 'data: ', filler: 'x' },
+    { name: 'only comments arrive', first: '', filler: ': open\n\n' },
+    { name: 'only events without data arrive', first: '', filler: 'retry: 5\n\n' },
+  ];
+
+  it.each(STALLS)('is reported as stalled while $name', async ({ filler, first }) => {
     const events: EntryEvent[] = [];
     const server = net.createServer((socket) => {
       socket.on('error', () => {});
       socket.once('data', () => {
-        socket.write(`${STREAM_HEAD}${FIRST_EVENT}data: `);
-        const timer = setInterval(() => socket.write('x'), 10);
+        socket.write(`${STREAM_HEAD}${FIRST_EVENT}${first}`);
+        const timer = setInterval(() => socket.write(filler), 10);
         socket.on('close', () => clearInterval(timer));
       });
     });
