Measure the loop's work by kind, and log a late loop with what it did

Nothing told which work makes the loop of a small VM late, so the hypotheses on GONE could not be told apart. The time of each kind of event and command is a counter on the metrics address; a loop that is 250 ms late or more logs the kinds that took the most time. No decision changes.

--- a/src/coordination/loop.ts
+++ b/src/coordination/loop.ts
@@ -59,6 +59,11 @@
   return Number(clock.monotonicTimeNanosUnsafe() / NANOS_PER_MS);
 }
 
+/** Returns the same time with the resolution of the clock, for the measurement of short durations. */
+export function readPreciseClockMs(clock: Clock.Clock): number {
+  return Number(clock.monotonicTimeNanosUnsafe()) / Number(NANOS_PER_MS);
+}
+
 /** Reads the runtime's monotonic clock, which changes of the wall clock do not affect. */
 export const getNowMs: Effect.Effect<number> = Clock.clockWith((clock) =>
   Effect.sync(() => readClockMs(clock)),
--- a/src/transport/entry/entryDaemon.ts
+++ b/src/transport/entry/entryDaemon.ts
@@ -5,13 +5,17 @@
 import type { Server } from 'node:http';
 import { randomBytes } from 'node:crypto';
 import { Cause, Clock, Effect, Exit } from 'effect';
-import { EntryLogPrefix } from '../../coordination/entry/commands.js';
+import { type EntryCommand, EntryLogPrefix } from '../../coordination/entry/commands.js';
 import { type EntryEvent, EntryEventKind } from '../../coordination/entry/events.js';
 import { stepEntry } from '../../coordination/entry/handlers.js';
-import { createEntryState, isShuttingDown } from '../../coordination/entry/state.js';
+import {
+  createEntryState,
+  type EntryState,
+  isShuttingDown,
+} from '../../coordination/entry/state.js';
 import { LogLevel } from '../../coordination/events.js';
 import { createRefusal } from '../../coordination/requestCompletion.js';
-import { createEventLoop, readClockMs } from '../../coordination/loop.js';
+import { createEventLoop, readClockMs, readPreciseClockMs } from '../../coordination/loop.js';
 import { createDiagnostic, DiagnosticError, Diagnostics } from '../../state/diagnostics.js';
 import type { CallerLimits } from '../../state/entry/deployment.js';
 import { RunStatus } from '../../state/types.js';
@@ -28,6 +32,7 @@
 import { abortForwardAnswer, type ForwardExchange } from './exchange.js';
 import { createForwardServer, createReadinessServer } from './forwardServer.js';
 import { createLoopDelayMonitor } from './loopDelay.js';
+import { createLoopWorkMeter } from './loopWork.js';
 import { createMetricsServer } from './metricsServer.js';
 import { createEntryPolicy, type EntrySettings } from './settings.js';
 import { encodeControllerLeaseHolder, EntryKey } from './storeKeys.js';
@@ -145,7 +150,15 @@
     },
   );
 
-  const loopDelay = createLoopDelayMonitor(getNowMs);
+  const loopWork = createLoopWorkMeter(() => readPreciseClockMs(clock));
+  const loopDelay = createLoopDelayMonitor(getNowMs, (delayMs) => {
+    writeLog(LogLevel.Warn, EntryLogPrefix.Lifecycle, 'The loop was late.', {
+      delayMs,
+      busiest: loopWork.takeBusiest(),
+      requests: state.requests.size,
+      isController: state.placement.fence !== null,
+    });
+  });
   const server = createForwardServer({
     post,
     wire,
@@ -165,7 +178,7 @@
     mirror,
     isStoreCurrent: storeAccess.isCurrent,
   });
-  const metricsServer = createMetricsServer({ metrics, state, log, loopDelay });
+  const metricsServer = createMetricsServer({ metrics, state, log, loopDelay, loopWork });
 
   let resolveEnded = (): void => {};
   const ended = new Promise<void>((resolve) => {
@@ -231,10 +244,11 @@
     stopAccepting,
     exit,
   });
-  const loop = createEventLoop({
+  const loop = createEventLoop<EntryState, EntryEvent, EntryCommand>({
     state,
-    step: stepEntry,
-    execute,
+    step: (loopState, event, nowMs) =>
+      loopWork.measure(event.kind, () => stepEntry(loopState, event, nowMs)),
+    execute: (command, timers) => loopWork.measure(command.kind, () => execute(command, timers)),
     onError: (event, error) => {
       const text = 'An event could not be handled.';
       const detail = error instanceof Error ? (error.stack ?? error.message) : String(error);
--- a/src/transport/entry/loopDelay.ts
+++ b/src/transport/entry/loopDelay.ts
@@ -6,6 +6,8 @@
 const CHECK_INTERVAL_MS = 100;
 /** A smaller delay is normal. */
 const MIN_DELAY_MS = 50;
+/** From this delay on, callers with short patience have left before their requests are read. */
+const REPORTED_DELAY_MS = 250;
 
 /** Measures the delay of the loop by a periodic timer. */
 export interface LoopDelayMonitor {
@@ -16,8 +18,15 @@
   readonly close: () => void;
 }
 
-/** Starts the periodic timer. */
-export function createLoopDelayMonitor(getNowMs: () => number): LoopDelayMonitor {
+/**
+ * Starts the periodic timer.
+ *
+ * @param onLate Called with each delay that is long.
+ */
+export function createLoopDelayMonitor(
+  getNowMs: () => number,
+  onLate: (delayMs: number) => void = () => {},
+): LoopDelayMonitor {
   let dueAtMs = getNowMs() + CHECK_INTERVAL_MS;
   let lastDelayMs = 0;
   let maxDelayMs = 0;
@@ -26,6 +35,9 @@
     lastDelayMs = Math.max(0, nowMs - dueAtMs);
     maxDelayMs = Math.max(maxDelayMs, lastDelayMs);
     dueAtMs = nowMs + CHECK_INTERVAL_MS;
+    if (lastDelayMs >= REPORTED_DELAY_MS) {
+      onLate(lastDelayMs);
+    }
   }, CHECK_INTERVAL_MS);
   timer.unref();
   return {
--- a/src/transport/entry/metricsServer.ts
+++ b/src/transport/entry/metricsServer.ts
@@ -7,6 +7,7 @@
 import type { Metrics } from '../metrics.js';
 import type { EntryLog } from './entryLog.js';
 import type { LoopDelayMonitor } from './loopDelay.js';
+import type { LoopWorkMeter } from './loopWork.js';
 
 const METRICS_PATH = '/metrics';
 const HTTP_OK = 200;
@@ -18,6 +19,7 @@
   readonly state: EntryState;
   readonly log: EntryLog;
   readonly loopDelay: LoopDelayMonitor;
+  readonly loopWork: LoopWorkMeter;
 }
 
 /** Reads the current value of a gauge. */
@@ -57,6 +59,7 @@
       return;
     }
     response.writeHead(HTTP_OK, { 'content-type': 'text/plain; version=0.0.4' });
-    response.end(sources.metrics.formatPrometheus() + formatGauges(sources));
+    const { loopWork, metrics } = sources;
+    response.end(metrics.formatPrometheus() + formatGauges(sources) + loopWork.formatPrometheus());
   });
 }
