Notice that a caller has left when the end of its connection is read

What callers saw: nothing; engines got requests of callers that had left (GONE), on small VMs whose loop is late. Cause: the request and the end of its connection lay unread side by side. A VM that is behind waits two turns of the loop before it admits a request, but asked whether the connection had been closed, which takes Node.js more turns than reading its end. Change: the end of the connection counts as the caller's leaving; Node.js answers no caller afterwards either.

--- a/src/transport/entry/exchange.ts
+++ b/src/transport/entry/exchange.ts
@@ -43,6 +43,7 @@
   cancel: { readonly attempt: number; readonly run: () => void } | null;
   /** True if the response ends with its connection, so that only a reset shows that it is incomplete. */
   endsWithConnection: boolean;
+  /** True once the response has been sent, or the caller has left. */
   isEnded: boolean;
 }
 
--- a/src/transport/entry/forwardServer.ts
+++ b/src/transport/entry/forwardServer.ts
@@ -76,13 +76,22 @@
   const exchange = createForwardExchange({ requestId, callerRequestId, request, response, body });
   context.exchanges.set(requestId, exchange);
   response.shouldKeepAlive &&= !context.isShuttingDown();
-  response.on('close', () => {
-    if (!exchange.isEnded) {
+  let isAdmitted = false;
+  const leave = (): void => {
+    if (isAdmitted && !exchange.isEnded) {
       context.post({ kind: EntryEventKind.CallerDisconnected, requestId });
     }
+    exchange.isEnded = true;
+  };
+  // The end of the connection is read several turns of the loop before the connection is closed.
+  request.socket.once('end', leave);
+  response.on('close', () => {
+    request.socket.off('end', leave);
+    leave();
   });
   const arrive = (delayMs: number): void => {
-    if (!response.destroyed) {
+    if (!exchange.isEnded) {
+      isAdmitted = true;
       const kind = EntryEventKind.RequestArrived;
       context.post({ kind, request: { ...head, requestId }, delayMs });
     }
