Forget a request whose caller left before it was admitted

Such a request stayed in the table of requests, with its body, until the process ended: only the event loop removed entries, and it never heard of this one. Both rows of the new test failed before.

--- a/src/transport/entry/forwardServer.ts
+++ b/src/transport/entry/forwardServer.ts
@@ -78,7 +78,9 @@
   response.shouldKeepAlive &&= !context.isShuttingDown();
   let isAdmitted = false;
   const leave = (): void => {
-    if (isAdmitted && !exchange.isEnded) {
+    if (!isAdmitted) {
+      context.exchanges.delete(requestId);
+    } else if (!exchange.isEnded) {
       context.post({ kind: EntryEventKind.CallerDisconnected, requestId });
     }
     exchange.isEnded = true;
--- a/tests/entry/callerLeaves.test.ts
+++ b/tests/entry/callerLeaves.test.ts
@@ -222,6 +222,20 @@
     expect(events.filter(({ kind }) => kind === EntryEventKind.RequestArrived)).toEqual([]);
   });
 
+  it.each(ENDS)(
+    'is not kept in memory when it was not admitted: the caller $name',
+    async ({ end }) => {
+      const { exchanges, port } = await startCallerServer(300);
+      const socket = net.connect(port, '127.0.0.1', () => {
+        socket.write(REQUEST);
+        end(socket);
+      });
+      socket.on('error', () => {});
+      await wait(MAX_NOTICE_MS);
+      expect(exchanges.size).toBe(0);
+    },
+  );
+
   it.each(ENDS)('is ended soon after it was admitted: the caller $name', async ({ end }) => {
     const { events, port } = await startCallerServer(0);
     const socket = net.connect(port, '127.0.0.1', () => socket.write(REQUEST));
