--- a/src/transport/entry/storeWatches.ts
+++ b/src/transport/entry/storeWatches.ts
@@ -180,11 +180,19 @@
  * is older than the mirror.
  */
 export function applyStoreUpdate(context: WatchContext, update: StoreUpdate, source: string): void {
-  const { applyEntryKeys, mirror, post, wire } = context;
+  const { applyEntryKeys, mirror, post, wire, writeLog } = context;
+  const { isSnapshot, items, revision } = update;
+  const knownRevision = mirror.revision;
   if (!updateStoreMirror(mirror, update)) {
+    const text = 'An update of the store was ignored because it is older.';
+    writeLog(LogLevel.Info, EntryLogPrefix.Store, text, {
+      revision,
+      knownRevision,
+      isSnapshot,
+      source,
+    });
     return;
   }
-  const { isSnapshot, items, revision } = update;
   const configuration = items.findLast(({ key }) => key === wire.configurationKey)?.value ?? null;
   if (configuration !== null) {
     applyConfiguration(context, configuration, source);
