--- /dev/null
+++ b/src/coordination/entry/backendRegistry.ts
@@ -0,0 +1,148 @@
+/**
+ * The registered backend servers as this VM knows them: applies one entry of the store, or its removal.
+ *
+ * A server that has said that it leaves does not come back in the same incarnation, and the servers that were dropped are
+ * remembered for a while, so that a store that was restored from a copy does not bring them back.
+ */
+import {
+  type Backend,
+  type BackendEntry,
+  createBackend,
+  isSameIncarnation,
+} from '../../state/entry/backends.js';
+import { formatStoreRevision } from '../../state/storeRevision.js';
+import { LogLevel } from '../events.js';
+import { createEntryLog, type EntryCommand, EntryLogPrefix } from './commands.js';
+import type { DepartedServer, EntryState } from './state.js';
+
+/**
+ * Grace period after a store outage. The platform specifies that registrations which expired during the outage
+ * are written again within two seconds of the store's recovery; half a second is added for the watch.
+ */
+export const STORE_RECOVERY_GRACE_MS = 2_500;
+/** How long a server that was dropped is remembered: longer than the seconds that a restored store has lost. */
+const DEPARTED_MEMORY_MS = 60_000;
+
+function createChangeFields(entry: BackendEntry, revision: number, source: string) {
+  return {
+    server: entry.id,
+    service: entry.service,
+    address: entry.address,
+    isLeaving: entry.isLeaving,
+    models: entry.models.map(({ adapters, name }) => `${name}+${adapters.length}`).join(' '),
+    revision: formatStoreRevision(revision),
+    source,
+  };
+}
+
+/** Returns whether two entries offer the same models and accept requests alike. */
+function hasSameUse(a: BackendEntry, b: BackendEntry): boolean {
+  const listModels = (entry: BackendEntry): string =>
+    entry.models.map(({ name, version }) => `${name}@${version}`).join(' ');
+  return isSameIncarnation(a, b) && a.isLeaving === b.isLeaving && listModels(a) === listModels(b);
+}
+
+/** Returns what is remembered of a server that was dropped, if an entry is of the same incarnation. */
+export function findDeparted(state: EntryState, entry: BackendEntry): DepartedServer | undefined {
+  const departed = state.departedServers.get(entry.id);
+  return departed?.bornAtWallMs === entry.bornAtWallMs ? departed : undefined;
+}
+
+function dropBackend(state: EntryState, { entry, isLeaving }: Backend, nowMs: number): void {
+  const { bornAtWallMs, id } = entry;
+  state.backends.delete(id);
+  state.departedServers.set(id, { bornAtWallMs, isLeaving, atMs: nowMs });
+}
+
+/** Forgets servers that were dropped long ago. */
+export function forgetDeparted({ departedServers }: EntryState, nowMs: number): void {
+  departedServers.forEach(({ atMs }, id) => {
+    if (nowMs - atMs > DEPARTED_MEMORY_MS) {
+      departedServers.delete(id);
+    }
+  });
+}
+
+/** Applies the entry of a server, unless a later one is known. */
+export function applyEntry(
+  state: EntryState,
+  entry: BackendEntry,
+  revision: number,
+  source: string,
+): EntryCommand[] {
+  const existing = state.backends.get(entry.id);
+  if (existing !== undefined && revision < existing.revision) {
+    return [];
+  }
+  const fields = createChangeFields(entry, revision, source);
+  const isRoutine = existing !== undefined && hasSameUse(existing.entry, entry);
+  state.copiedEntries.delete(entry.id);
+  if (existing === undefined || !isSameIncarnation(existing.entry, entry)) {
+    const backend = createBackend(entry, revision);
+    backend.isLeaving ||= findDeparted(state, entry)?.isLeaving ?? false;
+    state.backends.set(entry.id, backend);
+  } else {
+    existing.isLeaving ||= entry.isLeaving;
+    existing.entry = entry;
+    existing.revision = revision;
+    existing.removeAtMs = null;
+    existing.missingUntilMs.clear();
+  }
+  return [
+    createEntryLog(
+      isRoutine ? LogLevel.Debug : LogLevel.Info,
+      EntryLogPrefix.Backend,
+      existing === undefined ? 'A backend server was registered.' : 'A backend server was updated.',
+      fields,
+    ),
+  ];
+}
+
+/** Removes a server whose entry is gone, after a grace period. */
+export function removeEntry(
+  state: EntryState,
+  backend: Backend,
+  revision: number,
+  removalDelayMs: number,
+  nowMs: number,
+): EntryCommand[] {
+  backend.revision = revision;
+  state.copiedEntries.delete(backend.entry.id);
+  if (removalDelayMs > 0) {
+    backend.removeAtMs ??= nowMs + removalDelayMs;
+  } else {
+    dropBackend(state, backend, nowMs);
+  }
+  return [
+    createEntryLog(
+      LogLevel.Info,
+      EntryLogPrefix.Backend,
+      'A backend server is no longer registered.',
+      {
+        server: backend.entry.id,
+        holdMs: removalDelayMs,
+        revision: formatStoreRevision(revision),
+      },
+    ),
+  ];
+}
+
+/** Removes servers that were not registered again within their grace period. */
+export function removeExpiredBackends(state: EntryState, nowMs: number): EntryCommand[] {
+  return [...state.backends.values()]
+    .filter(({ removeAtMs }) => removeAtMs !== null && removeAtMs <= nowMs)
+    .flatMap((backend) => {
+      const { entry } = backend;
+      dropBackend(state, backend, nowMs);
+      return [
+        createEntryLog(
+          LogLevel.Info,
+          EntryLogPrefix.Backend,
+          'A backend server was removed after its grace period.',
+          {
+            server: entry.id,
+          },
+        ),
+      ];
+    });
+}
--- a/src/coordination/entry/backendSelection.ts
+++ b/src/coordination/entry/backendSelection.ts
@@ -44,7 +44,7 @@
  * store was unreachable is used until its grace period has passed.
  */
 export function isAcceptingRequests(backend: Backend): boolean {
-  return !backend.entry.isLeaving;
+  return !backend.isLeaving;
 }
 
 /** Returns the estimated number of requests at a server over its slots. */
--- a/src/coordination/entry/commands.ts
+++ b/src/coordination/entry/commands.ts
@@ -24,6 +24,7 @@
   SendPeerMessage: 'sendPeerMessage',
   ReplyToPeer: 'replyToPeer',
   SetStoreAccess: 'setStoreAccess',
+  RenewRegistration: 'renewRegistration',
   RequestAdapter: 'requestAdapter',
   ReplyToAdapterRequest: 'replyToAdapterRequest',
   RequestLoan: 'requestLoan',
@@ -103,6 +104,8 @@
   };
   [EntryCommandKind.ReplyToPeer]: { readonly replyId: string; readonly message: PeerMessage };
   /** Starts or stops to read the store. */
+  /** Registers this VM in the store at once, since the store may have lost its registration. */
+  [EntryCommandKind.RenewRegistration]: Record<never, never>;
   [EntryCommandKind.SetStoreAccess]: { readonly isReader: boolean };
   /** Requests an adapter from the controller. */
   [EntryCommandKind.RequestAdapter]: {
--- a/src/coordination/entry/controller.ts
+++ b/src/coordination/entry/controller.ts
@@ -236,7 +236,8 @@
   ];
 }
 
-function stopController(state: EntryState, reason: string): EntryCommand[] {
+/** Ends this VM's term as the controller, if it is the controller. */
+export function stopController(state: EntryState, reason: string): EntryCommand[] {
   const { placement } = state;
   if (placement.fence === null) {
     return [];
--- a/src/coordination/entry/crashDetection.ts
+++ b/src/coordination/entry/crashDetection.ts
@@ -44,8 +44,8 @@
 const ANSWERING_STATES: ReadonlySet<RunState> = new Set([RunState.Accepted, RunState.Streaming]);
 
 /** Returns whether the end of a server's process is expected: it is leaving, or no longer registered. */
-function isEndExpected({ entry, removeAtMs }: Backend): boolean {
-  return entry.isLeaving || removeAtMs !== null;
+function isEndExpected({ isLeaving, removeAtMs }: Backend): boolean {
+  return isLeaving || removeAtMs !== null;
 }
 
 /** Adds a suspect to the crash of its server, and sends that to the other VMs. */
--- a/src/coordination/entry/discovery.ts
+++ b/src/coordination/entry/discovery.ts
@@ -2,24 +2,16 @@
  * Applies the configuration, the registered backend servers and the list of VMs, as read from the store or from
  * a peer. Backend servers whose registrations disappear around a store outage are kept for a grace period.
  */
-import {
-  type Backend,
-  type BackendEntry,
-  createBackend,
-  isSameIncarnation,
-} from '../../state/entry/backends.js';
+import { formatStoreRevision, getStoreEra } from '../../state/storeRevision.js';
 import { LogLevel } from '../events.js';
+import { applyEntry, removeEntry, STORE_RECOVERY_GRACE_MS } from './backendRegistry.js';
 import { createEntryLog, type EntryCommand, EntryCommandKind, EntryLogPrefix } from './commands.js';
 import type { BackendChange, EntryEventKind, EntryEventOf } from './events.js';
 import { dispatchWaiting } from './forwarding.js';
 import { selectRelays, updateRelayRole } from './relays.js';
+import { applyRestoredBackends } from './restoredStore.js';
 import { EntryLifecycle, type EntryState, updateVmsLastSeen } from './state.js';
 
-/**
- * Grace period after a store outage. The platform specifies that registrations which expired during the outage
- * are written again within two seconds of the store's recovery; half a second is added for the watch.
- */
-const STORE_RECOVERY_GRACE_MS = 2_500;
 /** Grace period for a mass removal while the store is reachable: its outage may have been too short to be detected. */
 const MASS_REMOVAL_GRACE_MS = 1_800;
 /** Fraction of the servers from which simultaneous removals count as expired leases, not as shutdowns. */
@@ -43,18 +35,35 @@
   ];
 }
 
-/** Applies a configuration if its version is later than the current one. */
+/**
+ * Returns whether a configuration is later than the current one. The version decides, whatever the store has lost; of two
+ * with the same version, the one that was written after a restore of the store does.
+ */
+function isLaterConfiguration(
+  state: EntryState,
+  { deployment, revision }: EntryEventOf<typeof EntryEventKind.ConfigurationRead>,
+): boolean {
+  if (state.deployment === null || deployment.version !== state.deployment.version) {
+    return deployment.version > (state.deployment?.version ?? Number.NEGATIVE_INFINITY);
+  }
+  return (
+    deployment !== state.deployment && getStoreEra(revision) > getStoreEra(state.deploymentRevision)
+  );
+}
+
+/** Applies a configuration if it is later than the current one. */
 export function handleConfigurationRead(
   state: EntryState,
   event: EntryEventOf<typeof EntryEventKind.ConfigurationRead>,
   nowMs: number,
 ): EntryCommand[] {
-  const { deployment, source } = event;
+  const { deployment, revision, source } = event;
   const oldVersion = state.deployment?.version ?? 0;
-  if (state.deployment !== null && deployment.version <= oldVersion) {
+  if (!isLaterConfiguration(state, event)) {
     return [];
   }
   state.deployment = deployment;
+  state.deploymentRevision = revision;
   [...state.buckets.keys()]
     .filter((name) => !deployment.workspacesByName.has(name))
     .forEach((name) => state.buckets.delete(name));
@@ -67,6 +76,7 @@
       {
         version: deployment.version,
         oldVersion,
+        revision: formatStoreRevision(revision),
         source,
         routes: [...deployment.routesByHost.values()].reduce((sum, list) => sum + list.length, 0),
         workspaces: deployment.workspacesByName.size,
@@ -77,56 +87,6 @@
   ];
 }
 
-function createChangeFields(entry: BackendEntry, revision: number, source: string) {
-  return {
-    server: entry.id,
-    service: entry.service,
-    address: entry.address,
-    isLeaving: entry.isLeaving,
-    models: entry.models.map(({ adapters, name }) => `${name}+${adapters.length}`).join(' '),
-    revision,
-    source,
-  };
-}
-
-/** Returns whether two entries offer the same models and accept requests alike. */
-function hasSameUse(a: BackendEntry, b: BackendEntry): boolean {
-  const listModels = (entry: BackendEntry): string =>
-    entry.models.map(({ name, version }) => `${name}@${version}`).join(' ');
-  return isSameIncarnation(a, b) && a.isLeaving === b.isLeaving && listModels(a) === listModels(b);
-}
-
-function applyEntry(
-  state: EntryState,
-  entry: BackendEntry,
-  revision: number,
-  source: string,
-): EntryCommand[] {
-  const existing = state.backends.get(entry.id);
-  if (existing !== undefined && revision < existing.revision) {
-    return [];
-  }
-  const fields = createChangeFields(entry, revision, source);
-  const isRoutine = existing !== undefined && hasSameUse(existing.entry, entry);
-  if (existing === undefined || !isSameIncarnation(existing.entry, entry)) {
-    const backend = createBackend(entry, revision);
-    state.backends.set(entry.id, backend);
-  } else {
-    existing.entry = entry;
-    existing.revision = revision;
-    existing.removeAtMs = null;
-    existing.missingUntilMs.clear();
-  }
-  return [
-    createEntryLog(
-      isRoutine ? LogLevel.Debug : LogLevel.Info,
-      EntryLogPrefix.Backend,
-      existing === undefined ? 'A backend server was registered.' : 'A backend server was updated.',
-      fields,
-    ),
-  ];
-}
-
 /** Returns whether one event removes so many servers that their leases have probably expired in a store outage. */
 function isMassRemoval(state: EntryState, changes: readonly BackendChange[]): boolean {
   const removed = changes.filter(({ entry, id }) => entry === null && state.backends.has(id));
@@ -152,33 +112,6 @@
   return isMassRemoval(state, changes) ? MASS_REMOVAL_GRACE_MS : 0;
 }
 
-function removeEntry(
-  state: EntryState,
-  backend: Backend,
-  revision: number,
-  removalDelayMs: number,
-  nowMs: number,
-): EntryCommand[] {
-  backend.revision = revision;
-  if (removalDelayMs > 0) {
-    backend.removeAtMs ??= nowMs + removalDelayMs;
-  } else {
-    state.backends.delete(backend.entry.id);
-  }
-  return [
-    createEntryLog(
-      LogLevel.Info,
-      EntryLogPrefix.Backend,
-      'A backend server is no longer registered.',
-      {
-        server: backend.entry.id,
-        holdMs: removalDelayMs,
-        revision,
-      },
-    ),
-  ];
-}
-
 /** Applies changes to the registered backend servers. */
 export function handleBackendsRead(
   state: EntryState,
@@ -189,6 +122,14 @@
   if (revision < state.backendsRevision) {
     return [];
   }
+  const isRestored =
+    isSnapshot &&
+    state.areBackendsRead &&
+    getStoreEra(revision) > getStoreEra(state.backendsRevision);
+  if (isRestored) {
+    state.backendsRevision = revision;
+    return [...applyRestoredBackends(state, event, nowMs), ...dispatchWaiting(state, nowMs)];
+  }
   const changedIds = new Set(event.changes.map(({ id }) => id));
   const missing = isSnapshot
     ? [...state.backends.keys()]
@@ -201,6 +142,7 @@
     if (change.entry !== null) {
       return applyEntry(state, change.entry, change.revision, source);
     }
+    state.copiedEntries.delete(change.id);
     const backend = state.backends.get(change.id);
     const isLater = backend !== undefined && change.revision >= backend.revision;
     return isLater && backend.removeAtMs === null
@@ -212,25 +154,6 @@
   return [...commands, ...updateReadiness(state), ...dispatchWaiting(state, nowMs)];
 }
 
-/** Removes servers that were not registered again within their grace period. */
-export function removeExpiredBackends(state: EntryState, nowMs: number): EntryCommand[] {
-  return [...state.backends.values()]
-    .filter(({ removeAtMs }) => removeAtMs !== null && removeAtMs <= nowMs)
-    .flatMap(({ entry }) => {
-      state.backends.delete(entry.id);
-      return [
-        createEntryLog(
-          LogLevel.Info,
-          EntryLogPrefix.Backend,
-          'A backend server was removed after its grace period.',
-          {
-            server: entry.id,
-          },
-        ),
-      ];
-    });
-}
-
 /** Records whether this VM can reach the store. */
 export function handleStoreReachabilityRead(
   state: EntryState,
--- a/src/coordination/entry/events.ts
+++ b/src/coordination/entry/events.ts
@@ -157,6 +157,8 @@
   readonly modelDemands: readonly ModelDemand[];
   /** From a relay to a VM that it relays for, else null. */
   readonly fleet: FleetDemand | null;
+  /** Version of the sender's configuration; 0 before the first one. */
+  readonly configurationVersion: number;
 }
 
 /** The kinds of events that the event loop of an entry VM handles. */
@@ -178,6 +180,7 @@
   BackendsRead: 'backendsRead',
   VmsRead: 'vmsRead',
   StoreReachabilityRead: 'storeReachabilityRead',
+  StoreRestored: 'storeRestored',
   MaintenanceTick: 'maintenanceTick',
   PeerMessage: 'peerMessage',
   PeerTick: 'peerTick',
@@ -270,6 +273,8 @@
   };
   [EntryEventKind.ConfigurationRead]: {
     readonly deployment: Deployment;
+    /** Store revision at which the configuration was written. */
+    readonly revision: number;
     /** The origin of the configuration: the store or a peer. */
     readonly source: string;
   };
@@ -280,6 +285,12 @@
     readonly revision: number;
     readonly source: string;
   };
+  /** The store has come back from a copy that is some seconds older; its contents follow. */
+  [EntryEventKind.StoreRestored]: {
+    readonly revision: number;
+    readonly knownRevision: number;
+    readonly source: string;
+  };
   [EntryEventKind.VmsRead]: { readonly vms: readonly ListedEntryVm[] };
   [EntryEventKind.StoreReachabilityRead]: { readonly isReachable: boolean };
   [EntryEventKind.MaintenanceTick]: Record<never, never>;
--- a/src/coordination/entry/forwarding.ts
+++ b/src/coordination/entry/forwarding.ts
@@ -4,6 +4,7 @@
 import { type Backend, getVariantKey } from '../../state/entry/backends.js';
 import { RouteKind } from '../../state/entry/deployment.js';
 import { createDiagnostic, Diagnostics } from '../../state/diagnostics.js';
+import { formatStoreRevision } from '../../state/storeRevision.js';
 import { LogLevel } from '../events.js';
 import {
   createEntryLog,
@@ -130,7 +131,7 @@
     },
     createEntryLog(LogLevel.Debug, EntryLogPrefix.Request, 'The request was dispatched.', {
       ...getRequestLogFields(record, nowMs),
-      backendsRevision: state.backendsRevision,
+      backendsRevision: formatStoreRevision(state.backendsRevision),
     }),
   ];
 }
@@ -224,7 +225,7 @@
       {
         ...getRequestLogFields(record, nowMs),
         waitMs: Math.round(waitMs),
-        backendsRevision: state.backendsRevision,
+        backendsRevision: formatStoreRevision(state.backendsRevision),
         limitedServers: countLimited(findHolders(state, record, nowMs)),
       },
     ),
--- a/src/coordination/entry/gossip.ts
+++ b/src/coordination/entry/gossip.ts
@@ -92,6 +92,7 @@
     isReportRequested: false,
     modelDemands: [],
     fleet: null,
+    configurationVersion: state.deployment?.version ?? 0,
   };
 }
 
--- a/src/coordination/entry/handlers.ts
+++ b/src/coordination/entry/handlers.ts
@@ -46,6 +46,7 @@
   handlePeerMessage,
   handlePeerTick,
 } from './gossip.js';
+import { handleStoreRestored } from './restoredStore.js';
 import { handleQuarantinesRead } from './quarantineStore.js';
 import { handleLoanAnswered, handleLoanRequested } from './loans.js';
 import { handleLimitReported } from './serverLimits.js';
@@ -80,6 +81,7 @@
   ],
   [EntryEventKind.VmsRead]: handleVmsRead,
   [EntryEventKind.StoreReachabilityRead]: handleStoreReachabilityRead,
+  [EntryEventKind.StoreRestored]: handleStoreRestored,
   [EntryEventKind.MaintenanceTick]: handleMaintenanceTick,
   [EntryEventKind.PeerMessage]: handlePeerMessage,
   [EntryEventKind.PeerTick]: handlePeerTick,
--- a/src/coordination/entry/lifecycle.ts
+++ b/src/coordination/entry/lifecycle.ts
@@ -14,9 +14,10 @@
 } from './commands.js';
 import { EntryEventKind, type EntryEventOf, StopStep } from './events.js';
 import { requestAdapter } from './adapterRequests.js';
-import { removeExpiredBackends } from './discovery.js';
+import { forgetDeparted, removeExpiredBackends } from './backendRegistry.js';
 import { dispatchWaiting } from './forwarding.js';
 import { expirePromptEvidence } from './quarantines.js';
+import { applyCopiedEntries } from './restoredStore.js';
 import { storeQuarantines } from './quarantineStore.js';
 import { terminateForward } from './requestCompletion.js';
 import type { EntryPolicy } from './policy.js';
@@ -144,9 +145,11 @@
   updateVmsLastSeen(state, nowMs);
   expirePromptEvidence(state, nowMs);
   updatePermitShares(state, nowMs);
+  forgetDeparted(state, nowMs);
   return [
     createEntryTimer(kind, state.policy.tickMs, { kind }),
     ...removeExpiredBackends(state, nowMs),
+    ...applyCopiedEntries(state, nowMs),
     ...dispatchWaiting(state, nowMs),
     ...retryAdapterRequests(state, nowMs),
     ...storeQuarantines(state, nowMs),
--- a/src/coordination/entry/state.ts
+++ b/src/coordination/entry/state.ts
@@ -103,6 +103,23 @@
   readonly suspects: Suspect[];
 }
 
+/** A backend server that this VM has dropped because its entry was removed. */
+export interface DepartedServer {
+  readonly bornAtWallMs: number;
+  readonly isLeaving: boolean;
+  readonly atMs: number;
+}
+
+/**
+ * The entry of a backend server in a copy from which the store was restored. What this VM knows of the server may be later;
+ * the entry is applied at a time at which the server, if it is alive, has written a later one.
+ */
+export interface CopiedEntry {
+  readonly entry: BackendEntry;
+  readonly revision: number;
+  readonly applyAtMs: number;
+}
+
 /** Reachability of the store, as the watches on it report it. */
 export interface StoreStatus {
   isReachable: boolean;
@@ -171,7 +188,13 @@
   lifecycle: EntryLifecycle;
   isReady: boolean;
   deployment: Deployment | null;
+  /** Store revision of the configuration in force. */
+  deploymentRevision: number;
   readonly backends: Map<string, Backend>;
+  /** By server id. */
+  readonly copiedEntries: Map<string, CopiedEntry>;
+  /** The servers that were dropped recently, by id. */
+  readonly departedServers: Map<string, DepartedServer>;
   backendsRevision: number;
   areBackendsRead: boolean;
   readonly requests: Map<string, ForwardRecord>;
@@ -252,7 +275,10 @@
     lifecycle: EntryLifecycle.Starting,
     isReady: false,
     deployment: null,
+    deploymentRevision: 0,
     backends: new Map(),
+    copiedEntries: new Map(),
+    departedServers: new Map(),
     backendsRevision: 0,
     areBackendsRead: false,
     requests: new Map(),
--- a/src/protocol/entry/peerMessages.ts
+++ b/src/protocol/entry/peerMessages.ts
@@ -127,6 +127,7 @@
     evidence: encodeEvidence(evidence),
     isRelayed,
     isReportRequested: message.isReportRequested,
+    configurationVersion: message.configurationVersion,
     modelDemands: modelDemands.map(encodeModelDemand),
     fleet:
       fleet === null ? undefined : { ...fleet, demands: fleet.demands.map(encodeWorkspaceDemand) },
@@ -239,6 +240,7 @@
     evidence: decodeEvidence(wire.evidence),
     isRelayed: wire.isRelayed,
     isReportRequested: wire.isReportRequested,
+    configurationVersion: wire.configurationVersion,
     modelDemands: wire.modelDemands.map(decodeModelDemand),
     fleet:
       fleet === undefined
--- a/src/state/entry/backends.ts
+++ b/src/state/entry/backends.ts
@@ -43,10 +43,12 @@
 /** The state that this VM keeps about a backend server. Mutable; owned by the event loop. */
 export interface Backend {
   entry: BackendEntry;
-  /** Store revision of the entry; only an entry of the same or a later revision replaces it. */
+  /** Store revision of the entry, which orders by era first; only an entry of the same or a later revision replaces it. */
   revision: number;
   /** Time at which the server is dropped after its entry was removed; null while it is registered. */
   removeAtMs: number | null;
+  /** True once the server is known to be leaving; an incarnation that leaves never accepts requests again. */
+  isLeaving: boolean;
   /** Requests of this VM that are in flight at the server. */
   inFlight: number;
   /** Prompt tokens of those requests that the server has not prefilled yet. */
@@ -80,6 +82,7 @@
     entry,
     revision,
     removeAtMs: null,
+    isLeaving: entry.isLeaving,
     inFlight: 0,
     pendingPrefillTokens: 0,
     prefillMsPerToken: null,
--- a/src/state/entry/storeMirror.ts
+++ b/src/state/entry/storeMirror.ts
@@ -1,15 +1,23 @@
 /**
  * A VM's copy of the store, with its recent changes. A VM that reads the store passes the changes on to the VMs that do
- * not. The revision of a mirror never decreases.
+ * not. The revision of a mirror never decreases: a store that was restored from a copy continues in a later era.
  */
 import type { StoredItem, StoreUpdate } from '../storedItems.js';
+import { getStoreEra } from '../storeRevision.js';
 
 /** Number of recent changes that are kept. A VM that is further behind gets a snapshot. */
 const MAX_CHANGES = 2_000;
 
+/**
+ * Returns true if an item that was read must not replace the known one, although its revision is later: a restored store
+ * has older contents.
+ */
+export type IsRegression = (known: StoredItem, read: StoredItem) => boolean;
+
 /** The copy. Mutable. */
 export interface StoreMirror {
   readonly items: Map<string, StoredItem>;
+  readonly isRegression: IsRegression;
   /** Revision of the store; 0 before the first read. */
   revision: number;
   /** Recent changes in the order in which they were applied. */
@@ -19,8 +27,8 @@
 }
 
 /** Creates an empty mirror. */
-export function createStoreMirror(): StoreMirror {
-  return { items: new Map(), revision: 0, changes: [], changesAfterRevision: 0 };
+export function createStoreMirror(isRegression: IsRegression = () => false): StoreMirror {
+  return { items: new Map(), isRegression, revision: 0, changes: [], changesAfterRevision: 0 };
 }
 
 /** Returns what a snapshot changes, including the removal of the keys that it lacks. */
@@ -29,11 +37,17 @@
   const removed = [...mirror.items.keys()]
     .filter((key) => !keys.has(key))
     .map((key) => ({ key, value: null, version: revision }));
-  const written = items.filter(({ key, version }) => mirror.items.get(key)?.version !== version);
+  const written = items.filter(({ key, value, version }) => {
+    const known = mirror.items.get(key);
+    return known?.version !== version || known.value !== value;
+  });
   return [...removed, ...written];
 }
 
-function applyItem(mirror: StoreMirror, item: StoredItem, revision: number): void {
+function applyItem(mirror: StoreMirror, read: StoredItem, revision: number): void {
+  const known = mirror.items.get(read.key);
+  const isRegression = known !== undefined && mirror.isRegression(known, read);
+  const item = isRegression ? { ...read, value: known.value } : read;
   if (item.value === null) {
     mirror.items.delete(item.key);
   } else {
@@ -42,17 +56,21 @@
   mirror.changes.push({ item, revision });
 }
 
-/** Applies an update. Returns false and changes nothing if the update is older than the mirror. */
+/**
+ * Applies an update. Returns false and changes nothing if the update is older than the mirror, or has the changes of a
+ * later era without the contents that they change.
+ */
 export function updateStoreMirror(mirror: StoreMirror, update: StoreUpdate): boolean {
   const { isSnapshot, items, revision } = update;
-  if (revision < mirror.revision) {
+  const isFirst = mirror.revision === 0;
+  const isNewEra = !isFirst && getStoreEra(revision) > getStoreEra(mirror.revision);
+  if (revision < mirror.revision || (isNewEra && !isSnapshot)) {
     return false;
   }
-  const isFirst = mirror.revision === 0;
   const changes = isSnapshot ? diffSnapshot(mirror, update) : items;
   changes.forEach((item) => applyItem(mirror, item, revision));
   mirror.revision = revision;
-  if (isFirst) {
+  if (isFirst || isNewEra) {
     mirror.changes = [];
     mirror.changesAfterRevision = revision;
   }
--- a/src/state/storedItems.ts
+++ b/src/state/storedItems.ts
@@ -2,7 +2,7 @@
  * Items of the platform's key-value store as they are read by prefix.
  */
 
-/** A key with its value and version. A null value means that the key was removed. */
+/** A key with its value and version, a store revision. A null value means that the key was removed. */
 export interface StoredItem {
   readonly key: string;
   readonly value: string | null;
--- a/src/transport/entry/commandTable.ts
+++ b/src/transport/entry/commandTable.ts
@@ -45,6 +45,7 @@
 import { encodeQuarantines, EntryKey } from './storeKeys.js';
 import { applyStoreUpdate, type StoreAccess, type WatchContext } from './storeWatches.js';
 import type { SuspensionDetector } from './suspensionDetector.js';
+import type { VmRegistration } from './vmRegistration.js';
 import type { EntryWire } from './wire.js';
 
 /** Engines respond within milliseconds. One that has not responded by then is slow or cut off. */
@@ -68,6 +69,7 @@
   readonly createReplyId: () => string;
   readonly watches: WatchContext;
   readonly storeAccess: StoreAccess;
+  readonly registration: VmRegistration;
   readonly controllerLease: ControllerLease;
   readonly controllerLeaseMs: number;
   readonly suspension: SuspensionDetector;
@@ -96,6 +98,7 @@
   | typeof EntryCommandKind.SendPeerMessage
   | typeof EntryCommandKind.ReplyToPeer
   | typeof EntryCommandKind.SetStoreAccess
+  | typeof EntryCommandKind.RenewRegistration
   | typeof EntryCommandKind.RequestAdapter
   | typeof EntryCommandKind.ReplyToAdapterRequest
   | typeof EntryCommandKind.RequestLoan
@@ -165,7 +168,7 @@
 
 function createPeerExecutors(context: EntryCommandContext): Pick<ExecutorTable, PeerKind> {
   const { createReplyId, peers, post, replies, self, suspension, watches, writeLog } = context;
-  const { storeAccess } = context;
+  const { registration, storeAccess } = context;
   const logUnansweredCall = (peerAddress: string, { key: reason }: Diagnostic): void => {
     writeLog(LogLevel.Debug, EntryLogPrefix.Peer, 'A peer did not answer.', {
       peerAddress,
@@ -205,6 +208,7 @@
       replies.exchanges.get(replyId)?.(message);
     },
     [EntryCommandKind.SetStoreAccess]: ({ isReader }) => storeAccess.setReader(isReader),
+    [EntryCommandKind.RenewRegistration]: registration.renew,
     [EntryCommandKind.RequestAdapter]: ({ peerAddress, ...request }) => {
       const { adapter, failureDomain, model, service } = request;
       const replyId = createReplyId();
--- a/src/transport/entry/entryDaemon.ts
+++ b/src/transport/entry/entryDaemon.ts
@@ -36,7 +36,12 @@
 import { createMetricsServer } from './metricsServer.js';
 import { createEntryPolicy, type EntrySettings } from './settings.js';
 import { encodeControllerLeaseHolder, EntryKey } from './storeKeys.js';
-import { createStoreAccess, createWatchContext } from './storeWatches.js';
+import {
+  createConfigurationDecoder,
+  createConfigurationGuard,
+  createStoreAccess,
+  createWatchContext,
+} from './storeWatches.js';
 import { createSuspensionDetector } from './suspensionDetector.js';
 import { createVmRegistration } from './vmRegistration.js';
 import type { EntryWire } from './wire.js';
@@ -117,7 +122,8 @@
   const post = (event: EntryEvent): void => eventSink.post(event);
   const exchanges = new Map<string, ForwardExchange>();
   const replies: EntryReplies = { exchanges: new Map(), adapters: new Map(), loans: new Map() };
-  const mirror = createStoreMirror();
+  const decodeConfiguration = createConfigurationDecoder(wire);
+  const mirror = createStoreMirror(createConfigurationGuard(wire, decodeConfiguration));
   const metrics = createMetrics();
   const agents = createBackendAgents();
   const peers = createEntryPeerClient();
@@ -131,6 +137,7 @@
     post,
     writeLog,
     nextRandom: () => nextRandom(random),
+    decodeConfiguration,
     mirror,
     isController: () => state.placement.fence !== null,
     getWatchWaitMs: () => state.policy.watchWaitMs,
@@ -176,6 +183,8 @@
     replies,
     createReplyId,
     mirror,
+    configurationKey: wire.configurationKey,
+    getConfigurationVersion: () => state.deployment?.version ?? 0,
     isStoreCurrent: storeAccess.isCurrent,
   });
   const metricsServer = createMetricsServer({ metrics, state, log, loopDelay, loopWork });
@@ -224,6 +233,7 @@
     createReplyId,
     watches,
     storeAccess,
+    registration,
     controllerLease: createControllerLease(
       store,
       encodeControllerLeaseHolder({ vmId, incarnation, peerAddress }),
--- a/src/transport/entry/entryPeers.ts
+++ b/src/transport/entry/entryPeers.ts
@@ -28,6 +28,7 @@
 } from '../../protocol/gen/entry_pb.js';
 import type { Diagnostic } from '../../state/diagnostics.js';
 import { readStoreMirror, type StoreMirror } from '../../state/entry/storeMirror.js';
+import type { StoreUpdate } from '../../state/storedItems.js';
 import { createPeerCalls, MAX_PEER_MESSAGE_BYTES } from '../peerCalls.js';
 
 /** A peer that does not reply within this time is partitioned or suspended. */
@@ -58,6 +59,9 @@
   readonly replies: EntryReplies;
   readonly createReplyId: () => string;
   readonly mirror: StoreMirror;
+  readonly configurationKey: string;
+  /** Returns the version of the configuration in force; 0 before the first one. */
+  readonly getConfigurationVersion: () => number;
   /** Returns true if the mirror has the current contents of the store. */
   readonly isStoreCurrent: () => boolean;
 }
@@ -82,6 +86,26 @@
   });
 }
 
+/**
+ * Returns the changes of the store after a revision. They include the configuration if the VM that asks has an earlier one,
+ * which may be all that a restored store has until it is written again.
+ */
+function readChanges(
+  { configurationKey, getConfigurationVersion, mirror }: EntryPeerContext,
+  afterRevision: number,
+  knownConfigurationVersion: number,
+): StoreUpdate | null {
+  const changes = readStoreMirror(mirror, afterRevision);
+  const configuration = mirror.items.get(configurationKey);
+  const isKnown =
+    configuration === undefined ||
+    getConfigurationVersion() <= knownConfigurationVersion ||
+    changes?.items.some(({ key }) => key === configurationKey);
+  return changes === null || isKnown
+    ? changes
+    : { ...changes, items: [...changes.items, configuration] };
+}
+
 /** Creates the server for peers. The caller starts it with `listen`. */
 export function createEntryPeerServer(context: EntryPeerContext): Server {
   const { createReplyId, post, replies } = context;
@@ -97,9 +121,11 @@
           if (answer === null) {
             throw new ConnectError('the event loop did not answer in time', Code.Unavailable);
           }
-          const { storeAfter } = request;
+          const { configurationVersion, storeAfter } = request;
           const changes =
-            storeAfter === undefined ? null : readStoreMirror(context.mirror, storeAfter);
+            storeAfter === undefined
+              ? null
+              : readChanges(context, storeAfter, configurationVersion);
           return encodePeerMessage(answer, { changes, isCurrent: context.isStoreCurrent() });
         },
         ensureAdapter: async ({ adapter, failureDomain, model, service }) => {
--- a/src/transport/entry/metricsServer.ts
+++ b/src/transport/entry/metricsServer.ts
@@ -4,6 +4,7 @@
 import http, { type Server } from 'node:http';
 import { countLiveVms, type EntryState, RelayRole } from '../../coordination/entry/state.js';
 import { countHeldQuarantines } from '../../state/entry/quarantineTable.js';
+import { getRevisionInEra, getStoreEra } from '../../state/storeRevision.js';
 import type { Metrics } from '../metrics.js';
 import type { EntryLog } from './entryLog.js';
 import type { LoopDelayMonitor } from './loopDelay.js';
@@ -31,7 +32,8 @@
   gentiandeck_backends: ({ backends }) => backends.size,
   gentiandeck_limited_backends: ({ backends }) =>
     [...backends.values()].filter(({ limit }) => limit !== null).length,
-  gentiandeck_backends_revision: ({ backendsRevision }) => backendsRevision,
+  gentiandeck_backends_revision: ({ backendsRevision }) => getRevisionInEra(backendsRevision),
+  gentiandeck_store_era: ({ backendsRevision }) => getStoreEra(backendsRevision),
   gentiandeck_open_requests: ({ requests }) => requests.size,
   gentiandeck_live_vms: (state) => countLiveVms(state, Number.POSITIVE_INFINITY),
   gentiandeck_store_reader: ({ relayRole }) => Number(relayRole === RelayRole.Reader),
--- a/src/transport/entry/storeWatches.ts
+++ b/src/transport/entry/storeWatches.ts
@@ -3,6 +3,7 @@
  * VMs that do not read the store themselves.
  */
 import { Effect, Latch } from 'effect';
+import type { Either } from 'purify-ts';
 import { EntryLogPrefix } from '../../coordination/entry/commands.js';
 import {
   type BackendChange,
@@ -13,8 +14,14 @@
 } from '../../coordination/entry/events.js';
 import { LogLevel } from '../../coordination/events.js';
 import type { Diagnostic } from '../../state/diagnostics.js';
-import { type StoreMirror, updateStoreMirror } from '../../state/entry/storeMirror.js';
+import type { Deployment } from '../../state/entry/deployment.js';
+import {
+  type IsRegression,
+  type StoreMirror,
+  updateStoreMirror,
+} from '../../state/entry/storeMirror.js';
 import type { StoredItem, StoreUpdate } from '../../state/storedItems.js';
+import { formatStoreRevision, getStoreEra } from '../../state/storeRevision.js';
 import type { PrefixStore } from '../keyValueStore.js';
 import type { EntryLogWriter } from './entryLog.js';
 import {
@@ -37,6 +44,8 @@
 const CONTROLLER_BATCH_DELAY_MS = 40;
 /** Data that a relay has sent counts as current for this time. */
 const RELAYED_DATA_MAX_AGE_MS = 1_000;
+/** Texts of configurations whose decoded form is kept: the one in force and one that is compared with it. */
+const MAX_DECODED_CONFIGURATIONS = 2;
 const MIN_RETRY_DELAY_MS = 100;
 const MAX_RETRY_DELAY_MS = 400;
 
@@ -47,6 +56,7 @@
   readonly post: (event: EntryEvent) => void;
   readonly writeLog: EntryLogWriter;
   readonly nextRandom: () => number;
+  readonly decodeConfiguration: ConfigurationDecoder;
   readonly mirror: StoreMirror;
   readonly isController: () => boolean;
   readonly getWatchWaitMs: () => number;
@@ -57,10 +67,49 @@
   readonly getWallMs: () => number;
 }
 
+/** Decodes configurations. The same text gives the same object, as long as it is one of the latest. */
+export type ConfigurationDecoder = (text: string) => Either<Diagnostic, Deployment>;
+
+/** Creates a decoder that keeps the latest configurations. */
+export function createConfigurationDecoder({
+  decodeConfiguration,
+}: EntryWire): ConfigurationDecoder {
+  let decoded: readonly (readonly [string, Either<Diagnostic, Deployment>])[] = [];
+  return (text) => {
+    const result = decoded.find(([known]) => known === text)?.[1] ?? decodeConfiguration(text);
+    const others = decoded.filter(([known]) => known !== text);
+    const latest = [text, result] as const;
+    decoded = [latest, ...others].slice(0, MAX_DECODED_CONFIGURATIONS);
+    return result;
+  };
+}
+
+/**
+ * Creates the check for configurations that must not replace the one that a mirror has: those with an earlier version, and
+ * those that are not valid.
+ */
+export function createConfigurationGuard(
+  { configurationKey }: EntryWire,
+  decode: ConfigurationDecoder,
+): IsRegression {
+  const getVersion = (text: string | null): number =>
+    decode(text ?? '').caseOf({
+      Left: () => Number.NEGATIVE_INFINITY,
+      Right: ({ version }) => version,
+    });
+  return (known, read) =>
+    read.key === configurationKey && getVersion(read.value) < getVersion(known.value);
+}
+
 /** Decodes a configuration and posts it to the event loop. */
-function applyConfiguration(context: WatchContext, text: string, source: string): void {
-  const { post, wire, writeLog } = context;
-  wire.decodeConfiguration(text).caseOf({
+function applyConfiguration(
+  context: WatchContext,
+  text: string,
+  revision: number,
+  source: string,
+): void {
+  const { decodeConfiguration, post, writeLog } = context;
+  decodeConfiguration(text).caseOf({
     Left: ({ message }) =>
       writeLog(
         LogLevel.Error,
@@ -71,7 +120,8 @@
           detail: message,
         },
       ),
-    Right: (deployment) => post({ kind: EntryEventKind.ConfigurationRead, deployment, source }),
+    Right: (deployment) =>
+      post({ kind: EntryEventKind.ConfigurationRead, deployment, revision, source }),
   });
 }
 
@@ -163,6 +213,9 @@
     if (isSnapshot) {
       vms.clear();
       holder = null;
+      if (!items.some(({ key }) => key === EntryKey.Quarantines)) {
+        post({ kind: EntryEventKind.QuarantinesRead, quarantines: [], version: 0 });
+      }
     }
     items.forEach(applyItem);
     post({ kind: EntryEventKind.VmsRead, vms: [...vms.values()] });
@@ -176,26 +229,34 @@
 }
 
 /**
- * Applies an update from the store or a relay to the mirror, and posts what it contains to the event loop. Ignores one that
- * is older than the mirror.
+ * Applies an update from the store or a relay to the mirror, and posts what it contains to the event loop. Returns false for
+ * one that is older than the mirror, of which only the configuration is used: that has a version of its own.
  */
-export function applyStoreUpdate(context: WatchContext, update: StoreUpdate, source: string): void {
+export function applyStoreUpdate(
+  context: WatchContext,
+  update: StoreUpdate,
+  source: string,
+): boolean {
   const { applyEntryKeys, mirror, post, wire, writeLog } = context;
   const { isSnapshot, items, revision } = update;
   const knownRevision = mirror.revision;
-  if (!updateStoreMirror(mirror, update)) {
+  const isApplied = updateStoreMirror(mirror, update);
+  if (isApplied && knownRevision > 0 && getStoreEra(revision) > getStoreEra(knownRevision)) {
+    post({ kind: EntryEventKind.StoreRestored, revision, knownRevision, source });
+  }
+  const configuration = items.findLast(({ key }) => key === wire.configurationKey);
+  if (configuration !== undefined && configuration.value !== null) {
+    applyConfiguration(context, configuration.value, configuration.version, source);
+  }
+  if (!isApplied) {
     const text = 'An update of the store was ignored because it is older.';
     writeLog(LogLevel.Info, EntryLogPrefix.Store, text, {
-      revision,
-      knownRevision,
+      revision: formatStoreRevision(revision),
+      knownRevision: formatStoreRevision(knownRevision),
       isSnapshot,
       source,
     });
-    return;
-  }
-  const configuration = items.findLast(({ key }) => key === wire.configurationKey)?.value ?? null;
-  if (configuration !== null) {
-    applyConfiguration(context, configuration, source);
+    return false;
   }
   const backendItems = items.filter(({ key }) => key.startsWith(wire.backendsPrefix));
   if (isSnapshot || backendItems.length > 0) {
@@ -206,6 +267,7 @@
   if (isSnapshot || entryItems.length > 0) {
     applyEntryKeys(entryItems, isSnapshot);
   }
+  return true;
 }
 
 /** Reads the whole store, then waits for its changes; reads it again if the store has dropped changes. */
@@ -216,7 +278,9 @@
       const items = yield* store.list(WHOLE_STORE);
       access.isListNeeded = false;
       access.recordSuccess();
-      applyStoreUpdate(context, { ...items, isSnapshot: true }, STORE_SOURCE);
+      if (!applyStoreUpdate(context, { ...items, isSnapshot: true }, STORE_SOURCE)) {
+        yield* Effect.sleep(MAX_RETRY_DELAY_MS);
+      }
       return;
     }
     const changes = yield* store.waitForChanges(WHOLE_STORE, mirror.revision, getWatchWaitMs());
--- a/src/transport/entry/vmRegistration.ts
+++ b/src/transport/entry/vmRegistration.ts
@@ -2,11 +2,12 @@
  * Registers this VM in the store under a lease, so that the other VMs can discover it, and discovers the others. The store
  * deletes the entry when the lease expires, some seconds after the VM has failed.
  */
-import { Effect } from 'effect';
+import { Effect, Latch } from 'effect';
 import type { ListedEntryVm } from '../../coordination/entry/events.js';
 import { EntryLogPrefix } from '../../coordination/entry/commands.js';
 import { LogLevel } from '../../coordination/events.js';
 import { createDiagnostic, type Diagnostic, Diagnostics } from '../../state/diagnostics.js';
+import { formatStoreRevision } from '../../state/storeRevision.js';
 import type { PrefixStore } from '../keyValueStore.js';
 import type { EntryLogWriter } from './entryLog.js';
 import { decodeListedVm, encodeListedVm, EntryKey } from './storeKeys.js';
@@ -20,6 +21,8 @@
 export interface VmRegistration {
   /** Registers the VM and renews the lease until interrupted. */
   readonly run: Effect.Effect<never>;
+  /** Registers the VM anew without waiting for the next renewal of the lease. */
+  readonly renew: () => void;
   /** Ends the lease, and with it the registration, if the VM is registered. */
   readonly deregister: Effect.Effect<void>;
 }
@@ -33,7 +36,9 @@
 ): VmRegistration {
   const key = EntryKey.Vms + vm.vmId;
   const value = encodeListedVm(vm);
+  const wakeUp = Latch.makeUnsafe(false);
   let leaseId: string | null = null;
+  let areVmsListed = false;
 
   /** Finds the other VMs, one of which relays the contents of the store. */
   const discoverVms: Effect.Effect<void, Diagnostic> = Effect.map(
@@ -67,9 +72,12 @@
       yield* Effect.fail(createDiagnostic(Diagnostics.StoreUnknown));
     }
     leaseId = newLeaseId;
-    yield* discoverVms;
+    if (!areVmsListed) {
+      yield* discoverVms;
+      areVmsListed = true;
+    }
     writeLog(LogLevel.Info, EntryLogPrefix.Peer, 'This VM has been registered in the store.', {
-      version: version ?? 0,
+      version: formatStoreRevision(version ?? 0),
     });
   });
 
@@ -86,7 +94,9 @@
     });
 
   const step = Effect.suspend(() => (leaseId === null ? register : renew(leaseId)));
-  const pause = Effect.suspend(() => Effect.sleep(leaseId === null ? 0 : RENEW_INTERVAL_MS));
+  const pause = Effect.suspend(() =>
+    Effect.raceFirst(Effect.sleep(leaseId === null ? 0 : RENEW_INTERVAL_MS), wakeUp.await),
+  ).pipe(Effect.tap(() => wakeUp.close));
   return {
     run: Effect.forever(
       Effect.matchEffect(step, {
@@ -102,6 +112,10 @@
         onSuccess: () => pause,
       }),
     ),
+    renew: () => {
+      leaseId = null;
+      wakeUp.openUnsafe();
+    },
     deregister: Effect.suspend(() =>
       leaseId === null ? Effect.void : store.revokeLease(leaseId),
     ).pipe(
--- a/src/transport/httpCall.ts
+++ b/src/transport/httpCall.ts
@@ -2,7 +2,7 @@
  * A minimal HTTP client with text bodies, used for the store, engine load reports and orders, and the
  * admin API.
  */
-import http from 'node:http';
+import http, { type IncomingHttpHeaders } from 'node:http';
 import { Effect } from 'effect';
 
 const MAX_RESPONSE_BYTES = 8_388_608;
@@ -17,6 +17,7 @@
 
 export interface HttpCallResponse {
   readonly status: number;
+  readonly headers: IncomingHttpHeaders;
   readonly text: string;
 }
 
@@ -75,7 +76,8 @@
       response.on('error', (error) => fail(error.message));
       response.on('end', () => {
         const text = Buffer.concat(chunks).toString();
-        resume(Effect.succeed({ status: response.statusCode ?? 0, text }));
+        const { headers, statusCode: status = 0 } = response;
+        resume(Effect.succeed({ status, headers, text }));
       });
     },
   );
--- a/tests/entry/callerLeaves.test.ts
+++ b/tests/entry/callerLeaves.test.ts
@@ -241,7 +241,6 @@
     const socket = net.connect(port, '127.0.0.1', () => socket.write(REQUEST));
     socket.on('error', () => {});
     while (events.length === 0) {
-      // eslint-disable-next-line no-await-in-loop -- polls until the request has arrived
       await wait(5);
     }
     end(socket);
--- a/tests/entry/discovery.test.ts
+++ b/tests/entry/discovery.test.ts
@@ -118,7 +118,7 @@
     ({ expectedVersion, version }) => {
       const vm = createTestVm();
       const kind = EntryEventKind.ConfigurationRead;
-      vm.step({ kind, deployment: createTestDeployment(version), source: 'peer' });
+      vm.step({ kind, deployment: createTestDeployment(version), revision: 1, source: 'peer' });
       expect(vm.state.deployment?.version).toBe(expectedVersion);
     },
   );
--- a/tests/entry/fixtures.ts
+++ b/tests/entry/fixtures.ts
@@ -204,6 +204,7 @@
     isReportRequested: false,
     modelDemands: [],
     fleet: null,
+    configurationVersion: 0,
     ...changes,
   };
 }
@@ -241,7 +242,7 @@
     step({ kind, isSnapshot: false, changes, revision, source: 'test' }, nowMs);
   };
   const kind = EntryEventKind.ConfigurationRead;
-  step({ kind, deployment: createTestDeployment(), source: 'test' }, 0);
+  step({ kind, deployment: createTestDeployment(), revision: 1, source: 'test' }, 0);
   const entries = [
     createTestEntry('c1', 'counter'),
     createTestEntry('c2', 'counter'),
--- a/tests/entry/rates.test.ts
+++ b/tests/entry/rates.test.ts
@@ -55,7 +55,11 @@
   };
   const state = createEntryState(self, TEST_POLICY, index + 1, nowMs);
   const deployment = createTestDeployment();
-  stepEntry(state, { kind: EntryEventKind.ConfigurationRead, deployment, source: 'test' }, nowMs);
+  stepEntry(
+    state,
+    { kind: EntryEventKind.ConfigurationRead, deployment, revision: 1, source: 'test' },
+    nowMs,
+  );
   const entry = createTestEntry('e1', 'llm', { slots: 10_000 });
   const changes = [{ id: 'e1', revision: 1, entry }];
   const kind = EntryEventKind.BackendsRead;
--- a/tests/entry/relays.test.ts
+++ b/tests/entry/relays.test.ts
@@ -131,6 +131,28 @@
     expect(outdated).toEqual([]);
   });
 
+  it.each(FAULTS)(
+    'reaches all VMs in time after the store was restored, while $name',
+    ({ inject }) => {
+      const fleet = startFleet();
+      fleet.write('lost', '1');
+      fleet.write('withdrawn', null);
+      fleet.runFor(MAX_PROPAGATION_MS);
+      fleet.restore(2);
+      inject(fleet);
+      fleet.runFor(400);
+      fleet.write('withdrawn', null);
+      fleet.write('added', '1');
+      fleet.runFor(MAX_PROPAGATION_MS);
+      const outdated = listRequired(fleet).filter(
+        ({ isRefusedByStore, mirror }) =>
+          !isRefusedByStore &&
+          (mirror.items.has('withdrawn') || mirror.items.has('lost') || !mirror.items.has('added')),
+      );
+      expect(outdated.map(({ listed, state }) => `${listed.vmId} ${state.relayRole}`)).toEqual([]);
+    },
+  );
+
   it('is read from the store by one VM of each failure domain once all is calm', () => {
     const fleet = startFleet();
     expect(findByRole(fleet, RelayRole.Reader)).toHaveLength(BASE.domainCount);
--- a/tests/fakes/entryFleet.ts
+++ b/tests/fakes/entryFleet.ts
@@ -387,7 +387,12 @@
       workspacesByKeyDigest: new Map([['digest', workspace]]),
       workspacesByName: new Map([['mill', workspace]]),
     };
-    post(vm, state, { kind: EntryEventKind.ConfigurationRead, deployment, source: 'test' });
+    post(vm, state, {
+      kind: EntryEventKind.ConfigurationRead,
+      deployment,
+      revision: 1,
+      source: 'test',
+    });
     const changes = engines
       .filter(({ isUp }) => isUp)
       .map(({ entry }) => ({ id: entry.id, revision, entry }));
--- a/tests/fakes/exchangeFleet.ts
+++ b/tests/fakes/exchangeFleet.ts
@@ -32,6 +32,7 @@
 } from '../../src/state/entry/storeMirror.js';
 import { createRandom, nextRandom, nextRandomInt } from '../../src/state/random.js';
 import type { StoredItem } from '../../src/state/storedItems.js';
+import { createStoreRevision, getStoreEra } from '../../src/state/storeRevision.js';
 import { createTestDeployment, TEST_POLICY, TEST_WORKSPACE } from '../entry/fixtures.js';
 
 const STEP_MS = 40;
@@ -75,6 +76,8 @@
   readonly getNowMs: () => number;
   readonly getStoreRevision: () => number;
   readonly write: (key: string, value: string | null) => void;
+  /** Brings the store back from a copy without its latest changes. */
+  readonly restore: (lostChanges: number) => void;
   readonly restart: (vm: ExchangeVm) => void;
   readonly runFor: (durationMs: number) => void;
   /** Tokens per second that each VM adds to its demand for each workspace. */
@@ -87,7 +90,8 @@
     options;
   const random = createRandom(seed);
   const items = new Map<string, StoredItem>();
-  const history: StoredItem[] = [];
+  let history: StoredItem[] = [];
+  let era = 0;
   let revision = 1;
   let nowMs = 10_000;
   let demandTokensPerSecond = 0;
@@ -108,7 +112,11 @@
       workspaces.map((name) => [name, { ...TEST_WORKSPACE, name, rateTokensPerSecond }]),
     );
     const deployment = { ...createTestDeployment(), workspacesByName };
-    stepEntry(state, { kind: EntryEventKind.ConfigurationRead, deployment, source: 'test' }, nowMs);
+    stepEntry(
+      state,
+      { kind: EntryEventKind.ConfigurationRead, deployment, revision: 1, source: 'test' },
+      nowMs,
+    );
     return state;
   };
 
@@ -220,7 +228,7 @@
     if (vm.isRefusedByStore) {
       return;
     }
-    const isSnapshot = vm.mirror.revision === 0;
+    const isSnapshot = vm.mirror.revision === 0 || getStoreEra(vm.mirror.revision) !== era;
     const changed = history.filter(({ version }) => version > vm.mirror.revision);
     updateStoreMirror(vm.mirror, {
       isSnapshot,
@@ -292,6 +300,19 @@
         items.set(key, item);
       }
     },
+    restore: (lostChanges) => {
+      history = history.slice(0, history.length - lostChanges);
+      era += 1;
+      revision = createStoreRevision(era, history.length + 1);
+      items.clear();
+      history.forEach((item) => {
+        if (item.value === null) {
+          items.delete(item.key);
+        } else {
+          items.set(item.key, item);
+        }
+      });
+    },
     restart: (vm) => {
       const index = vms.indexOf(vm);
       const state = createState(vm.listed, index, nowMs);
--- a/tests/stand-ins/platformStore.ts
+++ b/tests/stand-ins/platformStore.ts
@@ -1,6 +1,6 @@
 /**
  * Simulates the key-value store of the users' platform within the test process: keys with revisions,
- * leases and long-polling watches. A test injects faults by setting fields.
+ * leases and long-polling watches. A test injects faults by setting fields, and restores the store from a copy.
  */
 import http, { type IncomingMessage, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
@@ -19,6 +19,13 @@
   readonly item: Item | null;
 }
 
+/** The contents of a store at one moment. */
+export interface StoreCopy {
+  readonly items: ReadonlyMap<string, Item>;
+  readonly revision: number;
+  readonly lastLeaseId: number;
+}
+
 /** A running store, its faults, and direct access to its keys. */
 export interface PlatformStore {
   readonly address: string;
@@ -28,6 +35,11 @@
   losesAnswers: boolean;
   /** Discards the change history; a watch from an older revision then receives status 410. */
   compact: () => void;
+  readonly copy: () => StoreCopy;
+  /** Replaces the contents by an earlier copy and begins a new era: later writes and leases are lost. */
+  readonly restore: (copy: StoreCopy) => void;
+  /** Number of calls that were answered, by method and path. */
+  readonly callCounts: ReadonlyMap<string, number>;
   readonly put: (key: string, value: unknown) => number;
   readonly remove: (key: string) => void;
   readonly get: (key: string) => string | null;
@@ -63,6 +75,8 @@
   let revision = 10;
   let compactedRevision = 0;
   let lastLeaseId = 100;
+  let era = 1;
+  const callCounts = new Map<string, number>();
 
   const applyChange = (key: string, value: string | null, lease: number): number => {
     revision += 1;
@@ -101,7 +115,7 @@
       if (response.writableEnded) {
         return;
       }
-      if (after < compactedRevision) {
+      if (after < compactedRevision || after > revision) {
         sendJson(response, 410);
         return;
       }
@@ -177,6 +191,24 @@
       history = [];
       pendingWatches.splice(0).forEach((respond) => respond());
     },
+    callCounts,
+    copy: () => ({ items: new Map(items), revision, lastLeaseId }),
+    restore: (copy) => {
+      era += 1;
+      items.clear();
+      copy.items.forEach((item, key) => items.set(key, item));
+      [...leaseTimers.keys()]
+        .filter((lease) => lease > copy.lastLeaseId)
+        .forEach((lease) => {
+          clearTimeout(leaseTimers.get(lease));
+          leaseTimers.delete(lease);
+        });
+      revision = copy.revision;
+      lastLeaseId = copy.lastLeaseId;
+      compactedRevision = copy.revision;
+      history = [];
+      pendingWatches.splice(0).forEach((respond) => respond());
+    },
     put: (key, value) => applyChange(key, Buffer.from(JSON.stringify(value)).toString('base64'), 0),
     remove: (key) => {
       applyChange(key, null, 0);
@@ -191,7 +223,10 @@
     const url = new URL(request.url ?? '/', 'http://store');
     const path = /^\/v1\/[a-z-]+/.exec(url.pathname)?.[0] ?? '';
     void readBody(request).then((body) => {
-      const handler = HANDLERS[`${request.method} ${path}`];
+      const call = `${request.method} ${path}`;
+      const handler = HANDLERS[call];
+      callCounts.set(call, (callCounts.get(call) ?? 0) + 1);
+      response.setHeader('Store-Era', String(era));
       if (store.isDown || handler === undefined) {
         sendJson(response, store.isDown ? 503 : 404);
         return;
