Send nothing to a server that says in its answers that it leaves

What callers saw: nothing yet; a server that leaves got requests until its entry in the store said so (DRAIN), for good while the store was away. Cause: the header Server-Leaving was not read. Change: every answer counts, whole, streamed, rejected or to an order. The VM sends that server nothing new, recalls requests that still wait for a connection to it (proved not sent, so they go elsewhere), and tells the other VMs with the evidence. It holds for this incarnation of the server: an older entry, or the copy from which the store was restored, does not undo it; another time of birth or address does. A malformed header is logged once.

--- a/src/coordination/entry/attempts.ts
+++ b/src/coordination/entry/attempts.ts
@@ -159,7 +159,10 @@
     startVerifying(state, record, backend, { diagnostic, isAnswerBegun });
     return [log, ...commands];
   }
-  const isModelMissing = isMisdirected || (isRefusedByServer && isEngineRequest(record));
+  const isModelMissing =
+    isMisdirected ||
+    (isRefusedByServer && isEngineRequest(record)) ||
+    diagnostic.code === Diagnostics.BackendLeaving.code;
   const isCrashSuspect = cause === LossCause.Crash;
   const failed = { diagnostic, isAnswerBegun, isModelMissing, isCrashSuspect };
   return [log, ...commands, ...retryOrEnd(state, record, failed, nowMs)];
--- a/src/coordination/entry/commands.ts
+++ b/src/coordination/entry/commands.ts
@@ -12,6 +12,7 @@
 export const EntryCommandKind = {
   Dispatch: 'dispatch',
   CancelAttempt: 'cancelAttempt',
+  RecallAttempt: 'recallAttempt',
   DeliverAnswer: 'deliverAnswer',
   Refuse: 'refuse',
   AbortAnswer: 'abortAnswer',
@@ -63,6 +64,8 @@
     readonly requestId: string;
     readonly attempt: number;
     readonly backendId: string;
+    /** With the id, the incarnation of the server. */
+    readonly bornAtWallMs: number;
     readonly address: string;
     readonly maxConnections: number;
     readonly workspace: string | null;
@@ -78,6 +81,8 @@
     /** True if the server had a request limit, so that an answer without one shows that the limit has ended. */
     readonly isServerLimited: boolean;
   };
+  /** Fails an attempt whose request has not been sent to its server. */
+  [EntryCommandKind.RecallAttempt]: { readonly requestId: string; readonly attempt: number };
   [EntryCommandKind.CancelAttempt]: { readonly requestId: string; readonly attempt: number };
   [EntryCommandKind.DeliverAnswer]: { readonly requestId: string; readonly attempt: number };
   [EntryCommandKind.Refuse]: { readonly requestId: string; readonly refusal: Refusal };
@@ -139,13 +144,19 @@
   [EntryCommandKind.ReleaseControllerLease]: { readonly fence: number };
   [EntryCommandKind.SendOrder]: {
     readonly backendId: string;
+    /** With the id, the incarnation of the engine. */
+    readonly bornAtWallMs: number;
     readonly address: string;
     readonly order: EngineOrder;
     readonly fence: number;
     /** The order must not be sent after this time. */
     readonly validUntilMs: number;
   };
-  [EntryCommandKind.ReadEngineReport]: { readonly backendId: string; readonly address: string };
+  [EntryCommandKind.ReadEngineReport]: {
+    readonly backendId: string;
+    readonly bornAtWallMs: number;
+    readonly address: string;
+  };
   [EntryCommandKind.StartTimer]: {
     readonly timerId: string;
     readonly delayMs: number;
--- a/src/coordination/entry/engineOrders.ts
+++ b/src/coordination/entry/engineOrders.ts
@@ -74,6 +74,7 @@
     {
       kind: EntryCommandKind.SendOrder,
       backendId: control.backendId,
+      bornAtWallMs: control.bornAtWallMs,
       address: backend.entry.address,
       order,
       fence: state.placement.fence!,
@@ -217,7 +218,8 @@
     }
     control.reportRequestedAtMs = nowMs;
     const { address } = backend.entry;
-    return [{ kind: EntryCommandKind.ReadEngineReport, backendId: control.backendId, address }];
+    const { backendId, bornAtWallMs } = control;
+    return [{ kind: EntryCommandKind.ReadEngineReport, backendId, bornAtWallMs, address }];
   });
 }
 
--- a/src/coordination/entry/events.ts
+++ b/src/coordination/entry/events.ts
@@ -173,6 +173,7 @@
   AttemptFailed: 'attemptFailed',
   AttemptStalled: 'attemptStalled',
   LimitReported: 'limitReported',
+  ServerStated: 'serverStated',
   BackendProbed: 'backendProbed',
   EvidenceSpread: 'evidenceSpread',
   QuarantinesRead: 'quarantinesRead',
@@ -259,6 +260,16 @@
     /** Time at which the request was dispatched. */
     readonly dispatchedAtMs: number;
   };
+  /** The head of a response states whether its server is leaving. */
+  [EntryEventKind.ServerStated]: {
+    readonly backendId: string;
+    /** The incarnation of the server to which the request was sent. */
+    readonly bornAtWallMs: number;
+    /** The caller's id of the request; what was asked, if no caller did. */
+    readonly requestName: string;
+    readonly isLeaving: boolean;
+    readonly isMalformed: boolean;
+  };
   [EntryEventKind.BackendProbed]: {
     /** The process that was probed, as `getProcessKey` returns it. */
     readonly processKey: string;
--- a/src/coordination/entry/evidenceExchange.ts
+++ b/src/coordination/entry/evidenceExchange.ts
@@ -1,6 +1,6 @@
 /**
  * Exchanges with the other VMs what was learned of backend servers: crashes and their suspects, healthy prompt parts,
- * quarantines and request limits. Times in messages are relative to the time of sending.
+ * quarantines, request limits, and which are leaving. Times in messages are relative to the time of sending.
  */
 import {
   createEvidenceReport,
@@ -8,13 +8,15 @@
   shiftEvidenceReport,
 } from '../../state/entry/evidenceReports.js';
 import type { EntryCommand } from './commands.js';
+import { listLeaving, mergeLeaving } from './leavingServers.js';
 import { mergePromptEvidence } from './quarantines.js';
 import { listLimits, mergeLimits } from './serverLimits.js';
 import type { EntryState } from './state.js';
 
 /** Returns the evidence to send to a peer, with times relative to now. */
 export function createRelativeEvidence(state: EntryState, nowMs: number): EvidenceReport {
-  const evidence = createEvidenceReport(state.promptEvidence, listLimits(state), nowMs);
+  const servers = { limits: listLimits(state), leaving: listLeaving(state) };
+  const evidence = createEvidenceReport(state.promptEvidence, servers, nowMs);
   return shiftEvidenceReport(evidence, -nowMs);
 }
 
@@ -28,5 +30,6 @@
   return [
     ...mergePromptEvidence(state, evidence, nowMs),
     ...mergeLimits(state, evidence.limits, nowMs),
+    ...mergeLeaving(state, evidence.leaving),
   ];
 }
--- a/src/coordination/entry/forwarding.ts
+++ b/src/coordination/entry/forwarding.ts
@@ -119,6 +119,7 @@
       requestId,
       attempt: record.attempt,
       backendId,
+      bornAtWallMs: backend.entry.bornAtWallMs,
       address: backend.entry.address,
       maxConnections: getConnectionShare(state, record),
       workspace: record.workspace?.name ?? null,
--- a/src/coordination/entry/handlers.ts
+++ b/src/coordination/entry/handlers.ts
@@ -33,6 +33,7 @@
   handleAttemptStalled,
 } from './attempts.js';
 import { handleWaitTimedOut } from './forwarding.js';
+import { handleServerStated } from './leavingServers.js';
 import {
   handleSettingsRead,
   handleStopRequested,
@@ -71,6 +72,7 @@
   [EntryEventKind.AttemptFailed]: handleAttemptFailed,
   [EntryEventKind.AttemptStalled]: handleAttemptStalled,
   [EntryEventKind.LimitReported]: handleLimitReported,
+  [EntryEventKind.ServerStated]: handleServerStated,
   [EntryEventKind.BackendProbed]: handleBackendProbed,
   [EntryEventKind.EvidenceSpread]: handleEvidenceSpread,
   [EntryEventKind.QuarantinesRead]: handleQuarantinesRead,
--- a/src/protocol/entry/peerMessages.ts
+++ b/src/protocol/entry/peerMessages.ts
@@ -41,6 +41,7 @@
   healthyParts: [],
   quarantines: [],
   limits: [],
+  leaving: [],
 };
 
 function encodeQuarantine({ status, ...quarantine }: Quarantine) {
@@ -77,6 +78,7 @@
       requestsPerSecond: requestsPerSecond ?? null,
       version,
     })),
+    leaving: wire.leaving.map(({ bornAtWallMs, serverId }) => ({ serverId, bornAtWallMs })),
   };
 }
 
@@ -95,7 +97,7 @@
   };
 }
 
-function encodeEvidence({ crashes, healthyParts, limits, quarantines }: EvidenceReport) {
+function encodeEvidence({ crashes, healthyParts, leaving, limits, quarantines }: EvidenceReport) {
   return {
     crashes: crashes.map((crash) => ({
       ...crash,
@@ -110,6 +112,7 @@
       ...limit,
       requestsPerSecond: limit.requestsPerSecond ?? undefined,
     })),
+    leaving: [...leaving],
   };
 }
 
--- a/src/state/diagnostics.ts
+++ b/src/state/diagnostics.ts
@@ -175,6 +175,12 @@
     Failure,
     'Backend server "{0}" sent a head, body or event of more than {1} bytes.',
   ),
+  BackendLeaving: define(
+    1209,
+    'backend_leaving',
+    Failure,
+    'Backend server "{0}" is leaving; the request was not sent to it.',
+  ),
   ClaimUnavailable: define(
     1206,
     'claim_unavailable',
--- a/src/state/entry/backends.ts
+++ b/src/state/entry/backends.ts
@@ -49,6 +49,8 @@
   removeAtMs: number | null;
   /** True once the server is known to be leaving; an incarnation that leaves never accepts requests again. */
   isLeaving: boolean;
+  /** True once an answer of the server had a malformed statement, which is logged only once. */
+  hasMalformedStatement: boolean;
   /** Requests of this VM that are in flight at the server. */
   inFlight: number;
   /** Prompt tokens of those requests that the server has not prefilled yet. */
@@ -83,6 +85,7 @@
     revision,
     removeAtMs: null,
     isLeaving: entry.isLeaving,
+    hasMalformedStatement: false,
     inFlight: 0,
     pendingPrefillTokens: 0,
     prefillMsPerToken: null,
@@ -131,5 +134,5 @@
 
 /** Returns whether two entries belong to the same incarnation of a server. */
 export function isSameIncarnation(a: BackendEntry, b: BackendEntry): boolean {
-  return a.id === b.id && a.bornAtWallMs === b.bornAtWallMs;
+  return a.id === b.id && a.bornAtWallMs === b.bornAtWallMs && a.address === b.address;
 }
--- a/src/state/entry/evidenceReports.ts
+++ b/src/state/entry/evidenceReports.ts
@@ -1,5 +1,5 @@
 /**
- * What VMs tell each other of backend servers: evidence on prompts, quarantines and request limits.
+ * What VMs tell each other of backend servers: evidence on prompts, quarantines, request limits, and which are leaving.
  */
 import {
   type CrashReport,
@@ -55,11 +55,21 @@
   readonly version: number;
 }
 
-/** All that VMs tell each other of backend servers. */
-export interface EvidenceReport extends PromptEvidenceReport {
+/** A server that is leaving. */
+export interface LeavingReport {
+  readonly serverId: string;
+  readonly bornAtWallMs: number;
+}
+
+/** What VMs tell each other of backend servers besides the evidence on prompts. */
+export interface ServerReports {
   readonly limits: readonly LimitReport[];
+  readonly leaving: readonly LeavingReport[];
 }
 
+/** All that VMs tell each other of backend servers. */
+export interface EvidenceReport extends PromptEvidenceReport, ServerReports {}
+
 /** Moves all times of a quarantine to a clock that is ahead by an offset. */
 export function shiftQuarantine(quarantine: Quarantine, offsetMs: number): Quarantine {
   return {
@@ -80,6 +90,7 @@
     healthyParts: report.healthyParts.map(shift),
     quarantines: report.quarantines.map((quarantine) => shiftQuarantine(quarantine, offsetMs)),
     limits: report.limits,
+    leaving: report.leaving,
   };
 }
 
@@ -94,11 +105,11 @@
 /** Returns the evidence that other VMs may lack, with times on this VM's clock. */
 export function createEvidenceReport(
   evidence: PromptEvidence,
-  limits: readonly LimitReport[],
+  servers: ServerReports,
   nowMs: number,
 ): EvidenceReport {
   return {
-    limits,
+    ...servers,
     crashes: listSharedCrashes(evidence, nowMs),
     healthyParts: listHealthySuspects(evidence, nowMs),
     quarantines: [...evidence.quarantines.values()],
--- a/src/transport/entry/attempt.ts
+++ b/src/transport/entry/attempt.ts
@@ -16,6 +16,7 @@
 import { splitAddress } from '../httpCall.js';
 import type { BackendAgents } from './backendAgent.js';
 import { type ForwardExchange, isAnswerBegun } from './exchange.js';
+import { postStatement } from './serverStatements.js';
 import type { AnswerHead, EntryWire } from './wire.js';
 
 /** Longest head of a response. */
@@ -260,6 +261,11 @@
       settle(attempt);
       request.destroy();
     },
+    recall: () => {
+      if (attempt.runState === RunState.NotSent) {
+        failAttempt(attempt, Diagnostics.BackendLeaving);
+      }
+    },
   };
   const send = (): void => {
     if (!attempt.isSettled) {
@@ -271,11 +277,14 @@
   request.on('error', (error) => failForError(attempt, error));
   request.on('close', () => failForLostConnection(attempt));
   request.on('response', (response) => {
+    const head = context.wire.decodeAnswerHead(response.statusCode ?? 0, response.headers);
+    const { backendId, bornAtWallMs } = command;
+    const source = { backendId, bornAtWallMs, requestName: exchange.callerRequestId };
+    postStatement(context.post, head.statement, source);
     if (attempt.isSettled) {
       request.destroy();
       return;
     }
-    const head = context.wire.decodeAnswerHead(response.statusCode ?? 0, response.headers);
     recordSignal(attempt, DispatchSignal.HeadersReceived);
     attempt.load = head.load;
     reportLimit(attempt, head);
--- a/src/transport/entry/commandTable.ts
+++ b/src/transport/entry/commandTable.ts
@@ -42,6 +42,7 @@
   sendWholeAnswer,
 } from './exchange.js';
 import { applyCallerTimeouts } from './forwardServer.js';
+import { postStatement } from './serverStatements.js';
 import { encodeQuarantines, EntryKey } from './storeKeys.js';
 import { applyStoreUpdate, type StoreAccess, type WatchContext } from './storeWatches.js';
 import type { SuspensionDetector } from './suspensionDetector.js';
@@ -89,6 +90,7 @@
 type RequestKind =
   | typeof EntryCommandKind.Dispatch
   | typeof EntryCommandKind.CancelAttempt
+  | typeof EntryCommandKind.RecallAttempt
   | typeof EntryCommandKind.DeliverAnswer
   | typeof EntryCommandKind.Refuse
   | typeof EntryCommandKind.AbortAnswer
@@ -131,6 +133,12 @@
         cancel.run();
       }
     },
+    [EntryCommandKind.RecallAttempt]: ({ attempt, requestId }) => {
+      const cancel = exchanges.get(requestId)?.cancel ?? null;
+      if (cancel?.attempt === attempt) {
+        cancel.recall();
+      }
+    },
     [EntryCommandKind.DeliverAnswer]: ({ attempt, requestId }) => {
       const exchange = exchanges.get(requestId);
       if (exchange?.bufferedAnswer?.attempt === attempt) {
@@ -284,7 +292,8 @@
     [EntryCommandKind.AcquireControllerLease]: () => acquireOrRenew(false),
     [EntryCommandKind.RenewControllerLease]: () => acquireOrRenew(true),
     [EntryCommandKind.ReleaseControllerLease]: () => runDetached(controllerLease.release),
-    [EntryCommandKind.SendOrder]: ({ address, backendId, fence, order, validUntilMs }) => {
+    [EntryCommandKind.SendOrder]: (command) => {
+      const { address, backendId, bornAtWallMs, fence, order, validUntilMs } = command;
       const kind = EntryEventKind.OrderAnswered;
       const mayBeExpired = suspension.check() > 0 || getNowMs() >= validUntilMs;
       if (mayBeExpired) {
@@ -306,8 +315,11 @@
             const { Rejected, Unknown } = EngineOrderOutcome;
             post({ kind, backendId, order, outcome: mayHaveRun ? Unknown : Rejected });
           },
-          onSuccess: ({ status }) =>
-            post({ kind, backendId, order, outcome: wire.decodeEngineOrderStatus(status) }),
+          onSuccess: ({ headers, status }) => {
+            const source = { backendId, bornAtWallMs, requestName: wire.engineOrderPath };
+            postStatement(post, wire.decodeServerStatement(headers), source);
+            post({ kind, backendId, order, outcome: wire.decodeEngineOrderStatus(status) });
+          },
         }),
       );
     },
@@ -326,7 +338,7 @@
         }),
       );
     },
-    [EntryCommandKind.ReadEngineReport]: ({ address, backendId }) => {
+    [EntryCommandKind.ReadEngineReport]: ({ address, backendId, bornAtWallMs }) => {
       const kind = EntryEventKind.EngineReported;
       const call = callHttp({
         address,
@@ -339,7 +351,9 @@
       runDetached(
         Effect.match(call, {
           onFailure: () => post({ kind, backendId, report: null }),
-          onSuccess: ({ status, text }) => {
+          onSuccess: ({ headers, status, text }) => {
+            const source = { backendId, bornAtWallMs, requestName: wire.engineReportPath };
+            postStatement(post, wire.decodeServerStatement(headers), source);
             const report =
               status === HTTP_OK ? wire.decodeEngineReport(text).toMaybe().extractNullable() : null;
             post({ kind, backendId, report });
--- a/src/transport/entry/exchange.ts
+++ b/src/transport/entry/exchange.ts
@@ -40,7 +40,12 @@
   eventCount: number;
   bufferedAnswer: BufferedAnswer | null;
   /** Cancels the attempt in progress, which has this number. */
-  cancel: { readonly attempt: number; readonly run: () => void } | null;
+  cancel: {
+    readonly attempt: number;
+    readonly run: () => void;
+    /** Fails the attempt instead if nothing of its request has been sent. */
+    readonly recall: () => void;
+  } | null;
   /** True if the response ends with its connection, so that only a reset shows that it is incomplete. */
   endsWithConnection: boolean;
   /** True once the response has been sent, or the caller has left. */
--- a/src/transport/entry/metricsServer.ts
+++ b/src/transport/entry/metricsServer.ts
@@ -30,6 +30,8 @@
   gentiandeck_ready: ({ isReady }) => Number(isReady),
   gentiandeck_configuration_version: ({ deployment }) => deployment?.version ?? 0,
   gentiandeck_backends: ({ backends }) => backends.size,
+  gentiandeck_leaving_backends: ({ backends }) =>
+    [...backends.values()].filter(({ isLeaving }) => isLeaving).length,
   gentiandeck_limited_backends: ({ backends }) =>
     [...backends.values()].filter(({ limit }) => limit !== null).length,
   gentiandeck_backends_revision: ({ backendsRevision }) => getRevisionInEra(backendsRevision),
--- a/src/transport/entry/wire.ts
+++ b/src/transport/entry/wire.ts
@@ -42,6 +42,20 @@
   readonly isMisdirected: boolean;
   readonly load: BackendLoad | null;
   readonly limit: LimitStatement;
+  readonly statement: ServerStatement;
+}
+
+/** Whether a backend server says in an answer that it is leaving. */
+export const LeavingStatement = {
+  None: 'none',
+  Leaving: 'leaving',
+  Malformed: 'malformed',
+} as const;
+export type LeavingStatement = (typeof LeavingStatement)[keyof typeof LeavingStatement];
+
+/** What a backend server says of itself in the head of any answer. */
+export interface ServerStatement {
+  readonly leaving: LeavingStatement;
 }
 
 /** What an answer states about the requests that its server takes from all VMs together. */
@@ -71,6 +85,7 @@
     rawHeaders: readonly string[],
   ) => Either<Diagnostic, RequestHead>;
   readonly encodeForwardHead: (rawHeaders: readonly string[], head: ForwardHead) => string[];
+  readonly decodeServerStatement: (headers: IncomingHttpHeaders) => ServerStatement;
   readonly decodeAnswerHead: (status: number, headers: IncomingHttpHeaders) => AnswerHead;
   /** Encodes the headers of a backend server's response for the caller. */
   readonly encodeAnswerHead: (rawHeaders: readonly string[]) => OutgoingHead;
--- a/tests/entry/answerEnds.test.ts
+++ b/tests/entry/answerEnds.test.ts
@@ -74,6 +74,7 @@
   requestId: 'r',
   attempt: 1,
   backendId: 'e1',
+  bornAtWallMs: 1,
   address: '',
   maxConnections: 2,
   workspace: null,
--- a/tests/entry/brokenStreams.test.ts
+++ b/tests/entry/brokenStreams.test.ts
@@ -43,6 +43,7 @@
   kind: 'dispatch',
   requestId: 'r',
   backendId: 'e1',
+  bornAtWallMs: 1,
   maxConnections: 2,
   workspace: null,
   remainingMs: 10_000,
--- a/tests/entry/replayedAnswers.test.ts
+++ b/tests/entry/replayedAnswers.test.ts
@@ -63,6 +63,7 @@
   kind: 'dispatch',
   attempt: 1,
   backendId: 'e1',
+  bornAtWallMs: 1,
   maxConnections: 1,
   workspace: null,
   remainingMs: DEADLINE_MS,
--- a/tests/platform/decoding.test.ts
+++ b/tests/platform/decoding.test.ts
@@ -8,7 +8,13 @@
 import { decodeBackendEntry, decodeEngineReport } from '../../platform/backendServers.js';
 import { decodeConfiguration } from '../../platform/configuration.js';
 import { decodeEngineOrderStatus, encodeEngineOrder } from '../../platform/engines.js';
-import { decodeAnswerHead, decodeRequestHead, encodeForwardHead } from '../../platform/requests.js';
+import {
+  decodeAnswerHead,
+  decodeRequestHead,
+  decodeServerStatement,
+  encodeForwardHead,
+} from '../../platform/requests.js';
+import { LeavingStatement } from '../../src/transport/entry/wire.js';
 import { decodeSettings } from '../../platform/settings.js';
 import type { Diagnostic } from '../../src/state/diagnostics.js';
 
@@ -265,6 +271,37 @@
   });
 });
 
+const LEAVING_CASES = [
+  { name: 'no header', headers: {}, leaving: LeavingStatement.None },
+  { name: 'a one', headers: { 'server-leaving': '1' }, leaving: LeavingStatement.Leaving },
+  {
+    name: 'a one in a rejection',
+    headers: { 'server-leaving': '1', 'x-not-executed': '1' },
+    leaving: LeavingStatement.Leaving,
+  },
+  { name: 'two ones', headers: { 'server-leaving': '1, 1' }, leaving: LeavingStatement.Leaving },
+  { name: 'a zero', headers: { 'server-leaving': '0' }, leaving: LeavingStatement.Malformed },
+  {
+    name: 'a one and a zero',
+    headers: { 'server-leaving': '1, 0' },
+    leaving: LeavingStatement.Malformed,
+  },
+  { name: 'a word', headers: { 'server-leaving': 'TRUE' }, leaving: LeavingStatement.Malformed },
+  { name: 'nothing', headers: { 'server-leaving': '' }, leaving: LeavingStatement.Malformed },
+  {
+    name: 'another number',
+    headers: { 'server-leaving': '10' },
+    leaving: LeavingStatement.Malformed,
+  },
+];
+
+describe('whether a server leaves, in the head of an answer', () => {
+  it.each(LEAVING_CASES)('is decoded from $name', ({ headers, leaving }) => {
+    expect(decodeAnswerHead(200, headers).statement.leaving).toBe(leaving);
+    expect(decodeServerStatement(headers).leaving).toBe(leaving);
+  });
+});
+
 const OUTCOME_CASES = [
   { status: 200, outcome: 'done' },
   { status: 202, outcome: 'accepted' },
--- a/tests/stand-ins/platformRunner.ts
+++ b/tests/stand-ins/platformRunner.ts
@@ -36,8 +36,12 @@
   readonly id: string;
   readonly address: string;
   fault: RunnerFault;
+  /** Headers that all answers have, also those to orders and to requests for a report. */
+  headers: Readonly<Record<string, string>>;
   readonly seen: ReceivedRequest[];
   readonly orders: unknown[];
+  /** Arrival times of all calls, also of those that were refused, of orders and of requests for a report. */
+  readonly arrivalsMs: number[];
   /** Returns the runner's entry for the store. */
   readonly describe: () => Record<string, unknown>;
   readonly close: () => Promise<void>;
@@ -87,8 +91,9 @@
   const models = new Map((options.models ?? []).map((name) => [name, new Set<string>()]));
   const receivedRequests: ReceivedRequest[] = [];
   const orders: unknown[] = [];
+  const arrivalsMs: number[] = [];
   const bornMs = Date.now();
-  const state: { fault: RunnerFault } = { fault: RunnerFault.None };
+  const state: Pick<PlatformRunner, 'fault' | 'headers'> = { fault: RunnerFault.None, headers: {} };
   let orderCount = 0;
 
   const listModels = () =>
@@ -166,6 +171,8 @@
     body: string,
   ): void => {
     const { headers, method = 'GET', url = '/' } = request;
+    arrivalsMs.push(performance.now());
+    Object.entries(state.headers).forEach(([name, value]) => response.setHeader(name, value));
     if (url === '/v1/order') {
       handleOrder(body, response);
       return;
@@ -213,6 +220,7 @@
     address,
     seen: receivedRequests,
     orders,
+    arrivalsMs,
     describe: () => ({
       service,
       address,
--- a/tests/state/promptEvidence.test.ts
+++ b/tests/state/promptEvidence.test.ts
@@ -31,7 +31,10 @@
   let nowMs = fromMs;
   for (let i = 0; i < count; i += 1) {
     const [sender, receiver] = i % 2 === 0 ? [a, b] : [b, a];
-    const report = shiftEvidenceReport(createEvidenceReport(sender, [], nowMs), -nowMs);
+    const report = shiftEvidenceReport(
+      createEvidenceReport(sender, { limits: [], leaving: [] }, nowMs),
+      -nowMs,
+    );
     nowMs += MESSAGE_DELAY_MS;
     mergeHealthyParts(receiver, shiftEvidenceReport(report, nowMs).healthyParts, nowMs);
   }
