Send nothing to a server during the pause that it asks for

Cause: the header was not read. Change: until the pause ends the VM sends that server no requests and no orders; the pause is the VM's own, ends by its monotonic clock, is shortened by the time of a suspension, and is at most five minutes. One place decides whether a server may get a request now (serverAvailability.ts: leaving, crashed, paused, resuming, no permit). If all servers of a request pause, it waits where the pause ends in time, else it is rejected at once, not run, with the end of the first pause as Retry-After, spread over half a second. After a pause a server gets requests 50 ms apart for a second.

--- a/src/coordination/entry/adapterPlacement.ts
+++ b/src/coordination/entry/adapterPlacement.ts
@@ -10,6 +10,7 @@
 import { type EntryEventKind, type EntryEventOf, OrderAction } from './events.js';
 import type { EngineControl } from './placementState.js';
 import { isAcceptingRequests } from './backendSelection.js';
+import { isPaused } from './serverPauses.js';
 import type { EntryState } from './state.js';
 
 /** Upper estimate of the time from an adapter's load order to its first request. The answer is delayed by it. */
@@ -139,7 +140,9 @@
   }
   const [task] = control.tasks;
   const isBusy = control.pending !== null || control.change !== null || control.needsReport;
-  if (task === undefined || isBusy) {
+  const backend = state.backends.get(control.backendId);
+  const isEnginePaused = backend !== undefined && isPaused(backend, nowMs);
+  if (task === undefined || isBusy || isEnginePaused) {
     return commands;
   }
   const { adapter, model } = task;
--- a/src/coordination/entry/backendSelection.ts
+++ b/src/coordination/entry/backendSelection.ts
@@ -10,7 +10,8 @@
 import type { CrashReport } from '../../state/entry/promptEvidence.js';
 import { nextRandomInt } from '../../state/random.js';
 import { getPrefillDelay } from './prefillLoad.js';
-import { hasPermit, isLimitUnverified } from './serverLimits.js';
+import { findObstacle, isEligible } from './serverAvailability.js';
+import { isLimitUnverified } from './serverLimits.js';
 import { countLiveVms, type EntryState, type ForwardRecord } from './state.js';
 
 /** Reported load is ignored from this age on. */
@@ -77,7 +78,7 @@
   );
 }
 
-/** Returns the servers of a request's service that hold its model and have not been tried, whatever their limits. */
+/** Returns the servers of a request's service that hold its model and have not been tried, also those to wait for. */
 export function findHolders(
   state: EntryState,
   record: Pick<ForwardRecord, 'request' | 'service' | 'possiblyRunBackendIds' | 'notRunBackendIds'>,
@@ -92,14 +93,7 @@
       service.engine === null ||
       request.model === null ||
       holdsVariant(backend, request.model, request.adapter, nowMs);
-    const hasCrashed = backend.crashedUntilMs > nowMs;
-    return (
-      offeredService === service.name &&
-      !isTried &&
-      !hasCrashed &&
-      isHeld &&
-      isAcceptingRequests(backend)
-    );
+    return offeredService === service.name && !isTried && isHeld && isEligible(backend, nowMs);
   });
 }
 
@@ -109,7 +103,9 @@
   record: Parameters<typeof findHolders>[1],
   nowMs: number,
 ): Backend[] {
-  return findHolders(state, record, nowMs).filter((backend) => hasPermit(backend, nowMs));
+  return findHolders(state, record, nowMs).filter(
+    (backend) => findObstacle(backend, nowMs) === null,
+  );
 }
 
 /** Returns the candidate with the lowest cost; undefined if there are no candidates. */
--- a/src/coordination/entry/controller.ts
+++ b/src/coordination/entry/controller.ts
@@ -32,6 +32,7 @@
 import type { EngineControl } from './placementState.js';
 import { isAcceptingRequests } from './backendSelection.js';
 import { compareRelayRank } from './relays.js';
+import { isPaused, shortenPauses } from './serverPauses.js';
 import { EntryLifecycle, type EntryState } from './state.js';
 
 /** Renewals in the duration of a lease, so that one lost response does not let it expire. */
@@ -125,7 +126,8 @@
       control.pending === null &&
       !control.needsReport &&
       control.unconfirmedOrders.length === 0 &&
-      isAcceptingRequests(backend),
+      isAcceptingRequests(backend) &&
+      !isPaused(backend, nowMs),
   };
 }
 
@@ -359,14 +361,15 @@
 }
 
 /**
- * Subtracts the suspended time from the validity of the lease: the lease kept expiring while the VM
- * was suspended, but the monotonic clock stood still.
+ * Subtracts the suspended time from the validity of the lease and from the pauses of servers: they kept running out while
+ * the VM was suspended, but the monotonic clock stood still.
  */
 export function handleSuspended(
   state: EntryState,
   event: EntryEventOf<typeof EntryEventKind.Suspended>,
 ): EntryCommand[] {
   state.placement.leaseValidUntilMs -= event.lostMs;
+  shortenPauses(state, event.lostMs);
   return [
     createEntryLog(LogLevel.Warn, EntryLogPrefix.Lifecycle, 'The VM was suspended.', {
       lostMs: event.lostMs,
--- a/src/coordination/entry/engineOrders.ts
+++ b/src/coordination/entry/engineOrders.ts
@@ -19,6 +19,7 @@
   reconcileEntry,
   type PendingOrder,
 } from './placementState.js';
+import { isPaused } from './serverPauses.js';
 import { type EntryState } from './state.js';
 
 /**
@@ -213,7 +214,8 @@
     const isOverdue =
       control.change !== null && nowMs - control.change.orderedAtMs > MODEL_CHANGE_TIMEOUT_MS;
     const isDue = nowMs - control.reportRequestedAtMs >= MIN_REPORT_INTERVAL_MS;
-    if (backend === undefined || !(control.needsReport || isOverdue) || !isDue) {
+    const isNeeded = control.needsReport || isOverdue;
+    if (backend === undefined || !isNeeded || !isDue || isPaused(backend, nowMs)) {
       return [];
     }
     control.reportRequestedAtMs = nowMs;
--- a/src/coordination/entry/events.ts
+++ b/src/coordination/entry/events.ts
@@ -260,7 +260,7 @@
     /** Time at which the request was dispatched. */
     readonly dispatchedAtMs: number;
   };
-  /** The head of a response states whether its server is leaving. */
+  /** The head of a response states that its server is leaving, or asks for a pause. */
   [EntryEventKind.ServerStated]: {
     readonly backendId: string;
     /** The incarnation of the server to which the request was sent. */
@@ -268,6 +268,8 @@
     /** The caller's id of the request; what was asked, if no caller did. */
     readonly requestName: string;
     readonly isLeaving: boolean;
+    /** Time for which the server wants nothing from this VM; null if it asks for none. */
+    readonly pauseMs: number | null;
     readonly isMalformed: boolean;
   };
   [EntryEventKind.BackendProbed]: {
--- a/src/coordination/entry/forwarding.ts
+++ b/src/coordination/entry/forwarding.ts
@@ -5,6 +5,7 @@
 import { RouteKind } from '../../state/entry/deployment.js';
 import { createDiagnostic, Diagnostics } from '../../state/diagnostics.js';
 import { formatStoreRevision } from '../../state/storeRevision.js';
+import { nextRandom } from '../../state/random.js';
 import { LogLevel } from '../events.js';
 import {
   createEntryLog,
@@ -30,6 +31,8 @@
   requestPermit,
   takePermit,
 } from './serverLimits.js';
+import { formatObstacles } from './serverAvailability.js';
+import { getPauseWaitMs, isPaused } from './serverPauses.js';
 import { requestAdapter } from './adapterRequests.js';
 import {
   countVmsSharingLimits,
@@ -57,8 +60,10 @@
 export const OVERLOADED_RETRY_AFTER_MS = 700;
 /** Retry-After time when no server has the model: about half the time of a load from the weight store. */
 const MODEL_RETRY_AFTER_MS = 2_500;
-/** Lower bound of the Retry-After time of a request that waited for the limit of a server. */
+/** Lower bound of the Retry-After time of a request that waited for the limit or the pause of a server. */
 const MIN_PERMIT_RETRY_AFTER_MS = 200;
+/** Callers that are rejected for the same limit or pause return spread over this time. */
+const RETRY_SPREAD_MS = 500;
 /** Time without data before a stream's first event that causes a retry, as a multiple of the objective. */
 const STREAM_TIMEOUT_OBJECTIVES = 1.5;
 /** The same for a request that is not a stream. */
@@ -110,6 +115,7 @@
   record.attempt += 1;
   record.backendId = backendId;
   backend.inFlight += 1;
+  backend.dispatchedAtMs = nowMs;
   takePermit(backend, nowMs);
   addPendingPrefill(backend, record, nowMs);
   return [
@@ -176,8 +182,11 @@
   return requestPermit(state, record.request.requestId, holders, nowMs);
 }
 
-/** Returns the expected wait for the limits of the servers that hold a request's model; null if not all have one. */
-function getLimitWaitMs(state: EntryState, record: ForwardRecord, nowMs: number): number | null {
+/**
+ * Returns the expected wait for the limits and pauses of the servers that hold a request's model; null if one of them has
+ * neither.
+ */
+function getExpectedWaitMs(state: EntryState, record: ForwardRecord, nowMs: number): number | null {
   const { model } = record.request;
   const isAhead = (other: ForwardRecord): boolean =>
     other !== record &&
@@ -187,18 +196,28 @@
     getUrgency(other) <= getUrgency(record);
   const requestsAhead = [...state.requests.values()].filter(isAhead).length;
   const holders = findHolders(state, record, nowMs);
-  return getExpectedPermitWaitMs(state, holders, requestsAhead, nowMs);
+  const paused = holders.filter((backend) => isPaused(backend, nowMs));
+  const others = holders.filter((backend) => !isPaused(backend, nowMs));
+  const permitWaitMs = getExpectedPermitWaitMs(state, others, requestsAhead, nowMs);
+  const pauseWaitMs = getPauseWaitMs(paused, nowMs);
+  if (others.length > 0 && permitWaitMs === null) {
+    return null;
+  }
+  return pauseWaitMs === null || permitWaitMs === null
+    ? (pauseWaitMs ?? permitWaitMs)
+    : Math.min(pauseWaitMs, permitWaitMs);
 }
 
-/** Rejects a request that would wait too long for the limits of its servers. */
-function refuseForLimits(
+/** Rejects a request that would wait too long for the limits or pauses of its servers. */
+function refuseForWait(
   state: EntryState,
   record: ForwardRecord,
-  permitWaitMs: number,
+  expectedWaitMs: number,
   nowMs: number,
 ): EntryCommand[] {
   const diagnostic = createDiagnostic(Diagnostics.Overloaded, record.service.name);
-  const retryAfterMs = Math.max(MIN_PERMIT_RETRY_AFTER_MS, permitWaitMs);
+  const spreadMs = nextRandom(state.random) * RETRY_SPREAD_MS;
+  const retryAfterMs = Math.max(MIN_PERMIT_RETRY_AFTER_MS, expectedWaitMs) + spreadMs;
   return refuseForward(state, record, diagnostic, nowMs, retryAfterMs);
 }
 
@@ -212,6 +231,11 @@
   const waitMs = getWaitMs(record, nowMs);
   record.phase = ForwardPhase.Waiting;
   record.notRunBackendIds = [];
+  const holders = findHolders(state, record, nowMs);
+  const pauseWaitMs = getPauseWaitMs(holders, nowMs);
+  if (pauseWaitMs !== null && pauseWaitMs > waitMs) {
+    return refuseForWait(state, record, pauseWaitMs, nowMs);
+  }
   return [
     createEntryTimer(getWaitTimerId(requestId), waitMs, {
       kind: EntryEventKind.WaitTimedOut,
@@ -227,7 +251,8 @@
         ...getRequestLogFields(record, nowMs),
         waitMs: Math.round(waitMs),
         backendsRevision: formatStoreRevision(state.backendsRevision),
-        limitedServers: countLimited(findHolders(state, record, nowMs)),
+        limitedServers: countLimited(holders),
+        obstacles: formatObstacles(holders, nowMs),
       },
     ),
   ];
@@ -262,9 +287,9 @@
     return [];
   }
   const dispatch = tryDispatchWaiting(state, record, nowMs);
-  const permitWaitMs = dispatch.length > 0 ? null : getLimitWaitMs(state, record, nowMs);
-  const isTooLong = permitWaitMs !== null && permitWaitMs > getWaitMs(record, nowMs);
-  return isTooLong ? refuseForLimits(state, record, permitWaitMs, nowMs) : dispatch;
+  const expectedWaitMs = dispatch.length > 0 ? null : getExpectedWaitMs(state, record, nowMs);
+  const isTooLong = expectedWaitMs !== null && expectedWaitMs > getWaitMs(record, nowMs);
+  return isTooLong ? refuseForWait(state, record, expectedWaitMs, nowMs) : dispatch;
 }
 
 /** Dispatches an admitted request, or lets it wait. */
@@ -295,9 +320,9 @@
   if (record?.phase !== ForwardPhase.Waiting) {
     return [];
   }
-  const permitWaitMs = getLimitWaitMs(state, record, nowMs);
-  if (permitWaitMs !== null) {
-    return refuseForLimits(state, record, permitWaitMs, nowMs);
+  const expectedWaitMs = getExpectedWaitMs(state, record, nowMs);
+  if (expectedWaitMs !== null) {
+    return refuseForWait(state, record, expectedWaitMs, nowMs);
   }
   const target = getVariantKey(record.request.model ?? record.service.name, record.request.adapter);
   const diagnostic = createDiagnostic(Diagnostics.NoBackendServer, target);
--- a/src/coordination/entry/handlers.ts
+++ b/src/coordination/entry/handlers.ts
@@ -33,7 +33,7 @@
   handleAttemptStalled,
 } from './attempts.js';
 import { handleWaitTimedOut } from './forwarding.js';
-import { handleServerStated } from './leavingServers.js';
+import { handleServerStated } from './serverStatements.js';
 import {
   handleSettingsRead,
   handleStopRequested,
--- a/src/coordination/entry/leavingServers.ts
+++ b/src/coordination/entry/leavingServers.ts
@@ -9,7 +9,6 @@
 import type { LeavingReport } from '../../state/entry/evidenceReports.js';
 import { LogLevel } from '../events.js';
 import { createEntryLog, type EntryCommand, EntryCommandKind, EntryLogPrefix } from './commands.js';
-import type { EntryEventKind, EntryEventOf } from './events.js';
 import { spreadEvidence } from './evidenceSpread.js';
 import { type EntryState, ForwardPhase } from './state.js';
 
@@ -18,7 +17,7 @@
 export type LeavingSource = (typeof LeavingSource)[keyof typeof LeavingSource];
 
 /** Recalls the requests that were dispatched to a server and have not been sent to it. */
-function recallUnsent(state: EntryState, { entry }: Backend): EntryCommand[] {
+export function recallUnsent(state: EntryState, { entry }: Backend): EntryCommand[] {
   return [...state.requests.values()]
     .filter(
       ({ backendId, firstEventAtMs, phase }) =>
@@ -31,7 +30,8 @@
     }));
 }
 
-function markLeaving(
+/** Marks a server as leaving, if that is not known yet. */
+export function markLeaving(
   state: EntryState,
   backend: Backend,
   source: LeavingSource,
@@ -55,33 +55,6 @@
   ];
 }
 
-/** Logs the first malformed statement of a server, which is used as before. */
-function logMalformed(backend: Backend, requestName: string): EntryCommand[] {
-  if (backend.hasMalformedStatement) {
-    return [];
-  }
-  backend.hasMalformedStatement = true;
-  const text = 'What a backend server says of itself could not be decoded.';
-  const fields = { server: backend.entry.id, request: requestName };
-  return [createEntryLog(LogLevel.Warn, EntryLogPrefix.Backend, text, fields)];
-}
-
-/** Applies what a server has said of itself in an answer. */
-export function handleServerStated(
-  state: EntryState,
-  event: EntryEventOf<typeof EntryEventKind.ServerStated>,
-): EntryCommand[] {
-  const { backendId, bornAtWallMs, isLeaving, isMalformed, requestName } = event;
-  const backend = state.backends.get(backendId);
-  if (backend?.entry.bornAtWallMs !== bornAtWallMs) {
-    return [];
-  }
-  return [
-    ...(isMalformed ? logMalformed(backend, requestName) : []),
-    ...(isLeaving ? markLeaving(state, backend, LeavingSource.Answer, requestName) : []),
-  ];
-}
-
 /** Returns the servers that are leaving, for the other VMs. */
 export function listLeaving({ backends }: EntryState): LeavingReport[] {
   return [...backends.values()]
--- a/src/coordination/entry/lifecycle.ts
+++ b/src/coordination/entry/lifecycle.ts
@@ -22,6 +22,7 @@
 import { terminateForward } from './requestCompletion.js';
 import type { EntryPolicy } from './policy.js';
 import { updatePermitShares } from './serverLimits.js';
+import { reportEndedPauses } from './serverPauses.js';
 import {
   EntryLifecycle,
   type EntryState,
@@ -150,6 +151,7 @@
     createEntryTimer(kind, state.policy.tickMs, { kind }),
     ...removeExpiredBackends(state, nowMs),
     ...applyCopiedEntries(state, nowMs),
+    ...reportEndedPauses(state, nowMs),
     ...dispatchWaiting(state, nowMs),
     ...retryAdapterRequests(state, nowMs),
     ...storeQuarantines(state, nowMs),
--- a/src/state/entry/backends.ts
+++ b/src/state/entry/backends.ts
@@ -49,6 +49,12 @@
   removeAtMs: number | null;
   /** True once the server is known to be leaving; an incarnation that leaves never accepts requests again. */
   isLeaving: boolean;
+  /** Time until which the server wants no requests or orders of this VM. */
+  pausedUntilMs: number;
+  /** True until the end of the pause has been logged. */
+  isPauseReported: boolean;
+  /** Time of this VM's last dispatch to the server. */
+  dispatchedAtMs: number;
   /** True once an answer of the server had a malformed statement, which is logged only once. */
   hasMalformedStatement: boolean;
   /** Requests of this VM that are in flight at the server. */
@@ -85,6 +91,9 @@
     revision,
     removeAtMs: null,
     isLeaving: entry.isLeaving,
+    pausedUntilMs: Number.NEGATIVE_INFINITY,
+    isPauseReported: false,
+    dispatchedAtMs: Number.NEGATIVE_INFINITY,
     hasMalformedStatement: false,
     inFlight: 0,
     pendingPrefillTokens: 0,
--- a/src/transport/entry/commandTable.ts
+++ b/src/transport/entry/commandTable.ts
@@ -317,7 +317,7 @@
           },
           onSuccess: ({ headers, status }) => {
             const source = { backendId, bornAtWallMs, requestName: wire.engineOrderPath };
-            postStatement(post, wire.decodeServerStatement(headers), source);
+            postStatement(post, wire.decodeServerStatement(status, headers), source);
             post({ kind, backendId, order, outcome: wire.decodeEngineOrderStatus(status) });
           },
         }),
@@ -353,7 +353,7 @@
           onFailure: () => post({ kind, backendId, report: null }),
           onSuccess: ({ headers, status, text }) => {
             const source = { backendId, bornAtWallMs, requestName: wire.engineReportPath };
-            postStatement(post, wire.decodeServerStatement(headers), source);
+            postStatement(post, wire.decodeServerStatement(status, headers), source);
             const report =
               status === HTTP_OK ? wire.decodeEngineReport(text).toMaybe().extractNullable() : null;
             post({ kind, backendId, report });
--- a/src/transport/entry/entryDaemon.ts
+++ b/src/transport/entry/entryDaemon.ts
@@ -187,7 +187,7 @@
     getConfigurationVersion: () => state.deployment?.version ?? 0,
     isStoreCurrent: storeAccess.isCurrent,
   });
-  const metricsServer = createMetricsServer({ metrics, state, log, loopDelay, loopWork });
+  const metricsServer = createMetricsServer({ metrics, state, log, loopDelay, loopWork, getNowMs });
 
   let resolveEnded = (): void => {};
   const ended = new Promise<void>((resolve) => {
--- a/src/transport/entry/metricsServer.ts
+++ b/src/transport/entry/metricsServer.ts
@@ -3,6 +3,7 @@
  */
 import http, { type Server } from 'node:http';
 import { countLiveVms, type EntryState, RelayRole } from '../../coordination/entry/state.js';
+import { isPaused } from '../../coordination/entry/serverPauses.js';
 import { countHeldQuarantines } from '../../state/entry/quarantineTable.js';
 import { getRevisionInEra, getStoreEra } from '../../state/storeRevision.js';
 import type { Metrics } from '../metrics.js';
@@ -21,6 +22,7 @@
   readonly log: EntryLog;
   readonly loopDelay: LoopDelayMonitor;
   readonly loopWork: LoopWorkMeter;
+  readonly getNowMs: () => number;
 }
 
 /** Reads the current value of a gauge. */
@@ -32,6 +34,8 @@
   gentiandeck_backends: ({ backends }) => backends.size,
   gentiandeck_leaving_backends: ({ backends }) =>
     [...backends.values()].filter(({ isLeaving }) => isLeaving).length,
+  gentiandeck_paused_backends: ({ backends }, { getNowMs }) =>
+    [...backends.values()].filter((backend) => isPaused(backend, getNowMs())).length,
   gentiandeck_limited_backends: ({ backends }) =>
     [...backends.values()].filter(({ limit }) => limit !== null).length,
   gentiandeck_backends_revision: ({ backendsRevision }) => getRevisionInEra(backendsRevision),
--- a/src/transport/entry/serverStatements.ts
+++ b/src/transport/entry/serverStatements.ts
@@ -15,15 +15,16 @@
 /** Posts what an answer states; most answers state nothing. */
 export function postStatement(
   post: (event: EntryEvent) => void,
-  { leaving }: ServerStatement,
+  { isPauseMalformed, leaving, pauseMs }: ServerStatement,
   source: StatementSource,
 ): void {
-  if (leaving !== LeavingStatement.None) {
+  if (leaving !== LeavingStatement.None || pauseMs !== null || isPauseMalformed) {
     post({
       kind: EntryEventKind.ServerStated,
       ...source,
       isLeaving: leaving === LeavingStatement.Leaving,
-      isMalformed: leaving === LeavingStatement.Malformed,
+      pauseMs,
+      isMalformed: leaving === LeavingStatement.Malformed || isPauseMalformed,
     });
   }
 }
--- a/src/transport/entry/wire.ts
+++ b/src/transport/entry/wire.ts
@@ -56,6 +56,9 @@
 /** What a backend server says of itself in the head of any answer. */
 export interface ServerStatement {
   readonly leaving: LeavingStatement;
+  /** Time for which the server wants nothing from this VM; null if it asks for none. */
+  readonly pauseMs: number | null;
+  readonly isPauseMalformed: boolean;
 }
 
 /** What an answer states about the requests that its server takes from all VMs together. */
@@ -85,7 +88,7 @@
     rawHeaders: readonly string[],
   ) => Either<Diagnostic, RequestHead>;
   readonly encodeForwardHead: (rawHeaders: readonly string[], head: ForwardHead) => string[];
-  readonly decodeServerStatement: (headers: IncomingHttpHeaders) => ServerStatement;
+  readonly decodeServerStatement: (status: number, headers: IncomingHttpHeaders) => ServerStatement;
   readonly decodeAnswerHead: (status: number, headers: IncomingHttpHeaders) => AnswerHead;
   /** Encodes the headers of a backend server's response for the caller. */
   readonly encodeAnswerHead: (rawHeaders: readonly string[]) => OutgoingHead;
--- a/tests/entry/leavingServers.test.ts
+++ b/tests/entry/leavingServers.test.ts
@@ -29,6 +29,7 @@
     bornAtWallMs: 1,
     requestName: 'caller-r',
     isLeaving: true,
+    pauseMs: null,
     isMalformed: false,
     ...changes,
   };
--- a/tests/entry/serverStatements.test.ts
+++ b/tests/entry/serverStatements.test.ts
@@ -11,7 +11,11 @@
   startVm,
   waitUntil,
 } from '../stand-ins/entryVms.js';
-import { type PlatformRunner, startPlatformRunner } from '../stand-ins/platformRunner.js';
+import {
+  type PlatformRunner,
+  RunnerFault,
+  startPlatformRunner,
+} from '../stand-ins/platformRunner.js';
 import { type PlatformStore, startPlatformStore } from '../stand-ins/platformStore.js';
 
 const REQUESTS_PER_SECOND = 500;
@@ -19,6 +23,10 @@
 /** Answers that were on their way when the server began to state something. */
 const ROUND_TRIP_MS = 100;
 
+const PAUSE_MS = 1_800;
+/** Bound of the users' rule: what was on its way may arrive in this time. */
+const SETTLED_MS = 500;
+
 let store: PlatformStore;
 let runners: PlatformRunner[];
 let vm: EntryVm;
@@ -82,4 +90,26 @@
     expect(leaving!.arrivalsMs.length).toBeGreaterThan(0);
     expect([...counts.keys()]).toEqual([200]);
   });
+
+  it('gets at most two calls later than half a second after it has asked for a pause', async () => {
+    const paused = runners[1]!;
+    let askedAtMs = Number.POSITIVE_INFINITY;
+    setTimeout(() => {
+      paused.fault = RunnerFault.NotExecuted;
+      paused.headers = { 'Retry-After': String(PAUSE_MS / 1_000) };
+      askedAtMs = performance.now();
+    }, 500);
+    setTimeout(() => {
+      paused.fault = RunnerFault.None;
+      paused.headers = {};
+    }, 700);
+    const counts = await sendLoad(3_000);
+    const within = paused.arrivalsMs.filter(
+      (atMs) => atMs > askedAtMs + SETTLED_MS && atMs < askedAtMs + PAUSE_MS,
+    );
+    expect(within.length).toBeLessThanOrEqual(2);
+    const after = paused.arrivalsMs.filter((atMs) => atMs > askedAtMs + PAUSE_MS);
+    expect(after.length).toBeGreaterThan(0);
+    expect([...counts.keys()]).toEqual([200]);
+  });
 });
--- a/tests/platform/decoding.test.ts
+++ b/tests/platform/decoding.test.ts
@@ -298,7 +298,51 @@
 describe('whether a server leaves, in the head of an answer', () => {
   it.each(LEAVING_CASES)('is decoded from $name', ({ headers, leaving }) => {
     expect(decodeAnswerHead(200, headers).statement.leaving).toBe(leaving);
-    expect(decodeServerStatement(headers).leaving).toBe(leaving);
+    expect(decodeServerStatement(202, headers).leaving).toBe(leaving);
+  });
+});
+
+const DATE = 'Sat, 05 Dec 2026 00:00:00 GMT';
+
+const PAUSE_CASES: readonly {
+  readonly name: string;
+  readonly status?: number;
+  readonly value: string | undefined;
+  readonly pauseMs: number | null;
+  readonly isMalformed?: boolean;
+  readonly date?: string;
+}[] = [
+  { name: 'no header', value: undefined, pauseMs: null },
+  { name: 'whole seconds', value: '2', pauseMs: 2_000 },
+  { name: 'a fraction', value: '0.25', pauseMs: 250 },
+  { name: 'zero', value: '0', pauseMs: null },
+  { name: 'a year', value: '31536000', pauseMs: 31_536_000_000 },
+  { name: 'a negative number', value: '-1', pauseMs: null, isMalformed: true },
+  { name: 'a text', value: 'soon', pauseMs: null, isMalformed: true },
+  { name: 'an exponent', value: '1e3', pauseMs: null, isMalformed: true },
+  { name: 'infinity', value: 'Infinity', pauseMs: null, isMalformed: true },
+  { name: 'nothing', value: '', pauseMs: null, isMalformed: true },
+  { name: 'a later date', value: 'Sat, 05 Dec 2026 00:00:07 GMT', pauseMs: 7_000, date: DATE },
+  {
+    name: 'a date that has passed',
+    value: DATE,
+    pauseMs: null,
+    date: 'Sat, 05 Dec 2026 00:00:07 GMT',
+  },
+  { name: 'a date in an answer without one', value: DATE, pauseMs: null, isMalformed: true },
+  { name: 'another status', status: 429, value: '2', pauseMs: null },
+  { name: 'a success', status: 200, value: '2', pauseMs: null },
+];
+
+describe('the pause that a server asks for', () => {
+  it.each(PAUSE_CASES)('is decoded from $name', (testCase) => {
+    const { date, isMalformed = false, pauseMs, status = 503, value } = testCase;
+    const headers = {
+      ...(value === undefined ? {} : { 'retry-after': value }),
+      ...(date === undefined ? {} : { date }),
+    };
+    const { statement } = decodeAnswerHead(status, headers);
+    expect([statement.pauseMs, statement.isPauseMalformed]).toEqual([pauseMs, isMalformed]);
   });
 });
 
