Show that an answer which breaks off in its head is never complete

Not seen here: heads of six framings, cut after each byte, by a close and by a reset (12 cases, about 1,000 answers), all end the attempt as failed. No change of the code.

--- a/tests/entry/answerEnds.test.ts
+++ b/tests/entry/answerEnds.test.ts
@@ -301,3 +301,47 @@
     expect(events.at(-1)?.kind).toBe(EntryEventKind.AttemptStalled);
   });
 });
+
+const WHOLE_HEADS = [
+  { name: 'a length', head: `${HEAD}Content-Length: 5\r\n\r\n` },
+  { name: 'no body', head: `${HEAD}Content-Length: 0\r\n\r\n` },
+  { name: 'chunks', head: `${HEAD}Transfer-Encoding: chunked\r\n\r\n` },
+  { name: 'neither length nor chunks', head: `${HEAD}Connection: close\r\n\r\n` },
+  { name: 'a stream', head: STREAM_HEAD },
+  { name: 'an interim answer before it', head: `HTTP/1.1 100 Continue\r\n\r\n${HEAD}\r\n` },
+];
+
+const HEAD_CASES = WHOLE_HEADS.flatMap((head) =>
+  Object.keys(CLOSINGS).map((closing) => ({ ...head, closing })),
+);
+
+describe('an answer that breaks off in its head', () => {
+  it.each(HEAD_CASES)(
+    'is never complete, wherever it breaks off: $name, $closing',
+    async ({ closing, head }) => {
+      const events: EntryEvent[] = [];
+      let length = 0;
+      const server = net.createServer((socket) => {
+        socket.on('error', () => {});
+        socket.once('data', () => {
+          const beginning = head.slice(0, length);
+          length += 1;
+          socket.write(beginning, () => CLOSINGS[closing]!(socket));
+        });
+      });
+      const address = await listen(server);
+      closers.push(() => {
+        server.close();
+      });
+      const forwarder = await startForwarder(events, { maxConnections: 50 });
+      for (let i = 0; i < head.length; i += 1) {
+        callThrough(forwarder, address);
+      }
+      await waitUntil(() => events.length >= head.length);
+      expect(events.length).toBe(head.length);
+      expect(new Set(events.map(({ kind }) => kind))).toEqual(
+        new Set([EntryEventKind.AttemptFailed]),
+      );
+    },
+  );
+});
