Send no request late in a planned stop, and reject those that wait

Can it happen here: new requests are rejected from 2.6 s on, but one that had come before and waited (for a model, a loan of the rate), or that a server had rejected, was sent whenever its wait ended, up to the abort at 7.2 s of 8. Change: no request is dispatched later than three seconds before the abort, also none that is retried; those that no server has by then are rejected as not run, with the Retry-After of a VM that stops. A table has a row for each phase of a request, complete by type.

--- a/src/coordination/entry/admission.ts
+++ b/src/coordination/entry/admission.ts
@@ -42,6 +42,7 @@
   terminateForward,
   refuseForward,
 } from './requestCompletion.js';
+import { STOPPING_RETRY_AFTER_MS } from './policy.js';
 import { EntryLifecycle, type EntryState, ForwardPhase, type ForwardRecord } from './state.js';
 
 /**
@@ -50,7 +51,7 @@
  */
 const RETRY_AFTER_MS_BY_CODE: ReadonlyMap<number, number> = new Map([
   [Diagnostics.NotConfigured.code, 500],
-  [Diagnostics.Stopping.code, 50],
+  [Diagnostics.Stopping.code, STOPPING_RETRY_AFTER_MS],
   [Diagnostics.VmBehind.code, 50],
 ]);
 /** Lower bound of the Retry-After time of a request over the rate limit. */
--- a/src/coordination/entry/backendSelection.ts
+++ b/src/coordination/entry/backendSelection.ts
@@ -103,9 +103,9 @@
   record: Parameters<typeof findHolders>[1],
   nowMs: number,
 ): Backend[] {
-  return findHolders(state, record, nowMs).filter(
-    (backend) => findObstacle(backend, nowMs) === null,
-  );
+  return nowMs >= state.noDispatchFromMs
+    ? []
+    : findHolders(state, record, nowMs).filter((backend) => findObstacle(backend, nowMs) === null);
 }
 
 /** Returns the candidate with the lowest cost; undefined if there are no candidates. */
--- a/src/coordination/entry/events.ts
+++ b/src/coordination/entry/events.ts
@@ -373,7 +373,12 @@
 }
 
 /** The steps of a graceful shutdown, in order. */
-export const StopStep = { Drain: 'drain', AbortRequests: 'abortRequests', Exit: 'exit' } as const;
+export const StopStep = {
+  Drain: 'drain',
+  RejectUnsent: 'rejectUnsent',
+  AbortRequests: 'abortRequests',
+  Exit: 'exit',
+} as const;
 export type StopStep = (typeof StopStep)[keyof typeof StopStep];
 
 /** The holder of the controller lease. */
--- a/src/coordination/entry/lifecycle.ts
+++ b/src/coordination/entry/lifecycle.ts
@@ -19,6 +19,7 @@
 import { expirePromptEvidence } from './quarantines.js';
 import { applyCopiedEntries } from './restoredStore.js';
 import { storeQuarantines } from './quarantineStore.js';
+import { STOPPING_RETRY_AFTER_MS } from './policy.js';
 import { terminateForward } from './requestCompletion.js';
 import type { EntryPolicy } from './policy.js';
 import { updatePermitShares } from './serverLimits.js';
@@ -36,6 +37,8 @@
 /** Fractions of the time until the process is killed after which requests are aborted and the process exits. */
 const ABORT_FRACTION = 0.9;
 const EXIT_FRACTION = 0.95;
+/** A request that is dispatched later than this before the abort would probably be cut off. */
+const MIN_RUN_MS = 3_000;
 /** Interval at which a stopping VM checks whether all requests have ended. */
 const DRAIN_CHECK_MS = 100;
 
@@ -44,7 +47,11 @@
 }
 
 /** Starts a graceful shutdown. */
-export function handleStopRequested(state: EntryState): EntryCommand[] {
+export function handleStopRequested(
+  state: EntryState,
+  _event: EntryEventOf<typeof EntryEventKind.StopRequested>,
+  nowMs: number,
+): EntryCommand[] {
   if (isShuttingDown(state)) {
     return [];
   }
@@ -53,13 +60,18 @@
   const { fence } = state.placement;
   state.placement.fence = null;
   const { stopGraceMs } = state.policy;
+  const drainDelayMs = Math.min(UNREADY_DETECTION_MS, stopGraceMs / 2);
+  const abortDelayMs = stopGraceMs * ABORT_FRACTION;
+  const rejectDelayMs = Math.max(drainDelayMs, abortDelayMs - MIN_RUN_MS);
+  state.noDispatchFromMs = nowMs + rejectDelayMs;
   const releaseCommands: EntryCommand[] =
     fence === null ? [] : [{ kind: EntryCommandKind.ReleaseControllerLease, fence }];
   return [
     { kind: EntryCommandKind.SetReady, isReady: false },
     ...releaseCommands,
-    createStopTimer(StopStep.Drain, Math.min(UNREADY_DETECTION_MS, stopGraceMs / 2)),
-    createStopTimer(StopStep.AbortRequests, stopGraceMs * ABORT_FRACTION),
+    createStopTimer(StopStep.Drain, drainDelayMs),
+    createStopTimer(StopStep.RejectUnsent, rejectDelayMs),
+    createStopTimer(StopStep.AbortRequests, abortDelayMs),
     createEntryLog(LogLevel.Info, EntryLogPrefix.Lifecycle, 'A graceful shutdown has started.', {
       requests: state.requests.size,
       graceMs: stopGraceMs,
@@ -74,6 +86,22 @@
   );
 }
 
+/** Phases of requests that no backend server has. */
+const UNSENT_PHASES: ReadonlySet<ForwardPhase> = new Set([
+  ForwardPhase.Charging,
+  ForwardPhase.Waiting,
+]);
+
+/** Rejects the requests that wait, so that their callers have time to go to another VM. */
+function rejectUnsent(state: EntryState, nowMs: number): EntryCommand[] {
+  const diagnostic = createDiagnostic(Diagnostics.Stopping);
+  return [...state.requests.values()]
+    .filter(({ phase }) => UNSENT_PHASES.has(phase))
+    .flatMap((record) =>
+      terminateForward(state, record, diagnostic, nowMs, STOPPING_RETRY_AFTER_MS),
+    );
+}
+
 type StopStepHandler = (state: EntryState, nowMs: number) => EntryCommand[];
 
 const scheduleDrainCheck: StopStepHandler = (state) =>
@@ -86,6 +114,7 @@
     state.lifecycle = EntryLifecycle.Draining;
     return [{ kind: EntryCommandKind.StopAccepting }, ...scheduleDrainCheck(state, nowMs)];
   },
+  [StopStep.RejectUnsent]: rejectUnsent,
   [StopStep.AbortRequests]: (state, nowMs) => [
     ...abortRequests(state, nowMs),
     createStopTimer(StopStep.Exit, state.policy.stopGraceMs * (EXIT_FRACTION - ABORT_FRACTION)),
--- a/src/coordination/entry/policy.ts
+++ b/src/coordination/entry/policy.ts
@@ -50,6 +50,9 @@
   readonly modelDecayMs: number;
 }
 
+/** Retry-After time of a VM that is stopping: another VM accepts the request immediately. */
+export const STOPPING_RETRY_AFTER_MS = 50;
+
 /** The values that do not come from the settings. */
 export const ENTRY_POLICY_DEFAULTS = {
   tickMs: 200,
--- a/src/coordination/entry/state.ts
+++ b/src/coordination/entry/state.ts
@@ -187,6 +187,8 @@
   readonly startedAtMs: number;
   lifecycle: EntryLifecycle;
   isReady: boolean;
+  /** Time from which no request is dispatched any more, since this VM is about to stop. */
+  noDispatchFromMs: number;
   deployment: Deployment | null;
   /** Store revision of the configuration in force. */
   deploymentRevision: number;
@@ -274,6 +276,7 @@
     startedAtMs: nowMs,
     lifecycle: EntryLifecycle.Starting,
     isReady: false,
+    noDispatchFromMs: Number.POSITIVE_INFINITY,
     deployment: null,
     deploymentRevision: 0,
     backends: new Map(),
--- a/tests/entry/lifecycle.test.ts
+++ b/tests/entry/lifecycle.test.ts
@@ -3,9 +3,18 @@
  */
 import { describe, expect, it } from 'vitest';
 import { EntryCommandKind } from '../../src/coordination/entry/commands.js';
-import { EntryEventKind, StopStep } from '../../src/coordination/entry/events.js';
+import { type EntryEvent, EntryEventKind, StopStep } from '../../src/coordination/entry/events.js';
+import { ForwardPhase } from '../../src/coordination/entry/state.js';
 import { getForwardRefusalStatus } from '../../src/protocol/entry/refusals.js';
-import { createTestRequest, createTestVm, findCommands, getDispatch } from './fixtures.js';
+import { createDiagnostic, Diagnostics } from '../../src/state/diagnostics.js';
+import { RunState, RunStatus } from '../../src/state/types.js';
+import {
+  createTestEntry,
+  createTestRequest,
+  createTestVm,
+  findCommands,
+  getDispatch,
+} from './fixtures.js';
 
 describe('a reload of the settings', () => {
   it('applies the new limits', () => {
@@ -57,4 +66,84 @@
     const [command] = findCommands(commands, EntryCommandKind.Refuse);
     expect(getForwardRefusalStatus(command!.refusal)).toBe(502);
   });
+
+  const STOPPED_AT_MS = 10_000;
+  const REJECTED_AT_MS = STOPPED_AT_MS + 4_200;
+
+  /** What becomes of a request in each phase when it is too late to send it: it waits no longer, or runs on. */
+  const LATE_PHASES: Readonly<Record<ForwardPhase, boolean>> = {
+    [ForwardPhase.Charging]: true,
+    [ForwardPhase.Waiting]: true,
+    [ForwardPhase.Dispatched]: false,
+    [ForwardPhase.Verifying]: false,
+  };
+
+  it.each(Object.entries(LATE_PHASES))(
+    'rejects late in the grace only requests that no server has, as not run: %s',
+    (phase, isRejected) => {
+      const vm = createTestVm();
+      vm.receiveRequest(createTestRequest('r', '/letter/x'));
+      vm.state.requests.get('r')!.phase = phase as ForwardPhase;
+      vm.step({ kind: EntryEventKind.StopRequested }, STOPPED_AT_MS);
+      const step = { kind: EntryEventKind.StopStep, step: StopStep.RejectUnsent } as const;
+      const refusals = findCommands(vm.step(step, REJECTED_AT_MS), EntryCommandKind.Refuse);
+      expect(refusals.map(({ refusal }) => getForwardRefusalStatus(refusal))).toEqual(
+        isRejected ? [503] : [],
+      );
+      expect(refusals.every(({ refusal }) => refusal.run === RunStatus.NotRun)).toBe(true);
+      expect(vm.state.requests.has('r')).toBe(!isRejected);
+    },
+  );
+
+  const LATE_EVENTS: readonly { readonly name: string; readonly event: EntryEvent }[] = [
+    {
+      name: 'a model was loaded',
+      event: {
+        kind: EntryEventKind.BackendsRead,
+        isSnapshot: false,
+        changes: [
+          {
+            id: 'e1',
+            revision: 9,
+            entry: createTestEntry('e1', 'llm', {
+              models: [{ name: 'm4', version: 1, adapters: [] }],
+            }),
+          },
+        ],
+        revision: 9,
+        source: 'test',
+      },
+    },
+    { name: 'its periodic tasks are due', event: { kind: EntryEventKind.MaintenanceTick } },
+  ];
+
+  it.each(LATE_EVENTS)('sends no request late in the grace, when $name', ({ event }) => {
+    const vm = createTestVm();
+    vm.receiveRequest(createTestRequest('r', '/letter/x', { model: 'm4' }));
+    vm.step({ kind: EntryEventKind.StopRequested }, STOPPED_AT_MS);
+    const commands = vm.step(event, REJECTED_AT_MS);
+    expect(findCommands(commands, EntryCommandKind.Dispatch)).toEqual([]);
+  });
+
+  it('does not send a request again late in the grace that a server has rejected', () => {
+    const vm = createTestVm();
+    const { attempt, backendId } = getDispatch(
+      vm.receiveRequest(createTestRequest('r', '/book/x')),
+    );
+    vm.step({ kind: EntryEventKind.StopRequested }, STOPPED_AT_MS);
+    const failure = {
+      diagnostic: createDiagnostic(Diagnostics.BackendRefused, backendId, 503),
+      runState: RunState.Accepted,
+      isRefusedByServer: true,
+      isMisdirected: false,
+    };
+    const kind = EntryEventKind.AttemptFailed;
+    const commands = vm.step(
+      { kind, requestId: 'r', attempt, failure, load: null, isAnswerBegun: false },
+      REJECTED_AT_MS,
+    );
+    expect(findCommands(commands, EntryCommandKind.Dispatch)).toEqual([]);
+    const [refuse] = findCommands(commands, EntryCommandKind.Refuse);
+    expect(refuse?.refusal.run).toBe(RunStatus.NotRun);
+  });
 });
