--- a/tests/entry/callerLeaves.test.ts
+++ b/tests/entry/callerLeaves.test.ts
@@ -19,6 +19,7 @@
 import { RunState } from '../../src/state/types.js';
 import { createForwardServer } from '../../src/transport/entry/forwardServer.js';
 import type { ForwardExchange } from '../../src/transport/entry/exchange.js';
+import { wait } from '../stand-ins/entryVms.js';
 import {
   createPeerMessage,
   createTestDeployment,
@@ -187,12 +188,6 @@
 const REQUEST =
   'POST /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: id-1\r\nContent-Length: 4\r\n\r\nbody';
 
-function wait(durationMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, durationMs);
-  });
-}
-
 describe('a request whose caller leaves', () => {
   it.each(Object.entries(PHASES))(
     'reaches no backend server afterwards while it is %s',
--- a/tests/entry/restoredStore.test.ts
+++ b/tests/entry/restoredStore.test.ts
@@ -9,6 +9,7 @@
   isReady,
   sendRequest,
   startVm,
+  wait,
   waitUntil,
 } from '../stand-ins/entryVms.js';
 import { type PlatformRunner, startPlatformRunner } from '../stand-ins/platformRunner.js';
@@ -33,12 +34,6 @@
 let vms: EntryVm[];
 let version = 1;
 
-function wait(durationMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, durationMs);
-  });
-}
-
 function configure(keys: readonly string[]): void {
   version += 1;
   store.put('op/config', createConfiguration(version, [...keys]));
--- a/tests/entry/serverStatements.test.ts
+++ b/tests/entry/serverStatements.test.ts
@@ -9,6 +9,7 @@
   isReady,
   sendRequest,
   startVm,
+  wait,
   waitUntil,
 } from '../stand-ins/entryVms.js';
 import {
@@ -31,12 +32,6 @@
 let runners: PlatformRunner[];
 let vm: EntryVm;
 
-function wait(durationMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, durationMs);
-  });
-}
-
 /** Sends requests at a constant rate, and returns the number of answers by status. */
 async function sendLoad(durationMs: number): Promise<Map<number, number>> {
   const counts = new Map<number, number>();
--- a/tests/stand-ins/entryVms.ts
+++ b/tests/stand-ins/entryVms.ts
@@ -125,6 +125,13 @@
   });
 }
 
+/** Waits for a time. */
+export function wait(durationMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, durationMs);
+  });
+}
+
 /** Polls until a condition holds. Throws after ten seconds. */
 export async function waitUntil(condition: () => boolean | Promise<boolean>): Promise<void> {
   const deadlineMs = performance.now() + WAIT_MS;
