Keep what a server has said of itself when its entry comes back

Cause: the server was cut off from the store, its entry ended and came back in the same incarnation, and the VM made a new record of it, without the limit that the server had named; by the log it was named anew 12 s after it had been named, with no end of it between. Change: that a server leaves, its limit and its pause are remembered for a minute and hold when the same incarnation registers again.

--- a/src/coordination/entry/backendRegistry.ts
+++ b/src/coordination/entry/backendRegistry.ts
@@ -1,13 +1,15 @@
 /**
  * The registered backend servers as this VM knows them: applies one entry of the store, or its removal.
  *
- * A server that has said that it leaves does not come back in the same incarnation, and the servers that were dropped are
- * remembered for a while, so that a store that was restored from a copy does not bring them back.
+ * Servers that were dropped are remembered for a while. What a server has said of itself, that it leaves, its request limit or
+ * a pause, holds when it registers again in the same incarnation, and a store that was restored from a copy does not bring
+ * back a server that has left.
  */
 import {
   type Backend,
   type BackendEntry,
   createBackend,
+  getStatedFacts,
   isSameIncarnation,
 } from '../../state/entry/backends.js';
 import { formatStoreRevision } from '../../state/storeRevision.js';
@@ -48,10 +50,23 @@
   return departed?.bornAtWallMs === entry.bornAtWallMs ? departed : undefined;
 }
 
-function dropBackend(state: EntryState, { entry, isLeaving }: Backend, nowMs: number): void {
-  const { bornAtWallMs, id } = entry;
+function dropBackend(state: EntryState, backend: Backend, nowMs: number): void {
+  const { bornAtWallMs, id } = backend.entry;
   state.backends.delete(id);
-  state.departedServers.set(id, { bornAtWallMs, isLeaving, atMs: nowMs });
+  state.departedServers.set(id, { bornAtWallMs, stated: getStatedFacts(backend), atMs: nowMs });
+}
+
+/** Adds a server, with what it said of itself if it was registered before. */
+function addBackend(state: EntryState, entry: BackendEntry, revision: number): void {
+  const backend = createBackend(entry, revision);
+  const departed = findDeparted(state, entry);
+  if (departed !== undefined) {
+    Object.assign(backend, departed.stated);
+    backend.isLeaving ||= entry.isLeaving;
+    // The VMs that share a limit may have changed in the meantime.
+    state.permitShareVmIds = [];
+  }
+  state.backends.set(entry.id, backend);
 }
 
 /** Forgets servers that were dropped long ago. */
@@ -78,9 +93,7 @@
   const isRoutine = existing !== undefined && hasSameUse(existing.entry, entry);
   state.copiedEntries.delete(entry.id);
   if (existing === undefined || !isSameIncarnation(existing.entry, entry)) {
-    const backend = createBackend(entry, revision);
-    backend.isLeaving ||= findDeparted(state, entry)?.isLeaving ?? false;
-    state.backends.set(entry.id, backend);
+    addBackend(state, entry, revision);
   } else {
     existing.isLeaving ||= entry.isLeaving;
     existing.entry = entry;
--- a/src/coordination/entry/state.ts
+++ b/src/coordination/entry/state.ts
@@ -2,7 +2,7 @@
  * Defines the state of one entry VM. The event loop owns it: only event handlers change it, one event at a time.
  */
 import type { Diagnostic } from '../../state/diagnostics.js';
-import type { Backend, BackendEntry } from '../../state/entry/backends.js';
+import type { Backend, BackendEntry, StatedFacts } from '../../state/entry/backends.js';
 import type {
   Deployment,
   ForwardRoute,
@@ -106,7 +106,7 @@
 /** A backend server that this VM has dropped because its entry was removed. */
 export interface DepartedServer {
   readonly bornAtWallMs: number;
-  readonly isLeaving: boolean;
+  readonly stated: StatedFacts;
   readonly atMs: number;
 }
 
--- a/src/state/entry/backends.ts
+++ b/src/state/entry/backends.ts
@@ -84,6 +84,33 @@
   controllerAdapters: Set<string>;
 }
 
+/** What a server has said of itself, which holds for its incarnation whether or not it is registered. */
+export type StatedFacts = Pick<
+  Backend,
+  | 'isLeaving'
+  | 'hasMalformedStatement'
+  | 'pausedUntilMs'
+  | 'isPauseReported'
+  | 'limit'
+  | 'limitVersion'
+  | 'limitChangedAtMs'
+>;
+
+/** Returns what a server has said of itself. */
+export function getStatedFacts(backend: Backend): StatedFacts {
+  const { hasMalformedStatement, isLeaving, isPauseReported, limit } = backend;
+  const { limitChangedAtMs, limitVersion, pausedUntilMs } = backend;
+  return {
+    isLeaving,
+    hasMalformedStatement,
+    pausedUntilMs,
+    isPauseReported,
+    limit,
+    limitVersion,
+    limitChangedAtMs,
+  };
+}
+
 /** Creates the state of a server that was newly registered. */
 export function createBackend(entry: BackendEntry, revision: number): Backend {
   return {
