--- a/tests/entry/serverStatements.test.ts
+++ b/tests/entry/serverStatements.test.ts
@@ -63,7 +63,7 @@
   await waitUntil(() => isReady(vm));
 });
 
-beforeEach(() => runners.forEach((runner) => runner.arrivalsMs.splice(0)));
+beforeEach(() => runners.forEach((runner) => runner.arrivals.splice(0)));
 
 afterAll(async () => {
   vm.daemon.stop();
@@ -80,9 +80,9 @@
       statedAtMs = performance.now();
     }, 700);
     const counts = await sendLoad(2_000);
-    const late = leaving!.arrivalsMs.filter((atMs) => atMs > statedAtMs + ROUND_TRIP_MS);
+    const late = leaving!.arrivals.filter(({ atMs }) => atMs > statedAtMs + ROUND_TRIP_MS);
     expect(late).toEqual([]);
-    expect(leaving!.arrivalsMs.length).toBeGreaterThan(0);
+    expect(leaving!.arrivals.length).toBeGreaterThan(0);
     expect([...counts.keys()]).toEqual([200]);
   });
 
@@ -99,11 +99,11 @@
       paused.headers = {};
     }, 700);
     const counts = await sendLoad(3_000);
-    const within = paused.arrivalsMs.filter(
-      (atMs) => atMs > askedAtMs + SETTLED_MS && atMs < askedAtMs + PAUSE_MS,
+    const within = paused.arrivals.filter(
+      ({ atMs }) => atMs > askedAtMs + SETTLED_MS && atMs < askedAtMs + PAUSE_MS,
     );
     expect(within.length).toBeLessThanOrEqual(2);
-    const after = paused.arrivalsMs.filter((atMs) => atMs > askedAtMs + PAUSE_MS);
+    const after = paused.arrivals.filter(({ atMs }) => atMs > askedAtMs + PAUSE_MS);
     expect(after.length).toBeGreaterThan(0);
     expect([...counts.keys()]).toEqual([200]);
   });
--- a/tests/stand-ins/platformRunner.ts
+++ b/tests/stand-ins/platformRunner.ts
@@ -14,6 +14,12 @@
   readonly body: string;
 }
 
+/** A call as it arrived. */
+export interface Arrival {
+  readonly url: string;
+  readonly atMs: number;
+}
+
 /** The fault that a runner applies to its requests. */
 export const RunnerFault = {
   None: 'none',
@@ -40,8 +46,8 @@
   headers: Readonly<Record<string, string>>;
   readonly seen: ReceivedRequest[];
   readonly orders: unknown[];
-  /** Arrival times of all calls, also of those that were refused, of orders and of requests for a report. */
-  readonly arrivalsMs: number[];
+  /** All calls, also those that were refused, orders and requests for a report. */
+  readonly arrivals: Arrival[];
   /** Returns the runner's entry for the store. */
   readonly describe: () => Record<string, unknown>;
   readonly close: () => Promise<void>;
@@ -91,7 +97,7 @@
   const models = new Map((options.models ?? []).map((name) => [name, new Set<string>()]));
   const receivedRequests: ReceivedRequest[] = [];
   const orders: unknown[] = [];
-  const arrivalsMs: number[] = [];
+  const arrivals: Arrival[] = [];
   const bornMs = Date.now();
   const state: Pick<PlatformRunner, 'fault' | 'headers'> = { fault: RunnerFault.None, headers: {} };
   let orderCount = 0;
@@ -171,7 +177,7 @@
     body: string,
   ): void => {
     const { headers, method = 'GET', url = '/' } = request;
-    arrivalsMs.push(performance.now());
+    arrivals.push({ url, atMs: performance.now() });
     Object.entries(state.headers).forEach(([name, value]) => response.setHeader(name, value));
     if (url === '/v1/order') {
       handleOrder(body, response);
@@ -220,7 +226,7 @@
     address,
     seen: receivedRequests,
     orders,
-    arrivalsMs,
+    arrivals,
     describe: () => ({
       service,
       address,
--- a/tests/stand-ins/processes.ts
+++ b/tests/stand-ins/processes.ts
@@ -57,9 +57,11 @@
   program: string,
   args: readonly string[],
   readyText: string,
+  environment: Readonly<Record<string, string>> = {},
 ): Promise<StartedProcess> {
   const child = spawn(process.execPath, [getProgramPath(program), ...args], {
     stdio: ['ignore', 'pipe', 'pipe'],
+    env: { ...process.env, ...environment },
   });
   children.add(child);
   child.once('exit', () => children.delete(child));
