--- a/src/coordination/entry/backendRegistry.ts
+++ b/src/coordination/entry/backendRegistry.ts
@@ -47,13 +47,13 @@
 /** Returns what is remembered of a server that was dropped, if an entry is of the same incarnation. */
 export function findDeparted(state: EntryState, entry: BackendEntry): DepartedServer | undefined {
   const departed = state.departedServers.get(entry.id);
-  return departed?.bornAtWallMs === entry.bornAtWallMs ? departed : undefined;
+  return departed !== undefined && isSameIncarnation(departed.entry, entry) ? departed : undefined;
 }
 
 function dropBackend(state: EntryState, backend: Backend, nowMs: number): void {
-  const { bornAtWallMs, id } = backend.entry;
-  state.backends.delete(id);
-  state.departedServers.set(id, { bornAtWallMs, stated: getStatedFacts(backend), atMs: nowMs });
+  const { entry } = backend;
+  state.backends.delete(entry.id);
+  state.departedServers.set(entry.id, { entry, stated: getStatedFacts(backend), atMs: nowMs });
 }
 
 /** Adds a server, with what it said of itself if it was registered before. */
--- a/src/coordination/entry/state.ts
+++ b/src/coordination/entry/state.ts
@@ -105,7 +105,7 @@
 
 /** A backend server that this VM has dropped because its entry was removed. */
 export interface DepartedServer {
-  readonly bornAtWallMs: number;
+  readonly entry: BackendEntry;
   readonly stated: StatedFacts;
   readonly atMs: number;
 }
--- /dev/null
+++ b/src/transport/entry/commandContext.ts
@@ -0,0 +1,54 @@
+/**
+ * What the executors of an entry VM's commands have in common: their dependencies and the type of their table.
+ */
+import type { Server } from 'node:http';
+import { Effect } from 'effect';
+import type { EntryCommandKind, EntryCommandOf } from '../../coordination/entry/commands.js';
+import type { EntryEvent } from '../../coordination/entry/events.js';
+import type { EntryVmIdentity } from '../../coordination/entry/state.js';
+import type { ControllerLease } from '../controllerLease.js';
+import type { Metrics } from '../metrics.js';
+import type { AttemptContext } from './attempt.js';
+import type { EntryLogWriter } from './entryLog.js';
+import type { EntryPeerClient, EntryReplies } from './entryPeers.js';
+import type { ForwardExchange } from './exchange.js';
+import type { StoreAccess, WatchContext } from './storeWatches.js';
+import type { SuspensionDetector } from './suspensionDetector.js';
+import type { VmRegistration } from './vmRegistration.js';
+import type { EntryWire } from './wire.js';
+
+/** Dependencies of the executors. */
+export interface EntryCommandContext {
+  readonly self: EntryVmIdentity;
+  readonly post: (event: EntryEvent) => void;
+  readonly wire: EntryWire;
+  readonly exchanges: Map<string, ForwardExchange>;
+  readonly attempts: AttemptContext;
+  readonly peers: EntryPeerClient;
+  readonly replies: EntryReplies;
+  readonly createReplyId: () => string;
+  readonly watches: WatchContext;
+  readonly storeAccess: StoreAccess;
+  readonly registration: VmRegistration;
+  readonly controllerLease: ControllerLease;
+  readonly controllerLeaseMs: number;
+  readonly suspension: SuspensionDetector;
+  readonly getNowMs: () => number;
+  readonly metrics: Metrics;
+  readonly writeLog: EntryLogWriter;
+  readonly server: Server;
+  readonly setLimits: (limits: EntryCommandOf<typeof EntryCommandKind.SetLimits>['limits']) => void;
+  readonly setReady: (isReady: boolean) => void;
+  readonly stopAccepting: () => void;
+  readonly exit: () => void;
+}
+
+/** The event loop executes these itself. */
+export type TimerKind = typeof EntryCommandKind.StartTimer | typeof EntryCommandKind.CancelTimer;
+/** Executes one kind of command. Must not block. */
+export type Executor<K extends EntryCommandKind> = (command: EntryCommandOf<K>) => void;
+export type ExecutorTable = { readonly [K in Exclude<EntryCommandKind, TimerKind>]: Executor<K> };
+/** Runs an effect that reports its result by an event. */
+export function runDetached<A>(effect: Effect.Effect<A>): void {
+  Effect.runFork(effect);
+}
--- a/src/transport/entry/commandTable.ts
+++ b/src/transport/entry/commandTable.ts
@@ -1,7 +1,6 @@
 /**
  * Executes the commands of an entry VM's event loop, with a table of executors by kind of command.
  */
-import type { Server } from 'node:http';
 import { Effect } from 'effect';
 import {
   type EntryCommand,
@@ -9,84 +8,38 @@
   type EntryCommandOf,
   EntryLogPrefix,
 } from '../../coordination/entry/commands.js';
-import {
-  type EntryEvent,
-  EntryEventKind,
-  EngineOrderOutcome,
-  StoreRequest,
-} from '../../coordination/entry/events.js';
-import type { EntryVmIdentity } from '../../coordination/entry/state.js';
+import { type EntryEvent, EntryEventKind, StoreRequest } from '../../coordination/entry/events.js';
 import { LogLevel } from '../../coordination/events.js';
 import type { LoopTimers } from '../../coordination/loop.js';
 import { DEFAULT_OBJECTIVE } from '../../state/burn.js';
 import type { Diagnostic } from '../../state/diagnostics.js';
-import type { ControllerLease } from '../controllerLease.js';
-import { callHttp } from '../httpCall.js';
-import type { Metrics } from '../metrics.js';
 import { handleAnswer } from './answers.js';
-import { type AttemptContext, startAttempt } from './attempt.js';
+import { startAttempt } from './attempt.js';
 import { probeAddress } from './backendProbe.js';
-import type { EntryLogWriter } from './entryLog.js';
 import {
-  type EntryPeerClient,
-  type EntryReplies,
-  NO_LOAN,
-  type RateLoan,
-  waitForReply,
-} from './entryPeers.js';
+  type EntryCommandContext,
+  type Executor,
+  type ExecutorTable,
+  runDetached,
+  type TimerKind,
+} from './commandContext.js';
+import { NO_LOAN, type RateLoan, waitForReply } from './entryPeers.js';
 import {
   abortForwardAnswer,
-  type ForwardExchange,
   sendForwardRefusal,
   sendUnframedAnswer,
   sendWholeAnswer,
 } from './exchange.js';
 import { applyCallerTimeouts } from './forwardServer.js';
-import { postStatement } from './serverStatements.js';
-import { encodeQuarantines, EntryKey } from './storeKeys.js';
-import { applyStoreUpdate, type StoreAccess, type WatchContext } from './storeWatches.js';
-import type { SuspensionDetector } from './suspensionDetector.js';
-import type { VmRegistration } from './vmRegistration.js';
-import type { EntryWire } from './wire.js';
+import { createPlacementExecutors, type PlacementKind } from './placementExecutors.js';
+import { applyStoreUpdate } from './storeWatches.js';
 
-/** Engines respond within milliseconds. One that has not responded by then is slow or cut off. */
-const ENGINE_TIMEOUT_MS = 1_000;
 /**
  * Timeout of an adapter request to this VM as the controller. The controller replies when the engine has accepted the
  * orders for the adapter, or when no engine can load it.
  */
 const LOCAL_ADAPTER_TIMEOUT_MS = 2_000;
-const HTTP_OK = 200;
-
-/** Dependencies of the executors. */
-export interface EntryCommandContext {
-  readonly self: EntryVmIdentity;
-  readonly post: (event: EntryEvent) => void;
-  readonly wire: EntryWire;
-  readonly exchanges: Map<string, ForwardExchange>;
-  readonly attempts: AttemptContext;
-  readonly peers: EntryPeerClient;
-  readonly replies: EntryReplies;
-  readonly createReplyId: () => string;
-  readonly watches: WatchContext;
-  readonly storeAccess: StoreAccess;
-  readonly registration: VmRegistration;
-  readonly controllerLease: ControllerLease;
-  readonly controllerLeaseMs: number;
-  readonly suspension: SuspensionDetector;
-  readonly getNowMs: () => number;
-  readonly metrics: Metrics;
-  readonly writeLog: EntryLogWriter;
-  readonly server: Server;
-  readonly setLimits: (limits: EntryCommandOf<typeof EntryCommandKind.SetLimits>['limits']) => void;
-  readonly setReady: (isReady: boolean) => void;
-  readonly stopAccepting: () => void;
-  readonly exit: () => void;
-}
 
-type TimerKind = typeof EntryCommandKind.StartTimer | typeof EntryCommandKind.CancelTimer;
-type Executor<K extends EntryCommandKind> = (command: EntryCommandOf<K>) => void;
-type ExecutorTable = { readonly [K in Exclude<EntryCommandKind, TimerKind>]: Executor<K> };
 type RequestKind =
   | typeof EntryCommandKind.Dispatch
   | typeof EntryCommandKind.CancelAttempt
@@ -105,19 +58,8 @@
   | typeof EntryCommandKind.ReplyToAdapterRequest
   | typeof EntryCommandKind.RequestLoan
   | typeof EntryCommandKind.ReplyToLoanRequest;
-type PlacementKind =
-  | typeof EntryCommandKind.AcquireControllerLease
-  | typeof EntryCommandKind.RenewControllerLease
-  | typeof EntryCommandKind.ReleaseControllerLease
-  | typeof EntryCommandKind.SendOrder
-  | typeof EntryCommandKind.StoreQuarantines
-  | typeof EntryCommandKind.ReadEngineReport;
 type LifecycleKind = Exclude<EntryCommandKind, TimerKind | RequestKind | PeerKind | PlacementKind>;
 
-function runDetached<A>(effect: Effect.Effect<A>): void {
-  Effect.runFork(effect);
-}
-
 function createRequestExecutors(context: EntryCommandContext): Pick<ExecutorTable, RequestKind> {
   const { attempts, exchanges, getNowMs, metrics, wire } = context;
   return {
@@ -269,101 +211,6 @@
   };
 }
 
-function createPlacementExecutors(
-  context: EntryCommandContext,
-): Pick<ExecutorTable, PlacementKind> {
-  const { controllerLease, controllerLeaseMs, getNowMs, post, self, suspension, wire } = context;
-  const { watches, writeLog } = context;
-  const logFailedWrite = (reason: string): void => {
-    const text = 'The quarantines were not written to the store.';
-    writeLog(LogLevel.Info, EntryLogPrefix.Quarantine, text, { reason });
-  };
-  const acquireOrRenew = (isHeld: boolean): void => {
-    const sentAtMs = getNowMs();
-    const lease = controllerLease.acquireOrRenew(
-      EntryKey.ControllerScope,
-      controllerLeaseMs,
-      isHeld,
-    );
-    const kind = EntryEventKind.ControllerLeaseAnswered;
-    runDetached(Effect.map(lease, (result) => post({ kind, ...result, sentAtMs })));
-  };
-  return {
-    [EntryCommandKind.AcquireControllerLease]: () => acquireOrRenew(false),
-    [EntryCommandKind.RenewControllerLease]: () => acquireOrRenew(true),
-    [EntryCommandKind.ReleaseControllerLease]: () => runDetached(controllerLease.release),
-    [EntryCommandKind.SendOrder]: (command) => {
-      const { address, backendId, bornAtWallMs, fence, order, validUntilMs } = command;
-      const kind = EntryEventKind.OrderAnswered;
-      const mayBeExpired = suspension.check() > 0 || getNowMs() >= validUntilMs;
-      if (mayBeExpired) {
-        post({ kind, backendId, order, outcome: EngineOrderOutcome.Rejected });
-        return;
-      }
-      const call = callHttp({
-        address,
-        method: 'POST',
-        path: wire.engineOrderPath,
-        body: wire.encodeEngineOrder(order, self.vmId, fence),
-        headers: wire.encodeEngineRequestHead(backendId),
-        timeoutMs: ENGINE_TIMEOUT_MS,
-        usesNewConnection: true,
-      });
-      runDetached(
-        Effect.match(call, {
-          onFailure: ({ mayHaveRun }) => {
-            const { Rejected, Unknown } = EngineOrderOutcome;
-            post({ kind, backendId, order, outcome: mayHaveRun ? Unknown : Rejected });
-          },
-          onSuccess: ({ headers, status }) => {
-            const source = { backendId, bornAtWallMs, requestName: wire.engineOrderPath };
-            postStatement(post, wire.decodeServerStatement(status, headers), source);
-            post({ kind, backendId, order, outcome: wire.decodeEngineOrderStatus(status) });
-          },
-        }),
-      );
-    },
-    [EntryCommandKind.StoreQuarantines]: ({ expectedVersion, quarantines }) => {
-      const value = encodeQuarantines(quarantines, watches.getWallMs());
-      const key = EntryKey.Quarantines;
-      const write = watches.store.compareAndSwap({ key, expectedVersion, value, leaseId: null });
-      runDetached(
-        Effect.match(write, {
-          onFailure: ({ key: reason }) => logFailedWrite(reason),
-          onSuccess: (version) => {
-            if (version === null) {
-              logFailedWrite('outdated');
-            }
-          },
-        }),
-      );
-    },
-    [EntryCommandKind.ReadEngineReport]: ({ address, backendId, bornAtWallMs }) => {
-      const kind = EntryEventKind.EngineReported;
-      const call = callHttp({
-        address,
-        method: 'GET',
-        path: wire.engineReportPath,
-        body: null,
-        headers: wire.encodeEngineRequestHead(backendId),
-        timeoutMs: ENGINE_TIMEOUT_MS,
-      });
-      runDetached(
-        Effect.match(call, {
-          onFailure: () => post({ kind, backendId, report: null }),
-          onSuccess: ({ headers, status, text }) => {
-            const source = { backendId, bornAtWallMs, requestName: wire.engineReportPath };
-            postStatement(post, wire.decodeServerStatement(status, headers), source);
-            const report =
-              status === HTTP_OK ? wire.decodeEngineReport(text).toMaybe().extractNullable() : null;
-            post({ kind, backendId, report });
-          },
-        }),
-      );
-    },
-  };
-}
-
 function createLifecycleExecutors(
   context: EntryCommandContext,
 ): Pick<ExecutorTable, LifecycleKind> {
--- a/tests/entry/leavingServers.test.ts
+++ b/tests/entry/leavingServers.test.ts
@@ -81,6 +81,11 @@
     entries: [null, { ...C1, bornAtWallMs: 2 }],
     isUsed: true,
   },
+  {
+    name: 'its removal and another incarnation without a time of birth, at another address',
+    entries: [null, { ...C1, address: 'c1-new:80' }],
+    isUsed: true,
+  },
   {
     name: 'another incarnation without a time of birth, at another address',
     entries: [{ ...C1, address: 'c1-new:80' }],
--- a/tests/processes/soak.test.ts
+++ b/tests/processes/soak.test.ts
@@ -22,7 +22,7 @@
 const EXCUSED_MS = 2_000;
 const MIN_SERVED_FRACTION = 0.5;
 const SEED_COUNT = Number(process.env.SOAK_SEEDS ?? 3);
-const FIRST_SEED = Number(process.env.SOAK_FIRST_SEED ?? 1);
+const FIRST_SEED = Number(process.env.SOAK_FIRST_SEED ?? 5);
 const SEEDS = Array.from({ length: SEED_COUNT }, (_, i) => ({ seed: FIRST_SEED + i }));
 
 /** Orders and requests for a report are no work for callers. */
@@ -31,6 +31,7 @@
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
 let fleet: SoakFleet;
+const closers: (() => Promise<void>)[] = [];
 
 function countRuns(): Map<string, number> {
   const runs = new Map<string, number>();
@@ -95,11 +96,14 @@
   return outcomes.map(({ status }) => status);
 }
 
-afterEach(() => fleet.close());
+afterEach(async () => {
+  await Promise.all(closers.splice(0).map((close) => close()));
+});
 
 describe('a soak', () => {
   it.each(SEEDS)('keeps the promises to all callers, seed $seed', async ({ seed }) => {
     fleet = await startSoakFleet(VM_COUNT);
+    closers.push(fleet.close);
     const endsAtMs = performance.now() + DISRUPTED_MS;
     let isCalm = false;
     const calls = runCallers(fleet, createRandom(seed), CALLERS, () => isCalm);
--- a/tests/soak/disruptions.ts
+++ b/tests/soak/disruptions.ts
@@ -13,6 +13,9 @@
 /** A server that leaves goes on serving for this time. */
 const LEAVING_MS = 2_800;
 
+/** Writes that a restore loses besides the others, so that the revision stays behind until the end of the soak. */
+const LOST_WRITES = 300;
+
 type Disruption = (fleet: SoakFleet, random: RandomState) => Promise<void> | void;
 
 function pick<T>(random: RandomState, from: readonly T[]): T | undefined {
@@ -100,6 +103,9 @@
   storeCompacts: ({ store }) => store.compact(),
   storeRestored: async ({ configure, store }, random) => {
     const copy = store.copy();
+    for (let i = 0; i < LOST_WRITES; i += 1) {
+      store.put('lost/key', i);
+    }
     await wait(300 + nextRandom(random) * 2_000);
     store.isDown = true;
     await wait(nextRandom(random) * 800);
