Name the recall of a request by what it is, not by one of its two reasons

A request is recalled from a server that leaves and from one that asks for a pause; the failure of its attempt said the first in both cases. Text and names only.

--- a/src/coordination/entry/attempts.ts
+++ b/src/coordination/entry/attempts.ts
@@ -162,7 +162,7 @@
   const isModelMissing =
     isMisdirected ||
     (isRefusedByServer && isEngineRequest(record)) ||
-    diagnostic.code === Diagnostics.BackendLeaving.code;
+    diagnostic.code === Diagnostics.RequestRecalled.code;
   const isCrashSuspect = cause === LossCause.Crash;
   const failed = { diagnostic, isAnswerBegun, isModelMissing, isCrashSuspect };
   return [log, ...commands, ...retryOrEnd(state, record, failed, nowMs)];
--- a/src/coordination/entry/retries.ts
+++ b/src/coordination/entry/retries.ts
@@ -22,7 +22,7 @@
   readonly diagnostic: Diagnostic;
   /** True if any byte of a response has been sent to the caller. */
   readonly isAnswerBegun: boolean;
-  /** True if the server rejected the request because it does not have the model, or not now, or is leaving. */
+  /** True if the server does not have the model, or not now, or wants no more requests: it certainly did not run it. */
   readonly isModelMissing: boolean;
   /** True if the server has crashed while it had the request, whose answer had not been running for some time. */
   readonly isCrashSuspect: boolean;
--- a/src/state/diagnostics.ts
+++ b/src/state/diagnostics.ts
@@ -175,11 +175,11 @@
     Failure,
     'Backend server "{0}" sent a head, body or event of more than {1} bytes.',
   ),
-  BackendLeaving: define(
+  RequestRecalled: define(
     1209,
-    'backend_leaving',
+    'request_recalled',
     Failure,
-    'Backend server "{0}" is leaving; the request was not sent to it.',
+    'The request was not sent to backend server "{0}", which wants no more requests.',
   ),
   ClaimUnavailable: define(
     1206,
--- a/src/transport/entry/attempt.ts
+++ b/src/transport/entry/attempt.ts
@@ -263,7 +263,7 @@
     },
     recall: () => {
       if (attempt.runState === RunState.NotSent) {
-        failAttempt(attempt, Diagnostics.BackendLeaving);
+        failAttempt(attempt, Diagnostics.RequestRecalled);
       }
     },
   };
