--- a/src/coordination/entry/commands.ts
+++ b/src/coordination/entry/commands.ts
@@ -6,7 +6,14 @@
 import type { Quarantine } from '../../state/entry/promptEvidence.js';
 import type { Refusal } from '../../state/types.js';
 import type { LogLevel, RequestMetrics } from '../events.js';
-import type { EngineOrder, EntryEvent, LimitName, PeerMessage, StoreRequest } from './events.js';
+import type {
+  EngineOrder,
+  EntryEvent,
+  LimitName,
+  PeerCallPurpose,
+  PeerMessage,
+  StoreRequest,
+} from './events.js';
 
 /** The kinds of commands that the event loop issues. */
 export const EntryCommandKind = {
@@ -106,11 +113,12 @@
     readonly peerAddress: string;
     readonly message: PeerMessage;
     readonly storeRequest: StoreRequest;
+    readonly purpose: PeerCallPurpose;
   };
   [EntryCommandKind.ReplyToPeer]: { readonly replyId: string; readonly message: PeerMessage };
-  /** Starts or stops to read the store. */
   /** Registers this VM in the store at once, since the store may have lost its registration. */
   [EntryCommandKind.RenewRegistration]: Record<never, never>;
+  /** Starts or stops to read the store. */
   [EntryCommandKind.SetStoreAccess]: { readonly isReader: boolean };
   /** Requests an adapter from the controller. */
   [EntryCommandKind.RequestAdapter]: {
--- a/src/coordination/entry/gossip.ts
+++ b/src/coordination/entry/gossip.ts
@@ -15,6 +15,7 @@
   EntryEventKind,
   type EntryEventOf,
   type ListedEntryVm,
+  PeerCallPurpose,
   type PeerMessage,
   StoreRequest,
 } from './events.js';
@@ -139,10 +140,12 @@
 function sendToPeer(
   peer: ExchangePeer,
   message: PeerMessage,
+  purpose: PeerCallPurpose,
   storeRequest: StoreRequest = StoreRequest.None,
 ): EntryCommand {
   const { peerAddress, vmId } = peer;
-  return { kind: EntryCommandKind.SendPeerMessage, vmId, peerAddress, message, storeRequest };
+  const kind = EntryCommandKind.SendPeerMessage;
+  return { kind, vmId, peerAddress, message, purpose, storeRequest };
 }
 
 /** Sends this VM's report to its relay, which answers with the changes of the store and the demands of the fleet. */
@@ -153,7 +156,7 @@
     isRelayed: true,
     modelDemands: listModelDemands(state, nowMs),
   };
-  return sendToPeer(relay, message, StoreRequest.Relay);
+  return sendToPeer(relay, message, PeerCallPurpose.Relay, StoreRequest.Relay);
 }
 
 /** Sends the demands for models to the controller. */
@@ -164,15 +167,16 @@
   }
   const modelDemands = summarizeModelDemands(state, nowMs);
   const message = { ...createMessage(state, nowMs), reports: [report], modelDemands };
-  return [sendToPeer(controller, message)];
+  return [sendToPeer(controller, message, PeerCallPurpose.ModelDemands)];
 }
 
 /** Requests the changes of the store from the first relay of the failure domain, if this VM is the second. */
 function requestStoreChanges(state: EntryState, nowMs: number): EntryCommand[] {
   const relay = state.relays.find(({ vmId }) => vmId === state.relayId);
+  const purpose = PeerCallPurpose.Relay;
   return relay === undefined
     ? []
-    : [sendToPeer(relay, createMessage(state, nowMs), StoreRequest.Relay)];
+    : [sendToPeer(relay, createMessage(state, nowMs), purpose, StoreRequest.Relay)];
 }
 
 /** Sends all known reports to some other relays, which answer with those that they know. */
@@ -183,7 +187,8 @@
   const message = createMessage(state, nowMs);
   return selectRandom(state, peers, fanout).map((peer) => {
     const board = createBoardUpdate(state.board, state.peers.get(peer.vmId)?.knownBoard ?? null);
-    return sendToPeer(peer, { ...message, reports, board, isReportRequested: true });
+    const request = { ...message, reports, board, isReportRequested: true };
+    return sendToPeer(peer, request, PeerCallPurpose.Reports);
   });
 }
 
@@ -255,7 +260,7 @@
   state.isEvidenceSpreading = false;
   const message = createMessage(state, nowMs);
   return selectRandom(state, listPeerAddresses(state, nowMs), EVIDENCE_FANOUT).map((peerAddress) =>
-    sendToPeer({ vmId: '', peerAddress }, message),
+    sendToPeer({ vmId: '', peerAddress }, message, PeerCallPurpose.Evidence),
   );
 }
 
@@ -370,7 +375,8 @@
     return [];
   }
   state.fetchedAtMs = nowMs;
-  return [sendToPeer(newer, createMessage(state, nowMs), StoreRequest.Fetch)];
+  const message = createMessage(state, nowMs);
+  return [sendToPeer(newer, message, PeerCallPurpose.Fetch, StoreRequest.Fetch)];
 }
 
 /**
--- a/src/transport/entry/commandContext.ts
+++ b/src/transport/entry/commandContext.ts
@@ -12,6 +12,7 @@
 import type { EntryLogWriter } from './entryLog.js';
 import type { EntryPeerClient, EntryReplies } from './entryPeers.js';
 import type { ForwardExchange } from './exchange.js';
+import type { PeerCallCounter } from './peerCallCounter.js';
 import type { StoreAccess, WatchContext } from './storeWatches.js';
 import type { SuspensionDetector } from './suspensionDetector.js';
 import type { VmRegistration } from './vmRegistration.js';
@@ -25,6 +26,7 @@
   readonly exchanges: Map<string, ForwardExchange>;
   readonly attempts: AttemptContext;
   readonly peers: EntryPeerClient;
+  readonly peerCalls: PeerCallCounter;
   readonly replies: EntryReplies;
   readonly createReplyId: () => string;
   readonly watches: WatchContext;
--- a/src/transport/entry/commandTable.ts
+++ b/src/transport/entry/commandTable.ts
@@ -8,7 +8,12 @@
   type EntryCommandOf,
   EntryLogPrefix,
 } from '../../coordination/entry/commands.js';
-import { type EntryEvent, EntryEventKind, StoreRequest } from '../../coordination/entry/events.js';
+import {
+  type EntryEvent,
+  EntryEventKind,
+  PeerCallPurpose,
+  StoreRequest,
+} from '../../coordination/entry/events.js';
 import { LogLevel } from '../../coordination/events.js';
 import type { LoopTimers } from '../../coordination/loop.js';
 import { DEFAULT_OBJECTIVE } from '../../state/burn.js';
@@ -118,7 +123,7 @@
 
 function createPeerExecutors(context: EntryCommandContext): Pick<ExecutorTable, PeerKind> {
   const { createReplyId, peers, post, replies, self, suspension, watches, writeLog } = context;
-  const { registration, storeAccess } = context;
+  const { peerCalls, registration, storeAccess } = context;
   const logUnansweredCall = (peerAddress: string, { key: reason }: Diagnostic): void => {
     writeLog(LogLevel.Debug, EntryLogPrefix.Peer, 'A peer did not answer.', {
       peerAddress,
@@ -134,7 +139,9 @@
     }
   };
   return {
-    [EntryCommandKind.SendPeerMessage]: ({ message, peerAddress, storeRequest, vmId }) => {
+    [EntryCommandKind.SendPeerMessage]: (command) => {
+      const { message, peerAddress, purpose, storeRequest, vmId } = command;
+      peerCalls.add(purpose);
       const storeAfter = storeRequest === StoreRequest.None ? null : watches.mirror.revision;
       runDetached(
         Effect.match(peers.exchange(peerAddress, message, storeAfter), {
@@ -169,6 +176,7 @@
         return reply;
       });
       const isSelf = peerAddress === self.peerAddress;
+      peerCalls.add(PeerCallPurpose.Adapter);
       const call = isSelf
         ? localCall
         : peers.ensureAdapter(peerAddress, { adapter, failureDomain, model, service });
@@ -193,6 +201,7 @@
     },
     [EntryCommandKind.RequestLoan]: ({ limit, peerAddress, requestId, tokens, vmId }) => {
       const kind = EntryEventKind.LoanAnswered;
+      peerCalls.add(PeerCallPurpose.Loan);
       const postLoan = (loan: RateLoan): void => post({ kind, requestId, vmId, limit, ...loan });
       runDetached(
         Effect.match(peers.requestLoan(peerAddress, limit, tokens), {
--- a/src/transport/entry/entryDaemon.ts
+++ b/src/transport/entry/entryDaemon.ts
@@ -33,6 +33,7 @@
 import { createForwardServer, createReadinessServer } from './forwardServer.js';
 import { createLoopDelayMonitor } from './loopDelay.js';
 import { createLoopWorkMeter } from './loopWork.js';
+import { createPeerCallCounter } from './peerCallCounter.js';
 import { createMetricsServer } from './metricsServer.js';
 import { createEntryPolicy, type EntrySettings } from './settings.js';
 import { encodeControllerLeaseHolder, EntryKey } from './storeKeys.js';
@@ -157,6 +158,7 @@
     },
   );
 
+  const peerCalls = createPeerCallCounter();
   const loopWork = createLoopWorkMeter(() => readPreciseClockMs(clock));
   const loopDelay = createLoopDelayMonitor(getNowMs, (delayMs) => {
     writeLog(LogLevel.Warn, EntryLogPrefix.Lifecycle, 'The loop was late.', {
@@ -187,7 +189,15 @@
     getConfigurationVersion: () => state.deployment?.version ?? 0,
     isStoreCurrent: storeAccess.isCurrent,
   });
-  const metricsServer = createMetricsServer({ metrics, state, log, loopDelay, loopWork, getNowMs });
+  const metricsServer = createMetricsServer({
+    metrics,
+    state,
+    log,
+    loopDelay,
+    loopWork,
+    peerCalls,
+    getNowMs,
+  });
 
   let resolveEnded = (): void => {};
   const ended = new Promise<void>((resolve) => {
@@ -229,6 +239,7 @@
     exchanges,
     attempts: { post, getNowMs, agents, wire },
     peers,
+    peerCalls,
     replies,
     createReplyId,
     watches,
--- a/src/transport/entry/metricsServer.ts
+++ b/src/transport/entry/metricsServer.ts
@@ -10,6 +10,7 @@
 import type { EntryLog } from './entryLog.js';
 import type { LoopDelayMonitor } from './loopDelay.js';
 import type { LoopWorkMeter } from './loopWork.js';
+import type { PeerCallCounter } from './peerCallCounter.js';
 
 const METRICS_PATH = '/metrics';
 const HTTP_OK = 200;
@@ -22,6 +23,7 @@
   readonly log: EntryLog;
   readonly loopDelay: LoopDelayMonitor;
   readonly loopWork: LoopWorkMeter;
+  readonly peerCalls: PeerCallCounter;
   readonly getNowMs: () => number;
 }
 
@@ -67,7 +69,8 @@
       return;
     }
     response.writeHead(HTTP_OK, { 'content-type': 'text/plain; version=0.0.4' });
-    const { loopWork, metrics } = sources;
-    response.end(metrics.formatPrometheus() + formatGauges(sources) + loopWork.formatPrometheus());
+    const counters = [sources.metrics, sources.loopWork, sources.peerCalls];
+    const texts = counters.map((counter) => counter.formatPrometheus());
+    response.end([...texts, formatGauges(sources)].join(''));
   });
 }
