Exchange with relays less often in large fleets, and send new evidence through them

New evidence goes to the relay, from there to the other relays, as before to five of them, and to the VMs that each relays for; those do not send it on. Bounds: a change of the store still takes at most 2.3 s (PLATFORM.md), and the tests of relays hold.

--- a/src/coordination/entry/evidenceSpread.ts
+++ b/src/coordination/entry/evidenceSpread.ts
@@ -17,3 +17,12 @@
   const kind = EntryEventKind.EvidenceSpread;
   return [createEntryTimer(kind, SPREAD_DELAY_MS, { kind })];
 }
+
+/** Changes the state without starting to send on what is learned by that. */
+export function withoutSpreading<T>(state: EntryState, change: () => T): T {
+  const { isEvidenceSpreading } = state;
+  state.isEvidenceSpreading = true;
+  const result = change();
+  state.isEvidenceSpreading = isEvidenceSpreading;
+  return result;
+}
--- a/src/coordination/entry/gossip.ts
+++ b/src/coordination/entry/gossip.ts
@@ -3,6 +3,7 @@
  * each report includes the demands of the VMs that the relay relays for. Any other VM exchanges its own report with its
  * relay. So what a VM sends and receives does not grow with the number of VMs.
  */
+import type { EvidenceReport } from '../../state/entry/evidenceReports.js';
 import {
   createBoardUpdate,
   mergeBoard,
@@ -20,6 +21,7 @@
   StoreRequest,
 } from './events.js';
 import { createRelativeEvidence, mergeEvidence } from './evidenceExchange.js';
+import { withoutSpreading } from './evidenceSpread.js';
 import { summarizeFleet, summarizeModelDemands, summarizeOwnReports } from './fleetDemands.js';
 import { dispatchWaiting } from './forwarding.js';
 import { listModelDemands, listWorkspaceDemands } from './ownDemands.js';
@@ -29,12 +31,12 @@
 
 /** Reports that were received longer ago than this are not sent on. */
 const REPORT_MAX_AGE_MS = 5_000;
-/** Number of peers to which new evidence is sent at once; three hops then reach a hundred VMs. */
+/** Number of other relays to which a relay sends new evidence at once; three hops then reach a hundred relays. */
 const EVIDENCE_FANOUT = 5;
 /** The record of a VM is removed if no new report of the VM was received for this time. */
 const PEER_EXPIRY_MS = 60_000;
 /** Work of a relay for each VM that it relays for: their exchanges are spread over this time each. */
-const RELAYED_EXCHANGE_MS = 40;
+const RELAYED_EXCHANGE_MS = 100;
 const MAX_RELAYED_INTERVAL_MS = 1_000;
 /** The same for each report that relays exchange. */
 const RELAY_REPORT_MS = 25;
@@ -97,18 +99,6 @@
   };
 }
 
-/** Returns the addresses of the other VMs, from the store's list and from recent reports. */
-function listPeerAddresses(state: EntryState, nowMs: number): string[] {
-  const addresses = new Map(state.listedVms.map((vm) => [vm.vmId, vm.peerAddress]));
-  state.peers.forEach(({ reportReceivedAtMs, report }, vmId) => {
-    if (nowMs - reportReceivedAtMs < state.policy.vmGoneMs) {
-      addresses.set(vmId, report.peerAddress);
-    }
-  });
-  addresses.delete(state.self.vmId);
-  return [...new Set(addresses.values())];
-}
-
 function selectRandom<T>(state: EntryState, from: readonly T[], count: number): T[] {
   const candidates = [...from];
   const selected: T[] = [];
@@ -251,7 +241,20 @@
   return updateRelayRole(state, nowMs);
 }
 
-/** Sends new evidence to some peers chosen at random, who send it on. */
+/** Returns the VMs that this VM relays for. */
+function listRelayedVms(state: EntryState, nowMs: number): ExchangePeer[] {
+  return [...state.peers.values()]
+    .filter(
+      ({ isRelayedHere, reportReceivedAtMs }) =>
+        isRelayedHere && nowMs - reportReceivedAtMs < state.policy.vmGoneMs,
+    )
+    .map(({ report }) => report);
+}
+
+/**
+ * Sends new evidence to this VM's relay. A relay sends it to some other relays chosen at random, who send it on, and to the VMs
+ * that it relays for.
+ */
 export function handleEvidenceSpread(
   state: EntryState,
   _event: EntryEventOf<typeof EntryEventKind.EvidenceSpread>,
@@ -259,9 +262,15 @@
 ): EntryCommand[] {
   state.isEvidenceSpreading = false;
   const message = createMessage(state, nowMs);
-  return selectRandom(state, listPeerAddresses(state, nowMs), EVIDENCE_FANOUT).map((peerAddress) =>
-    sendToPeer({ vmId: '', peerAddress }, message, PeerCallPurpose.Evidence),
-  );
+  const relay = state.relayRole === RelayRole.Relayed ? selectRelay(state, nowMs) : null;
+  const receivers =
+    relay === null
+      ? [
+          ...selectRandom(state, listExchangePeers(state, nowMs), EVIDENCE_FANOUT),
+          ...listRelayedVms(state, nowMs),
+        ]
+      : [relay];
+  return receivers.map((peer) => sendToPeer(peer, message, PeerCallPurpose.Evidence));
 }
 
 function isNewerReport(report: VmReport, known: VmReport | undefined): boolean {
@@ -325,6 +334,16 @@
   return dispatchWaiting(state, nowMs);
 }
 
+/** Merges evidence. A VM with a relay does not send on what it hears, since it hears only from relays. */
+function mergeHeardEvidence(
+  state: EntryState,
+  evidence: EvidenceReport,
+  nowMs: number,
+): EntryCommand[] {
+  const merge = (): EntryCommand[] => mergeEvidence(state, evidence, nowMs);
+  return state.relayRole === RelayRole.Relayed ? withoutSpreading(state, merge) : merge();
+}
+
 function mergeMessage(state: EntryState, message: PeerMessage, nowMs: number): EntryCommand[] {
   const { board, evidence, fleet, isRelayed, knownBoard, modelDemands, reports, senderId } =
     message;
@@ -340,7 +359,7 @@
   if (fleet !== null) {
     state.fleetDemand = { ...fleet, receivedAtMs: nowMs };
   }
-  return [...mergeEvidence(state, evidence, nowMs), ...mergeBoardUpdate(state, board, nowMs)];
+  return [...mergeHeardEvidence(state, evidence, nowMs), ...mergeBoardUpdate(state, board, nowMs)];
 }
 
 function createReply(state: EntryState, request: PeerMessage, nowMs: number): PeerMessage {
--- a/tests/fakes/exchangeFleet.ts
+++ b/tests/fakes/exchangeFleet.ts
@@ -13,6 +13,7 @@
   type EntryEvent,
   EntryEventKind,
   type ListedEntryVm,
+  type PeerCallPurpose,
   StoreRequest,
 } from '../../src/coordination/entry/events.js';
 import { stepEntry } from '../../src/coordination/entry/handlers.js';
@@ -79,6 +80,10 @@
   /** Brings the store back from a copy without its latest changes. */
   readonly restore: (lostChanges: number) => void;
   readonly restart: (vm: ExchangeVm) => void;
+  /** Passes an event to a VM. */
+  readonly post: (vm: ExchangeVm, event: EntryEvent) => void;
+  /** Returns the number of calls between VMs for a purpose. */
+  readonly countCalls: (purpose: PeerCallPurpose) => number;
   readonly runFor: (durationMs: number) => void;
   /** Tokens per second that each VM adds to its demand for each workspace. */
   readonly setDemand: (tokensPerSecond: number) => void;
@@ -95,6 +100,7 @@
   let revision = 1;
   let nowMs = 10_000;
   let demandTokensPerSecond = 0;
+  const callCounts = new Map<PeerCallPurpose, number>();
   const pending: { readonly atMs: number; readonly run: () => void }[] = [];
 
   const listedVms: ListedEntryVm[] = Array.from({ length: vmCount }, (_, i) => ({
@@ -157,8 +163,9 @@
     vm: ExchangeVm,
     command: EntryCommandOf<typeof EntryCommandKind.SendPeerMessage>,
   ): void => {
-    const { message, peerAddress, storeRequest, vmId } = command;
+    const { message, peerAddress, purpose, storeRequest, vmId } = command;
     const { state } = vm;
+    callCounts.set(purpose, (callCounts.get(purpose) ?? 0) + 1);
     const postLater = (delayMs: number, run: () => void): void =>
       at(nowMs + delayMs, () => {
         if (vm.state === state && vm.isRunning) {
@@ -288,6 +295,8 @@
 
   return {
     vms,
+    post,
+    countCalls: (purpose) => callCounts.get(purpose) ?? 0,
     getNowMs: () => nowMs,
     getStoreRevision: () => revision,
     write: (key, value) => {
