Read the callers' connections before a late VM sends a request that has waited

What callers saw: nothing; servers got requests of callers that had left more than half a second before (GONE), from VMs whose loop is late. Cause: after a stall the runtime runs timers before it reads connections. Change: if the loop is late, the request is written only once the connections have been read once more, whatever it had waited for: first attempts, repeats and resumed streams are all written at this place. On time, nothing changes.

--- a/src/transport/entry/attempt.ts
+++ b/src/transport/entry/attempt.ts
@@ -16,6 +16,7 @@
 import { splitAddress } from '../httpCall.js';
 import type { BackendAgents } from './backendAgent.js';
 import { type ForwardExchange, isAnswerBegun } from './exchange.js';
+import { runAfterUnreadData } from './loopDelay.js';
 import { postStatement } from './serverStatements.js';
 import type { AnswerHead, EntryWire } from './wire.js';
 
@@ -33,6 +34,8 @@
   readonly getNowMs: () => number;
   readonly agents: BackendAgents;
   readonly wire: EntryWire;
+  /** Returns how long data that is read now may have waited. */
+  readonly getLoopDelayMs: () => number;
 }
 
 /** An attempt in progress. */
@@ -273,7 +276,7 @@
       request.end(exchange.body);
     }
   };
-  context.agents.onConnection(request, send);
+  context.agents.onConnection(request, () => runAfterUnreadData(context.getLoopDelayMs(), send));
   request.on('error', (error) => failForError(attempt, error));
   request.on('close', () => failForLostConnection(attempt));
   request.on('response', (response) => {
--- a/src/transport/entry/entryDaemon.ts
+++ b/src/transport/entry/entryDaemon.ts
@@ -237,7 +237,7 @@
     post,
     wire,
     exchanges,
-    attempts: { post, getNowMs, agents, wire },
+    attempts: { post, getNowMs, agents, wire, getLoopDelayMs: loopDelay.getDelayMs },
     peers,
     peerCalls,
     replies,
--- a/src/transport/entry/forwardServer.ts
+++ b/src/transport/entry/forwardServer.ts
@@ -15,6 +15,7 @@
 import { RunStatus } from '../../state/types.js';
 import { readBody } from '../requestBody.js';
 import { createForwardExchange, type ForwardExchange } from './exchange.js';
+import { runAfterUnreadData } from './loopDelay.js';
 import type { EntryWire, RequestHead } from './wire.js';
 
 const HTTP_OK = 200;
@@ -99,12 +100,7 @@
     }
   };
   const delayMs = context.getLoopDelayMs();
-  if (delayMs === 0) {
-    arrive(0);
-  } else {
-    // Reads the connections once more first: the caller may have closed this one in the meantime.
-    setImmediate(() => setImmediate(() => arrive(delayMs)));
-  }
+  runAfterUnreadData(delayMs, () => arrive(delayMs));
 }
 
 function handleRequest(
--- a/src/transport/entry/loopDelay.ts
+++ b/src/transport/entry/loopDelay.ts
@@ -9,6 +9,18 @@
 /** From this delay on, callers with short patience have left before their requests are read. */
 const REPORTED_DELAY_MS = 250;
 
+/**
+ * Runs work at once if the loop is on time, else once the data that lies unread on connections has been read: callers may have
+ * left in the meantime.
+ */
+export function runAfterUnreadData(delayMs: number, work: () => void): void {
+  if (delayMs === 0) {
+    work();
+  } else {
+    setImmediate(() => setImmediate(work));
+  }
+}
+
 /** Measures the delay of the loop by a periodic timer. */
 export interface LoopDelayMonitor {
   /** Returns the delay in milliseconds that data which is read now may have had; 0 if the loop is on time. */
--- a/tests/entry/answerEnds.test.ts
+++ b/tests/entry/answerEnds.test.ts
@@ -97,6 +97,7 @@
     getNowMs: () => performance.now(),
     agents,
     wire: PLATFORM_WIRE,
+    getLoopDelayMs: () => 0,
   };
   const server = http.createServer((request, response) => {
     const body = Buffer.alloc(0);
--- a/tests/entry/brokenStreams.test.ts
+++ b/tests/entry/brokenStreams.test.ts
@@ -69,7 +69,8 @@
       handlers.onFailure();
     }
   };
-  const context = { post, getNowMs: () => performance.now(), agents, wire: PLATFORM_WIRE };
+  const clocks = { getNowMs: () => performance.now(), getLoopDelayMs: () => 0 };
+  const context = { post, ...clocks, agents, wire: PLATFORM_WIRE };
   const server = http.createServer((request, response) => {
     const fields = { requestId: 'r', callerRequestId: 'id', request, response };
     const exchange = createForwardExchange({ ...fields, body: Buffer.alloc(0) });
--- a/tests/entry/replayedAnswers.test.ts
+++ b/tests/entry/replayedAnswers.test.ts
@@ -100,7 +100,8 @@
       waiting.resolve({ body: null, runStatus });
     }
   };
-  const context = { post, getNowMs: () => performance.now(), agents, wire: PLATFORM_WIRE };
+  const clocks = { getNowMs: () => performance.now(), getLoopDelayMs: () => 0 };
+  const context = { post, ...clocks, agents, wire: PLATFORM_WIRE };
   const server = http.createServer((request, response) => {
     const callerRequestId = String(request.headers['x-attempt-id']);
     const body = Buffer.alloc(0);
