Recall requests not yet sent to a server whose entry says that it leaves, or is gone

What callers saw: nothing yet; a request that waited for a connection to a server could reach it long after the VM had acknowledged that it leaves or is gone (DRAIN), or reach another server at the same address, which turns it away. Cause: only what a server says in its answers recalled such requests; the entry in the store did not. Found by reading. Change: an entry that announces leaving, is gone, or is that of another incarnation recalls what has not been sent, so that it goes elsewhere. Evidence: four of the five rows of unsentRequests.test.ts fail on the code before.

--- a/src/coordination/entry/backendRegistry.ts
+++ b/src/coordination/entry/backendRegistry.ts
@@ -15,6 +15,7 @@
 import { formatStoreRevision } from '../../state/storeRevision.js';
 import { LogLevel } from '../events.js';
 import { createEntryLog, type EntryCommand, EntryLogPrefix } from './commands.js';
+import { recallUnsent } from './leavingServers.js';
 import type { DepartedServer, EntryState } from './state.js';
 
 /**
@@ -50,10 +51,12 @@
   return departed !== undefined && isSameIncarnation(departed.entry, entry) ? departed : undefined;
 }
 
-function dropBackend(state: EntryState, backend: Backend, nowMs: number): void {
+/** Forgets a server, and recalls the requests that have not been sent to it. */
+function dropBackend(state: EntryState, backend: Backend, nowMs: number): EntryCommand[] {
   const { entry } = backend;
   state.backends.delete(entry.id);
   state.departedServers.set(entry.id, { entry, stated: getStatedFacts(backend), atMs: nowMs });
+  return recallUnsent(state, backend);
 }
 
 /** Adds a server, with what it said of itself if it was registered before. */
@@ -92,7 +95,9 @@
   const fields = createChangeFields(entry, revision, source);
   const isRoutine = existing !== undefined && hasSameUse(existing.entry, entry);
   state.copiedEntries.delete(entry.id);
-  if (existing === undefined || !isSameIncarnation(existing.entry, entry)) {
+  const isReplaced = existing !== undefined && !isSameIncarnation(existing.entry, entry);
+  const isNowLeaving = existing !== undefined && !existing.isLeaving && entry.isLeaving;
+  if (existing === undefined || isReplaced) {
     addBackend(state, entry, revision);
   } else {
     existing.isLeaving ||= entry.isLeaving;
@@ -108,6 +113,7 @@
       existing === undefined ? 'A backend server was registered.' : 'A backend server was updated.',
       fields,
     ),
+    ...(isReplaced || isNowLeaving ? recallUnsent(state, existing) : []),
   ];
 }
 
@@ -123,10 +129,9 @@
   state.copiedEntries.delete(backend.entry.id);
   if (removalDelayMs > 0) {
     backend.removeAtMs ??= nowMs + removalDelayMs;
-  } else {
-    dropBackend(state, backend, nowMs);
   }
   return [
+    ...(removalDelayMs > 0 ? [] : dropBackend(state, backend, nowMs)),
     createEntryLog(
       LogLevel.Info,
       EntryLogPrefix.Backend,
@@ -146,8 +151,8 @@
     .filter(({ removeAtMs }) => removeAtMs !== null && removeAtMs <= nowMs)
     .flatMap((backend) => {
       const { entry } = backend;
-      dropBackend(state, backend, nowMs);
       return [
+        ...dropBackend(state, backend, nowMs),
         createEntryLog(
           LogLevel.Info,
           EntryLogPrefix.Backend,
