Look only at the servers that have changed when their entries are read

Now the requests are sent that one of the changed servers can run; the periodic look at all is as before.

--- a/src/coordination/entry/backendSelection.ts
+++ b/src/coordination/entry/backendSelection.ts
@@ -78,34 +78,33 @@
   );
 }
 
-/** Returns the servers of a request's service that hold its model and have not been tried, also those to wait for. */
-export function findHolders(
-  state: EntryState,
-  record: Pick<ForwardRecord, 'request' | 'service' | 'possiblyRunBackendIds' | 'notRunBackendIds'>,
-  nowMs: number,
-): Backend[] {
-  const { request, service } = record;
-  const isTried = ({ entry }: Backend): boolean =>
-    record.possiblyRunBackendIds.includes(entry.id) || record.notRunBackendIds.includes(entry.id);
-  const isHeld = (backend: Backend): boolean =>
-    service.engine === null ||
-    request.model === null ||
-    holdsVariant(backend, request.model, request.adapter, nowMs);
-  return [...state.backends.values()].filter(
-    (backend) =>
-      backend.entry.service === service.name &&
-      isHeld(backend) &&
-      !isTried(backend) &&
-      isEligible(backend, nowMs),
+type Target = Pick<
+  ForwardRecord,
+  'request' | 'service' | 'possiblyRunBackendIds' | 'notRunBackendIds'
+>;
+
+/** Returns whether a server is of a request's service, holds its model, has not been tried, and can be waited for. */
+export function isHolder(record: Target, backend: Backend, nowMs: number): boolean {
+  const { notRunBackendIds, possiblyRunBackendIds, request, service } = record;
+  const { id, service: offeredService } = backend.entry;
+  return (
+    offeredService === service.name &&
+    (service.engine === null ||
+      request.model === null ||
+      holdsVariant(backend, request.model, request.adapter, nowMs)) &&
+    !possiblyRunBackendIds.includes(id) &&
+    !notRunBackendIds.includes(id) &&
+    isEligible(backend, nowMs)
   );
 }
 
+/** Returns the servers of a request's service that hold its model and have not been tried, also those to wait for. */
+export function findHolders(state: EntryState, record: Target, nowMs: number): Backend[] {
+  return [...state.backends.values()].filter((backend) => isHolder(record, backend, nowMs));
+}
+
 /** Returns the servers of a request's service that can run it now and have not been tried. */
-export function findCandidates(
-  state: EntryState,
-  record: Parameters<typeof findHolders>[1],
-  nowMs: number,
-): Backend[] {
+export function findCandidates(state: EntryState, record: Target, nowMs: number): Backend[] {
   return nowMs >= state.noDispatchFromMs
     ? []
     : findHolders(state, record, nowMs).filter((backend) => findObstacle(backend, nowMs) === null);
--- a/src/coordination/entry/discovery.ts
+++ b/src/coordination/entry/discovery.ts
@@ -7,7 +7,7 @@
 import { applyEntry, removeEntry, STORE_RECOVERY_GRACE_MS } from './backendRegistry.js';
 import { createEntryLog, type EntryCommand, EntryCommandKind, EntryLogPrefix } from './commands.js';
 import type { BackendChange, EntryEventKind, EntryEventOf } from './events.js';
-import { dispatchWaiting } from './forwarding.js';
+import { dispatchWaiting, dispatchWaitingFor } from './forwarding.js';
 import { selectRelays, updateRelayRole } from './relays.js';
 import { applyRestoredBackends } from './restoredStore.js';
 import { EntryLifecycle, type EntryState, updateVmsLastSeen } from './state.js';
@@ -151,7 +151,8 @@
   });
   state.backendsRevision = revision;
   state.areBackendsRead = true;
-  return [...commands, ...updateReadiness(state), ...dispatchWaiting(state, nowMs)];
+  const changed = changes.flatMap(({ id }) => state.backends.get(id) ?? []);
+  return [...commands, ...updateReadiness(state), ...dispatchWaitingFor(state, changed, nowMs)];
 }
 
 /** Records whether this VM can reach the store. */
--- a/src/coordination/entry/forwarding.ts
+++ b/src/coordination/entry/forwarding.ts
@@ -23,7 +23,7 @@
 } from './requestCompletion.js';
 import { addPendingPrefill } from './prefillLoad.js';
 import { depositRetry, withdrawRetry } from './retryBudget.js';
-import { chooseBackend, findCandidates, findHolders } from './backendSelection.js';
+import { chooseBackend, findCandidates, findHolders, isHolder } from './backendSelection.js';
 import {
   countLimited,
   creditPermits,
@@ -302,11 +302,25 @@
   return tryDispatch(state, record, nowMs) ?? startWaiting(state, record, nowMs);
 }
 
-/** Dispatches waiting requests, most urgent first, once servers, models or adapters have become available. */
-export function dispatchWaiting(state: EntryState, nowMs: number): EntryCommand[] {
+function listWaiting(state: EntryState): ForwardRecord[] {
   return [...state.requests.values()]
     .filter((record) => record.phase === ForwardPhase.Waiting)
-    .sort((a, b) => getUrgency(a) - getUrgency(b))
+    .sort((a, b) => getUrgency(a) - getUrgency(b));
+}
+
+/** Dispatches waiting requests, most urgent first, once servers, models or adapters have become available. */
+export function dispatchWaiting(state: EntryState, nowMs: number): EntryCommand[] {
+  return listWaiting(state).flatMap((record) => tryDispatchWaiting(state, record, nowMs));
+}
+
+/** Does the same for the requests that one of some servers may run, without looking at all servers for the others. */
+export function dispatchWaitingFor(
+  state: EntryState,
+  servers: readonly Backend[],
+  nowMs: number,
+): EntryCommand[] {
+  return listWaiting(state)
+    .filter((record) => servers.some((server) => isHolder(record, server, nowMs)))
     .flatMap((record) => tryDispatchWaiting(state, record, nowMs));
 }
 
