Compress what a relay passes on if it is large

Cause: an answer with the configuration, some hundred kilobytes, to each of the VMs of a relay takes longer than the 0.7 s of a call over links of 10 Mbit/s. Each call that runs out wastes what was sent, is taken for a failed relay, and begins anew elsewhere. Ruled out: late loops alone (they are as late before 28 s, without a change of roles); the store (its readers get each version in 0.3 s). Change: answers of 32 KB or more are compressed, by the library; shorter ones, that is all rounds without a new configuration, are not.

--- a/src/transport/entry/entryPeers.ts
+++ b/src/transport/entry/entryPeers.ts
@@ -5,7 +5,7 @@
 import http, { type Server } from 'node:http';
 import { create } from '@bufbuild/protobuf';
 import { Code, ConnectError } from '@connectrpc/connect';
-import { connectNodeAdapter } from '@connectrpc/connect-node';
+import { compressionGzip, connectNodeAdapter } from '@connectrpc/connect-node';
 import { Effect } from 'effect';
 import {
   type EntryEvent,
@@ -29,7 +29,7 @@
 import type { Diagnostic } from '../../state/diagnostics.js';
 import { readStoreMirror, type StoreMirror } from '../../state/entry/storeMirror.js';
 import type { StoreUpdate } from '../../state/storedItems.js';
-import { createPeerCalls, MAX_PEER_MESSAGE_BYTES } from '../peerCalls.js';
+import { createPeerCalls, MAX_PEER_MESSAGE_BYTES, MIN_COMPRESSED_BYTES } from '../peerCalls.js';
 
 /** A peer that does not reply within this time is partitioned or suspended. */
 const PEER_TIMEOUT_MS = 700;
@@ -146,7 +146,9 @@
       });
     },
     readMaxBytes: MAX_PEER_MESSAGE_BYTES,
-    acceptCompression: [],
+    acceptCompression: [compressionGzip],
+    // A small link would take longer for a large configuration than a call may.
+    compressMinBytes: MIN_COMPRESSED_BYTES,
   });
   return http.createServer(handler);
 }
--- a/src/transport/peerCalls.ts
+++ b/src/transport/peerCalls.ts
@@ -4,12 +4,14 @@
 import http from 'node:http';
 import type { DescService } from '@bufbuild/protobuf';
 import { type Client, createClient } from '@connectrpc/connect';
-import { createConnectTransport } from '@connectrpc/connect-node';
+import { compressionGzip, createConnectTransport } from '@connectrpc/connect-node';
 import { Effect } from 'effect';
 import { createDiagnostic, type Diagnostic, Diagnostics } from '../state/diagnostics.js';
 
 /** Maximum size of a message that a peer sends or accepts. */
 export const MAX_PEER_MESSAGE_BYTES = 8_388_608;
+/** Shorter answers are not compressed: that costs more processor time than their bytes are worth. */
+export const MIN_COMPRESSED_BYTES = 32_768;
 
 /** Calls one service on any peer. */
 export interface PeerCalls<S extends DescService> {
@@ -36,8 +38,7 @@
       baseUrl: `http://${address}`,
       httpVersion: '1.1',
       nodeOptions: { agent },
-      // Compression costs more processor time than the bytes between VMs are worth.
-      acceptCompression: [],
+      acceptCompression: [compressionGzip],
       readMaxBytes: MAX_PEER_MESSAGE_BYTES,
     });
     const client = createClient(service, transport);
--- a/src/transport/peers.ts
+++ b/src/transport/peers.ts
@@ -27,7 +27,7 @@
 import type { Diagnostic } from '../state/diagnostics.js';
 import { ALL_SECTIONS, type GossipMessage, type Head } from '../state/types.js';
 import type { ClaimState } from './claims.js';
-import { createPeerCalls, MAX_PEER_MESSAGE_BYTES } from './peerCalls.js';
+import { createPeerCalls, MAX_PEER_MESSAGE_BYTES, MIN_COMPRESSED_BYTES } from './peerCalls.js';
 import type { TextsByHash, RevisionWithTexts } from './configurationSource.js';
 
 const PEER_TIMEOUT_MS = 1_000;
@@ -149,6 +149,7 @@
   const handler = connectNodeAdapter({
     routes: (router) => addPeerRoutes(router, context),
     readMaxBytes: MAX_PEER_MESSAGE_BYTES,
+    compressMinBytes: MIN_COMPRESSED_BYTES,
   });
   return http.createServer(handler);
 }
