Count a VM as behind for a second after its loop was late

Between 5.5 and 9.2 s no turn of the loop was late by 250 ms: the VM needed many turns, each a little late, to accept the connection and to read the request. Whether it looks once more at the connections was decided by the last turn alone, which is often on time. Change: a VM is behind while its loop is late and for a second afterwards; the connections are then read once more before a request is admitted or sent. How late the loop is, which shortens a request's time, is measured as before.

--- a/src/transport/entry/attempt.ts
+++ b/src/transport/entry/attempt.ts
@@ -34,8 +34,8 @@
   readonly getNowMs: () => number;
   readonly agents: BackendAgents;
   readonly wire: EntryWire;
-  /** Returns how long data that is read now may have waited. */
-  readonly getLoopDelayMs: () => number;
+  /** Returns whether the ends of callers' connections may lie unread. */
+  readonly isBehind: () => boolean;
 }
 
 /** An attempt in progress. */
@@ -276,7 +276,7 @@
       request.end(exchange.body);
     }
   };
-  context.agents.onConnection(request, () => runAfterUnreadData(context.getLoopDelayMs(), send));
+  context.agents.onConnection(request, () => runAfterUnreadData(context.isBehind(), send));
   request.on('error', (error) => failForError(attempt, error));
   request.on('close', () => failForLostConnection(attempt));
   request.on('response', (response) => {
--- a/src/transport/entry/entryDaemon.ts
+++ b/src/transport/entry/entryDaemon.ts
@@ -176,7 +176,7 @@
     getLimits: () => current.limits,
     isShuttingDown: () => isShuttingDown(state),
     maxConnections: getMaxCallerConnections(settings.maxDescriptors),
-    getLoopDelayMs: loopDelay.getDelayMs,
+    loopDelay,
   });
   const readyServer = createReadinessServer(wire.readyPath, () => current.isReady);
   const createReplyId = createIdGenerator('reply');
@@ -237,7 +237,7 @@
     post,
     wire,
     exchanges,
-    attempts: { post, getNowMs, agents, wire, getLoopDelayMs: loopDelay.getDelayMs },
+    attempts: { post, getNowMs, agents, wire, isBehind: loopDelay.isBehind },
     peers,
     peerCalls,
     replies,
--- a/src/transport/entry/forwardServer.ts
+++ b/src/transport/entry/forwardServer.ts
@@ -15,7 +15,7 @@
 import { RunStatus } from '../../state/types.js';
 import { readBody } from '../requestBody.js';
 import { createForwardExchange, type ForwardExchange } from './exchange.js';
-import { runAfterUnreadData } from './loopDelay.js';
+import { type LoopDelayMonitor, runAfterUnreadData } from './loopDelay.js';
 import type { EntryWire, RequestHead } from './wire.js';
 
 const HTTP_OK = 200;
@@ -42,8 +42,7 @@
   /** Returns true during a graceful shutdown: every response then closes its connection. */
   readonly isShuttingDown: () => boolean;
   readonly maxConnections: number;
-  /** Returns how long data that is read now may have waited. */
-  readonly getLoopDelayMs: () => number;
+  readonly loopDelay: Pick<LoopDelayMonitor, 'getDelayMs' | 'isBehind'>;
 }
 
 /** Rejects a request for which no exchange exists, and closes its connection. */
@@ -99,8 +98,9 @@
       context.post({ kind, request: { ...head, requestId }, delayMs });
     }
   };
-  const delayMs = context.getLoopDelayMs();
-  runAfterUnreadData(delayMs, () => arrive(delayMs));
+  const { getDelayMs, isBehind } = context.loopDelay;
+  const delayMs = getDelayMs();
+  runAfterUnreadData(isBehind(), () => arrive(delayMs));
 }
 
 function handleRequest(
--- a/src/transport/entry/loopDelay.ts
+++ b/src/transport/entry/loopDelay.ts
@@ -6,18 +6,20 @@
 const CHECK_INTERVAL_MS = 100;
 /** A smaller delay is normal. */
 const MIN_DELAY_MS = 50;
+/** How long a VM counts as behind after its loop was late. */
+const BEHIND_MS = 1_000;
 /** From this delay on, callers with short patience have left before their requests are read. */
 const REPORTED_DELAY_MS = 250;
 
 /**
- * Runs work at once if the loop is on time, else once the data that lies unread on connections has been read: callers may have
+ * Runs work at once unless the VM is behind, else once the data that lies unread on connections has been read: callers may have
  * left in the meantime.
  */
-export function runAfterUnreadData(delayMs: number, work: () => void): void {
-  if (delayMs === 0) {
-    work();
-  } else {
+export function runAfterUnreadData(isBehind: boolean, work: () => void): void {
+  if (isBehind) {
     setImmediate(() => setImmediate(work));
+  } else {
+    work();
   }
 }
 
@@ -25,6 +27,11 @@
 export interface LoopDelayMonitor {
   /** Returns the delay in milliseconds that data which is read now may have had; 0 if the loop is on time. */
   readonly getDelayMs: () => number;
+  /**
+   * Returns whether the loop is late, or was in the last second. A VM that has used up its share of a core is late in parts of
+   * each second only, but needs many turns of the loop to read a request.
+   */
+  readonly isBehind: () => boolean;
   /** Returns the longest delay since the start. */
   readonly getMaxDelayMs: () => number;
   readonly close: () => void;
@@ -42,21 +49,25 @@
   let dueAtMs = getNowMs() + CHECK_INTERVAL_MS;
   let lastDelayMs = 0;
   let maxDelayMs = 0;
+  let lateAtMs = Number.NEGATIVE_INFINITY;
   const timer = setInterval(() => {
     const nowMs = getNowMs();
     lastDelayMs = Math.max(0, nowMs - dueAtMs);
     maxDelayMs = Math.max(maxDelayMs, lastDelayMs);
+    lateAtMs = lastDelayMs < MIN_DELAY_MS ? lateAtMs : nowMs;
     dueAtMs = nowMs + CHECK_INTERVAL_MS;
     if (lastDelayMs >= REPORTED_DELAY_MS) {
       onLate(lastDelayMs);
     }
   }, CHECK_INTERVAL_MS);
   timer.unref();
+  const getDelayMs = (): number => {
+    const delayMs = Math.max(lastDelayMs, getNowMs() - dueAtMs);
+    return delayMs < MIN_DELAY_MS ? 0 : delayMs;
+  };
   return {
-    getDelayMs: () => {
-      const delayMs = Math.max(lastDelayMs, getNowMs() - dueAtMs);
-      return delayMs < MIN_DELAY_MS ? 0 : delayMs;
-    },
+    getDelayMs,
+    isBehind: () => getDelayMs() > 0 || getNowMs() - lateAtMs < BEHIND_MS,
     getMaxDelayMs: () => maxDelayMs,
     close: () => clearInterval(timer),
   };
--- a/tests/entry/answerEnds.test.ts
+++ b/tests/entry/answerEnds.test.ts
@@ -97,7 +97,7 @@
     getNowMs: () => performance.now(),
     agents,
     wire: PLATFORM_WIRE,
-    getLoopDelayMs: () => 0,
+    isBehind: () => false,
   };
   const server = http.createServer((request, response) => {
     const body = Buffer.alloc(0);
--- a/tests/entry/callerLeaves.test.ts
+++ b/tests/entry/callerLeaves.test.ts
@@ -173,7 +173,7 @@
     getLimits: () => createTestDeployment().limits,
     isShuttingDown: () => false,
     maxConnections: 10,
-    getLoopDelayMs: () => loopDelayMs,
+    loopDelay: { getDelayMs: () => loopDelayMs, isBehind: () => loopDelayMs > 0 },
   });
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
--- a/tests/entry/lateDispatch.test.ts
+++ b/tests/entry/lateDispatch.test.ts
@@ -19,7 +19,6 @@
 import { wait, waitUntil } from '../stand-ins/entryVms.js';
 import { createTestDeployment } from './fixtures.js';
 
-const LATE_MS = 300;
 /** Bound of the users' rule: what happens later than this after the close is work for nobody. */
 const MAX_NOTICE_MS = 500;
 const DEADLINE_MS = 5_000;
@@ -99,7 +98,7 @@
 /** Starts a server for callers that admits requests, and returns how to send them on. */
 async function startForwarder(backendPort: number) {
   const exchanges = new Map<string, ForwardExchange>();
-  const loop = { delayMs: 0 };
+  const loop = { isBehind: false };
   const agents = createBackendAgents();
   closers.push(agents.close);
   const completed: string[] = [];
@@ -110,13 +109,13 @@
       completed.push(event.requestId);
     }
   };
-  const getLoopDelayMs = (): number => loop.delayMs;
+  const isBehind = (): boolean => loop.isBehind;
   const context: AttemptContext = {
     post,
     getNowMs: () => performance.now(),
     agents,
     wire: PLATFORM_WIRE,
-    getLoopDelayMs,
+    isBehind,
   };
   const server = createForwardServer({
     post,
@@ -126,7 +125,7 @@
     getLimits: () => createTestDeployment().limits,
     isShuttingDown: () => false,
     maxConnections: 10,
-    getLoopDelayMs,
+    loopDelay: { getDelayMs: () => 0, isBehind },
   });
   closers.push(() => server.closeAllConnections());
   const port = await listen(server);
@@ -158,7 +157,7 @@
         await waitUntil(() => forwarder.completed.includes(first.requestId));
       }
       const { caller, requestId } = await forwarder.admit('waiting');
-      forwarder.loop.delayMs = isLate ? LATE_MS : 0;
+      forwarder.loop.isBehind = isLate;
       end(caller);
       forwarder.dispatch(requestId);
       await wait(MAX_NOTICE_MS);
