--- a/src/coordination/entry/commands.ts
+++ b/src/coordination/entry/commands.ts
@@ -6,14 +6,8 @@
 import type { Quarantine } from '../../state/entry/promptEvidence.js';
 import type { Refusal } from '../../state/types.js';
 import type { LogLevel, RequestMetrics } from '../events.js';
-import type {
-  EngineOrder,
-  EntryEvent,
-  LimitName,
-  PeerCallPurpose,
-  PeerMessage,
-  StoreRequest,
-} from './events.js';
+import type { EngineOrder, EntryEvent, LimitName, PeerMessage, StoreRequest } from './events.js';
+import type { PeerCallPurpose } from './peerCallPurpose.js';
 
 /** The kinds of commands that the event loop issues. */
 export const EntryCommandKind = {
--- /dev/null
+++ b/src/coordination/entry/exchangePeers.ts
@@ -0,0 +1,63 @@
+/**
+ * Chooses the VMs with which a VM exchanges its reports, and those to which it sends what it has just learned.
+ */
+import { nextRandomInt } from '../../state/random.js';
+import type { ListedEntryVm } from './events.js';
+import { selectRelay } from './relays.js';
+import { type EntryState, RelayRole } from './state.js';
+
+/** Number of other relays to which a relay sends new evidence at once; three hops then reach a hundred relays. */
+const EVIDENCE_FANOUT = 5;
+
+/** The address and id of a VM that takes part in the exchange between relays. */
+export type ExchangePeer = Pick<ListedEntryVm, 'vmId' | 'peerAddress'>;
+
+/** Chooses some of a list at random. */
+export function selectRandom<T>(state: EntryState, from: readonly T[], count: number): T[] {
+  const candidates = [...from];
+  const selected: T[] = [];
+  while (candidates.length > 0 && selected.length < count) {
+    selected.push(...candidates.splice(nextRandomInt(state.random, candidates.length), 1));
+  }
+  return selected;
+}
+
+/** Returns the other VMs that read the store: the relays, the controller, and those that have no relay for now. */
+export function listExchangePeers(state: EntryState, nowMs: number): ExchangePeer[] {
+  const peers = new Map<string, ExchangePeer>();
+  state.relays.forEach((relay) => peers.set(relay.vmId, relay));
+  if (state.controller !== null) {
+    peers.set(state.controller.vmId, state.controller);
+  }
+  state.peers.forEach(({ isRelayedHere, report, reportReceivedAtMs }, vmId) => {
+    if (!isRelayedHere && nowMs - reportReceivedAtMs < state.policy.vmGoneMs) {
+      peers.set(vmId, report);
+    }
+  });
+  peers.delete(state.self.vmId);
+  return [...peers.values()];
+}
+
+/** Returns the VMs that this VM relays for. */
+function listRelayedVms(state: EntryState, nowMs: number): ExchangePeer[] {
+  return [...state.peers.values()]
+    .filter(
+      ({ isRelayedHere, reportReceivedAtMs }) =>
+        isRelayedHere && nowMs - reportReceivedAtMs < state.policy.vmGoneMs,
+    )
+    .map(({ report }) => report);
+}
+
+/**
+ * Chooses the receivers of new evidence: the VM's relay; from a relay, some other relays chosen at random, who send it on, and
+ * the VMs that it relays for.
+ */
+export function selectEvidenceReceivers(state: EntryState, nowMs: number): readonly ExchangePeer[] {
+  const relay = state.relayRole === RelayRole.Relayed ? selectRelay(state, nowMs) : null;
+  return relay === null
+    ? [
+        ...selectRandom(state, listExchangePeers(state, nowMs), EVIDENCE_FANOUT),
+        ...listRelayedVms(state, nowMs),
+      ]
+    : [relay];
+}
--- a/src/coordination/entry/gossip.ts
+++ b/src/coordination/entry/gossip.ts
@@ -10,18 +10,23 @@
   type PlacementBoard,
   type VmReport,
 } from '../../state/entry/reports.js';
-import { nextRandomInt } from '../../state/random.js';
 import { createEntryTimer, type EntryCommand, EntryCommandKind } from './commands.js';
 import {
   EntryEventKind,
   type EntryEventOf,
   type ListedEntryVm,
-  PeerCallPurpose,
   type PeerMessage,
   StoreRequest,
 } from './events.js';
+import { PeerCallPurpose } from './peerCallPurpose.js';
 import { createRelativeEvidence, mergeEvidence } from './evidenceExchange.js';
 import { withoutSpreading } from './evidenceSpread.js';
+import {
+  type ExchangePeer,
+  listExchangePeers,
+  selectEvidenceReceivers,
+  selectRandom,
+} from './exchangePeers.js';
 import { summarizeFleet, summarizeModelDemands, summarizeOwnReports } from './fleetDemands.js';
 import { dispatchWaiting } from './forwarding.js';
 import { listModelDemands, listWorkspaceDemands } from './ownDemands.js';
@@ -31,8 +36,6 @@
 
 /** Reports that were received longer ago than this are not sent on. */
 const REPORT_MAX_AGE_MS = 5_000;
-/** Number of other relays to which a relay sends new evidence at once; three hops then reach a hundred relays. */
-const EVIDENCE_FANOUT = 5;
 /** The record of a VM is removed if no new report of the VM was received for this time. */
 const PEER_EXPIRY_MS = 60_000;
 /** Work of a relay for each VM that it relays for: their exchanges are spread over this time each. */
@@ -99,34 +102,6 @@
   };
 }
 
-function selectRandom<T>(state: EntryState, from: readonly T[], count: number): T[] {
-  const candidates = [...from];
-  const selected: T[] = [];
-  while (candidates.length > 0 && selected.length < count) {
-    selected.push(...candidates.splice(nextRandomInt(state.random, candidates.length), 1));
-  }
-  return selected;
-}
-
-/** The address and id of a VM that takes part in the exchange between relays. */
-type ExchangePeer = Pick<ListedEntryVm, 'vmId' | 'peerAddress'>;
-
-/** Returns the other VMs that read the store: the relays, the controller, and those that have no relay for now. */
-function listExchangePeers(state: EntryState, nowMs: number): ExchangePeer[] {
-  const peers = new Map<string, ExchangePeer>();
-  state.relays.forEach((relay) => peers.set(relay.vmId, relay));
-  if (state.controller !== null) {
-    peers.set(state.controller.vmId, state.controller);
-  }
-  state.peers.forEach(({ isRelayedHere, report, reportReceivedAtMs }, vmId) => {
-    if (!isRelayedHere && nowMs - reportReceivedAtMs < state.policy.vmGoneMs) {
-      peers.set(vmId, report);
-    }
-  });
-  peers.delete(state.self.vmId);
-  return [...peers.values()];
-}
-
 function sendToPeer(
   peer: ExchangePeer,
   message: PeerMessage,
@@ -241,20 +216,7 @@
   return updateRelayRole(state, nowMs);
 }
 
-/** Returns the VMs that this VM relays for. */
-function listRelayedVms(state: EntryState, nowMs: number): ExchangePeer[] {
-  return [...state.peers.values()]
-    .filter(
-      ({ isRelayedHere, reportReceivedAtMs }) =>
-        isRelayedHere && nowMs - reportReceivedAtMs < state.policy.vmGoneMs,
-    )
-    .map(({ report }) => report);
-}
-
-/**
- * Sends new evidence to this VM's relay. A relay sends it to some other relays chosen at random, who send it on, and to the VMs
- * that it relays for.
- */
+/** Sends what this VM has just learned of backend servers to those that are to send it on. */
 export function handleEvidenceSpread(
   state: EntryState,
   _event: EntryEventOf<typeof EntryEventKind.EvidenceSpread>,
@@ -262,15 +224,9 @@
 ): EntryCommand[] {
   state.isEvidenceSpreading = false;
   const message = createMessage(state, nowMs);
-  const relay = state.relayRole === RelayRole.Relayed ? selectRelay(state, nowMs) : null;
-  const receivers =
-    relay === null
-      ? [
-          ...selectRandom(state, listExchangePeers(state, nowMs), EVIDENCE_FANOUT),
-          ...listRelayedVms(state, nowMs),
-        ]
-      : [relay];
-  return receivers.map((peer) => sendToPeer(peer, message, PeerCallPurpose.Evidence));
+  return selectEvidenceReceivers(state, nowMs).map((peer) =>
+    sendToPeer(peer, message, PeerCallPurpose.Evidence),
+  );
 }
 
 function isNewerReport(report: VmReport, known: VmReport | undefined): boolean {
--- a/src/transport/entry/commandTable.ts
+++ b/src/transport/entry/commandTable.ts
@@ -8,12 +8,8 @@
   type EntryCommandOf,
   EntryLogPrefix,
 } from '../../coordination/entry/commands.js';
-import {
-  type EntryEvent,
-  EntryEventKind,
-  PeerCallPurpose,
-  StoreRequest,
-} from '../../coordination/entry/events.js';
+import { type EntryEvent, EntryEventKind, StoreRequest } from '../../coordination/entry/events.js';
+import { PeerCallPurpose } from '../../coordination/entry/peerCallPurpose.js';
 import { LogLevel } from '../../coordination/events.js';
 import type { LoopTimers } from '../../coordination/loop.js';
 import { DEFAULT_OBJECTIVE } from '../../state/burn.js';
--- a/tests/entry/evidenceSpread.test.ts
+++ b/tests/entry/evidenceSpread.test.ts
@@ -2,7 +2,8 @@
  * Tests that what one VM learns of a backend server reaches all VMs in time, at a cost that does not grow faster than the fleet.
  */
 import { describe, expect, it } from 'vitest';
-import { EntryEventKind, PeerCallPurpose } from '../../src/coordination/entry/events.js';
+import { EntryEventKind } from '../../src/coordination/entry/events.js';
+import { PeerCallPurpose } from '../../src/coordination/entry/peerCallPurpose.js';
 import { RelayRole } from '../../src/coordination/entry/state.js';
 import {
   createExchangeFleet,
--- a/tests/fakes/exchangeFleet.ts
+++ b/tests/fakes/exchangeFleet.ts
@@ -13,9 +13,9 @@
   type EntryEvent,
   EntryEventKind,
   type ListedEntryVm,
-  type PeerCallPurpose,
   StoreRequest,
 } from '../../src/coordination/entry/events.js';
+import type { PeerCallPurpose } from '../../src/coordination/entry/peerCallPurpose.js';
 import { stepEntry } from '../../src/coordination/entry/handlers.js';
 import {
   createEntryState,
