Reject messages between VMs that have a number that is not finite

Change: such a message is a typed error of the call at the receiver, and a failed call at the sender; nothing of it is taken over.

--- a/src/protocol/entry/peerMessages.ts
+++ b/src/protocol/entry/peerMessages.ts
@@ -168,6 +168,16 @@
   });
 }
 
+/** Returns whether all numbers of a message are finite. With others, no later message would compare as newer. */
+export function hasFiniteNumbers(value: unknown): boolean {
+  if (typeof value === 'number') {
+    return Number.isFinite(value);
+  }
+  return typeof value === 'object' && value !== null
+    ? Object.values(value).every(hasFiniteNumbers)
+    : true;
+}
+
 /** Decodes the changes of the store in an answer. */
 export function decodeStoreReply({ store }: PeerMessageWire): StoreReply {
   if (store === undefined) {
--- a/src/transport/entry/entryPeers.ts
+++ b/src/transport/entry/entryPeers.ts
@@ -19,6 +19,7 @@
   decodeStoreReply,
   encodePeerMessage,
   encodePeerRequest,
+  hasFiniteNumbers,
   type PeerReply,
 } from '../../protocol/entry/peerMessages.js';
 import {
@@ -26,7 +27,7 @@
   EntryPeerService,
   LendRateResponseSchema,
 } from '../../protocol/gen/entry_pb.js';
-import type { Diagnostic } from '../../state/diagnostics.js';
+import { createDiagnostic, type Diagnostic, Diagnostics } from '../../state/diagnostics.js';
 import { readStoreMirror, type StoreMirror } from '../../state/entry/storeMirror.js';
 import type { StoreUpdate } from '../../state/storedItems.js';
 import { createPeerCalls, MAX_PEER_MESSAGE_BYTES, MIN_COMPRESSED_BYTES } from '../peerCalls.js';
@@ -113,6 +114,12 @@
     routes: (router) => {
       router.service(EntryPeerService, {
         exchange: async (request) => {
+          if (!hasFiniteNumbers(request)) {
+            throw new ConnectError(
+              'the message has a number that is not finite',
+              Code.InvalidArgument,
+            );
+          }
           const replyId = createReplyId();
           const reply = waitForReply(replies.exchanges, replyId, PEER_TIMEOUT_MS, null);
           const message = decodePeerMessage(request);
@@ -190,6 +197,9 @@
       call(address, (client) =>
         client.exchange(encodePeerRequest(message, storeAfter), { timeoutMs }),
       ).pipe(
+        Effect.filterOrFail(hasFiniteNumbers, () =>
+          createDiagnostic(Diagnostics.PeerUnavailable, address),
+        ),
         Effect.map((reply) => ({
           message: decodePeerMessage(reply),
           store: decodeStoreReply(reply),
