--- a/tests/entry/lateDispatch.test.ts
+++ b/tests/entry/lateDispatch.test.ts
@@ -1,6 +1,6 @@
 /**
  * Tests that a request which has waited is not sent to a backend server if the end of its caller's connection lies unread,
- * because the loop of the VM is late.
+ * because the VM is behind.
  */
 import http from 'node:http';
 import net, { type AddressInfo, type Server, type Socket } from 'node:net';
@@ -42,7 +42,7 @@
   readonly name: string;
   /** What the caller does just before its request is sent on. */
   readonly end: (caller: Socket) => void;
-  readonly isLate: boolean;
+  readonly isBehind: boolean;
   /** True if a connection to the server is open already. */
   readonly isConnected: boolean;
   readonly arrivals: readonly string[];
@@ -56,17 +56,17 @@
 };
 
 const CASES: readonly Case[] = [
-  { name: 'has closed', end: destroy, isLate: true, isConnected: true, arrivals: [] },
-  { name: 'has reset', end: reset, isLate: true, isConnected: true, arrivals: [] },
+  { name: 'has closed', end: destroy, isBehind: true, isConnected: true, arrivals: [] },
+  { name: 'has reset', end: reset, isBehind: true, isConnected: true, arrivals: [] },
   {
     name: 'has closed, and the server is not connected yet',
     end: destroy,
-    isLate: true,
+    isBehind: true,
     isConnected: false,
     arrivals: [],
   },
-  { name: 'waits', end: () => {}, isLate: true, isConnected: true, arrivals: ['waiting'] },
-  { name: 'waits', end: () => {}, isLate: false, isConnected: true, arrivals: ['waiting'] },
+  { name: 'waits', end: () => {}, isBehind: true, isConnected: true, arrivals: ['waiting'] },
+  { name: 'waits', end: () => {}, isBehind: false, isConnected: true, arrivals: ['waiting'] },
 ];
 
 const closers: (() => void)[] = [];
@@ -147,8 +147,8 @@
 
 describe('a request that has waited, and whose caller', () => {
   it.each(CASES)(
-    '$name, reaches $arrivals.length servers of a VM whose loop is late: $isLate',
-    async ({ arrivals, end, isConnected, isLate }) => {
+    '$name, reaches $arrivals.length servers of a VM that is behind: $isBehind',
+    async ({ arrivals, end, isBehind, isConnected }) => {
       const backend = await startBackend();
       const forwarder = await startForwarder(backend.port);
       if (isConnected) {
@@ -157,7 +157,7 @@
         await waitUntil(() => forwarder.completed.includes(first.requestId));
       }
       const { caller, requestId } = await forwarder.admit('waiting');
-      forwarder.loop.isBehind = isLate;
+      forwarder.loop.isBehind = isBehind;
       end(caller);
       forwarder.dispatch(requestId);
       await wait(MAX_NOTICE_MS);
