Write the log in order when a process ends

An operator would have read the end of a planned stop before its beginning.

Cause: the flush was synchronous. It does not wait for the write that a thread has begun, and writes what lies behind it at once; which of the two comes first depends on the thread. At an exit, the rest of a write that was taken in part would have been lost.

The log is closed instead: writes go on one after another, and the process exits once the last has ended, or after 0.5 s. Lines that are logged later are dropped.

The check on the order is as before; that the process exits with 0 is new.

--- a/src/bin/gentiandeckEntry.ts
+++ b/src/bin/gentiandeckEntry.ts
@@ -67,7 +67,7 @@
     void reload(daemon, log);
   });
   await daemon.ended;
-  log.flush();
+  await log.close();
   process.exit();
 }
 
--- a/src/transport/entry/entryLog.ts
+++ b/src/transport/entry/entryLog.ts
@@ -12,6 +12,8 @@
 const FLUSH_INTERVAL_MS = 200;
 /** Interval at which the number of newly dropped lines is logged. */
 const DROP_REPORT_INTERVAL_MS = 5_000;
+/** Longest time for which closing waits for a reader of the log that is slow or does not read. */
+const CLOSE_TIMEOUT_MS = 500;
 
 /** Writes one log line. The log prefix is written in brackets before the text. */
 export type EntryLogWriter = (
@@ -34,14 +36,18 @@
 export interface EntryLog {
   readonly write: EntryLogWriter;
   readonly countDropped: () => number;
-  /** Writes all buffered lines; called before the process exits. */
-  readonly flush: () => void;
+  /**
+   * Writes all buffered lines in order; called before the process exits. Resolves once they are written, or after
+   * `CLOSE_TIMEOUT_MS`. Lines that are logged later are dropped.
+   */
+  readonly close: () => Promise<void>;
 }
 
 /** Creates the log of a process. Lines below the level are not written. */
 export function createEntryLogWriter(level: string, vmId: string): EntryLog {
   let droppedCount = 0;
   let reportedCount = 0;
+  let isClosed = false;
   const destination = pino.destination({
     dest: 1,
     sync: false,
@@ -62,9 +68,19 @@
   timer.unref();
   return {
     write: (logLevel, prefix, text, fields = {}) => {
-      LEVEL_WRITERS[logLevel](logger, fields, `[${prefix}] ${text}`);
+      if (!isClosed) {
+        LEVEL_WRITERS[logLevel](logger, fields, `[${prefix}] ${text}`);
+      }
     },
     countDropped: () => droppedCount,
-    flush: () => destination.flushSync(),
+    // A synchronous flush would overtake a write that is under way, and block while nobody reads.
+    close: () =>
+      new Promise((resolve) => {
+        isClosed = true;
+        clearInterval(timer);
+        destination.once('close', resolve);
+        setTimeout(resolve, CLOSE_TIMEOUT_MS);
+        destination.end();
+      }),
   };
 }
--- a/tests/processes/entryLog.test.ts
+++ b/tests/processes/entryLog.test.ts
@@ -1,6 +1,6 @@
 /**
- * Tests that a process writes its log some lines at a time, and loses none of them when it ends, and only the latest when it is
- * killed.
+ * Tests that a process writes its log some lines at a time, that it loses none of them and keeps their order when it ends, and
+ * loses only the latest when it is killed.
  */
 import { spawn } from 'node:child_process';
 import { setTimeout as sleep } from 'node:timers/promises';
@@ -12,49 +12,98 @@
 const KILL_AFTER_MS = 1_500;
 const MODULE_URL = new URL('../../dist/src/transport/entry/entryLog.js', import.meta.url).href;
 
+/** Lets the event loop turn after each line, so that writes end meanwhile. */
+const TURN_OF_THE_LOOP = 'await new Promise((resolve) => { setImmediate(resolve); });';
+const CLOSE_AND_EXIT = 'await log.close(); process.exit();';
+/** Keeps all threads that write for a while, so that the first write is still under way when the process ends. */
+const KEEP_WRITERS_BUSY = `
+    const { pbkdf2 } = await import('node:crypto');
+    for (let i = 0; i < 4; i += 1) pbkdf2('', '', 300_000, 64, 'sha512', () => {});`;
+
 interface Case {
   readonly name: string;
+  /** What the process does before it logs. */
+  readonly start: string;
+  /** What the process does after each line. */
+  readonly pause: string;
   /** What the process does once it has logged its lines. */
   readonly end: string;
   readonly isKilled: boolean;
 }
 
 const CASES: readonly Case[] = [
-  { name: 'goes on running and is killed', end: 'setInterval(() => {}, 1000);', isKilled: true },
-  { name: 'flushes its log and exits', end: 'log.flush(); process.exit();', isKilled: false },
+  {
+    name: 'goes on running and is killed',
+    start: '',
+    pause: TURN_OF_THE_LOOP,
+    end: 'setInterval(() => {}, 1000);',
+    isKilled: true,
+  },
+  {
+    name: 'closes its log and exits',
+    start: '',
+    pause: TURN_OF_THE_LOOP,
+    end: CLOSE_AND_EXIT,
+    isKilled: false,
+  },
+  {
+    name: 'closes its log while lines are being written, and exits',
+    start: KEEP_WRITERS_BUSY,
+    pause: '',
+    end: CLOSE_AND_EXIT,
+    isKilled: false,
+  },
+  {
+    name: 'logs more lines while its log closes and after it, and exits',
+    start: KEEP_WRITERS_BUSY,
+    pause: '',
+    end: `
+      const closed = log.close();
+      setImmediate(() => log.write('info', 'request', 'Logged while the log closes.'));
+      await closed;
+      log.write('info', 'request', 'Logged after the log was closed.');
+      process.exit();`,
+    isKilled: false,
+  },
 ];
 
-async function runProcess({ end, isKilled }: Case) {
+function startProcess(lines: number, { end, pause, start }: Omit<Case, 'name' | 'isKilled'>) {
   const script = `
+    ${start}
     import { createEntryLogWriter } from ${JSON.stringify(MODULE_URL)};
     const log = createEntryLogWriter('info', 'vm-1');
-    for (let i = 0; i < ${LINES}; i += 1) {
+    for (let i = 0; i < ${lines}; i += 1) {
       log.write('info', 'request', 'The request ended.', { request: String(i) });
-      await new Promise((resolve) => { setImmediate(resolve); });
+      ${pause}
     }
     ${end}`;
-  const child = spawn(process.execPath, ['--input-type=module', '-e', script]);
+  return spawn(process.execPath, ['--input-type=module', '-e', script]);
+}
+
+async function runProcess({ isKilled, ...steps }: Case) {
+  const child = startProcess(LINES, steps);
   const chunks: string[] = [];
   child.stdout.on('data', (chunk: Buffer) => {
     chunks.push(chunk.toString());
   });
-  const ended = new Promise((resolve) => {
+  const ended = new Promise<number | null>((resolve) => {
     child.on('close', resolve);
   });
   if (isKilled) {
     await sleep(KILL_AFTER_MS + WRITTEN_MS);
     child.kill('SIGKILL');
   }
-  await ended;
-  return { chunks, lines: chunks.join('').trim().split('\n') };
+  const exitCode = await ended;
+  return { chunks, exitCode, lines: chunks.join('').trim().split('\n') };
 }
 
 describe('the log of a process that', () => {
-  it.each(CASES)('$name has all lines in few writes', async (scenario) => {
-    const { chunks, lines } = await runProcess(scenario);
+  it.each(CASES)('$name has all lines in order and in few writes', async (scenario) => {
+    const { chunks, exitCode, lines } = await runProcess(scenario);
     expect(lines.map((line) => (JSON.parse(line) as { request: string }).request)).toEqual(
       Array.from({ length: LINES }, (_, i) => String(i)),
     );
     expect(chunks.length).toBeLessThan(LINES / 4);
+    expect(exitCode).toBe(scenario.isKilled ? null : 0);
   });
 });
--- a/tests/stand-ins/entryVms.ts
+++ b/tests/stand-ins/entryVms.ts
@@ -10,7 +10,11 @@
 import type { EntrySettings } from '../../src/transport/entry/settings.js';
 import { findFreePort } from './processes.js';
 
-const SILENT_LOG: EntryLog = { write: () => {}, countDropped: () => 0, flush: () => {} };
+const SILENT_LOG: EntryLog = {
+  write: () => {},
+  countDropped: () => 0,
+  close: () => Promise.resolve(),
+};
 const WAIT_MS = 10_000;
 const POLL_MS = 20;
 
