Let a process end although nobody reads its log

A VM whose log collector hangs would not have ended its planned stop by itself.

Cause: a write to a pipe that is full keeps one thread of the pool, and an exit of Node.js waits for its threads; besides, pino flushes the log synchronously at the exit.

The pipe is made non-blocking, so that a write that finds it full is tried again later, and the destination of a log that was given up is destroyed.

--- a/src/transport/entry/entryLog.ts
+++ b/src/transport/entry/entryLog.ts
@@ -49,7 +49,8 @@
   let reportedCount = 0;
   let isClosed = false;
   const destination = pino.destination({
-    dest: 1,
+    // Opening the stream makes a pipe non-blocking. A blocked write would keep a thread, and the process with it, until it is read.
+    dest: process.stdout.fd,
     sync: false,
     minLength: WRITE_BYTES,
     periodicFlush: FLUSH_INTERVAL_MS,
@@ -79,7 +80,8 @@
         isClosed = true;
         clearInterval(timer);
         destination.once('close', resolve);
-        setTimeout(resolve, CLOSE_TIMEOUT_MS);
+        // A destination that is not destroyed is flushed synchronously at the exit.
+        setTimeout(() => destination.destroy(), CLOSE_TIMEOUT_MS);
         destination.end();
       }),
   };
--- a/tests/processes/entryLog.test.ts
+++ b/tests/processes/entryLog.test.ts
@@ -10,6 +10,8 @@
 /** Longest time after which a line has been written. */
 const WRITTEN_MS = 500;
 const KILL_AFTER_MS = 1_500;
+/** Longest time in which a process ends although nobody reads its log: the limit of the last writes and a start of Node.js. */
+const UNREAD_END_MS = 5_000;
 const MODULE_URL = new URL('../../dist/src/transport/entry/entryLog.js', import.meta.url).href;
 
 /** Lets the event loop turn after each line, so that writes end meanwhile. */
@@ -106,4 +108,14 @@
     expect(chunks.length).toBeLessThan(LINES / 4);
     expect(exitCode).toBe(scenario.isKilled ? null : 0);
   });
+
+  it('closes its log while nobody reads it does not keep the process', async () => {
+    const child = startProcess(4_000, { start: '', pause: '', end: CLOSE_AND_EXIT });
+    const exited = new Promise<string>((resolve) => {
+      child.on('exit', (code) => resolve(`exit ${code}`));
+    });
+    const first = await Promise.race([exited, sleep(UNREAD_END_MS, 'still running')]);
+    child.kill('SIGKILL');
+    expect(first).toBe('exit 0');
+  });
 });
