Keep the lists of servers that hold a model

The servers of a service that have loaded a model are listed once and kept until the entry of one of them changes. What changes without an entry (crashes, pauses, missing models, attempts of the request) is looked at as before, for these servers alone. Lists without servers are not kept, since callers may name any model.

--- a/src/coordination/entry/adapterRequests.ts
+++ b/src/coordination/entry/adapterRequests.ts
@@ -1,7 +1,8 @@
 /**
  * Requests to the controller to load an adapter that a waiting request needs and that no engine holds.
  */
-import { findResidentModel, getVariantKey } from '../../state/entry/backends.js';
+import { listOffering } from '../../state/entry/backendLists.js';
+import { getVariantKey } from '../../state/entry/backends.js';
 import { type EntryCommand, EntryCommandKind } from './commands.js';
 import { isAcceptingRequests } from './backendSelection.js';
 import type { EntryState, ForwardRecord } from './state.js';
@@ -10,12 +11,7 @@
 const MIN_REQUEST_INTERVAL_MS = 250;
 
 function isBaseModelLoaded(state: EntryState, service: string, model: string): boolean {
-  return [...state.backends.values()].some(
-    (backend) =>
-      backend.entry.service === service &&
-      isAcceptingRequests(backend) &&
-      findResidentModel(backend.entry, model) !== undefined,
-  );
+  return listOffering(state.backendLists, state.backends, service, model).some(isAcceptingRequests);
 }
 
 /**
--- a/src/coordination/entry/backendRegistry.ts
+++ b/src/coordination/entry/backendRegistry.ts
@@ -5,6 +5,7 @@
  * a pause, holds when it registers again in the same incarnation, and a store that was restored from a copy does not bring
  * back a server that has left.
  */
+import { discardListsOf } from '../../state/entry/backendLists.js';
 import {
   type Backend,
   type BackendEntry,
@@ -55,6 +56,7 @@
 function dropBackend(state: EntryState, backend: Backend, nowMs: number): EntryCommand[] {
   const { entry } = backend;
   state.backends.delete(entry.id);
+  discardListsOf(state.backendLists, entry);
   state.departedServers.set(entry.id, { entry, stated: getStatedFacts(backend), atMs: nowMs });
   return recallUnsent(state, backend);
 }
@@ -70,6 +72,7 @@
     state.permitShareVmIds = [];
   }
   state.backends.set(entry.id, backend);
+  discardListsOf(state.backendLists, entry);
 }
 
 /** Forgets servers that were dropped long ago. */
@@ -97,9 +100,13 @@
   state.copiedEntries.delete(entry.id);
   const isReplaced = existing !== undefined && !isSameIncarnation(existing.entry, entry);
   const isNowLeaving = existing !== undefined && !existing.isLeaving && entry.isLeaving;
+  if (existing !== undefined) {
+    discardListsOf(state.backendLists, existing.entry);
+  }
   if (existing === undefined || isReplaced) {
     addBackend(state, entry, revision);
   } else {
+    discardListsOf(state.backendLists, entry);
     existing.isLeaving ||= entry.isLeaving;
     existing.entry = entry;
     existing.revision = revision;
--- a/src/coordination/entry/backendSelection.ts
+++ b/src/coordination/entry/backendSelection.ts
@@ -6,6 +6,7 @@
  * by the load that answers report. In-flight requests differ from VM to VM, so the VMs do not all choose the same
  * server.
  */
+import { isOffering, listOffering } from '../../state/entry/backendLists.js';
 import { type Backend, getVariantKey, holdsVariant } from '../../state/entry/backends.js';
 import type { CrashReport } from '../../state/entry/promptEvidence.js';
 import { nextRandomInt } from '../../state/random.js';
@@ -83,24 +84,39 @@
   'request' | 'service' | 'possiblyRunBackendIds' | 'notRunBackendIds'
 >;
 
-/** Returns whether a server is of a request's service, holds its model, has not been tried, and can be waited for. */
-export function isHolder(record: Target, backend: Backend, nowMs: number): boolean {
-  const { notRunBackendIds, possiblyRunBackendIds, request, service } = record;
-  const { id, service: offeredService } = backend.entry;
+/** Returns the model that a server must have loaded to run a request; null if any server of its service will do. */
+function getNeededModel({ request, service }: Target): string | null {
+  return service.engine === null ? null : request.model;
+}
+
+/** Returns whether a server that offers a request's model holds all that it needs, has not been tried, and can be waited for. */
+function isUsable(record: Target, backend: Backend, nowMs: number): boolean {
+  const { notRunBackendIds, possiblyRunBackendIds, request } = record;
+  const { id } = backend.entry;
+  const model = getNeededModel(record);
   return (
-    offeredService === service.name &&
-    (service.engine === null ||
-      request.model === null ||
-      holdsVariant(backend, request.model, request.adapter, nowMs)) &&
+    (model === null || holdsVariant(backend, model, request.adapter, nowMs)) &&
     !possiblyRunBackendIds.includes(id) &&
     !notRunBackendIds.includes(id) &&
     isEligible(backend, nowMs)
   );
 }
 
+/** Returns whether a server is of a request's service, holds its model, has not been tried, and can be waited for. */
+export function isHolder(record: Target, backend: Backend, nowMs: number): boolean {
+  return (
+    isOffering(backend, record.service.name, getNeededModel(record)) &&
+    isUsable(record, backend, nowMs)
+  );
+}
+
 /** Returns the servers of a request's service that hold its model and have not been tried, also those to wait for. */
 export function findHolders(state: EntryState, record: Target, nowMs: number): Backend[] {
-  return [...state.backends.values()].filter((backend) => isHolder(record, backend, nowMs));
+  const { backendLists, backends } = state;
+  const model = getNeededModel(record);
+  return listOffering(backendLists, backends, record.service.name, model).filter((backend) =>
+    isUsable(record, backend, nowMs),
+  );
 }
 
 /** Returns the servers of a request's service that can run it now and have not been tried. */
--- a/src/coordination/entry/state.ts
+++ b/src/coordination/entry/state.ts
@@ -2,6 +2,7 @@
  * Defines the state of one entry VM. The event loop owns it: only event handlers change it, one event at a time.
  */
 import type { Diagnostic } from '../../state/diagnostics.js';
+import type { BackendLists } from '../../state/entry/backendLists.js';
 import type { Backend, BackendEntry, StatedFacts } from '../../state/entry/backends.js';
 import type {
   Deployment,
@@ -192,7 +193,9 @@
   deployment: Deployment | null;
   /** Store revision of the configuration in force. */
   deploymentRevision: number;
+  /** Changed only by `backendRegistry.ts`, which keeps `backendLists` in step. */
   readonly backends: Map<string, Backend>;
+  readonly backendLists: BackendLists;
   /** By server id. */
   readonly copiedEntries: Map<string, CopiedEntry>;
   /** The servers that were dropped recently, by id. */
@@ -280,6 +283,7 @@
     deployment: null,
     deploymentRevision: 0,
     backends: new Map(),
+    backendLists: new Map(),
     copiedEntries: new Map(),
     departedServers: new Map(),
     backendsRevision: 0,
