--- a/bench/placement.ts
+++ b/bench/placement.ts
@@ -12,7 +12,7 @@
   planNextStep,
   type PlanStep,
   WeightSource,
-} from '../src/coordination/entry/placementPlanner.js';
+} from '../src/coordination/entry/placement/placementPlanner.js';
 import type { EngineModel, EngineProfile } from '../src/state/entry/deployment.js';
 import { createRandom, nextRandom, nextRandomInt, type RandomState } from '../src/state/random.js';
 import { printFigure } from './figures.js';
--- a/src/coordination/entry/commands.ts
+++ b/src/coordination/entry/commands.ts
@@ -7,7 +7,7 @@
 import type { Refusal } from '../../state/types.js';
 import type { LogLevel, RequestMetrics } from '../events.js';
 import type { EngineOrder, EntryEvent, LimitName, PeerMessage, StoreRequest } from './events.js';
-import type { PeerCallPurpose } from './peerCallPurpose.js';
+import type { PeerCallPurpose } from './exchange/peerCallPurpose.js';
 
 /** The kinds of commands that the event loop issues. */
 export const EntryCommandKind = {
--- a/src/coordination/entry/crashDetection.ts
+++ b/src/coordination/entry/evidence/crashDetection.ts
@@ -10,23 +10,28 @@
   recordCrash,
   recordHealthyParts,
   type Suspect,
-} from '../../state/entry/promptEvidence.js';
-import type { Diagnostic } from '../../state/diagnostics.js';
-import type { Backend } from '../../state/entry/backends.js';
-import { RunState } from '../../state/types.js';
-import { LogLevel } from '../events.js';
-import { markCrashed } from './backendSelection.js';
-import { createEntryLog, type EntryCommand, EntryCommandKind, EntryLogPrefix } from './commands.js';
-import { type EntryEventKind, type EntryEventOf, ProbeOutcome } from './events.js';
-import { spreadEvidence } from './evidenceSpread.js';
+} from '../../../state/entry/promptEvidence.js';
+import type { Diagnostic } from '../../../state/diagnostics.js';
+import type { Backend } from '../../../state/entry/backends.js';
+import { RunState } from '../../../state/types.js';
+import { LogLevel } from '../../events.js';
+import { markCrashed } from '../requests/backendSelection.js';
+import {
+  createEntryLog,
+  type EntryCommand,
+  EntryCommandKind,
+  EntryLogPrefix,
+} from '../commands.js';
+import { type EntryEventKind, type EntryEventOf, ProbeOutcome } from '../events.js';
+import { spreadEvidence } from '../exchange/evidenceSpread.js';
 import { isAnswerHealthy, reviewEvidence } from './quarantines.js';
-import { retryOrEnd } from './retries.js';
+import { retryOrEnd } from '../requests/retries.js';
 import {
   type EntryState,
   ForwardPhase,
   type ForwardRecord,
   type LostConnections,
-} from './state.js';
+} from '../state.js';
 
 /** Whether the loss of a request's connection is the crash of its server. */
 export const LossCause = {
--- a/src/coordination/entry/quarantineStore.ts
+++ b/src/coordination/entry/evidence/quarantineStore.ts
@@ -2,12 +2,15 @@
  * Keeps the quarantines in the store, so that they outlast a restart of all VMs. The controller writes them; every VM
  * reads them. An operator lifts a quarantine by releasing it there.
  */
-import { createRelativeQuarantines, shiftQuarantine } from '../../state/entry/evidenceReports.js';
-import { getQuarantineKey, isLaterQuarantine } from '../../state/entry/quarantineTable.js';
-import { type EntryCommand, EntryCommandKind } from './commands.js';
-import type { EntryEventKind, EntryEventOf } from './events.js';
+import {
+  createRelativeQuarantines,
+  shiftQuarantine,
+} from '../../../state/entry/evidenceReports.js';
+import { getQuarantineKey, isLaterQuarantine } from '../../../state/entry/quarantineTable.js';
+import { type EntryCommand, EntryCommandKind } from '../commands.js';
+import type { EntryEventKind, EntryEventOf } from '../events.js';
 import { mergePromptEvidence } from './quarantines.js';
-import type { EntryState } from './state.js';
+import type { EntryState } from '../state.js';
 
 /** Time within which the watch shows what was written; after it, the write is taken as failed. */
 const WRITE_INTERVAL_MS = 1_000;
--- a/src/coordination/entry/quarantines.ts
+++ b/src/coordination/entry/evidence/quarantines.ts
@@ -2,16 +2,16 @@
  * Applies the evidence about prompts that crash backend servers: quarantines prompt parts, rejects requests that have
  * them, and merges the evidence of the other VMs. No VM sees enough crashes by itself.
  */
-import { createDiagnostic, type Diagnostic, Diagnostics } from '../../state/diagnostics.js';
-import { addQuarantines, isRetryDoubtful } from '../../state/entry/crashAttribution.js';
-import type { PromptEvidenceReport } from '../../state/entry/evidenceReports.js';
+import { createDiagnostic, type Diagnostic, Diagnostics } from '../../../state/diagnostics.js';
+import { addQuarantines, isRetryDoubtful } from '../../../state/entry/crashAttribution.js';
+import type { PromptEvidenceReport } from '../../../state/entry/evidenceReports.js';
 import {
   getSharedParts,
   mergeHealthyParts,
   type Quarantine,
   recordCrash,
   recordHealthyParts,
-} from '../../state/entry/promptEvidence.js';
+} from '../../../state/entry/promptEvidence.js';
 import {
   expireEvidence,
   extendQuarantines,
@@ -21,13 +21,17 @@
   isRefuted,
   mergeQuarantine,
   releaseQuarantine,
-} from '../../state/entry/quarantineTable.js';
-import { LogLevel } from '../events.js';
-import { markCrashed } from './backendSelection.js';
-import { createEntryLog, type EntryCommand, EntryLogPrefix, type LogFields } from './commands.js';
-import { spreadEvidence } from './evidenceSpread.js';
-import { getRequestLogFields, refuseForward, terminateForward } from './requestCompletion.js';
-import { type EntryState, ForwardPhase, type ForwardRecord } from './state.js';
+} from '../../../state/entry/quarantineTable.js';
+import { LogLevel } from '../../events.js';
+import { markCrashed } from '../requests/backendSelection.js';
+import { createEntryLog, type EntryCommand, EntryLogPrefix, type LogFields } from '../commands.js';
+import { spreadEvidence } from '../exchange/evidenceSpread.js';
+import {
+  getRequestLogFields,
+  refuseForward,
+  terminateForward,
+} from '../requests/requestCompletion.js';
+import { type EntryState, ForwardPhase, type ForwardRecord } from '../state.js';
 
 /** An answer that has been running for this time shows that its prompt does not crash its server. */
 const HEALTHY_AFTER_MS = 200;
--- a/src/coordination/entry/evidenceExchange.ts
+++ b/src/coordination/entry/exchange/evidenceExchange.ts
@@ -6,12 +6,12 @@
   createEvidenceReport,
   type EvidenceReport,
   shiftEvidenceReport,
-} from '../../state/entry/evidenceReports.js';
-import type { EntryCommand } from './commands.js';
-import { listLeaving, mergeLeaving } from './leavingServers.js';
-import { mergePromptEvidence } from './quarantines.js';
-import { listLimits, mergeLimits } from './serverLimits.js';
-import type { EntryState } from './state.js';
+} from '../../../state/entry/evidenceReports.js';
+import type { EntryCommand } from '../commands.js';
+import { listLeaving, mergeLeaving } from '../servers/leavingServers.js';
+import { mergePromptEvidence } from '../evidence/quarantines.js';
+import { listLimits, mergeLimits } from '../limits/serverLimits.js';
+import type { EntryState } from '../state.js';
 
 /** Returns the evidence to send to a peer, with times relative to now. */
 export function createRelativeEvidence(state: EntryState, nowMs: number): EvidenceReport {
--- a/src/coordination/entry/evidenceSpread.ts
+++ b/src/coordination/entry/exchange/evidenceSpread.ts
@@ -1,9 +1,9 @@
 /**
  * Sends what a VM has learned of backend servers to some peers at once, instead of with the next gossip round.
  */
-import { createEntryTimer, type EntryCommand } from './commands.js';
-import { EntryEventKind } from './events.js';
-import type { EntryState } from './state.js';
+import { createEntryTimer, type EntryCommand } from '../commands.js';
+import { EntryEventKind } from '../events.js';
+import type { EntryState } from '../state.js';
 
 /** Delay before new evidence is sent on, so that one message has all that arrives together. */
 const SPREAD_DELAY_MS = 20;
--- a/src/coordination/entry/exchangePeers.ts
+++ b/src/coordination/entry/exchange/exchangePeers.ts
@@ -1,10 +1,10 @@
 /**
  * Chooses the VMs with which a VM exchanges its reports, and those to which it sends what it has just learned.
  */
-import { nextRandomInt } from '../../state/random.js';
-import type { ListedEntryVm } from './events.js';
+import { nextRandomInt } from '../../../state/random.js';
+import type { ListedEntryVm } from '../events.js';
 import { selectRelay } from './relays.js';
-import { type EntryState, RelayRole } from './state.js';
+import { type EntryState, RelayRole } from '../state.js';
 
 /** Number of other relays to which a relay sends new evidence at once; three hops then reach a hundred relays. */
 const EVIDENCE_FANOUT = 5;
--- a/src/coordination/entry/fleetDemands.ts
+++ b/src/coordination/entry/exchange/fleetDemands.ts
@@ -4,17 +4,17 @@
  * A VM that has just changed its relay may be counted twice until its report at the earlier relay is too old. That lowers
  * the shares of the other VMs and never raises them.
  */
-import { sumModelDemands, sumWorkspaceDemands } from '../../state/entry/demandSums.js';
+import { sumModelDemands, sumWorkspaceDemands } from '../../../state/entry/demandSums.js';
 import type {
   FleetDemand,
   Lender,
   ModelDemand,
   WorkspaceDemand,
-} from '../../state/entry/reports.js';
-import { nextRandomInt } from '../../state/random.js';
+} from '../../../state/entry/reports.js';
+import { nextRandomInt } from '../../../state/random.js';
 import { isFreshReport } from './othersDemand.js';
 import { listModelDemands, listWorkspaceDemands } from './ownDemands.js';
-import type { EntryState } from './state.js';
+import type { EntryState } from '../state.js';
 
 /** Demands for models that are older than this are left out. */
 const MODEL_REPORT_MAX_AGE_MS = 5_000;
--- a/src/coordination/entry/gossip.ts
+++ b/src/coordination/entry/exchange/gossip.ts
@@ -3,21 +3,21 @@
  * each report includes the demands of the VMs that the relay relays for. Any other VM exchanges its own report with its
  * relay. So what a VM sends and receives does not grow with the number of VMs.
  */
-import type { EvidenceReport } from '../../state/entry/evidenceReports.js';
+import type { EvidenceReport } from '../../../state/entry/evidenceReports.js';
 import {
   createBoardUpdate,
   mergeBoard,
   type PlacementBoard,
   type VmReport,
-} from '../../state/entry/reports.js';
-import { createEntryTimer, type EntryCommand, EntryCommandKind } from './commands.js';
+} from '../../../state/entry/reports.js';
+import { createEntryTimer, type EntryCommand, EntryCommandKind } from '../commands.js';
 import {
   EntryEventKind,
   type EntryEventOf,
   type ListedEntryVm,
   type PeerMessage,
   StoreRequest,
-} from './events.js';
+} from '../events.js';
 import { PeerCallPurpose } from './peerCallPurpose.js';
 import { createRelativeEvidence, mergeEvidence } from './evidenceExchange.js';
 import { withoutSpreading } from './evidenceSpread.js';
@@ -28,11 +28,11 @@
   selectRandom,
 } from './exchangePeers.js';
 import { summarizeFleet, summarizeModelDemands, summarizeOwnReports } from './fleetDemands.js';
-import { dispatchWaiting } from './forwarding.js';
+import { dispatchWaiting } from '../requests/forwarding.js';
 import { listModelDemands, listWorkspaceDemands } from './ownDemands.js';
-import { expireLoanAnswers } from './rateLoans.js';
+import { expireLoanAnswers } from '../limits/rateLoans.js';
 import { countVmsPerRelay, markRelayFailed, selectRelay, updateRelayRole } from './relays.js';
-import { type EntryState, isShuttingDown, RelayRole } from './state.js';
+import { type EntryState, isShuttingDown, RelayRole } from '../state.js';
 
 /** Reports that were received longer ago than this are not sent on. */
 const REPORT_MAX_AGE_MS = 5_000;
--- a/src/coordination/entry/modelDemands.ts
+++ b/src/coordination/entry/exchange/modelDemands.ts
@@ -2,11 +2,11 @@
  * Aggregates the demand for the models of a service over all VMs, for the placement by the
  * controller.
  */
-import { getVariantKey } from '../../state/entry/backends.js';
-import type { ForwardService } from '../../state/entry/deployment.js';
+import { getVariantKey } from '../../../state/entry/backends.js';
+import type { ForwardService } from '../../../state/entry/deployment.js';
 import { listFleetModelDemands } from './fleetDemands.js';
-import { type ModelDemandTotals, NO_DEMAND } from './placementPlanner.js';
-import type { EntryState } from './state.js';
+import { type ModelDemandTotals, NO_DEMAND } from '../placement/placementPlanner.js';
+import type { EntryState } from '../state.js';
 
 /** Records the highest urgency seen for a model, which is kept after its demand has decayed. */
 function recordUrgencyWeight(state: EntryState, key: string, demand: ModelDemandTotals): void {
--- a/src/coordination/entry/othersDemand.ts
+++ b/src/coordination/entry/exchange/othersDemand.ts
@@ -1,9 +1,9 @@
 /**
  * The demand of the other VMs for a workspace's rate, as far as this VM knows it.
  */
-import { sumWorkspaceDemands } from '../../state/entry/demandSums.js';
-import type { Lender, VmReport, WorkspaceDemand } from '../../state/entry/reports.js';
-import { type EntryState, type PeerRecord, RelayRole } from './state.js';
+import { sumWorkspaceDemands } from '../../../state/entry/demandSums.js';
+import type { Lender, VmReport, WorkspaceDemand } from '../../../state/entry/reports.js';
+import { type EntryState, type PeerRecord, RelayRole } from '../state.js';
 
 /** Reports that are older than this are left out: some rounds of the exchange between VMs. */
 const REPORT_MAX_AGE_MS = 2_500;
--- a/src/coordination/entry/ownDemands.ts
+++ b/src/coordination/entry/exchange/ownDemands.ts
@@ -1,12 +1,12 @@
 /**
  * The demands at this VM, in the form in which it reports them to the other VMs.
  */
-import type { ModelDemand, WorkspaceDemand } from '../../state/entry/reports.js';
+import type { ModelDemand, WorkspaceDemand } from '../../../state/entry/reports.js';
 import { getDemand, listDemands } from './demand.js';
-import { countWaitingRequests } from './forwarding.js';
-import { getWorkspaceSpareTokens } from './rateLoans.js';
-import { getRateHolders } from './rates.js';
-import { type EntryState, isShuttingDown } from './state.js';
+import { countWaitingRequests } from '../requests/forwarding.js';
+import { getWorkspaceSpareTokens } from '../limits/rateLoans.js';
+import { getRateHolders } from '../limits/rates.js';
+import { type EntryState, isShuttingDown } from '../state.js';
 
 /** Returns whether the VMs divide a workspace's rate by their demands. */
 function isDividedByDemand(state: EntryState, name: string): boolean {
--- a/src/coordination/entry/relays.ts
+++ b/src/coordination/entry/exchange/relays.ts
@@ -6,17 +6,17 @@
  * reports for the store's changes and the demands of the fleet with one of them. A VM reads the store itself while it is
  * the controller, and while no relay that it may use answers with current data.
  */
-import { hashText } from '../../state/random.js';
-import { LogLevel } from '../events.js';
+import { hashText } from '../../../state/random.js';
+import { LogLevel } from '../../events.js';
 import {
   createEntryLog,
   createEntryTimer,
   type EntryCommand,
   EntryCommandKind,
   EntryLogPrefix,
-} from './commands.js';
-import { EntryEventKind, type ListedEntryVm } from './events.js';
-import { type EntryState, RelayRole } from './state.js';
+} from '../commands.js';
+import { EntryEventKind, type ListedEntryVm } from '../events.js';
+import { type EntryState, RelayRole } from '../state.js';
 
 /** Two relays, so that the failure of one leaves another with the same data. */
 const RELAYS_PER_DOMAIN = 2;
--- a/src/coordination/entry/handlers.ts
+++ b/src/coordination/entry/handlers.ts
@@ -1,12 +1,12 @@
 /**
  * The lookup table that maps each kind of event of an entry VM to its handler.
  */
-import { handleAdapterRequestAnswered } from './adapterAnswers.js';
+import { handleAdapterRequestAnswered } from './placement/adapterAnswers.js';
 import {
   handleCallerDisconnected,
   handleRequestArrived,
   handleRequestDeadlineReached,
-} from './admission.js';
+} from './requests/admission.js';
 import {
   runControllerIfActive,
   handleAdapterRequested,
@@ -16,13 +16,13 @@
   handleEngineReported,
   handleOrderAnswered,
   handleSuspended,
-} from './controller.js';
+} from './placement/controller.js';
 import {
   handleBackendsRead,
   handleConfigurationRead,
   handleStoreReachabilityRead,
   handleVmsRead,
-} from './discovery.js';
+} from './servers/discovery.js';
 import type { EntryCommand } from './commands.js';
 import { type EntryEvent, EntryEventKind, type EntryEventOf } from './events.js';
 import {
@@ -31,26 +31,26 @@
   handleAnswerReady,
   handleAttemptFailed,
   handleAttemptStalled,
-} from './attempts.js';
-import { handleWaitTimedOut } from './forwarding.js';
-import { handleServerStated } from './serverStatements.js';
+} from './requests/attempts.js';
+import { handleWaitTimedOut } from './requests/forwarding.js';
+import { handleServerStated } from './servers/serverStatements.js';
 import {
   handleSettingsRead,
   handleStopRequested,
   handleStopStep,
   handleMaintenanceTick,
 } from './lifecycle.js';
-import { handleBackendProbed } from './crashDetection.js';
+import { handleBackendProbed } from './evidence/crashDetection.js';
 import {
   handleEvidenceSpread,
   handlePeerCallFailed,
   handlePeerMessage,
   handlePeerTick,
-} from './gossip.js';
-import { handleStoreRestored } from './restoredStore.js';
-import { handleQuarantinesRead } from './quarantineStore.js';
-import { handleLoanAnswered, handleLoanRequested } from './loans.js';
-import { handleLimitReported } from './serverLimits.js';
+} from './exchange/gossip.js';
+import { handleStoreRestored } from './servers/restoredStore.js';
+import { handleQuarantinesRead } from './evidence/quarantineStore.js';
+import { handleLoanAnswered, handleLoanRequested } from './limits/loans.js';
+import { handleLimitReported } from './limits/serverLimits.js';
 import type { EntryState } from './state.js';
 
 type EntryHandler<K extends EntryEventKind> = (
--- a/src/coordination/entry/lifecycle.ts
+++ b/src/coordination/entry/lifecycle.ts
@@ -13,17 +13,17 @@
   EntryLogPrefix,
 } from './commands.js';
 import { EntryEventKind, type EntryEventOf, StopStep } from './events.js';
-import { requestAdapter } from './adapterRequests.js';
-import { forgetDeparted, removeExpiredBackends } from './backendRegistry.js';
-import { dispatchWaiting } from './forwarding.js';
-import { expirePromptEvidence } from './quarantines.js';
-import { applyCopiedEntries } from './restoredStore.js';
-import { storeQuarantines } from './quarantineStore.js';
+import { requestAdapter } from './placement/adapterRequests.js';
+import { forgetDeparted, removeExpiredBackends } from './servers/backendRegistry.js';
+import { dispatchWaiting } from './requests/forwarding.js';
+import { expirePromptEvidence } from './evidence/quarantines.js';
+import { applyCopiedEntries } from './servers/restoredStore.js';
+import { storeQuarantines } from './evidence/quarantineStore.js';
 import { STOPPING_RETRY_AFTER_MS } from './policy.js';
-import { terminateForward } from './requestCompletion.js';
+import { terminateForward } from './requests/requestCompletion.js';
 import type { EntryPolicy } from './policy.js';
-import { updatePermitShares } from './serverLimits.js';
-import { reportEndedPauses } from './serverPauses.js';
+import { updatePermitShares } from './limits/serverLimits.js';
+import { reportEndedPauses } from './servers/serverPauses.js';
 import {
   EntryLifecycle,
   type EntryState,
--- a/src/coordination/entry/lenders.ts
+++ b/src/coordination/entry/limits/lenders.ts
@@ -1,7 +1,7 @@
 /**
  * Finds the VMs that this VM may ask for a loan.
  */
-import { type EntryState, RelayRole } from './state.js';
+import { type EntryState, RelayRole } from '../state.js';
 
 /** A relayed VM of which nothing was heard for this time is not asked. */
 const REPORT_MAX_AGE_MS = 2_500;
--- a/src/coordination/entry/loans.ts
+++ b/src/coordination/entry/limits/loans.ts
@@ -1,13 +1,13 @@
 /**
  * Lends tokens of the limits that the VMs divide among themselves, and uses those that other VMs lend.
  */
-import { handleRateLoan } from './admission.js';
-import { type EntryCommand, EntryCommandKind } from './commands.js';
-import { type EntryEventKind, type EntryEventOf, LimitKind } from './events.js';
-import { handlePermitLoan } from './forwarding.js';
+import { handleRateLoan } from '../requests/admission.js';
+import { type EntryCommand, EntryCommandKind } from '../commands.js';
+import { type EntryEventKind, type EntryEventOf, LimitKind } from '../events.js';
+import { handlePermitLoan } from '../requests/forwarding.js';
 import { lendRate, type Loan } from './rateLoans.js';
 import { lendPermits } from './serverLimits.js';
-import type { EntryState } from './state.js';
+import type { EntryState } from '../state.js';
 
 type Lender = (state: EntryState, name: string, tokens: number, nowMs: number) => Loan;
 type LoanHandler = (
--- a/src/coordination/entry/rateLoans.ts
+++ b/src/coordination/entry/limits/rateLoans.ts
@@ -3,17 +3,17 @@
  * out of tokens while others have unused ones. The tokens leave the lender's bucket before they enter the borrower's,
  * and are lost if the answer is lost, so that loans never increase the total that all VMs may spend.
  */
-import type { ForwardWorkspace } from '../../state/entry/deployment.js';
-import { getBucketShortage, type RateBucket } from '../../state/entry/rateBucket.js';
-import type { Lender } from '../../state/entry/reports.js';
-import { nextRandomInt } from '../../state/random.js';
-import { getDemand } from './demand.js';
-import { type EntryCommand, EntryCommandKind } from './commands.js';
-import { type EntryEventKind, type EntryEventOf, LimitKind } from './events.js';
+import type { ForwardWorkspace } from '../../../state/entry/deployment.js';
+import { getBucketShortage, type RateBucket } from '../../../state/entry/rateBucket.js';
+import type { Lender } from '../../../state/entry/reports.js';
+import { nextRandomInt } from '../../../state/random.js';
+import { getDemand } from '../exchange/demand.js';
+import { type EntryCommand, EntryCommandKind } from '../commands.js';
+import { type EntryEventKind, type EntryEventOf, LimitKind } from '../events.js';
 import { findLender, type LenderAddress } from './lenders.js';
-import { getOthersDemand } from './othersDemand.js';
+import { getOthersDemand } from '../exchange/othersDemand.js';
 import { getRateBucket, getRateHolders } from './rates.js';
-import { type EntryState, ForwardPhase, type ForwardRecord } from './state.js';
+import { type EntryState, ForwardPhase, type ForwardRecord } from '../state.js';
 
 /** Maximum number of VMs asked for one request. Each loan request delays it by a few milliseconds. */
 const MAX_LENDERS = 3;
--- a/src/coordination/entry/rates.ts
+++ b/src/coordination/entry/limits/rates.ts
@@ -6,7 +6,7 @@
  * otherwise the excess that the platform tolerates covers the difference. Without reports a VM takes an equal share. In a
  * large fleet only some VMs have a share of a workspace's rate, since the others' would be smaller than a request.
  */
-import type { ForwardWorkspace } from '../../state/entry/deployment.js';
+import type { ForwardWorkspace } from '../../../state/entry/deployment.js';
 import {
   createRateBucket,
   getBucketWaitMs,
@@ -14,10 +14,10 @@
   refundBucket,
   resizeRateBucket,
   takeFromBucket,
-} from '../../state/entry/rateBucket.js';
-import { selectByRendezvous } from '../../state/entry/rendezvous.js';
-import { getLastMeanDemand, getOthersDemand } from './othersDemand.js';
-import { countVmsSharingLimits, type EntryState } from './state.js';
+} from '../../../state/entry/rateBucket.js';
+import { selectByRendezvous } from '../../../state/entry/rendezvous.js';
+import { getLastMeanDemand, getOthersDemand } from '../exchange/othersDemand.js';
+import { countVmsSharingLimits, type EntryState } from '../state.js';
 
 /** Fraction of the rate that is divided equally, regardless of demand. */
 const EQUAL_FRACTION = 0.75;
--- a/src/coordination/entry/serverLimits.ts
+++ b/src/coordination/entry/limits/serverLimits.ts
@@ -4,27 +4,32 @@
  * A VM that reads a limit tells the others. Each VM then has a token bucket for the server; every dispatch takes one
  * token, also those of retries and resumed streams. VMs without a token borrow one from a VM that has a share.
  */
-import type { Backend } from '../../state/entry/backends.js';
+import type { Backend } from '../../../state/entry/backends.js';
 import {
   getPermitShare,
   getUsableRate,
   selectShareHolders,
-} from '../../state/entry/permitShares.js';
-import type { LimitReport } from '../../state/entry/evidenceReports.js';
+} from '../../../state/entry/permitShares.js';
+import type { LimitReport } from '../../../state/entry/evidenceReports.js';
 import {
   createRateBucket,
   getBucketWaitMs,
   resizeRateBucket,
   takeFromBucket,
-} from '../../state/entry/rateBucket.js';
-import { nextRandomInt } from '../../state/random.js';
-import { LogLevel } from '../events.js';
-import { createEntryLog, type EntryCommand, EntryCommandKind, EntryLogPrefix } from './commands.js';
-import { type EntryEventKind, type EntryEventOf, LimitKind } from './events.js';
-import { spreadEvidence } from './evidenceSpread.js';
+} from '../../../state/entry/rateBucket.js';
+import { nextRandomInt } from '../../../state/random.js';
+import { LogLevel } from '../../events.js';
+import {
+  createEntryLog,
+  type EntryCommand,
+  EntryCommandKind,
+  EntryLogPrefix,
+} from '../commands.js';
+import { type EntryEventKind, type EntryEventOf, LimitKind } from '../events.js';
+import { spreadEvidence } from '../exchange/evidenceSpread.js';
 import { findLender } from './lenders.js';
 import type { Loan } from './rateLoans.js';
-import { countVmsSharingLimits, type EntryState } from './state.js';
+import { countVmsSharingLimits, type EntryState } from '../state.js';
 
 /** Number of tokens that one request takes. */
 const REQUEST_PERMITS = 1;
--- a/src/coordination/entry/adapterAnswers.ts
+++ b/src/coordination/entry/placement/adapterAnswers.ts
@@ -1,11 +1,11 @@
 /**
  * Handles the controller's answers to this VM's adapter requests.
  */
-import { getVariantKey } from '../../state/entry/backends.js';
-import type { EntryCommand } from './commands.js';
-import type { EntryEventKind, EntryEventOf } from './events.js';
-import { dispatchWaiting } from './forwarding.js';
-import type { EntryState } from './state.js';
+import { getVariantKey } from '../../../state/entry/backends.js';
+import type { EntryCommand } from '../commands.js';
+import type { EntryEventKind, EntryEventOf } from '../events.js';
+import { dispatchWaiting } from '../requests/forwarding.js';
+import type { EntryState } from '../state.js';
 
 /** Records that the controller reports an adapter as loaded, and dispatches waiting requests. */
 export function handleAdapterRequestAnswered(
--- a/src/coordination/entry/adapterPlacement.ts
+++ b/src/coordination/entry/placement/adapterPlacement.ts
@@ -2,16 +2,16 @@
  * Adapter placement by the controller. A requested adapter is loaded on an engine that already holds its base model.
  * If all adapter slots of the engine are taken, its least recently used adapter is evicted first.
  */
-import { getVariantKey } from '../../state/entry/backends.js';
-import type { EngineProfile } from '../../state/entry/deployment.js';
-import type { EngineAdapters } from '../../state/entry/reports.js';
+import { getVariantKey } from '../../../state/entry/backends.js';
+import type { EngineProfile } from '../../../state/entry/deployment.js';
+import type { EngineAdapters } from '../../../state/entry/reports.js';
 import { sendEngineOrder } from './engineOrders.js';
-import { type EntryCommand, EntryCommandKind } from './commands.js';
-import { type EntryEventKind, type EntryEventOf, OrderAction } from './events.js';
+import { type EntryCommand, EntryCommandKind } from '../commands.js';
+import { type EntryEventKind, type EntryEventOf, OrderAction } from '../events.js';
 import type { EngineControl } from './placementState.js';
-import { isAcceptingRequests } from './backendSelection.js';
-import { isPaused } from './serverPauses.js';
-import type { EntryState } from './state.js';
+import { isAcceptingRequests } from '../requests/backendSelection.js';
+import { isPaused } from '../servers/serverPauses.js';
+import type { EntryState } from '../state.js';
 
 /** Upper estimate of the time from an adapter's load order to its first request. The answer is delayed by it. */
 const ADAPTER_LOAD_MS = 20;
--- a/src/coordination/entry/adapterRequests.ts
+++ b/src/coordination/entry/placement/adapterRequests.ts
@@ -1,11 +1,11 @@
 /**
  * Requests to the controller to load an adapter that a waiting request needs and that no engine holds.
  */
-import { listOffering } from '../../state/entry/backendLists.js';
-import { getVariantKey } from '../../state/entry/backends.js';
-import { type EntryCommand, EntryCommandKind } from './commands.js';
-import { isAcceptingRequests } from './backendSelection.js';
-import type { EntryState, ForwardRecord } from './state.js';
+import { listOffering } from '../../../state/entry/backendLists.js';
+import { getVariantKey } from '../../../state/entry/backends.js';
+import { type EntryCommand, EntryCommandKind } from '../commands.js';
+import { isAcceptingRequests } from '../requests/backendSelection.js';
+import type { EntryState, ForwardRecord } from '../state.js';
 
 /** Minimum time between two requests for the same adapter. It covers the load order, the load and the answer. */
 const MIN_REQUEST_INTERVAL_MS = 250;
--- a/src/coordination/entry/controller.ts
+++ b/src/coordination/entry/placement/controller.ts
@@ -2,9 +2,9 @@
  * Runs the controller of the engines: one VM holds a lease in the store and sends all orders. Its
  * fencing token is the store's revision of the lease's key, which only increases.
  */
-import type { ForwardService } from '../../state/entry/deployment.js';
-import type { EngineAdapters } from '../../state/entry/reports.js';
-import { LogLevel } from '../events.js';
+import type { ForwardService } from '../../../state/entry/deployment.js';
+import type { EngineAdapters } from '../../../state/entry/reports.js';
+import { LogLevel } from '../../events.js';
 import {
   listEngineAdapters,
   recordAdapterUse,
@@ -25,15 +25,15 @@
   type EntryCommand,
   EntryCommandKind,
   EntryLogPrefix,
-} from './commands.js';
-import { EntryEventKind, type EntryEventOf, OrderAction } from './events.js';
-import { collectModelDemands, getUrgencyWeights } from './modelDemands.js';
+} from '../commands.js';
+import { EntryEventKind, type EntryEventOf, OrderAction } from '../events.js';
+import { collectModelDemands, getUrgencyWeights } from '../exchange/modelDemands.js';
 import { type EngineView, type PlanStep, planNextStep, WeightSource } from './placementPlanner.js';
 import type { EngineControl } from './placementState.js';
-import { isAcceptingRequests } from './backendSelection.js';
-import { compareRelayRank } from './relays.js';
-import { isPaused, shortenPauses } from './serverPauses.js';
-import { EntryLifecycle, type EntryState } from './state.js';
+import { isAcceptingRequests } from '../requests/backendSelection.js';
+import { compareRelayRank } from '../exchange/relays.js';
+import { isPaused, shortenPauses } from '../servers/serverPauses.js';
+import { EntryLifecycle, type EntryState } from '../state.js';
 
 /** Renewals in the duration of a lease, so that one lost response does not let it expire. */
 const RENEWALS_PER_LEASE = 3;
--- a/src/coordination/entry/engineOrders.ts
+++ b/src/coordination/entry/placement/engineOrders.ts
@@ -3,15 +3,20 @@
  * that the engine must have accepted before, so that one that arrives late cannot act on a state
  * that it was not meant for.
  */
-import type { BackendEntry } from '../../state/entry/backends.js';
-import { LogLevel } from '../events.js';
-import { createEntryLog, type EntryCommand, EntryCommandKind, EntryLogPrefix } from './commands.js';
+import type { BackendEntry } from '../../../state/entry/backends.js';
+import { LogLevel } from '../../events.js';
+import {
+  createEntryLog,
+  type EntryCommand,
+  EntryCommandKind,
+  EntryLogPrefix,
+} from '../commands.js';
 import {
   EngineOrderOutcome,
   type EntryEventKind,
   type EntryEventOf,
   OrderAction,
-} from './events.js';
+} from '../events.js';
 import {
   createEngineControl,
   type EngineControl,
@@ -19,8 +24,8 @@
   reconcileEntry,
   type PendingOrder,
 } from './placementState.js';
-import { isPaused } from './serverPauses.js';
-import { type EntryState } from './state.js';
+import { isPaused } from '../servers/serverPauses.js';
+import { type EntryState } from '../state.js';
 
 /**
  * Minimum time between two report requests to an engine: a report costs as much as a health check.
--- a/src/coordination/entry/placementPlanner.ts
+++ b/src/coordination/entry/placement/placementPlanner.ts
@@ -6,8 +6,8 @@
  * evicting the models with the lowest eviction cost; a requested model normally keeps its last
  * replica.
  */
-import type { EngineModel, EngineProfile } from '../../state/entry/deployment.js';
-import type { EngineOrder } from './events.js';
+import type { EngineModel, EngineProfile } from '../../../state/entry/deployment.js';
+import type { EngineOrder } from '../events.js';
 import {
   getReplicaGain,
   getReplicaRemovalCost,
--- a/src/coordination/entry/placementState.ts
+++ b/src/coordination/entry/placement/placementState.ts
@@ -3,8 +3,8 @@
  * them. Only the VM that holds the controller's lease uses the engines' state; each term rebuilds
  * it from the engines' entries in the store.
  */
-import type { BackendEntry } from '../../state/entry/backends.js';
-import type { EngineOrder, EngineReport } from './events.js';
+import type { BackendEntry } from '../../../state/entry/backends.js';
+import type { EngineOrder, EngineReport } from '../events.js';
 
 /** A model that an engine is loading or unloading. */
 export interface ModelChange {
--- a/src/coordination/entry/admission.ts
+++ b/src/coordination/entry/requests/admission.ts
@@ -9,30 +9,30 @@
   type ForwardRoute,
   type ForwardService,
   type ForwardWorkspace,
-} from '../../state/entry/deployment.js';
+} from '../../../state/entry/deployment.js';
 import {
   createDiagnostic,
   type Diagnostic,
   type DiagnosticMessage,
   Diagnostics,
-} from '../../state/diagnostics.js';
-import { nextRandom } from '../../state/random.js';
-import { RunStatus } from '../../state/types.js';
-import { LogLevel, RequestOutcome } from '../events.js';
-import { createRefusal, NO_TOKEN_GAPS, NO_WORKSPACE_NAME } from '../requestCompletion.js';
-import { addDemand, getDemand } from './demand.js';
+} from '../../../state/diagnostics.js';
+import { nextRandom } from '../../../state/random.js';
+import { RunStatus } from '../../../state/types.js';
+import { LogLevel, RequestOutcome } from '../../events.js';
+import { createRefusal, NO_TOKEN_GAPS, NO_WORKSPACE_NAME } from '../../requestCompletion.js';
+import { addDemand, getDemand } from '../exchange/demand.js';
 import {
   createEntryLog,
   createEntryTimer,
   type EntryCommand,
   EntryCommandKind,
   EntryLogPrefix,
-} from './commands.js';
-import { EntryEventKind, type EntryEventOf, type ForwardRequest } from './events.js';
+} from '../commands.js';
+import { EntryEventKind, type EntryEventOf, type ForwardRequest } from '../events.js';
 import { startForward } from './forwarding.js';
-import { checkQuarantine } from './quarantines.js';
-import { requestLoan, creditLoan } from './rateLoans.js';
-import { getRateBucket, chargeRate } from './rates.js';
+import { checkQuarantine } from '../evidence/quarantines.js';
+import { requestLoan, creditLoan } from '../limits/rateLoans.js';
+import { getRateBucket, chargeRate } from '../limits/rates.js';
 import {
   cancelAttempt,
   closeForward,
@@ -42,8 +42,8 @@
   terminateForward,
   refuseForward,
 } from './requestCompletion.js';
-import { STOPPING_RETRY_AFTER_MS } from './policy.js';
-import { EntryLifecycle, type EntryState, ForwardPhase, type ForwardRecord } from './state.js';
+import { STOPPING_RETRY_AFTER_MS } from '../policy.js';
+import { EntryLifecycle, type EntryState, ForwardPhase, type ForwardRecord } from '../state.js';
 
 /**
  * Retry-After time by diagnostic code. Reading the configuration takes less than 500 ms. While this VM stops or is
--- a/src/coordination/entry/attempts.ts
+++ b/src/coordination/entry/requests/attempts.ts
@@ -1,13 +1,18 @@
 /**
  * Handles the end of attempts: answers, failures and servers that send no data.
  */
-import { Diagnostics } from '../../state/diagnostics.js';
-import { combineRunStatuses, getRunStatus } from '../../state/runState.js';
-import { RunStatus } from '../../state/types.js';
-import { LogLevel, RequestOutcome } from '../events.js';
-import { createEntryLog, type EntryCommand, EntryCommandKind, EntryLogPrefix } from './commands.js';
-import { type AttemptFailure, EntryEventKind, type EntryEventOf } from './events.js';
-import { LossCause, recordLostConnection, startVerifying } from './crashDetection.js';
+import { Diagnostics } from '../../../state/diagnostics.js';
+import { combineRunStatuses, getRunStatus } from '../../../state/runState.js';
+import { RunStatus } from '../../../state/types.js';
+import { LogLevel, RequestOutcome } from '../../events.js';
+import {
+  createEntryLog,
+  type EntryCommand,
+  EntryCommandKind,
+  EntryLogPrefix,
+} from '../commands.js';
+import { type AttemptFailure, EntryEventKind, type EntryEventOf } from '../events.js';
+import { LossCause, recordLostConnection, startVerifying } from '../evidence/crashDetection.js';
 import {
   cancelAttempt,
   closeForward,
@@ -15,7 +20,7 @@
   releaseBackend,
 } from './requestCompletion.js';
 import { updatePrefillSpeed } from './prefillLoad.js';
-import { recordHealthyAnswer } from './quarantines.js';
+import { recordHealthyAnswer } from '../evidence/quarantines.js';
 import { isRetrySafe, mayRunTwice, retryOrEnd, takeRetryIfAllowed } from './retries.js';
 import {
   recordReportedLoad,
@@ -24,7 +29,7 @@
   markModelRefused,
   markUnreachable,
 } from './backendSelection.js';
-import { type EntryState, ForwardPhase, type ForwardRecord } from './state.js';
+import { type EntryState, ForwardPhase, type ForwardRecord } from '../state.js';
 import { tryDispatch } from './forwarding.js';
 
 /** Lowest HTTP status that indicates a failure of the server rather than of the request. */
--- a/src/coordination/entry/backendSelection.ts
+++ b/src/coordination/entry/requests/backendSelection.ts
@@ -6,14 +6,14 @@
  * by the load that answers report. In-flight requests differ from VM to VM, so the VMs do not all choose the same
  * server.
  */
-import { isOffering, listOffering } from '../../state/entry/backendLists.js';
-import { type Backend, getVariantKey, holdsVariant } from '../../state/entry/backends.js';
-import type { CrashReport } from '../../state/entry/promptEvidence.js';
-import { nextRandomInt } from '../../state/random.js';
+import { isOffering, listOffering } from '../../../state/entry/backendLists.js';
+import { type Backend, getVariantKey, holdsVariant } from '../../../state/entry/backends.js';
+import type { CrashReport } from '../../../state/entry/promptEvidence.js';
+import { nextRandomInt } from '../../../state/random.js';
 import { getPrefillDelay } from './prefillLoad.js';
-import { findObstacle, isEligible } from './serverAvailability.js';
-import { isLimitUnverified } from './serverLimits.js';
-import { countLiveVms, type EntryState, type ForwardRecord } from './state.js';
+import { findObstacle, isEligible } from '../servers/serverAvailability.js';
+import { isLimitUnverified } from '../limits/serverLimits.js';
+import { countLiveVms, type EntryState, type ForwardRecord } from '../state.js';
 
 /** Reported load is ignored from this age on. */
 const REPORTED_LOAD_MAX_AGE_MS = 1_500;
--- a/src/coordination/entry/forwarding.ts
+++ b/src/coordination/entry/requests/forwarding.ts
@@ -1,20 +1,20 @@
 /**
  * Dispatches forwarded requests to backend servers, and lets them wait for a server that can run them.
  */
-import { type Backend, getVariantKey } from '../../state/entry/backends.js';
-import { RouteKind } from '../../state/entry/deployment.js';
-import { createDiagnostic, Diagnostics } from '../../state/diagnostics.js';
-import { formatStoreRevision } from '../../state/storeRevision.js';
-import { nextRandom } from '../../state/random.js';
-import { LogLevel } from '../events.js';
+import { type Backend, getVariantKey } from '../../../state/entry/backends.js';
+import { RouteKind } from '../../../state/entry/deployment.js';
+import { createDiagnostic, Diagnostics } from '../../../state/diagnostics.js';
+import { formatStoreRevision } from '../../../state/storeRevision.js';
+import { nextRandom } from '../../../state/random.js';
+import { LogLevel } from '../../events.js';
 import {
   createEntryLog,
   createEntryTimer,
   type EntryCommand,
   EntryCommandKind,
   EntryLogPrefix,
-} from './commands.js';
-import { EntryEventKind, type EntryEventOf } from './events.js';
+} from '../commands.js';
+import { EntryEventKind, type EntryEventOf } from '../events.js';
 import {
   getRequestLogFields,
   getDemandKey,
@@ -30,16 +30,16 @@
   getExpectedPermitWaitMs,
   requestPermit,
   takePermit,
-} from './serverLimits.js';
-import { formatObstacles } from './serverAvailability.js';
-import { getPauseWaitMs, isPaused } from './serverPauses.js';
-import { requestAdapter } from './adapterRequests.js';
+} from '../limits/serverLimits.js';
+import { formatObstacles } from '../servers/serverAvailability.js';
+import { getPauseWaitMs, isPaused } from '../servers/serverPauses.js';
+import { requestAdapter } from '../placement/adapterRequests.js';
 import {
   countVmsSharingLimits,
   type EntryState,
   ForwardPhase,
   type ForwardRecord,
-} from './state.js';
+} from '../state.js';
 
 /** Fraction of the time to the deadline that a request may wait for its model; the rest is for the answer. */
 const MAX_WAIT_FRACTION = 0.5;
--- a/src/coordination/entry/prefillLoad.ts
+++ b/src/coordination/entry/requests/prefillLoad.ts
@@ -3,8 +3,8 @@
  * interleaves prefill with the token generation of its streams, so prompts that arrive together delay all streams.
  * The choice of a server uses this to spread this VM's prompts and to keep long ones from slow servers.
  */
-import type { Backend } from '../../state/entry/backends.js';
-import type { ForwardRecord } from './state.js';
+import type { Backend } from '../../../state/entry/backends.js';
+import type { ForwardRecord } from '../state.js';
 
 /** Shorter prompts give no sample: network latency and one engine step take as long as their prefill. */
 const MIN_SAMPLE_TOKENS = 500;
--- a/src/coordination/entry/requestCompletion.ts
+++ b/src/coordination/entry/requests/requestCompletion.ts
@@ -2,21 +2,21 @@
  * Ends forwarded requests: rejects or aborts them, records their metrics, and releases the backend server slot
  * and the tokens that they held.
  */
-import { getVariantKey } from '../../state/entry/backends.js';
-import type { Diagnostic } from '../../state/diagnostics.js';
-import { RunStatus } from '../../state/types.js';
-import { LogLevel, RequestOutcome } from '../events.js';
-import { createRefusal, NO_WORKSPACE_NAME } from '../requestCompletion.js';
+import { getVariantKey } from '../../../state/entry/backends.js';
+import type { Diagnostic } from '../../../state/diagnostics.js';
+import { RunStatus } from '../../../state/types.js';
+import { LogLevel, RequestOutcome } from '../../events.js';
+import { createRefusal, NO_WORKSPACE_NAME } from '../../requestCompletion.js';
 import {
   createEntryLog,
   type EntryCommand,
   EntryCommandKind,
   EntryLogPrefix,
   type LogFields,
-} from './commands.js';
+} from '../commands.js';
 import { removePendingPrefill } from './prefillLoad.js';
-import { refundRate } from './rates.js';
-import { type EntryState, ForwardPhase, type ForwardRecord } from './state.js';
+import { refundRate } from '../limits/rates.js';
+import { type EntryState, ForwardPhase, type ForwardRecord } from '../state.js';
 
 /** Result of a forwarded request. */
 export interface ForwardEnd {
--- a/src/coordination/entry/retries.ts
+++ b/src/coordination/entry/requests/retries.ts
@@ -1,16 +1,20 @@
 /**
  * Decides how a request goes on after a failed attempt: on another backend server, waiting for one, or with an error.
  */
-import { RouteKind } from '../../state/entry/deployment.js';
-import { createDiagnostic, type Diagnostic, Diagnostics } from '../../state/diagnostics.js';
-import { RunStatus } from '../../state/types.js';
+import { RouteKind } from '../../../state/entry/deployment.js';
+import { createDiagnostic, type Diagnostic, Diagnostics } from '../../../state/diagnostics.js';
+import { RunStatus } from '../../../state/types.js';
 import { findCandidates } from './backendSelection.js';
-import type { EntryCommand } from './commands.js';
+import type { EntryCommand } from '../commands.js';
 import { OVERLOADED_RETRY_AFTER_MS, startWaiting, tryDispatch } from './forwarding.js';
-import { createQuarantineRefusal, findRecordQuarantine, isRepeatDoubtful } from './quarantines.js';
+import {
+  createQuarantineRefusal,
+  findRecordQuarantine,
+  isRepeatDoubtful,
+} from '../evidence/quarantines.js';
 import { abortForward, refuseForward } from './requestCompletion.js';
 import { withdrawRetry } from './retryBudget.js';
-import type { EntryState, ForwardRecord } from './state.js';
+import type { EntryState, ForwardRecord } from '../state.js';
 
 /** Retries allowed after attempts that provably did not run; those do not count as attempts of the route. */
 const MAX_NOT_RUN_RETRIES = 2;
--- a/src/coordination/entry/backendRegistry.ts
+++ b/src/coordination/entry/servers/backendRegistry.ts
@@ -5,19 +5,19 @@
  * a pause, holds when it registers again in the same incarnation, and a store that was restored from a copy does not bring
  * back a server that has left.
  */
-import { discardListsOf } from '../../state/entry/backendLists.js';
+import { discardListsOf } from '../../../state/entry/backendLists.js';
 import {
   type Backend,
   type BackendEntry,
   createBackend,
   getStatedFacts,
   isSameIncarnation,
-} from '../../state/entry/backends.js';
-import { formatStoreRevision } from '../../state/storeRevision.js';
-import { LogLevel } from '../events.js';
-import { createEntryLog, type EntryCommand, EntryLogPrefix } from './commands.js';
+} from '../../../state/entry/backends.js';
+import { formatStoreRevision } from '../../../state/storeRevision.js';
+import { LogLevel } from '../../events.js';
+import { createEntryLog, type EntryCommand, EntryLogPrefix } from '../commands.js';
 import { recallUnsent } from './leavingServers.js';
-import type { DepartedServer, EntryState } from './state.js';
+import type { DepartedServer, EntryState } from '../state.js';
 
 /**
  * Grace period after a store outage. The platform specifies that registrations which expired during the outage
--- a/src/coordination/entry/discovery.ts
+++ b/src/coordination/entry/servers/discovery.ts
@@ -2,15 +2,20 @@
  * Applies the configuration, the registered backend servers and the list of VMs, as read from the store or from
  * a peer. Backend servers whose registrations disappear around a store outage are kept for a grace period.
  */
-import { formatStoreRevision, getStoreEra } from '../../state/storeRevision.js';
-import { LogLevel } from '../events.js';
+import { formatStoreRevision, getStoreEra } from '../../../state/storeRevision.js';
+import { LogLevel } from '../../events.js';
 import { applyEntry, removeEntry, STORE_RECOVERY_GRACE_MS } from './backendRegistry.js';
-import { createEntryLog, type EntryCommand, EntryCommandKind, EntryLogPrefix } from './commands.js';
-import type { BackendChange, EntryEventKind, EntryEventOf } from './events.js';
-import { dispatchWaiting, dispatchWaitingFor } from './forwarding.js';
-import { selectRelays, updateRelayRole } from './relays.js';
+import {
+  createEntryLog,
+  type EntryCommand,
+  EntryCommandKind,
+  EntryLogPrefix,
+} from '../commands.js';
+import type { BackendChange, EntryEventKind, EntryEventOf } from '../events.js';
+import { dispatchWaiting, dispatchWaitingFor } from '../requests/forwarding.js';
+import { selectRelays, updateRelayRole } from '../exchange/relays.js';
 import { applyRestoredBackends } from './restoredStore.js';
-import { EntryLifecycle, type EntryState, updateVmsLastSeen } from './state.js';
+import { EntryLifecycle, type EntryState, updateVmsLastSeen } from '../state.js';
 
 /** Grace period for a mass removal while the store is reachable: its outage may have been too short to be detected. */
 const MASS_REMOVAL_GRACE_MS = 1_800;
--- a/src/coordination/entry/leavingServers.ts
+++ b/src/coordination/entry/servers/leavingServers.ts
@@ -5,12 +5,17 @@
  * first counts, and holds for this incarnation of the server until its entry is gone: an entry that was written before the
  * answer does not undo it. Requests that run there end in peace; those that still wait for a connection to it are recalled.
  */
-import type { Backend } from '../../state/entry/backends.js';
-import type { LeavingReport } from '../../state/entry/evidenceReports.js';
-import { LogLevel } from '../events.js';
-import { createEntryLog, type EntryCommand, EntryCommandKind, EntryLogPrefix } from './commands.js';
-import { spreadEvidence } from './evidenceSpread.js';
-import { type EntryState, ForwardPhase } from './state.js';
+import type { Backend } from '../../../state/entry/backends.js';
+import type { LeavingReport } from '../../../state/entry/evidenceReports.js';
+import { LogLevel } from '../../events.js';
+import {
+  createEntryLog,
+  type EntryCommand,
+  EntryCommandKind,
+  EntryLogPrefix,
+} from '../commands.js';
+import { spreadEvidence } from '../exchange/evidenceSpread.js';
+import { type EntryState, ForwardPhase } from '../state.js';
 
 /** How a VM has learned that a server leaves. */
 export const LeavingSource = { Answer: 'answer', Peer: 'peer' } as const;
--- a/src/coordination/entry/restoredStore.ts
+++ b/src/coordination/entry/servers/restoredStore.ts
@@ -5,19 +5,24 @@
  * servers write theirs anew within some seconds. Until then the VM keeps what it knows, and takes from the copy only what
  * it has not heard of; after that the store is right again. The VMs' own leases are lost.
  */
-import { isSameIncarnation } from '../../state/entry/backends.js';
-import { formatStoreRevision } from '../../state/storeRevision.js';
-import { LogLevel } from '../events.js';
+import { isSameIncarnation } from '../../../state/entry/backends.js';
+import { formatStoreRevision } from '../../../state/storeRevision.js';
+import { LogLevel } from '../../events.js';
 import {
   applyEntry,
   findDeparted,
   removeEntry,
   STORE_RECOVERY_GRACE_MS,
 } from './backendRegistry.js';
-import { createEntryLog, type EntryCommand, EntryCommandKind, EntryLogPrefix } from './commands.js';
-import { stopController } from './controller.js';
-import type { BackendChange, EntryEventKind, EntryEventOf } from './events.js';
-import type { EntryState } from './state.js';
+import {
+  createEntryLog,
+  type EntryCommand,
+  EntryCommandKind,
+  EntryLogPrefix,
+} from '../commands.js';
+import { stopController } from '../placement/controller.js';
+import type { BackendChange, EntryEventKind, EntryEventOf } from '../events.js';
+import type { EntryState } from '../state.js';
 
 /**
  * An entry of a server that this VM has seen leave is believed if the copy's entry is still there after this time: the store
--- a/src/coordination/entry/serverAvailability.ts
+++ b/src/coordination/entry/servers/serverAvailability.ts
@@ -2,9 +2,9 @@
  * Decides whether a backend server may get a request of this VM now, and why not. All dispatches ask here, also those of
  * retries and resumed streams.
  */
-import type { Backend } from '../../state/entry/backends.js';
+import type { Backend } from '../../../state/entry/backends.js';
 import { isPaused, isResuming } from './serverPauses.js';
-import { hasPermit } from './serverLimits.js';
+import { hasPermit } from '../limits/serverLimits.js';
 
 /** Why a server may not get a request now. */
 export const Obstacle = {
--- a/src/coordination/entry/serverPauses.ts
+++ b/src/coordination/entry/servers/serverPauses.ts
@@ -6,11 +6,11 @@
  * end a longer one: the server answered what it had taken before it asked. After the pause the server gets requests one by
  * one for a while, so that what waited does not reach it all at once.
  */
-import type { Backend } from '../../state/entry/backends.js';
-import { LogLevel } from '../events.js';
-import { createEntryLog, type EntryCommand, EntryLogPrefix } from './commands.js';
+import type { Backend } from '../../../state/entry/backends.js';
+import { LogLevel } from '../../events.js';
+import { createEntryLog, type EntryCommand, EntryLogPrefix } from '../commands.js';
 import { recallUnsent } from './leavingServers.js';
-import type { EntryState } from './state.js';
+import type { EntryState } from '../state.js';
 
 /** A server that names a longer time, which may be a mistake, is tried again after this. */
 const MAX_PAUSE_MS = 300_000;
--- a/src/coordination/entry/serverStatements.ts
+++ b/src/coordination/entry/servers/serverStatements.ts
@@ -1,13 +1,13 @@
 /**
  * Applies what backend servers say of themselves in the heads of their answers: that they leave, or ask for a pause.
  */
-import type { Backend } from '../../state/entry/backends.js';
-import { LogLevel } from '../events.js';
-import { createEntryLog, type EntryCommand, EntryLogPrefix } from './commands.js';
-import type { EntryEventKind, EntryEventOf } from './events.js';
+import type { Backend } from '../../../state/entry/backends.js';
+import { LogLevel } from '../../events.js';
+import { createEntryLog, type EntryCommand, EntryLogPrefix } from '../commands.js';
+import type { EntryEventKind, EntryEventOf } from '../events.js';
 import { LeavingSource, markLeaving } from './leavingServers.js';
 import { startPause } from './serverPauses.js';
-import type { EntryState } from './state.js';
+import type { EntryState } from '../state.js';
 
 /** Logs the first malformed statement of a server, which is used as before. */
 function logMalformed(backend: Backend, requestName: string): EntryCommand[] {
--- a/src/coordination/entry/state.ts
+++ b/src/coordination/entry/state.ts
@@ -26,9 +26,9 @@
 } from '../../state/entry/reports.js';
 import { createRandom, type RandomState } from '../../state/random.js';
 import type { RunStatus } from '../../state/types.js';
-import { createDemandTable, type DemandTable } from './demand.js';
+import { createDemandTable, type DemandTable } from './exchange/demand.js';
 import type { ControllerLeaseHolder, ForwardRequest, ListedEntryVm } from './events.js';
-import { createPlacementState, type PlacementState } from './placementState.js';
+import { createPlacementState, type PlacementState } from './placement/placementState.js';
 import type { EntryPolicy } from './policy.js';
 
 /** Identity and address of this VM, from its settings. */
--- a/src/transport/entry/commandTable.ts
+++ b/src/transport/entry/commandTable.ts
@@ -9,7 +9,7 @@
   EntryLogPrefix,
 } from '../../coordination/entry/commands.js';
 import { type EntryEvent, EntryEventKind, StoreRequest } from '../../coordination/entry/events.js';
-import { PeerCallPurpose } from '../../coordination/entry/peerCallPurpose.js';
+import { PeerCallPurpose } from '../../coordination/entry/exchange/peerCallPurpose.js';
 import { LogLevel } from '../../coordination/events.js';
 import type { LoopTimers } from '../../coordination/loop.js';
 import { DEFAULT_OBJECTIVE } from '../../state/burn.js';
--- a/src/transport/entry/metricsServer.ts
+++ b/src/transport/entry/metricsServer.ts
@@ -3,7 +3,7 @@
  */
 import http, { type Server } from 'node:http';
 import { countLiveVms, type EntryState, RelayRole } from '../../coordination/entry/state.js';
-import { isPaused } from '../../coordination/entry/serverPauses.js';
+import { isPaused } from '../../coordination/entry/servers/serverPauses.js';
 import { countHeldQuarantines } from '../../state/entry/quarantineTable.js';
 import { getRevisionInEra, getStoreEra } from '../../state/storeRevision.js';
 import type { Metrics } from '../metrics.js';
--- a/tests/entry/backendLists.test.ts
+++ b/tests/entry/backendLists.test.ts
@@ -4,7 +4,7 @@
  */
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
-import { findHolders, isHolder } from '../../src/coordination/entry/backendSelection.js';
+import { findHolders, isHolder } from '../../src/coordination/entry/requests/backendSelection.js';
 import { type BackendChange, EntryEventKind } from '../../src/coordination/entry/events.js';
 import { createStoreRevision } from '../../src/state/storeRevision.js';
 import {
--- a/tests/entry/callerLeaves.test.ts
+++ b/tests/entry/callerLeaves.test.ts
@@ -13,7 +13,7 @@
   LimitKind,
   ProbeOutcome,
 } from '../../src/coordination/entry/events.js';
-import { getRateBucket } from '../../src/coordination/entry/rates.js';
+import { getRateBucket } from '../../src/coordination/entry/limits/rates.js';
 import { ForwardPhase } from '../../src/coordination/entry/state.js';
 import { createDiagnostic, Diagnostics } from '../../src/state/diagnostics.js';
 import { RunState } from '../../src/state/types.js';
--- a/tests/entry/evidenceSpread.test.ts
+++ b/tests/entry/evidenceSpread.test.ts
@@ -3,7 +3,7 @@
  */
 import { describe, expect, it } from 'vitest';
 import { EntryEventKind } from '../../src/coordination/entry/events.js';
-import { PeerCallPurpose } from '../../src/coordination/entry/peerCallPurpose.js';
+import { PeerCallPurpose } from '../../src/coordination/entry/exchange/peerCallPurpose.js';
 import { RelayRole } from '../../src/coordination/entry/state.js';
 import {
   createExchangeFleet,
--- a/tests/entry/leavingServers.test.ts
+++ b/tests/entry/leavingServers.test.ts
@@ -3,7 +3,7 @@
  * store says, until it registers as another incarnation.
  */
 import { describe, expect, it } from 'vitest';
-import { isAcceptingRequests } from '../../src/coordination/entry/backendSelection.js';
+import { isAcceptingRequests } from '../../src/coordination/entry/requests/backendSelection.js';
 import { EntryCommandKind } from '../../src/coordination/entry/commands.js';
 import { type EntryEvent, EntryEventKind } from '../../src/coordination/entry/events.js';
 import { NO_EVIDENCE } from '../../src/protocol/entry/peerMessages.js';
--- a/tests/entry/loadDistribution.test.ts
+++ b/tests/entry/loadDistribution.test.ts
@@ -8,7 +8,7 @@
   getReplicaGain,
   getReplicaRemovalCost,
   distributeLoads,
-} from '../../src/coordination/entry/loadDistribution.js';
+} from '../../src/coordination/entry/placement/loadDistribution.js';
 
 const FILL_CASES = [
   { name: 'no demand leaves all engines unchanged', loads: [1, 2], amount: 0, received: [0, 0] },
--- a/tests/entry/malformedMessages.test.ts
+++ b/tests/entry/malformedMessages.test.ts
@@ -10,7 +10,7 @@
 import { PLATFORM_WIRE } from '../../platform/wire.js';
 import { EntryCommandKind } from '../../src/coordination/entry/commands.js';
 import { type EntryEvent, EntryEventKind } from '../../src/coordination/entry/events.js';
-import { getRateShare } from '../../src/coordination/entry/rates.js';
+import { getRateShare } from '../../src/coordination/entry/limits/rates.js';
 import { RelayRole } from '../../src/coordination/entry/state.js';
 import { createEventFrameReader } from '../../src/protocol/entry/eventFrames.js';
 import {
--- a/tests/entry/othersDemand.test.ts
+++ b/tests/entry/othersDemand.test.ts
@@ -2,7 +2,7 @@
  * Tests what a VM takes for the demand of the other VMs while its relay has told it nothing, too little or nothing new.
  */
 import { describe, expect, it } from 'vitest';
-import { estimateOthersDemand } from '../../src/coordination/entry/rates.js';
+import { estimateOthersDemand } from '../../src/coordination/entry/limits/rates.js';
 import { createEntryState, RelayRole } from '../../src/coordination/entry/state.js';
 import type { FleetDemand, VmReport } from '../../src/state/entry/reports.js';
 import { TEST_POLICY } from './fixtures.js';
--- a/tests/entry/peerCallCounter.test.ts
+++ b/tests/entry/peerCallCounter.test.ts
@@ -2,7 +2,7 @@
  * Tests the counts of calls between VMs on the metrics address.
  */
 import { describe, expect, it } from 'vitest';
-import { PeerCallPurpose } from '../../src/coordination/entry/peerCallPurpose.js';
+import { PeerCallPurpose } from '../../src/coordination/entry/exchange/peerCallPurpose.js';
 import { createPeerCallCounter } from '../../src/transport/entry/peerCallCounter.js';
 
 const CASES: readonly {
--- a/tests/entry/placement.test.ts
+++ b/tests/entry/placement.test.ts
@@ -12,13 +12,13 @@
   type PlanInput,
   type PlanStep,
   planNextStep,
-} from '../../src/coordination/entry/placementPlanner.js';
+} from '../../src/coordination/entry/placement/placementPlanner.js';
 import {
   createEngineControl,
   type EngineControl,
   mergeReport,
   reconcileEntry,
-} from '../../src/coordination/entry/placementState.js';
+} from '../../src/coordination/entry/placement/placementState.js';
 import { createTestDeployment, createTestEntry } from './fixtures.js';
 
 const PROFILE = createTestDeployment().servicesByName.get('llm')!.engine!;
--- a/tests/entry/rateLoans.test.ts
+++ b/tests/entry/rateLoans.test.ts
@@ -4,7 +4,7 @@
 import { describe, expect, it } from 'vitest';
 import { EntryCommandKind } from '../../src/coordination/entry/commands.js';
 import { EntryEventKind, LimitKind } from '../../src/coordination/entry/events.js';
-import { getRateBucket } from '../../src/coordination/entry/rates.js';
+import { getRateBucket } from '../../src/coordination/entry/limits/rates.js';
 import { getForwardRefusalStatus } from '../../src/protocol/entry/refusals.js';
 import type { RateBucket } from '../../src/state/entry/rateBucket.js';
 import type { VmReport } from '../../src/state/entry/reports.js';
--- a/tests/entry/relays.test.ts
+++ b/tests/entry/relays.test.ts
@@ -4,9 +4,9 @@
  */
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
-import { selectRelays } from '../../src/coordination/entry/relays.js';
-import { getDemand } from '../../src/coordination/entry/demand.js';
-import { estimateOthersDemand } from '../../src/coordination/entry/rates.js';
+import { selectRelays } from '../../src/coordination/entry/exchange/relays.js';
+import { getDemand } from '../../src/coordination/entry/exchange/demand.js';
+import { estimateOthersDemand } from '../../src/coordination/entry/limits/rates.js';
 import { RelayRole } from '../../src/coordination/entry/state.js';
 import { type BoardVersion, createBoardUpdate, mergeBoard } from '../../src/state/entry/reports.js';
 import {
--- a/tests/entry/restoredBackends.test.ts
+++ b/tests/entry/restoredBackends.test.ts
@@ -5,7 +5,7 @@
 import { describe, expect, it } from 'vitest';
 import { EntryCommandKind } from '../../src/coordination/entry/commands.js';
 import { type BackendChange, EntryEventKind } from '../../src/coordination/entry/events.js';
-import { isAcceptingRequests } from '../../src/coordination/entry/backendSelection.js';
+import { isAcceptingRequests } from '../../src/coordination/entry/requests/backendSelection.js';
 import type { BackendEntry } from '../../src/state/entry/backends.js';
 import { createStoreRevision } from '../../src/state/storeRevision.js';
 import { createTestDeployment, createTestEntry, createTestVm, type TestVm } from './fixtures.js';
--- a/tests/fakes/exchangeFleet.ts
+++ b/tests/fakes/exchangeFleet.ts
@@ -3,7 +3,7 @@
  * handlers and mirrors; the store, its readers and the calls between VMs are simulated.
  */
 import { toBinary } from '@bufbuild/protobuf';
-import { addDemand } from '../../src/coordination/entry/demand.js';
+import { addDemand } from '../../src/coordination/entry/exchange/demand.js';
 import {
   type EntryCommand,
   EntryCommandKind,
@@ -15,7 +15,7 @@
   type ListedEntryVm,
   StoreRequest,
 } from '../../src/coordination/entry/events.js';
-import type { PeerCallPurpose } from '../../src/coordination/entry/peerCallPurpose.js';
+import type { PeerCallPurpose } from '../../src/coordination/entry/exchange/peerCallPurpose.js';
 import { stepEntry } from '../../src/coordination/entry/handlers.js';
 import {
   createEntryState,
