Count the time of a suspension in the age of the controller's lease

What could happen: two VMs order loads at the same engines. A controller asks for its lease or renews it, is suspended until the store has given the lease to another VM, and reads the old answer when it goes on. It then trusted the lease for its whole time once more.

Cause: the answer carries the time at which the call was sent, on the monotonic clock, which stands still in a suspension. The suspension is subtracted from the lease when it is noticed; where that came before the answer was read, the answer put it back.

A stopwatch of the suspension detector counts both. The event loop now also learns of a suspension before the first event that is posted after it, not within 100 ms; for that line there is no test.

--- a/src/transport/entry/entryDaemon.ts
+++ b/src/transport/entry/entryDaemon.ts
@@ -277,7 +277,11 @@
       failRequestOf(event);
     },
   });
-  eventSink.post = loop.post;
+  // After a suspension, the event loop learns of it before the first event that is posted then.
+  eventSink.post = (event) => {
+    suspension.check();
+    loop.post(event);
+  };
 
   await listen(readyServer, settings.readyAddress);
   await listen(server, settings.listenAddress);
--- a/src/transport/entry/placementExecutors.ts
+++ b/src/transport/entry/placementExecutors.ts
@@ -34,14 +34,17 @@
     writeLog(LogLevel.Info, EntryLogPrefix.Quarantine, text, { reason });
   };
   const acquireOrRenew = (isHeld: boolean): void => {
-    const sentAtMs = getNowMs();
+    const getAgeMs = suspension.startStopwatch();
     const lease = controllerLease.acquireOrRenew(
       EntryKey.ControllerScope,
       controllerLeaseMs,
       isHeld,
     );
     const kind = EntryEventKind.ControllerLeaseAnswered;
-    runDetached(Effect.map(lease, (result) => post({ kind, ...result, sentAtMs })));
+    // The lease also ran out while this VM was suspended, which its clock does not show.
+    runDetached(
+      Effect.map(lease, (result) => post({ kind, ...result, sentAtMs: getNowMs() - getAgeMs() })),
+    );
   };
   return {
     [EntryCommandKind.AcquireControllerLease]: () => acquireOrRenew(false),
--- a/src/transport/entry/suspensionDetector.ts
+++ b/src/transport/entry/suspensionDetector.ts
@@ -11,6 +11,8 @@
 export interface SuspensionDetector {
   /** Returns the duration of a suspension since the last check; 0 if there was none. */
   readonly check: () => number;
+  /** Starts to measure a time. The function that it returns gives the milliseconds since then, with all suspensions. */
+  readonly startStopwatch: () => () => number;
   readonly close: () => void;
 }
 
@@ -21,6 +23,7 @@
   onSuspended: (lostMs: number) => void,
 ): SuspensionDetector {
   let clockDifferenceMs = getWallMs() - getNowMs();
+  let totalLostMs = 0;
   const check = (): number => {
     const currentDifferenceMs = getWallMs() - getNowMs();
     const lostMs = currentDifferenceMs - clockDifferenceMs;
@@ -28,10 +31,20 @@
     if (lostMs < MIN_SUSPENSION_MS) {
       return 0;
     }
+    totalLostMs += lostMs;
     onSuspended(lostMs);
     return lostMs;
   };
+  const startStopwatch = (): (() => number) => {
+    check();
+    const startedAtMs = getNowMs();
+    const lostBeforeMs = totalLostMs;
+    return () => {
+      check();
+      return getNowMs() - startedAtMs + totalLostMs - lostBeforeMs;
+    };
+  };
   const timer = setInterval(check, CHECK_INTERVAL_MS);
   timer.unref();
-  return { check, close: () => clearInterval(timer) };
+  return { check, startStopwatch, close: () => clearInterval(timer) };
 }
