Discard loans that are read long after they were asked for

A VM that was suspended or frozen between its request for tokens and the lender's answer spent the tokens when it went on, although the lender's bucket had refilled meanwhile, so that more than the burst could be spent at once.

Cause: whether there was a suspension was asked when the answer was read. The periodic check may have noticed it just before, and a freeze, in which the monotonic clock goes on, was not looked at: after it, answers are read before the timer of the call.

A loan is used if the answer is read within a second of the request, counted with suspensions. Six of nine new rows of pausedProcess.test.ts failed before.

--- a/src/transport/entry/commandTable.ts
+++ b/src/transport/entry/commandTable.ts
@@ -40,6 +40,11 @@
  * orders for the adapter, or when no engine can load it.
  */
 const LOCAL_ADAPTER_TIMEOUT_MS = 2_000;
+/**
+ * Answers of other VMs that were read later than this after the call grant nothing: this VM was suspended or frozen, and
+ * found them when it went on.
+ */
+const MAX_GRANT_AGE_MS = 1_000;
 
 type RequestKind =
   | typeof EntryCommandKind.Dispatch
@@ -199,14 +204,14 @@
       const kind = EntryEventKind.LoanAnswered;
       peerCalls.add(PeerCallPurpose.Loan);
       const postLoan = (loan: RateLoan): void => post({ kind, requestId, vmId, limit, ...loan });
+      const getAgeMs = suspension.startStopwatch();
       runDetached(
         Effect.match(peers.requestLoan(peerAddress, limit, tokens), {
           onFailure: (diagnostic) => {
             logUnansweredCall(peerAddress, diagnostic);
             postLoan(NO_LOAN);
           },
-          // Discards a loan if this VM was suspended: its tokens may belong to a time before the suspension.
-          onSuccess: (loan) => postLoan(suspension.check() > 0 ? NO_LOAN : loan),
+          onSuccess: (loan) => postLoan(getAgeMs() > MAX_GRANT_AGE_MS ? NO_LOAN : loan),
         }),
       );
     },
--- a/tests/entry/pausedProcess.test.ts
+++ b/tests/entry/pausedProcess.test.ts
@@ -1,12 +1,11 @@
 /**
- * Tests that a VM that was paused while a call was under way does not act on what the answer granted: a lease, a loan, or the
- * word of a relay or of the store that its data is current. A suspension stops the monotonic clock, a freeze does not; the VM
+ * Tests that a VM that was paused while a call was under way does not act on what the answer granted: a lease or a loan. A suspension stops the monotonic clock, a freeze does not; the VM
  * may notice a suspension before it reads the answer, or only then.
  */
 import { Deferred, Effect } from 'effect';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import { EntryCommandKind } from '../../src/coordination/entry/commands.js';
-import { type EntryEvent, EntryEventKind } from '../../src/coordination/entry/events.js';
+import { type EntryEvent, EntryEventKind, LimitKind } from '../../src/coordination/entry/events.js';
 import { createStoreMirror } from '../../src/state/entry/storeMirror.js';
 import { createEntryCommandExecutor } from '../../src/transport/entry/commandTable.js';
 import type { EntryCommandContext } from '../../src/transport/entry/commandContext.js';
@@ -144,6 +143,8 @@
   readonly isUsed: (vm: PausableVm) => boolean;
 }
 
+const PEER = { vmId: 'vm-2', peerAddress: 'vm-2:1' };
+
 const GRANTS: readonly Grant[] = [
   {
     name: 'the lease of the controller',
@@ -162,6 +163,23 @@
     answer: { fence: 7, isLost: false },
     isUsed: ({ clocks, vm }) => vm.state.placement.leaseValidUntilMs > clocks.nowMs,
   },
+  {
+    name: 'a loan of tokens',
+    call: ({ execute, timers }) =>
+      execute(
+        {
+          kind: EntryCommandKind.RequestLoan,
+          ...PEER,
+          requestId: 'r1',
+          limit: { kind: LimitKind.Workspace, name: 'mill' },
+          tokens: 100,
+        },
+        timers,
+      ),
+    answer: { lentTokens: 100, spareTokens: 0 },
+    isUsed: ({ events }) =>
+      events.some((event) => event.kind === EntryEventKind.LoanAnswered && event.lentTokens > 0),
+  },
 ];
 
 describe('a VM that was paused during a call', () => {
