Do not take a VM's data for current by an answer from before a pause

A VM that was suspended or frozen while it waited for its relay or the store called its data current when it went on, by an answer that had lain in its socket for the whole pause. A relay then told the VMs that it relays for that they had the current configuration and servers, until its next call.

Cause: a suspension made the data count as not confirmed, but the answer of the call that was under way confirmed it again; a freeze did nothing at all.

A success counts only for a call that began after the last suspension, and whose answer is read within a second of the time for which the call may wait; a relay's word only within a second of the call. A freeze in the first part of a watch is therefore noticed only as far as it is longer than the rest of the wait.

--- a/src/transport/entry/commandTable.ts
+++ b/src/transport/entry/commandTable.ts
@@ -131,12 +131,12 @@
       reason,
     });
   };
-  const recordRelayAnswer = (vmId: string, isCurrent: boolean): void => {
-    if (isCurrent) {
+  const recordRelayAnswer = (vmId: string, isCurrent: boolean, ageMs: number): void => {
+    if (!isCurrent) {
+      post({ kind: EntryEventKind.PeerCallFailed, vmId });
+    } else if (ageMs <= MAX_GRANT_AGE_MS) {
       storeAccess.recordRelayed();
       post({ kind: EntryEventKind.StoreReachabilityRead, isReachable: true });
-    } else {
-      post({ kind: EntryEventKind.PeerCallFailed, vmId });
     }
   };
   return {
@@ -144,6 +144,7 @@
       const { message, peerAddress, purpose, storeRequest, vmId } = command;
       peerCalls.add(purpose);
       const storeAfter = storeRequest === StoreRequest.None ? null : watches.mirror.revision;
+      const getAgeMs = suspension.startStopwatch();
       runDetached(
         Effect.match(peers.exchange(peerAddress, message, storeAfter), {
           onFailure: (diagnostic) => {
@@ -156,7 +157,7 @@
             }
             post({ kind: EntryEventKind.PeerMessage, message: reply, replyId: null });
             if (storeRequest === StoreRequest.Relay) {
-              recordRelayAnswer(vmId, store.isCurrent);
+              recordRelayAnswer(vmId, store.isCurrent, getAgeMs());
             }
           },
         }),
--- a/src/transport/entry/storeWatches.ts
+++ b/src/transport/entry/storeWatches.ts
@@ -42,6 +42,8 @@
  */
 const BATCH_DELAY_MS = 200;
 const CONTROLLER_BATCH_DELAY_MS = 40;
+/** Longest time from the end of a call's wait to its answer, for the answer to tell the state of the store now. */
+const MAX_ANSWER_AGE_MS = 1_000;
 /** Data that a relay has sent counts as current for this time. */
 const RELAYED_DATA_MAX_AGE_MS = 1_000;
 /** Texts of configurations whose decoded form is kept: the one in force and one that is compared with it. */
@@ -275,16 +277,19 @@
   const { getWatchWaitMs, isController, mirror, store } = context;
   return Effect.gen(function* readStep() {
     if (mirror.revision === 0 || access.isListNeeded) {
+      const recordSuccess = access.startCall(0);
       const items = yield* store.list(WHOLE_STORE);
       access.isListNeeded = false;
-      access.recordSuccess();
+      recordSuccess();
       if (!applyStoreUpdate(context, { ...items, isSnapshot: true }, STORE_SOURCE)) {
         yield* Effect.sleep(MAX_RETRY_DELAY_MS);
       }
       return;
     }
-    const changes = yield* store.waitForChanges(WHOLE_STORE, mirror.revision, getWatchWaitMs());
-    access.recordSuccess();
+    const waitMs = getWatchWaitMs();
+    const recordSuccess = access.startCall(waitMs);
+    const changes = yield* store.waitForChanges(WHOLE_STORE, mirror.revision, waitMs);
+    recordSuccess();
     access.isListNeeded = changes === null;
     if (changes !== null) {
       applyStoreUpdate(context, { ...changes, isSnapshot: false }, STORE_SOURCE);
@@ -303,11 +308,15 @@
   readonly isCurrent: () => boolean;
   /** Records that the relay has sent current data. */
   readonly recordRelayed: () => void;
-  /** Requires a successful call before the mirror counts as current again. */
+  /** Requires a call that starts and succeeds after this before the mirror counts as current again. */
   readonly invalidate: () => void;
   /** True if the store has dropped changes that the mirror lacks. */
   isListNeeded: boolean;
-  readonly recordSuccess: () => void;
+  /**
+   * Returns the function that records the success of a call that starts now and may wait for some time. An answer that is
+   * read much later than that is old: this VM was frozen, and found it when it went on.
+   */
+  readonly startCall: (waitMs: number) => () => void;
   /** Reads the store while this VM is a reader, until it is interrupted. */
   readonly run: Effect.Effect<never>;
 }
@@ -318,6 +327,7 @@
   const gate = Latch.makeUnsafe(false);
   let isReader = false;
   let isConfirmed = false;
+  let invalidationCount = 0;
   let relayedAtMs = Number.NEGATIVE_INFINITY;
   const recordReachability = (isReachable: boolean): void => {
     isConfirmed = isReachable;
@@ -347,11 +357,20 @@
       relayedAtMs = getNowMs();
     },
     invalidate: () => {
+      invalidationCount += 1;
       isConfirmed = false;
       relayedAtMs = Number.NEGATIVE_INFINITY;
     },
     isListNeeded: false,
-    recordSuccess: () => recordReachability(true),
+    startCall: (waitMs) => {
+      const countAtStart = invalidationCount;
+      const latestAtMs = getNowMs() + waitMs + MAX_ANSWER_AGE_MS;
+      return () => {
+        if (invalidationCount === countAtStart && getNowMs() <= latestAtMs) {
+          recordReachability(true);
+        }
+      };
+    },
     run: Effect.forever(
       gate.whenOpen(
         Effect.matchEffect(
--- a/tests/entry/pausedProcess.test.ts
+++ b/tests/entry/pausedProcess.test.ts
@@ -1,11 +1,18 @@
 /**
- * Tests that a VM that was paused while a call was under way does not act on what the answer granted: a lease or a loan. A suspension stops the monotonic clock, a freeze does not; the VM
+ * Tests that a VM that was paused while a call was under way does not act on what the answer granted: a lease, a loan, or the
+ * word of a relay or of the store that its data is current. A suspension stops the monotonic clock, a freeze does not; the VM
  * may notice a suspension before it reads the answer, or only then.
  */
 import { Deferred, Effect } from 'effect';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import { EntryCommandKind } from '../../src/coordination/entry/commands.js';
-import { type EntryEvent, EntryEventKind, LimitKind } from '../../src/coordination/entry/events.js';
+import {
+  type EntryEvent,
+  EntryEventKind,
+  LimitKind,
+  StoreRequest,
+} from '../../src/coordination/entry/events.js';
+import { PeerCallPurpose } from '../../src/coordination/entry/exchange/peerCallPurpose.js';
 import { createStoreMirror } from '../../src/state/entry/storeMirror.js';
 import { createEntryCommandExecutor } from '../../src/transport/entry/commandTable.js';
 import type { EntryCommandContext } from '../../src/transport/entry/commandContext.js';
@@ -17,7 +24,7 @@
 } from '../../src/transport/entry/storeWatches.js';
 import { createSuspensionDetector } from '../../src/transport/entry/suspensionDetector.js';
 import { PLATFORM_WIRE } from '../../platform/wire.js';
-import { createTestVm, TEST_POLICY } from './fixtures.js';
+import { createPeerMessage, createTestVm, TEST_POLICY } from './fixtures.js';
 
 const PauseKind = { Suspension: 'suspension', Freeze: 'freeze' } as const;
 type PauseKind = (typeof PauseKind)[keyof typeof PauseKind];
@@ -144,6 +151,7 @@
 }
 
 const PEER = { vmId: 'vm-2', peerAddress: 'vm-2:1' };
+const EMPTY_SNAPSHOT = { items: [], revision: 5 };
 
 const GRANTS: readonly Grant[] = [
   {
@@ -180,6 +188,31 @@
     isUsed: ({ events }) =>
       events.some((event) => event.kind === EntryEventKind.LoanAnswered && event.lentTokens > 0),
   },
+  {
+    name: 'the word of a relay that its data is current',
+    call: ({ execute, timers }) =>
+      execute(
+        {
+          kind: EntryCommandKind.SendPeerMessage,
+          ...PEER,
+          message: createPeerMessage(),
+          purpose: PeerCallPurpose.Relay,
+          storeRequest: StoreRequest.Relay,
+        },
+        timers,
+      ),
+    answer: { message: createPeerMessage(), store: { changes: null, isCurrent: true } },
+    isUsed: ({ storeAccess }) => storeAccess.isCurrent(),
+  },
+  {
+    name: 'an answer of the store',
+    call: ({ storeAccess }) => {
+      storeAccess.setReader(true);
+      Effect.runFork(storeAccess.run);
+    },
+    answer: EMPTY_SNAPSHOT,
+    isUsed: ({ storeAccess }) => storeAccess.isCurrent(),
+  },
 ];
 
 describe('a VM that was paused during a call', () => {
