Show operators how a VM gets what it knows

The metrics address serves /status, and `gentiandeck-entry status` prints it: role, relay, for how many VMs it relays, revisions, ages of its views, delay of the loop, calls by purpose. Bytes by purpose are not counted.

--- a/src/bin/gentiandeckEntry.ts
+++ b/src/bin/gentiandeckEntry.ts
@@ -8,11 +8,18 @@
 import { PLATFORM_WIRE } from '../../platform/wire.js';
 import { EntryLogPrefix } from '../coordination/entry/commands.js';
 import { LogLevel } from '../coordination/events.js';
-import { type Diagnostic, DiagnosticError } from '../state/diagnostics.js';
+import {
+  createDiagnostic,
+  type Diagnostic,
+  DiagnosticError,
+  Diagnostics,
+} from '../state/diagnostics.js';
 import { type EntryDaemon, startEntryDaemon } from '../transport/entry/entryDaemon.js';
 import { createEntryLogWriter, type EntryLog } from '../transport/entry/entryLog.js';
+import { STATUS_PATH } from '../transport/entry/metricsServer.js';
 import { liftQuarantine, listQuarantines } from '../transport/entry/quarantineEditor.js';
 import type { EntrySettings } from '../transport/entry/settings.js';
+import { callHttp } from '../transport/httpCall.js';
 import type { PrefixStore } from '../transport/keyValueStore.js';
 import { VERSION } from '../transport/version.js';
 
@@ -22,6 +29,7 @@
 const DEFAULT_LOG_LEVEL = 'info';
 /** Timeout of a call to the store; a call to a slow store takes several hundred milliseconds. */
 const STORE_TIMEOUT_MS = 1_000;
+const STATUS_TIMEOUT_MS = 2_000;
 const MAX_PORT = 65_535;
 
 interface Options {
@@ -99,18 +107,22 @@
   return { metricsPort, logLevel: String(flags['log-level']) };
 }
 
-/** Runs an operator's command on the store that the settings name. */
-async function runOnStore(
-  command: (store: PrefixStore) => Effect.Effect<readonly string[], Diagnostic>,
-): Promise<void> {
+async function readSettings(): Promise<EntrySettings> {
   const text = await readSettingsFile(process.env);
-  const settings = decodeSettings(text).caseOf<EntrySettings>({
+  return decodeSettings(text).caseOf<EntrySettings>({
     Left: (diagnostic) => {
       throw new DiagnosticError(diagnostic);
     },
     Right: (decoded) => decoded,
   });
-  const store = createPlatformStore(settings.storeAddress, STORE_TIMEOUT_MS);
+}
+
+/** Runs an operator's command on the store that the settings name. */
+async function runOnStore(
+  command: (store: PrefixStore) => Effect.Effect<readonly string[], Diagnostic>,
+): Promise<void> {
+  const { storeAddress } = await readSettings();
+  const store = createPlatformStore(storeAddress, STORE_TIMEOUT_MS);
   const lines = await Effect.runPromise(
     Effect.match(command(store), {
       onFailure: (diagnostic) => {
@@ -123,6 +135,29 @@
   process.exit();
 }
 
+/** Prints the status of the daemon that runs with the same settings file. */
+async function printStatus({ metricsPort }: Options): Promise<void> {
+  const { host } = await readSettings();
+  const address = `${host}:${metricsPort}`;
+  const call = callHttp({
+    address,
+    method: 'GET',
+    path: STATUS_PATH,
+    body: null,
+    timeoutMs: STATUS_TIMEOUT_MS,
+  });
+  const text = await Effect.runPromise(
+    Effect.match(call, {
+      onFailure: () => {
+        throw new DiagnosticError(createDiagnostic(Diagnostics.PeerUnavailable, address));
+      },
+      onSuccess: (response) => response.text,
+    }),
+  );
+  process.stdout.write(text);
+  process.exit();
+}
+
 function readWallMs(): number {
   return Effect.runSync(Clock.clockWith((clock) => clock.currentTimeMillis));
 }
@@ -143,6 +178,16 @@
     }
     start(options).catch(fail);
   })
+  .command('status', 'Print how the daemon of this VM gets what it knows of the fleet')
+  .option('--metrics-port', 'Port of the metrics server', DEFAULT_METRICS_PORT)
+  .action((flags: Record<string, unknown>) => {
+    const options = parseOptions(flags);
+    if (options === null) {
+      process.exitCode = EXIT_INVALID_SETTINGS;
+      return;
+    }
+    printStatus(options).catch(fail);
+  })
   .command('quarantine list', 'List the quarantined prompt parts')
   .action(() => {
     runOnStore((store) => listQuarantines(store, readWallMs())).catch(fail);
--- a/src/transport/entry/entryDaemon.ts
+++ b/src/transport/entry/entryDaemon.ts
@@ -196,6 +196,7 @@
     loopDelay,
     loopWork,
     peerCalls,
+    storeAccess,
     getNowMs,
   });
 
--- a/src/transport/entry/metricsServer.ts
+++ b/src/transport/entry/metricsServer.ts
@@ -1,5 +1,5 @@
 /**
- * Serves the metrics of an entry VM over HTTP in the Prometheus text format.
+ * Serves the metrics of an entry VM over HTTP in the Prometheus text format, and its status for operators.
  */
 import http, { type Server } from 'node:http';
 import { countLiveVms, type EntryState, RelayRole } from '../../coordination/entry/state.js';
@@ -11,8 +11,11 @@
 import type { LoopDelayMonitor } from './loopDelay.js';
 import type { LoopWorkMeter } from './loopWork.js';
 import type { PeerCallCounter } from './peerCallCounter.js';
+import { formatVmStatus, type VmStatusSources } from './vmStatus.js';
 
 const METRICS_PATH = '/metrics';
+/** Path of the status of the VM. */
+export const STATUS_PATH = '/status';
 const HTTP_OK = 200;
 const HTTP_NOT_FOUND = 404;
 
@@ -24,6 +27,7 @@
   readonly loopDelay: LoopDelayMonitor;
   readonly loopWork: LoopWorkMeter;
   readonly peerCalls: PeerCallCounter;
+  readonly storeAccess: VmStatusSources['storeAccess'];
   readonly getNowMs: () => number;
 }
 
@@ -60,17 +64,32 @@
     .join('');
 }
 
+function formatMetrics(sources: MetricsSources): string {
+  const counters = [sources.metrics, sources.loopWork, sources.peerCalls];
+  const texts = counters.map((counter) => counter.formatPrometheus());
+  return [...texts, formatGauges(sources)].join('');
+}
+
+interface Page {
+  readonly contentType: string;
+  readonly format: (sources: MetricsSources) => string;
+}
+
+const PAGES: ReadonlyMap<string, Page> = new Map([
+  [METRICS_PATH, { contentType: 'text/plain; version=0.0.4', format: formatMetrics }],
+  [STATUS_PATH, { contentType: 'text/plain', format: formatVmStatus }],
+]);
+
 /** Creates the metrics server. The caller starts it with `listen`. */
 export function createMetricsServer(sources: MetricsSources): Server {
   return http.createServer((request, response) => {
-    if ((request.url ?? '').split('?')[0] !== METRICS_PATH) {
+    const page = PAGES.get((request.url ?? '').split('?')[0]!);
+    if (page === undefined) {
       response.writeHead(HTTP_NOT_FOUND);
       response.end();
       return;
     }
-    response.writeHead(HTTP_OK, { 'content-type': 'text/plain; version=0.0.4' });
-    const counters = [sources.metrics, sources.loopWork, sources.peerCalls];
-    const texts = counters.map((counter) => counter.formatPrometheus());
-    response.end([...texts, formatGauges(sources)].join(''));
+    response.writeHead(HTTP_OK, { 'content-type': page.contentType });
+    response.end(page.format(sources));
   });
 }
--- a/src/transport/entry/storeWatches.ts
+++ b/src/transport/entry/storeWatches.ts
@@ -306,6 +306,8 @@
   readonly setReader: (isReader: boolean) => void;
   /** Returns true if this VM's last call to the store succeeded, or its relay has just sent current data. */
   readonly isCurrent: () => boolean;
+  /** Returns the time at which the store or the relay last confirmed the data; not finite if neither has. */
+  readonly getConfirmedAtMs: () => number;
   /** Records that the relay has sent current data. */
   readonly recordRelayed: () => void;
   /** Requires a call that starts and succeeds after this before the mirror counts as current again. */
@@ -329,8 +331,10 @@
   let isConfirmed = false;
   let invalidationCount = 0;
   let relayedAtMs = Number.NEGATIVE_INFINITY;
+  let confirmedAtMs = Number.NEGATIVE_INFINITY;
   const recordReachability = (isReachable: boolean): void => {
     isConfirmed = isReachable;
+    confirmedAtMs = isReachable ? getNowMs() : confirmedAtMs;
     if (isReader) {
       post({ kind: EntryEventKind.StoreReachabilityRead, isReachable });
     }
@@ -353,7 +357,9 @@
     },
     isCurrent: () =>
       (isReader && isConfirmed) || getNowMs() - relayedAtMs < RELAYED_DATA_MAX_AGE_MS,
+    getConfirmedAtMs: () => Math.max(confirmedAtMs, relayedAtMs),
     recordRelayed: () => {
+      confirmedAtMs = getNowMs();
       relayedAtMs = getNowMs();
     },
     invalidate: () => {
