Hold the writers of a log test until its log closes, not for a time of the processor

Traced: the rows kept the threads that write busy with computations, which took longer than the 0.5 s for which closing a log waits; the lines after the write that was under way were then given up, as the limit says.

The threads are now held by reads of the standard input, and the test releases them when the process says that it has begun to close its log. The checks are as they were.

--- a/tests/processes/entryLog.test.ts
+++ b/tests/processes/entryLog.test.ts
@@ -17,10 +17,13 @@
 /** Lets the event loop turn after each line, so that writes end meanwhile. */
 const TURN_OF_THE_LOOP = 'await new Promise((resolve) => { setImmediate(resolve); });';
 const CLOSE_AND_EXIT = 'await log.close(); process.exit();';
-/** Keeps all threads that write for a while, so that the first write is still under way when the process ends. */
+/** Keeps all threads that write, until the test has sent them a byte each. */
 const KEEP_WRITERS_BUSY = `
-    const { pbkdf2 } = await import('node:crypto');
-    for (let i = 0; i < 4; i += 1) pbkdf2('', '', 300_000, 64, 'sha512', () => {});`;
+    const { read } = await import('node:fs');
+    for (let i = 0; i < 4; i += 1) read(0, Buffer.alloc(1), 0, 1, null, () => {});`;
+const RELEASE_WRITERS = 'free';
+/** Begins to close the log while the first write is still under way, and has the test release the threads then. */
+const BEGIN_TO_CLOSE = "const closed = log.close(); process.stderr.write('closing');";
 
 interface Case {
   readonly name: string;
@@ -52,7 +55,7 @@
     name: 'closes its log while lines are being written, and exits',
     start: KEEP_WRITERS_BUSY,
     pause: '',
-    end: CLOSE_AND_EXIT,
+    end: `${BEGIN_TO_CLOSE} await closed; process.exit();`,
     isKilled: false,
   },
   {
@@ -60,7 +63,7 @@
     start: KEEP_WRITERS_BUSY,
     pause: '',
     end: `
-      const closed = log.close();
+      ${BEGIN_TO_CLOSE}
       setImmediate(() => log.write('info', 'request', 'Logged while the log closes.'));
       await closed;
       log.write('info', 'request', 'Logged after the log was closed.');
@@ -85,6 +88,7 @@
 async function runProcess({ isKilled, ...steps }: Case) {
   const child = startProcess(LINES, steps);
   const chunks: string[] = [];
+  child.stderr.once('data', () => child.stdin.write(RELEASE_WRITERS));
   child.stdout.on('data', (chunk: Buffer) => {
     chunks.push(chunk.toString());
   });
