--- a/src/transport/metrics.ts
+++ b/src/transport/metrics.ts
@@ -2,13 +2,12 @@
  * Collects the metrics of ended requests by workspace and target, formats them as Prometheus text, and encodes them
  * for the burn rate report over all VMs.
  */
-import type { Histogram } from 'hdr-histogram-js';
-// The package's index also loads a log writer, whose number format takes a twentieth of the start of a process.
 import {
+  build,
   decodeFromCompressedBase64,
   encodeIntoCompressedBase64,
-} from 'hdr-histogram-js/dist/encoding.js';
-import { build } from 'hdr-histogram-js/dist/HistogramBuilder.js';
+  type Histogram,
+} from 'hdr-histogram-js';
 import { type RequestMetrics, RequestOutcome } from '../coordination/events.js';
 import type { MeasuredSeries, Measures } from '../protocol/burnMessages.js';
 import {
