--- a/review/lib/harness.mjs
+++ b/review/lib/harness.mjs
@@ -27,6 +27,7 @@
 /** The lines are written one after the other; the end of the script waits for all. */
 let written = Promise.resolve();
 let lastLine = '';
+let isEnding = false;
 
 /** Returns the seconds since the start of the script. */
 export function now() {
@@ -47,6 +48,8 @@
 }
 
 async function end(status) {
+  // Nothing that is still running may start another process now.
+  isEnding = true;
   children.forEach((child) => child.kill('SIGKILL'));
   await written;
   await rm(folder, { recursive: true, force: true });
@@ -54,6 +57,15 @@
   process.exit(status);
 }
 
+/** A script that is itself ended leaves no process behind. */
+process.on('exit', () => children.forEach((child) => child.kill('SIGKILL')));
+['SIGINT', 'SIGTERM', 'SIGHUP'].forEach((name) => {
+  process.on(name, () => {
+    record(`the script gets ${name}`);
+    end(NOT_RUN).catch(() => process.exit(NOT_RUN));
+  });
+});
+
 /** Runs a case, which returns the status, and ends all processes that it started. */
 export async function runCase(caseUrl, run) {
   recordPath = new URL('record.txt', caseUrl).pathname;
@@ -146,6 +158,9 @@
   };
   await writeFile(path, JSON.stringify(settings));
   const args = ['--max-old-space-size=200', 'target/gentiandeckEntry.mjs'];
+  if (isEnding) {
+    throw new Error('the script ends');
+  }
   const child = spawn(process.execPath, [...args, '--metrics-port', String(metrics)], {
     cwd: ROOT,
     env: { PATH: process.env.PATH, HOME: process.env.HOME, GENTIANDECK_NODE_FILE: path },
