Bound the age of what a VM knows of the store through a relay

Callers' requests were sent to servers up to 3.2 s after the store had removed their entries, by VMs that reached the store, where the VM that reads it for them had lost it in silence; `drain_ms` is 2 s. Those at the server when it exited were lost.

Cause: a relay told whether its contents were current, not how old they were, until its own call had failed (2.5 s), the second relay repeated that, and the next round came later still. The freedom of the VM that is cut off became a fault of those behind it.

Change: answers of a relay carry the time since the store confirmed their contents. This holds for all that comes through relays, whichever VM of the chain fails.

--- a/src/coordination/entry/events.ts
+++ b/src/coordination/entry/events.ts
@@ -184,6 +184,8 @@
   BackendsRead: 'backendsRead',
   VmsRead: 'vmsRead',
   StoreReachabilityRead: 'storeReachabilityRead',
+  StoreContentsAged: 'storeContentsAged',
+  StoreChangesTick: 'storeChangesTick',
   StoreRestored: 'storeRestored',
   MaintenanceTick: 'maintenanceTick',
   PeerMessage: 'peerMessage',
@@ -314,7 +316,15 @@
     readonly source: string;
   };
   [EntryEventKind.VmsRead]: { readonly vms: readonly ListedEntryVm[] };
-  [EntryEventKind.StoreReachabilityRead]: { readonly isReachable: boolean };
+  [EntryEventKind.StoreReachabilityRead]: {
+    readonly isReachable: boolean;
+    /** Time since the store confirmed what this VM knows of it; only read if it is reachable. */
+    readonly ageMs: number;
+  };
+  /** The contents of the store were not confirmed for the longest time for which this VM uses them. */
+  [EntryEventKind.StoreContentsAged]: Record<never, never>;
+  /** Requests the changes of the store as the second relay of the failure domain. */
+  [EntryEventKind.StoreChangesTick]: Record<never, never>;
   [EntryEventKind.MaintenanceTick]: Record<never, never>;
   [EntryEventKind.PeerMessage]: {
     readonly message: PeerMessage;
--- a/src/coordination/entry/exchange/gossip.ts
+++ b/src/coordination/entry/exchange/gossip.ts
@@ -31,7 +31,13 @@
 import { dispatchWaiting } from '../requests/forwarding.js';
 import { listModelDemands, listWorkspaceDemands } from './ownDemands.js';
 import { expireLoanAnswers } from '../limits/rateLoans.js';
-import { countVmsPerRelay, markRelayFailed, selectRelay, updateRelayRole } from './relays.js';
+import {
+  countVmsPerRelay,
+  createChangesTimer,
+  markRelayFailed,
+  selectRelay,
+  updateRelayRole,
+} from './relays.js';
 import { type EntryState, isShuttingDown, RelayRole } from '../state.js';
 
 /** Reports that were received longer ago than this are not sent on. */
@@ -41,6 +47,10 @@
 /** Work of a relay for each VM that it relays for: their exchanges are spread over this time each. */
 const RELAYED_EXCHANGE_MS = 100;
 const MAX_RELAYED_INTERVAL_MS = 1_000;
+/** Longest time between two answers of a relay, as a fraction of the longest time for which they may be used. */
+const MAX_INTERVAL_FRACTION = 0.5;
+/** Interval at which the second relay of a failure domain requests the changes of the store from the first. */
+const STORE_CHANGES_INTERVAL_MS = 200;
 /** The same for each report that relays exchange. */
 const RELAY_REPORT_MS = 25;
 /** With more relays than this, each round goes to one peer only, which keeps the bytes of a relay bounded. */
@@ -135,13 +145,21 @@
   return [sendToPeer(controller, message, PeerCallPurpose.ModelDemands)];
 }
 
-/** Requests the changes of the store from the first relay of the failure domain, if this VM is the second. */
-function requestStoreChanges(state: EntryState, nowMs: number): EntryCommand[] {
+/** Requests the changes of the store from the first relay of the failure domain, while this VM is the second. */
+export function handleStoreChangesTick(
+  state: EntryState,
+  _event: EntryEventOf<typeof EntryEventKind.StoreChangesTick>,
+  nowMs: number,
+): EntryCommand[] {
   const relay = state.relays.find(({ vmId }) => vmId === state.relayId);
-  const purpose = PeerCallPurpose.Relay;
-  return relay === undefined
-    ? []
-    : [sendToPeer(relay, createMessage(state, nowMs), purpose, StoreRequest.Relay)];
+  if (state.relayRole !== RelayRole.Standby || relay === undefined) {
+    return [];
+  }
+  const message = createMessage(state, nowMs);
+  return [
+    createChangesTimer(STORE_CHANGES_INTERVAL_MS),
+    sendToPeer(relay, message, PeerCallPurpose.Relay, StoreRequest.Relay),
+  ];
 }
 
 /** Sends all known reports to some other relays, which answer with those that they know. */
@@ -159,19 +177,16 @@
 
 function exchangeWithPeers(state: EntryState, nowMs: number): EntryCommand[] {
   const report = createReport(state, nowMs);
-  return [
-    ...requestStoreChanges(state, nowMs),
-    ...reportToController(state, report, nowMs),
-    ...exchangeReports(state, report, nowMs),
-  ];
+  return [...reportToController(state, report, nowMs), ...exchangeReports(state, report, nowMs)];
 }
 
 /** Returns the time between two rounds, which grows where a relay has to answer or to know many others. */
 function getIntervalMs(state: EntryState): number {
-  const { peerIntervalMs } = state.policy;
+  const { maxStoreAgeMs, peerIntervalMs } = state.policy;
+  const maxRelayedMs = Math.min(MAX_RELAYED_INTERVAL_MS, maxStoreAgeMs * MAX_INTERVAL_FRACTION);
   const loadMs =
     state.relayRole === RelayRole.Relayed
-      ? Math.min(MAX_RELAYED_INTERVAL_MS, countVmsPerRelay(state) * RELAYED_EXCHANGE_MS)
+      ? Math.min(maxRelayedMs, countVmsPerRelay(state) * RELAYED_EXCHANGE_MS)
       : state.relays.length * RELAY_REPORT_MS;
   return Math.max(peerIntervalMs, loadMs);
 }
--- a/src/coordination/entry/exchange/relays.ts
+++ b/src/coordination/entry/exchange/relays.ts
@@ -5,6 +5,9 @@
  * time, ties by hashing. The first reads the store, the second gets its changes from the first. Any other VM exchanges its
  * reports for the store's changes and the demands of the fleet with one of them. A VM reads the store itself while it is
  * the controller, and while no relay that it may use answers with current data.
+ *
+ * A relay may lose the store without noticing, or freeze. Each answer of a relay therefore tells how long ago the store has
+ * confirmed what it says, over all the VMs between; a VM that has not heard anything fresh enough reads the store itself.
  */
 import { hashText } from '../../../state/random.js';
 import { LogLevel } from '../../events.js';
@@ -15,7 +18,7 @@
   EntryCommandKind,
   EntryLogPrefix,
 } from '../commands.js';
-import { EntryEventKind, type ListedEntryVm } from '../events.js';
+import { EntryEventKind, type EntryEventOf, type ListedEntryVm } from '../events.js';
 import { type EntryState, RelayRole } from '../state.js';
 
 /** Two relays, so that the failure of one leaves another with the same data. */
@@ -73,6 +76,24 @@
   return isRelay(state, state.self.vmId) ? RelayRole.Standby : RelayRole.Relayed;
 }
 
+/** Starts the timer that ends the use of a relay unless the store confirms its contents again before. */
+export function startAgeTimer(state: EntryState, nowMs: number): EntryCommand[] {
+  const { policy, relayRole, store } = state;
+  const isRelayUsed = relayRole === RelayRole.Relayed || relayRole === RelayRole.Standby;
+  if (!isRelayUsed || !Number.isFinite(store.confirmedAtMs)) {
+    return [];
+  }
+  const kind = EntryEventKind.StoreContentsAged;
+  const delayMs = Math.max(0, store.confirmedAtMs + policy.maxStoreAgeMs - nowMs);
+  return [createEntryTimer(kind, delayMs, { kind })];
+}
+
+/** Starts the timer of the next request for the changes of the store by the second relay of a failure domain. */
+export function createChangesTimer(delayMs: number): EntryCommand {
+  const kind = EntryEventKind.StoreChangesTick;
+  return createEntryTimer(kind, delayMs, { kind });
+}
+
 /** Adopts the role that the list of VMs and the failures of relays call for. */
 export function updateRelayRole(state: EntryState, nowMs: number): EntryCommand[] {
   const relay = selectRelay(state, nowMs);
@@ -87,6 +108,8 @@
   return [
     { kind: EntryCommandKind.SetStoreAccess, isReader: role === RelayRole.Reader },
     createEntryTimer(kind, 0, { kind }),
+    ...startAgeTimer(state, nowMs),
+    ...(role === RelayRole.Standby ? [createChangesTimer(0)] : []),
     createEntryLog(LogLevel.Info, EntryLogPrefix.Store, 'The access to the store has changed.', {
       role,
       relay: relayId,
@@ -99,6 +122,27 @@
   state.relayFailedUntilMs.set(vmId, nowMs + RELAY_FAILURE_MS);
 }
 
+/** Reads the store itself once its contents are too old, since the other relay may have them from the same source. */
+export function handleStoreContentsAged(
+  state: EntryState,
+  _event: EntryEventOf<typeof EntryEventKind.StoreContentsAged>,
+  nowMs: number,
+): EntryCommand[] {
+  const { policy, relayId, relayRole, store } = state;
+  const isAged = nowMs - store.confirmedAtMs >= policy.maxStoreAgeMs;
+  if (relayRole === RelayRole.Reader || !isAged) {
+    return startAgeTimer(state, nowMs);
+  }
+  listUsableRelays(state).forEach(({ vmId }) => markRelayFailed(state, vmId, nowMs));
+  return [
+    createEntryLog(LogLevel.Warn, EntryLogPrefix.Store, 'The contents of the store are too old.', {
+      relay: relayId,
+      ageMs: nowMs - store.confirmedAtMs,
+    }),
+    ...updateRelayRole(state, nowMs),
+  ];
+}
+
 /** Returns the number of VMs of this VM's failure domain for each relay there. */
 export function countVmsPerRelay(state: EntryState): number {
   const { failureDomain } = state.self;
--- a/src/coordination/entry/handlers.ts
+++ b/src/coordination/entry/handlers.ts
@@ -46,7 +46,9 @@
   handlePeerCallFailed,
   handlePeerMessage,
   handlePeerTick,
+  handleStoreChangesTick,
 } from './exchange/gossip.js';
+import { handleStoreContentsAged } from './exchange/relays.js';
 import { handleStoreRestored } from './servers/restoredStore.js';
 import { handleQuarantinesRead } from './evidence/quarantineStore.js';
 import { handleLoanAnswered, handleLoanRequested } from './limits/loans.js';
@@ -83,6 +85,8 @@
   ],
   [EntryEventKind.VmsRead]: handleVmsRead,
   [EntryEventKind.StoreReachabilityRead]: handleStoreReachabilityRead,
+  [EntryEventKind.StoreContentsAged]: handleStoreContentsAged,
+  [EntryEventKind.StoreChangesTick]: handleStoreChangesTick,
   [EntryEventKind.StoreRestored]: handleStoreRestored,
   [EntryEventKind.MaintenanceTick]: handleMaintenanceTick,
   [EntryEventKind.PeerMessage]: handlePeerMessage,
--- a/src/coordination/entry/policy.ts
+++ b/src/coordination/entry/policy.ts
@@ -25,6 +25,11 @@
    * a dead connection is replaced within the time for which the platform tolerates that a VM has no contact.
    */
   readonly watchWaitMs: number;
+  /**
+   * Time for which a VM uses contents of the store that were not confirmed again. What remains of the platform's bound is for
+   * reading them from the store itself; from the settings.
+   */
+  readonly maxStoreAgeMs: number;
   /** Time from SIGTERM to SIGKILL; from the settings. */
   readonly stopGraceMs: number;
   /** Interval of the task that removes expired entries and retries waiting requests. */
--- a/src/coordination/entry/servers/discovery.ts
+++ b/src/coordination/entry/servers/discovery.ts
@@ -13,7 +13,7 @@
 } from '../commands.js';
 import type { BackendChange, EntryEventKind, EntryEventOf } from '../events.js';
 import { dispatchWaiting, dispatchWaitingFor } from '../requests/forwarding.js';
-import { selectRelays, updateRelayRole } from '../exchange/relays.js';
+import { selectRelays, startAgeTimer, updateRelayRole } from '../exchange/relays.js';
 import { applyRestoredBackends } from './restoredStore.js';
 import { EntryLifecycle, type EntryState, updateVmsLastSeen } from '../state.js';
 
@@ -160,21 +160,26 @@
   return [...commands, ...updateReadiness(state), ...dispatchWaitingFor(state, changed, nowMs)];
 }
 
-/** Records whether this VM can reach the store. */
+/** Records whether this VM can reach the store, and how old what it knows of it is. */
 export function handleStoreReachabilityRead(
   state: EntryState,
   event: EntryEventOf<typeof EntryEventKind.StoreReachabilityRead>,
   nowMs: number,
 ): EntryCommand[] {
-  const { isReachable } = event;
+  const { ageMs, isReachable } = event;
   const { store } = state;
+  if (isReachable) {
+    store.confirmedAtMs = Math.max(store.confirmedAtMs, nowMs - ageMs);
+  }
+  const timers = startAgeTimer(state, nowMs);
   if (isReachable === store.isReachable) {
-    return [];
+    return timers;
   }
   store.isReachable = isReachable;
   if (isReachable) {
     store.becameReachableAtMs = nowMs;
     return [
+      ...timers,
       createEntryLog(LogLevel.Warn, EntryLogPrefix.Store, 'The store is reachable again.', {
         lostMs: nowMs - store.becameUnreachableAtMs,
       }),
--- a/src/coordination/entry/state.ts
+++ b/src/coordination/entry/state.ts
@@ -130,6 +130,8 @@
 /** Reachability of the store, as the watches on it report it. */
 export interface StoreStatus {
   isReachable: boolean;
+  /** Time at which the store last confirmed what this VM knows of it, as far as known; not finite before the first time. */
+  confirmedAtMs: number;
   /** Time of the last change from unreachable to reachable. */
   becameReachableAtMs: number;
   /** Time of the last change from reachable to unreachable. */
@@ -303,6 +305,7 @@
     retryBudgets: new Map(),
     store: {
       isReachable: true,
+      confirmedAtMs: Number.NEGATIVE_INFINITY,
       becameReachableAtMs: Number.NEGATIVE_INFINITY,
       becameUnreachableAtMs: Number.NEGATIVE_INFINITY,
     },
--- a/src/protocol/entry/peerMessages.ts
+++ b/src/protocol/entry/peerMessages.ts
@@ -26,8 +26,10 @@
 export interface StoreReply {
   /** Null if the VM knows nothing of the store, or less than the VM that asks. */
   readonly changes: StoreUpdate | null;
-  /** True if the VM reads the store itself and its last read succeeded. */
+  /** False if the VM's last call to the store failed, or the contents are older than it uses them for. */
   readonly isCurrent: boolean;
+  /** Time since the store confirmed the contents; 0 unless they are current. */
+  readonly ageMs: number;
 }
 
 /** The answer to a message. */
@@ -155,7 +157,7 @@
 
 /** Encodes the answer to a message. */
 export function encodePeerMessage(message: PeerMessage, store: StoreReply): PeerMessageWire {
-  const { changes, isCurrent } = store;
+  const { ageMs, changes, isCurrent } = store;
   return create(PeerMessageSchema, {
     ...encodeMessage(message),
     store:
@@ -169,6 +171,7 @@
             })),
             revision: changes.revision,
             isCurrent,
+            ageMs,
           },
   });
 }
@@ -199,15 +202,15 @@
 /** Decodes the changes of the store in an answer. */
 export function decodeStoreReply({ store }: PeerMessageWire): StoreReply {
   if (store === undefined) {
-    return { changes: null, isCurrent: false };
+    return { changes: null, isCurrent: false, ageMs: 0 };
   }
-  const { isCurrent, isSnapshot, items, revision } = store;
+  const { ageMs, isCurrent, isSnapshot, items, revision } = store;
   const changes = {
     isSnapshot,
     items: items.map(({ key, value, version }) => ({ key, value: value ?? null, version })),
     revision,
   };
-  return { changes, isCurrent };
+  return { changes, isCurrent, ageMs: Math.max(0, ageMs) };
 }
 
 function decodeWorkspaceDemand(wire: WorkspaceDemandWire): WorkspaceDemand {
--- a/src/transport/entry/commandTable.ts
+++ b/src/transport/entry/commandTable.ts
@@ -18,6 +18,7 @@
 import { LogLevel } from '../../coordination/events.js';
 import type { LoopTimers } from '../../coordination/loop.js';
 import { DEFAULT_OBJECTIVE } from '../../state/burn.js';
+import type { StoreReply } from '../../protocol/entry/peerMessages.js';
 import type { Diagnostic } from '../../state/diagnostics.js';
 import { handleAnswer } from './answers.js';
 import { startAttempt } from './attempt.js';
@@ -135,12 +136,14 @@
       reason,
     });
   };
-  const recordRelayAnswer = (vmId: string, isCurrent: boolean, ageMs: number): void => {
-    if (!isCurrent) {
+  /** Records an answer of the relay. Its contents have aged by the time of the call, which may have been read late. */
+  const recordRelayAnswer = (vmId: string, store: StoreReply, callMs: number): void => {
+    const ageMs = store.ageMs + callMs;
+    if (!store.isCurrent || ageMs >= watches.getMaxStoreAgeMs()) {
       post({ kind: EntryEventKind.PeerCallFailed, vmId });
-    } else if (ageMs <= MAX_GRANT_AGE_MS) {
-      storeAccess.recordRelayed();
-      post({ kind: EntryEventKind.StoreReachabilityRead, isReachable: true });
+    } else {
+      storeAccess.recordRelayed(ageMs);
+      post({ kind: EntryEventKind.StoreReachabilityRead, isReachable: true, ageMs });
     }
   };
   return {
@@ -162,7 +165,7 @@
             }
             post({ kind: EntryEventKind.PeerMessage, message: reply, replyId: null });
             if (storeRequest === StoreRequest.Relay) {
-              recordRelayAnswer(vmId, store.isCurrent, getAgeMs());
+              recordRelayAnswer(vmId, store, getAgeMs());
             }
           },
         }),
--- a/src/transport/entry/entryDaemon.ts
+++ b/src/transport/entry/entryDaemon.ts
@@ -147,6 +147,7 @@
     malformedEntries,
     isController: () => state.placement.fence !== null,
     getWatchWaitMs: () => state.policy.watchWaitMs,
+    getMaxStoreAgeMs: () => state.policy.maxStoreAgeMs,
     getNowMs,
     getWallMs: () => clock.currentTimeMillisUnsafe(),
   });
@@ -195,7 +196,8 @@
     mirror,
     configurationKey: wire.configurationKey,
     getConfigurationVersion: () => state.deployment?.version ?? 0,
-    isStoreCurrent: storeAccess.isCurrent,
+    getStoreAgeMs: () =>
+      storeAccess.isCurrent() ? getNowMs() - storeAccess.getConfirmedAtMs() : null,
   });
   const metricsServer = createMetricsServer({
     metrics,
--- a/src/transport/entry/entryPeers.ts
+++ b/src/transport/entry/entryPeers.ts
@@ -64,8 +64,8 @@
   readonly configurationKey: string;
   /** Returns the version of the configuration in force; 0 before the first one. */
   readonly getConfigurationVersion: () => number;
-  /** Returns true if the mirror has the current contents of the store. */
-  readonly isStoreCurrent: () => boolean;
+  /** Returns how long ago the store has confirmed the contents of the mirror; null if they are not current. */
+  readonly getStoreAgeMs: () => number | null;
 }
 
 /** Waits for a reply of the event loop. Resolves with the fallback after the timeout. */
@@ -134,7 +134,12 @@
             storeAfter === undefined
               ? null
               : readChanges(context, storeAfter, configurationVersion);
-          return encodePeerMessage(answer, { changes, isCurrent: context.isStoreCurrent() });
+          const ageMs = context.getStoreAgeMs();
+          return encodePeerMessage(answer, {
+            changes,
+            isCurrent: ageMs !== null,
+            ageMs: ageMs ?? 0,
+          });
         },
         ensureAdapter: async ({ adapter, failureDomain, model, service }) => {
           const replyId = createReplyId();
--- a/src/transport/entry/storeWatches.ts
+++ b/src/transport/entry/storeWatches.ts
@@ -40,8 +40,6 @@
 const CONTROLLER_BATCH_DELAY_MS = 40;
 /** Longest time from the end of a call's wait to its answer, for the answer to tell the state of the store now. */
 const MAX_ANSWER_AGE_MS = 1_000;
-/** Data that a relay has sent counts as current for this time. */
-const RELAYED_DATA_MAX_AGE_MS = 1_000;
 /** Texts of configurations whose decoded form is kept: the one in force and one that is compared with it. */
 const MAX_DECODED_CONFIGURATIONS = 2;
 const MIN_RETRY_DELAY_MS = 100;
@@ -59,6 +57,8 @@
   readonly malformedEntries: MalformedEntries;
   readonly isController: () => boolean;
   readonly getWatchWaitMs: () => number;
+  /** Returns the time for which contents of the store count as current after the store has confirmed them. */
+  readonly getMaxStoreAgeMs: () => number;
   readonly applyEntryKeys: EntryKeysReader;
   readonly getNowMs: () => number;
   /** Reads the wall clock. */
@@ -235,12 +235,12 @@
 export interface StoreAccess {
   /** Starts or stops to read the store. */
   readonly setReader: (isReader: boolean) => void;
-  /** Returns true if this VM's last call to the store succeeded, or its relay has just sent current data. */
+  /** Returns true unless this VM's last call to the store failed, or the store has not confirmed its contents for too long. */
   readonly isCurrent: () => boolean;
-  /** Returns the time at which the store or the relay last confirmed the data; not finite if neither has. */
+  /** Returns the time at which the store last confirmed its contents, also to a relay; not finite if it has not. */
   readonly getConfirmedAtMs: () => number;
-  /** Records that the relay has sent current data. */
-  readonly recordRelayed: () => void;
+  /** Records that the relay has sent current contents, which the store has confirmed this long ago. */
+  readonly recordRelayed: (ageMs: number) => void;
   /** Requires a call that starts and succeeds after this before the mirror counts as current again. */
   readonly invalidate: () => void;
   /** True if the store has dropped changes that the mirror lacks. */
@@ -256,18 +256,17 @@
 
 /** Creates the access to the store, which is not used before `setReader`. */
 export function createStoreAccess(context: WatchContext): StoreAccess {
-  const { getNowMs, nextRandom, post, writeLog } = context;
+  const { getMaxStoreAgeMs, getNowMs, nextRandom, post, writeLog } = context;
   const gate = Latch.makeUnsafe(false);
   let isReader = false;
   let isConfirmed = false;
   let invalidationCount = 0;
-  let relayedAtMs = Number.NEGATIVE_INFINITY;
   let confirmedAtMs = Number.NEGATIVE_INFINITY;
   const recordReachability = (isReachable: boolean): void => {
     isConfirmed = isReachable;
     confirmedAtMs = isReachable ? getNowMs() : confirmedAtMs;
     if (isReader) {
-      post({ kind: EntryEventKind.StoreReachabilityRead, isReachable });
+      post({ kind: EntryEventKind.StoreReachabilityRead, isReachable, ageMs: 0 });
     }
   };
   const waitBeforeRetry = Effect.suspend(() => {
@@ -279,24 +278,22 @@
   const access: StoreAccess = {
     setReader: (isReaderNow) => {
       isReader = isReaderNow;
-      isConfirmed = false;
       if (isReader) {
         gate.openUnsafe();
       } else {
         gate.closeUnsafe();
       }
     },
-    isCurrent: () =>
-      (isReader && isConfirmed) || getNowMs() - relayedAtMs < RELAYED_DATA_MAX_AGE_MS,
-    getConfirmedAtMs: () => Math.max(confirmedAtMs, relayedAtMs),
-    recordRelayed: () => {
-      confirmedAtMs = getNowMs();
-      relayedAtMs = getNowMs();
+    isCurrent: () => isConfirmed && getNowMs() - confirmedAtMs < getMaxStoreAgeMs(),
+    getConfirmedAtMs: () => confirmedAtMs,
+    recordRelayed: (ageMs) => {
+      isConfirmed = true;
+      confirmedAtMs = Math.max(confirmedAtMs, getNowMs() - ageMs);
     },
     invalidate: () => {
       invalidationCount += 1;
       isConfirmed = false;
-      relayedAtMs = Number.NEGATIVE_INFINITY;
+      confirmedAtMs = Number.NEGATIVE_INFINITY;
     },
     isListNeeded: false,
     startCall: (waitMs) => {
--- a/tests/entry/discovery.test.ts
+++ b/tests/entry/discovery.test.ts
@@ -17,7 +17,7 @@
 } from './fixtures.js';
 
 function setStoreReachable(vm: TestVm, isReachable: boolean, nowMs: number): void {
-  vm.step({ kind: EntryEventKind.StoreReachabilityRead, isReachable }, nowMs);
+  vm.step({ kind: EntryEventKind.StoreReachabilityRead, isReachable, ageMs: 0 }, nowMs);
 }
 
 function removeEntries(vm: TestVm, ids: readonly string[], nowMs: number): void {
--- a/tests/entry/fixtures.ts
+++ b/tests/entry/fixtures.ts
@@ -37,7 +37,8 @@
   takeoverWaitMs: 0,
   loadWindowMs: 5_000,
   loadFactor: 1.1,
-  watchWaitMs: 1_900,
+  watchWaitMs: 500,
+  maxStoreAgeMs: 1_500,
   stopGraceMs: 8_000,
 };
 
--- a/tests/entry/largeConfiguration.test.ts
+++ b/tests/entry/largeConfiguration.test.ts
@@ -75,7 +75,7 @@
     mirror,
     configurationKey: CONFIGURATION_KEY,
     getConfigurationVersion: () => 7,
-    isStoreCurrent: () => true,
+    getStoreAgeMs: () => 0,
   });
   const sockets: Socket[] = [];
   server.on('connection', (socket) => sockets.push(socket));
--- a/tests/entry/malformedMessages.test.ts
+++ b/tests/entry/malformedMessages.test.ts
@@ -172,6 +172,7 @@
   {
     changes: { isSnapshot: false, items: [{ key: 'k', value: 'v', version: 6 }], revision: 6 },
     isCurrent: true,
+    ageMs: 0,
   },
 );
 
@@ -278,7 +279,7 @@
     mirror: createStoreMirror(),
     configurationKey: 'configuration',
     getConfigurationVersion: () => 1,
-    isStoreCurrent: () => true,
+    getStoreAgeMs: () => 0,
   });
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
--- a/tests/entry/oddEntries.test.ts
+++ b/tests/entry/oddEntries.test.ts
@@ -32,6 +32,7 @@
   createTestVm,
   findCommands,
   getDispatch,
+  TEST_POLICY,
 } from './fixtures.js';
 
 const RUNS = Number(process.env.FUZZ_RUNS ?? '300');
@@ -69,6 +70,7 @@
     malformedEntries,
     isController: () => false,
     getWatchWaitMs: () => 1_000,
+    getMaxStoreAgeMs: () => TEST_POLICY.maxStoreAgeMs,
     getNowMs: () => NOW_MS,
     getWallMs: () => 1_000_000,
   });
@@ -83,7 +85,7 @@
 /** Passes the contents of a VM's mirror to another VM, over the encoding of their messages. */
 function relay(from: ReadingVm, to: ReadingVm): void {
   const changes = readStoreMirror(from.mirror, to.mirror.revision);
-  const answer = encodePeerMessage(createPeerMessage(), { changes, isCurrent: true });
+  const answer = encodePeerMessage(createPeerMessage(), { changes, isCurrent: true, ageMs: 0 });
   const received = fromBinary(PeerMessageSchema, toBinary(PeerMessageSchema, answer));
   to.read(decodeStoreReply(received).changes!);
 }
--- a/tests/entry/pausedProcess.test.ts
+++ b/tests/entry/pausedProcess.test.ts
@@ -94,6 +94,7 @@
     malformedEntries: createMalformedEntries(() => {}),
     isController: () => false,
     getWatchWaitMs: () => 1_000,
+    getMaxStoreAgeMs: () => TEST_POLICY.maxStoreAgeMs,
     getNowMs: () => clocks.nowMs,
     getWallMs: () => clocks.wallMs,
   });
@@ -203,7 +204,7 @@
         },
         timers,
       ),
-    answer: { message: createPeerMessage(), store: { changes: null, isCurrent: true } },
+    answer: { message: createPeerMessage(), store: { changes: null, isCurrent: true, ageMs: 0 } },
     isUsed: ({ storeAccess }) => storeAccess.isCurrent(),
   },
   {
--- a/tests/entry/relays.test.ts
+++ b/tests/entry/relays.test.ts
@@ -160,6 +160,83 @@
   });
 });
 
+/** The tightest time in which a VM must have stopped using a server that has left: `drain_ms`. */
+const MAX_DEPARTURE_MS = 2_000;
+
+const SILENT_CASES: readonly {
+  readonly name: string;
+  readonly changes: Partial<ExchangeFleetOptions>;
+  readonly isSilent: (vm: ExchangeVm, fleet: ExchangeFleet) => boolean;
+}[] = [
+  {
+    name: 'the first relay of a failure domain, 9 VMs',
+    changes: { vmCount: 9 },
+    isSilent: (vm, fleet) => vm === findFirstRelay(fleet),
+  },
+  {
+    name: 'the first relay of a failure domain, 200 VMs',
+    changes: { vmCount: 200, domainCount: 5 },
+    isSilent: (vm, fleet) => vm === findFirstRelay(fleet),
+  },
+  {
+    name: 'the first relays of all failure domains',
+    changes: { vmCount: 30 },
+    isSilent: ({ state }) => state.relayRole === RelayRole.Reader,
+  },
+  {
+    name: 'all relays of a single failure domain',
+    changes: { vmCount: 12, domainCount: 1 },
+    isSilent: ({ state }) => state.relayRole !== RelayRole.Relayed,
+  },
+];
+
+const DEPARTURE_SIZES = [
+  { vmCount: 9, domainCount: 3 },
+  { vmCount: 200, domainCount: 5 },
+];
+
+describe('a server that has left', () => {
+  // A relay that loses the store in silence vouches for its data until its own call times out.
+  it.each(SILENT_CASES)(
+    'is known to have left by the VMs that reach the store, within the time to drain, while the store is silent towards $name',
+    ({ changes, isSilent }) => {
+      const fleet = startFleet(changes);
+      const silent = new Set(fleet.vms.filter((vm) => isSilent(vm, fleet)));
+      silent.forEach((vm) => Object.assign(vm, { isStoreSilent: true }));
+      fleet.write('withdrawn', null);
+      fleet.runFor(MAX_DEPARTURE_MS);
+      const outdated = fleet.vms.filter(
+        (vm) => !silent.has(vm) && vm.mirror.items.has('withdrawn'),
+      );
+      expect(outdated.map(({ listed, state }) => `${listed.vmId} ${state.relayRole}`)).toEqual([]);
+    },
+  );
+
+  describe.each(DEPARTURE_SIZES)('among $vmCount VMs', (size) => {
+    it.each(FAULTS)('is known to have left within the time to drain while $name', ({ inject }) => {
+      const fleet = startFleet(size);
+      inject(fleet);
+      fleet.write('withdrawn', null);
+      fleet.runFor(MAX_DEPARTURE_MS);
+      const outdated = listRequired(fleet).filter(
+        ({ isRefusedByStore, mirror }) => !isRefusedByStore && mirror.items.has('withdrawn'),
+      );
+      expect(outdated.map(({ listed, state }) => `${listed.vmId} ${state.relayRole}`)).toEqual([]);
+    });
+  });
+
+  it.each(DEPARTURE_SIZES)(
+    'costs no calls to the store of relayed VMs in calm: $vmCount VMs',
+    (size) => {
+      const fleet = startFleet(size);
+      const relayed = findByRole(fleet, RelayRole.Relayed);
+      const calls = relayed.map(({ storeCalls }) => storeCalls);
+      fleet.runFor(20_000);
+      expect(relayed.map(({ storeCalls }) => storeCalls)).toEqual(calls);
+    },
+  );
+});
+
 describe('the mirror of the store', () => {
   const change = fc.record({
     key: fc.constantFrom('a', 'b', 'c', 'd'),
--- a/tests/entry/storeKeys.test.ts
+++ b/tests/entry/storeKeys.test.ts
@@ -85,7 +85,7 @@
       const { quarantines, rejected } = decodeQuarantines(text, WALL_MS).unsafeCoerce();
       expect([quarantines.length, rejected.length]).toEqual([1, 1]);
       const message = createPeerMessage({ evidence: { ...NO_EVIDENCE, quarantines } });
-      const store = { changes: null, isCurrent: true };
+      const store = { changes: null, isCurrent: true, ageMs: 0 };
       expect(() => toBinary(PeerMessageSchema, encodePeerMessage(message, store))).not.toThrow();
     },
   );
--- a/tests/entry/thrownErrors.test.ts
+++ b/tests/entry/thrownErrors.test.ts
@@ -24,7 +24,7 @@
   createWatchContext,
 } from '../../src/transport/entry/storeWatches.js';
 import { createVmRegistration } from '../../src/transport/entry/vmRegistration.js';
-import { createPeerMessage, createTestVm } from './fixtures.js';
+import { createPeerMessage, createTestVm, TEST_POLICY } from './fixtures.js';
 
 const FAULT = Effect.die(new RangeError('thrown by the test'));
 const WAIT_MS = 2_000;
@@ -49,6 +49,7 @@
     malformedEntries: createMalformedEntries(() => {}),
     isController: () => false,
     getWatchWaitMs: () => 1_000,
+    getMaxStoreAgeMs: () => TEST_POLICY.maxStoreAgeMs,
     getNowMs: () => 0,
     getWallMs: () => 0,
   });
--- a/tests/fakes/exchangeFleet.ts
+++ b/tests/fakes/exchangeFleet.ts
@@ -39,6 +39,7 @@
 const STEP_MS = 40;
 const STORE_READ_MS = 200;
 const CALL_TIMEOUT_MS = 700;
+const WATCH_TIMEOUT_MARGIN_MS = 600;
 const STRONG_VMS_PER_DOMAIN = 3;
 const DEMAND_PERIOD_MS = 400;
 
@@ -63,9 +64,11 @@
   isRunning: boolean;
   isCutFromVms: boolean;
   isRefusedByStore: boolean;
+  /** True while calls to the store get no answer: they fail only after the timeout of a watch. */
+  isStoreSilent: boolean;
   isReader: boolean;
   isStoreConfirmed: boolean;
-  relayedAtMs: number;
+  confirmedAtMs: number;
   storeCalls: number;
   sentBytes: number;
   receivedBytes: number;
@@ -133,9 +136,10 @@
     isRunning: true,
     isCutFromVms: false,
     isRefusedByStore: false,
+    isStoreSilent: false,
     isReader: false,
     isStoreConfirmed: false,
-    relayedAtMs: Number.NEGATIVE_INFINITY,
+    confirmedAtMs: Number.NEGATIVE_INFINITY,
     storeCalls: 0,
     sentBytes: 0,
     receivedBytes: 0,
@@ -147,7 +151,7 @@
   };
 
   const isStoreCurrent = (vm: ExchangeVm): boolean =>
-    (vm.isReader && vm.isStoreConfirmed) || nowMs - vm.relayedAtMs < 1_000;
+    vm.isStoreConfirmed && nowMs - vm.confirmedAtMs < TEST_POLICY.maxStoreAgeMs;
 
   const post = (vm: ExchangeVm, event: EntryEvent): void => {
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- the VMs and the network call each other
@@ -197,7 +201,9 @@
     }
     const changes = storeAfter === null ? null : readStoreMirror(receiver.mirror, storeAfter);
     const isCurrent = isStoreCurrent(receiver);
-    const answer = encodePeerMessage(reply.message, { changes, isCurrent });
+    const ageMs = isCurrent ? nowMs - receiver.confirmedAtMs : 0;
+    const sentAtMs = nowMs;
+    const answer = encodePeerMessage(reply.message, { changes, isCurrent, ageMs });
     countBytes(receiver, vm, toBinary(PeerMessageSchema, answer).length);
     postLater(STEP_MS, () => {
       if (changes !== null) {
@@ -205,7 +211,11 @@
       }
       post(vm, { kind: EntryEventKind.PeerMessage, message: reply.message, replyId: null });
       if (storeRequest === StoreRequest.Relay && changes !== null && isCurrent) {
-        Object.assign(vm, { relayedAtMs: nowMs });
+        const totalAgeMs = ageMs + nowMs - sentAtMs;
+        const confirmedAtMs = Math.max(vm.confirmedAtMs, nowMs - totalAgeMs);
+        Object.assign(vm, { isStoreConfirmed: true, confirmedAtMs });
+        const kind = EntryEventKind.StoreReachabilityRead;
+        post(vm, { kind, isReachable: true, ageMs: totalAgeMs });
       } else if (storeRequest === StoreRequest.Relay) {
         post(vm, { kind: EntryEventKind.PeerCallFailed, vmId });
       }
@@ -216,7 +226,7 @@
   const executors: { readonly [K in EntryCommandKind]?: Executor<K> } = {
     [EntryCommandKind.SendPeerMessage]: sendMessage,
     [EntryCommandKind.SetStoreAccess]: (vm, { isReader }) => {
-      Object.assign(vm, { isReader, isStoreConfirmed: false });
+      Object.assign(vm, { isReader });
     },
     [EntryCommandKind.StartTimer]: (vm, { delayMs, event, timerId }) => {
       vm.timers.set(timerId, { atMs: nowMs + delayMs, event });
@@ -231,10 +241,18 @@
   }
 
   const readStore = (vm: ExchangeVm): void => {
+    if (vm.isStoreSilent) {
+      at(nowMs + TEST_POLICY.watchWaitMs + WATCH_TIMEOUT_MARGIN_MS, () => {
+        Object.assign(vm, { isStoreConfirmed: vm.isStoreConfirmed && !vm.isStoreSilent });
+      });
+      return;
+    }
     Object.assign(vm, { storeCalls: vm.storeCalls + 1, isStoreConfirmed: !vm.isRefusedByStore });
     if (vm.isRefusedByStore) {
       return;
     }
+    Object.assign(vm, { confirmedAtMs: nowMs });
+    post(vm, { kind: EntryEventKind.StoreReachabilityRead, isReachable: true, ageMs: 0 });
     const isSnapshot = vm.mirror.revision === 0 || getStoreEra(vm.mirror.revision) !== era;
     const changed = history.filter(({ version }) => version > vm.mirror.revision);
     updateStoreMirror(vm.mirror, {
