Wait for an address that an earlier process still has

A process that started while the one before it was still shutting down, or while another had one of its four ports, ended with status 1 and had to be started again; so a machine was without its process.

Cause: the first error of `listen` was taken for a wrong setting, whatever it was.

Change: `listen.ts`, for both daemons, waits while an address is in use or not configured yet, logs that once, and still rejects an address on which no process can listen. The metrics are served once their port is free; callers don't wait for that.

--- a/src/transport/daemon.ts
+++ b/src/transport/daemon.ts
@@ -11,7 +11,6 @@
 import { createVmState, type VmIdentity } from '../coordination/vmState.js';
 import { DEFAULT_POLICY, type Policy } from '../coordination/policy.js';
 import { createRandom, nextRandom } from '../state/random.js';
-import { createDiagnostic, DiagnosticError, Diagnostics } from '../state/diagnostics.js';
 import { DEFAULT_OBJECTIVE } from '../state/burn.js';
 import type { Objective } from '../state/types.js';
 import { createAdminServer } from './adminServer.js';
@@ -23,7 +22,7 @@
 import { createControllerLease } from './controllerLease.js';
 import { createEditor } from './editor.js';
 import type { Exchange } from './exchange.js';
-import { splitAddress } from './httpCall.js';
+import { listen } from './listen.js';
 import { createLog } from './logger.js';
 import { createMetrics } from './metrics.js';
 import { createPeerClient, createPeerServer, type PendingReplies } from './peers.js';
@@ -45,21 +44,6 @@
   return randomBytes(INCARNATION_BYTES).toString('hex');
 }
 
-function listen(server: Server, address: string): Promise<void> {
-  const { host, port } = splitAddress(address);
-  return new Promise((resolve, reject) => {
-    server.once('error', () => {
-      const expected = 'an address that this process can listen on';
-      reject(
-        new DiagnosticError(
-          createDiagnostic(Diagnostics.InvalidSetting, 'listen', address, expected),
-        ),
-      );
-    });
-    server.listen({ host, port, exclusive: true }, resolve);
-  });
-}
-
 function closeServer(server: Server): Promise<void> {
   return new Promise((resolve) => {
     server.close(() => resolve());
@@ -98,7 +82,7 @@
  * Starts a daemon. The peer address is bound first and released last, so two processes of one VM never
  * run at the same time and a new process can safely adopt the share of the previous one.
  *
- * @throws DiagnosticError if an address cannot be bound.
+ * @throws DiagnosticError if an address is one on which no process can listen.
  */
 export async function startDaemon(settings: Settings): Promise<Daemon> {
   const writeLog = createLog(settings.logLevel, settings.vmId);
@@ -214,9 +198,16 @@
   );
   eventSink.post = loop.post;
 
-  await listen(peerServer, settings.peerAddress);
-  await listen(callerServer, settings.listenAddress);
-  await listen(adminServer, settings.adminAddress);
+  const listenOn = (server: Server, address: string): Promise<void> =>
+    listen(server, address, (reason) =>
+      writeLog(LogLevel.Warn, LogPrefix.Lifecycle, 'An address cannot be used yet.', {
+        address,
+        reason,
+      }),
+    );
+  await listenOn(peerServer, settings.peerAddress);
+  await listenOn(callerServer, settings.listenAddress);
+  await listenOn(adminServer, settings.adminAddress);
   Effect.runFork(
     Effect.onExit(loop.run, (result) =>
       Effect.sync(() => {
--- a/src/transport/entry/entryDaemon.ts
+++ b/src/transport/entry/entryDaemon.ts
@@ -2,8 +2,8 @@
  * Starts the daemon of an entry VM that forwards requests unchanged: creates the event loop, the servers for callers,
  * readiness probes, peers and metrics, and the clients of the store, peers and backend servers.
  */
-import type { Server } from 'node:http';
 import { randomBytes } from 'node:crypto';
+import type { Server } from 'node:net';
 import { Cause, Clock, Effect, Exit } from 'effect';
 import { type EntryCommand, EntryLogPrefix } from '../../coordination/entry/commands.js';
 import { CloseCause } from '../../coordination/entry/closeCause.js';
@@ -17,19 +17,19 @@
 import { LogLevel } from '../../coordination/events.js';
 import { createRefusal } from '../../coordination/requestCompletion.js';
 import { createEventLoop, readClockMs, readPreciseClockMs } from '../../coordination/loop.js';
-import { createDiagnostic, DiagnosticError, Diagnostics } from '../../state/diagnostics.js';
+import { createDiagnostic, Diagnostics } from '../../state/diagnostics.js';
 import type { CallerLimits } from '../../state/entry/deployment.js';
 import { RunStatus } from '../../state/types.js';
 import { createStoreMirror } from '../../state/entry/storeMirror.js';
 import { createRandom, nextRandom } from '../../state/random.js';
 import { createControllerLease } from '../controllerLease.js';
-import { splitAddress } from '../httpCall.js';
 import type { PrefixStore } from '../keyValueStore.js';
+import { listen } from '../listen.js';
 import { createMetrics } from '../metrics.js';
 import { createBackendAgents } from './backendAgent.js';
 import { createCallerConnections } from './callerConnections.js';
 import { createEntryCommandExecutor } from './commandTable.js';
-import type { EntryLog } from './entryLog.js';
+import { type EntryLog, logUnexpectedError } from './entryLog.js';
 import { createEntryPeerClient, createEntryPeerServer, type EntryReplies } from './entryPeers.js';
 import { abortForwardAnswer, type ForwardExchange } from './exchange.js';
 import { createForwardServer, createReadinessServer } from './forwardServer.js';
@@ -78,18 +78,6 @@
   readonly ended: Promise<void>;
 }
 
-function listen(server: Server, address: string): Promise<void> {
-  const { host, port } = splitAddress(address);
-  return new Promise((resolve, reject) => {
-    server.once('error', ({ message }) => {
-      const expected = `an address that this process can listen on (${message})`;
-      const diagnostic = createDiagnostic(Diagnostics.InvalidSetting, 'listen', address, expected);
-      reject(new DiagnosticError(diagnostic));
-    });
-    server.listen({ host, port, exclusive: true }, resolve);
-  });
-}
-
 function createIdGenerator(prefix: string): () => string {
   let count = 0;
   return () => {
@@ -297,10 +285,20 @@
     loop.post(event);
   };
 
-  await listen(readyServer, settings.readyAddress);
-  await listen(server, settings.listenAddress);
-  await listen(peerServer, settings.peerAddress);
-  await listen(metricsServer, `${settings.host}:${metricsPort}`);
+  const listenOn = (serverToStart: Server, address: string): Promise<void> =>
+    listen(serverToStart, address, (reason) =>
+      writeLog(LogLevel.Warn, EntryLogPrefix.Lifecycle, 'An address cannot be used yet.', {
+        address,
+        reason,
+      }),
+    );
+  await listenOn(readyServer, settings.readyAddress);
+  await listenOn(server, settings.listenAddress);
+  await listenOn(peerServer, settings.peerAddress);
+  // The VM serves its callers also without its metrics.
+  listenOn(metricsServer, `${settings.host}:${metricsPort}`).catch((error: unknown) =>
+    logUnexpectedError(writeLog, error),
+  );
   Effect.runFork(
     Effect.onExit(loop.run, (result) =>
       Effect.sync(() => {
--- /dev/null
+++ b/tests/processes/entryStart.test.ts
@@ -0,0 +1,163 @@
+/**
+ * Tests that the process of an entry VM starts and lives on where others would end it: signals before it has started, ports
+ * that an earlier process still has, and a settings file that is not written yet.
+ */
+import { type ChildProcess, execFileSync, spawn } from 'node:child_process';
+import { once } from 'node:events';
+import {
+  closeSync,
+  constants,
+  mkdtempSync,
+  openSync,
+  renameSync,
+  rmSync,
+  writeFileSync,
+} from 'node:fs';
+import net from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { SETTINGS_VARIABLE } from '../../platform/names.js';
+import { createConfiguration } from '../stand-ins/entryVms.js';
+import { type PlatformStore, startPlatformStore } from '../stand-ins/platformStore.js';
+import { findFreePort, getProgramPath, waitFor } from '../stand-ins/processes.js';
+
+const PROGRAM = 'src/bin/gentiandeckEntry.js';
+const RELOADED_TEXT = 'The settings were reloaded.';
+/** An earlier process may have its ports for some time after the next one has started. */
+const PORT_IN_USE_MS = 1_500;
+const MISSING_SETTINGS_MS = 2_000;
+
+const PortName = { Callers: 0, Readiness: 1, Peers: 2, Metrics: 3 } as const;
+
+let store: PlatformStore;
+let folder: string;
+let child: ChildProcess | null;
+let output: string;
+let ports: number[];
+
+beforeEach(async () => {
+  store = await startPlatformStore();
+  store.put('op/config', createConfiguration(1, ['key-1']));
+  folder = mkdtempSync(join(tmpdir(), 'entry-start-'));
+  ports = await Promise.all([findFreePort(), findFreePort(), findFreePort(), findFreePort()]);
+  child = null;
+  output = '';
+});
+
+afterEach(async () => {
+  if (child !== null && child.exitCode === null && child.signalCode === null) {
+    child.kill('SIGKILL');
+    await once(child, 'exit');
+  }
+  await store.close();
+  rmSync(folder, { recursive: true, force: true });
+});
+
+function createSettings(): string {
+  return JSON.stringify({
+    node_name: 'vm-1',
+    ip: '127.0.0.1',
+    zone: 'fd-a',
+    port_range: [ports[PortName.Peers], ports[PortName.Peers]],
+    listen: {
+      frontend_addr: `127.0.0.1:${ports[PortName.Callers]}`,
+      ready_addr: `127.0.0.1:${ports[PortName.Readiness]}`,
+    },
+    platform: { address: store.address },
+    bounds: { grace_s: 1, fencing: true },
+  });
+}
+
+function startEntry(settingsPath: string, stdout: 'pipe' | number = 'pipe'): ChildProcess {
+  const args = [getProgramPath(PROGRAM), '--metrics-port', String(ports[PortName.Metrics])];
+  const started = spawn(process.execPath, args, {
+    stdio: ['ignore', stdout, 'pipe'],
+    env: { ...process.env, [SETTINGS_VARIABLE]: settingsPath },
+  });
+  const append = (chunk: Buffer): void => {
+    output += chunk.toString();
+  };
+  started.stdout?.on('data', append);
+  started.stderr?.on('data', append);
+  child = started;
+  return started;
+}
+
+function isRunning({ exitCode, signalCode }: ChildProcess): boolean {
+  return exitCode === null && signalCode === null;
+}
+
+async function isReady(): Promise<boolean> {
+  try {
+    return (await fetch(`http://127.0.0.1:${ports[PortName.Readiness]}/v1/readyz`)).status === 200;
+  } catch {
+    return false;
+  }
+}
+
+function waitUntilReady(started: ChildProcess): Promise<void> {
+  return waitFor(`the VM is ready; output: ${output}`, () => {
+    if (!isRunning(started)) {
+      throw new Error(`ended with ${started.exitCode ?? started.signalCode}: ${output}`);
+    }
+    return isReady();
+  });
+}
+
+/** Opens a pipe once a process waits to read its settings from it. Writing fails before that. */
+async function openPipe(path: string): Promise<number> {
+  let pipe = -1;
+  await waitFor('the settings are read', () => {
+    try {
+      // eslint-disable-next-line no-bitwise -- flags of a file
+      pipe = openSync(path, constants.O_WRONLY | constants.O_NONBLOCK);
+      return true;
+    } catch {
+      return false;
+    }
+  });
+  return pipe;
+}
+
+function supplySettings(pipe: number, text: string): void {
+  writeFileSync(pipe, text);
+  closeSync(pipe);
+}
+
+/** Starts a process that waits for its settings to be written to a pipe. */
+async function startReading(): Promise<{ started: ChildProcess; path: string; pipe: number }> {
+  const path = join(folder, 'settings');
+  execFileSync('mkfifo', [path]);
+  const started = startEntry(path);
+  return { started, path, pipe: await openPipe(path) };
+}
+
+describe('a process that is starting', () => {
+  it.each(Object.entries(PortName))(
+    'waits for the port that another process still has: %s',
+    async (_name, index) => {
+      const other = net.createServer();
+      await new Promise<void>((resolve) => {
+        other.listen(ports[index], '127.0.0.1', resolve);
+      });
+      setTimeout(() => other.close(), PORT_IN_USE_MS);
+      const path = join(folder, 'settings.json');
+      writeFileSync(path, createSettings());
+      const started = startEntry(path);
+      await waitFor('the other process has ended', () => !other.listening);
+      await waitUntilReady(started);
+    },
+  );
+
+  it('is ready while another process keeps the port of the metrics', async () => {
+    const other = net.createServer();
+    await new Promise<void>((resolve) => {
+      other.listen(ports[PortName.Metrics], '127.0.0.1', resolve);
+    });
+    const path = join(folder, 'settings.json');
+    writeFileSync(path, createSettings());
+    await waitUntilReady(startEntry(path));
+    other.close();
+  });
+});
