Hold signals that come while the process starts

SIGHUP in the first 0.3 s of a process ended it, and SIGTERM counted as a death by a signal: the handlers were set once the daemon ran, after 3 MB of program had been loaded.

A reload is held until the daemon runs, a stop ends a process that has accepted nothing yet, with success. What remains is the start of Node.js itself, in which no code of ours runs.

--- /dev/null
+++ b/src/bin/entryProgram.ts
@@ -0,0 +1,210 @@
+/**
+ * The commands of `gentiandeck-entry`: the daemon of an entry VM on the users' platform, and an operator's commands.
+ */
+import { Clock, Effect } from 'effect';
+import sade from 'sade';
+import { decodeSettings, readSettingsFile } from '../../platform/settings.js';
+import { createPlatformStore } from '../../platform/store.js';
+import { PLATFORM_WIRE } from '../../platform/wire.js';
+import { EntryLogPrefix } from '../coordination/entry/commands.js';
+import { LogLevel } from '../coordination/events.js';
+import {
+  createDiagnostic,
+  type Diagnostic,
+  DiagnosticError,
+  Diagnostics,
+} from '../state/diagnostics.js';
+import { type EntryDaemon, startEntryDaemon } from '../transport/entry/entryDaemon.js';
+import {
+  createEntryLogWriter,
+  type EntryLog,
+  logUnexpectedError,
+} from '../transport/entry/entryLog.js';
+import { STATUS_PATH } from '../transport/entry/metricsServer.js';
+import { liftQuarantine, listQuarantines } from '../transport/entry/quarantineEditor.js';
+import { processSignals, SignalRequest } from '../transport/entry/processSignals.js';
+import type { EntrySettings } from '../transport/entry/settings.js';
+import { callHttp } from '../transport/httpCall.js';
+import type { PrefixStore } from '../transport/keyValueStore.js';
+import { VERSION } from '../transport/version.js';
+
+const EXIT_INVALID_SETTINGS = 2;
+const EXIT_START_FAILED = 1;
+const DEFAULT_METRICS_PORT = '9464';
+const DEFAULT_LOG_LEVEL = 'info';
+/** Timeout of a call to the store; a call to a slow store takes several hundred milliseconds. */
+const STORE_TIMEOUT_MS = 1_000;
+const STATUS_TIMEOUT_MS = 2_000;
+const MAX_PORT = 65_535;
+
+interface Options {
+  readonly metricsPort: number;
+  readonly logLevel: string;
+}
+
+function writeError(text: string): void {
+  process.stderr.write(`gentiandeck-entry: ${text}\n`);
+}
+
+/** Reads the settings file again and applies it. Keeps the current settings if it cannot be read or decoded. */
+async function reload(daemon: EntryDaemon, log: EntryLog): Promise<void> {
+  const logError = (detail: string): void => {
+    log.write(LogLevel.Error, EntryLogPrefix.Lifecycle, 'The settings could not be reloaded.', {
+      detail,
+    });
+  };
+  try {
+    const text = await readSettingsFile(process.env);
+    decodeSettings(text).caseOf({ Left: ({ message }) => logError(message), Right: daemon.reload });
+  } catch (error) {
+    logError(error instanceof Error ? error.message : String(error));
+  }
+}
+
+async function run(settings: EntrySettings, { logLevel, metricsPort }: Options): Promise<void> {
+  const log = createEntryLogWriter(logLevel, settings.vmId);
+  const store = createPlatformStore(settings.storeAddress, STORE_TIMEOUT_MS);
+  const wire = PLATFORM_WIRE;
+  const daemon = await startEntryDaemon({ settings, metricsPort, store, wire, log });
+  const logUnexpected = (error: unknown): void => logUnexpectedError(log.write, error);
+  // One failed socket or promise is not allowed to end the process and all other requests.
+  process.on('uncaughtException', logUnexpected);
+  process.on('unhandledRejection', logUnexpected);
+  processSignals.handle({
+    [SignalRequest.Stop]: daemon.stop,
+    [SignalRequest.Reload]: () => {
+      void reload(daemon, log);
+    },
+  });
+  await daemon.ended;
+  await log.close();
+  process.exit();
+}
+
+async function start(options: Options): Promise<void> {
+  // Nothing has been accepted yet, so a stop needs no shutdown.
+  processSignals.handle({ [SignalRequest.Stop]: () => process.exit() });
+  const text = await readSettingsFile(process.env);
+  await decodeSettings(text).caseOf<Promise<void>>({
+    Left: ({ message }) => {
+      writeError(message);
+      process.exitCode = EXIT_INVALID_SETTINGS;
+      return Promise.resolve();
+    },
+    Right: (settings) => run(settings, options),
+  });
+}
+
+function fail(error: unknown): void {
+  const detail = error instanceof Error ? error.message : String(error);
+  writeError(error instanceof DiagnosticError ? error.diagnostic.message : detail);
+  process.exit(EXIT_START_FAILED);
+}
+
+function parseOptions(flags: Record<string, unknown>): Options | null {
+  const portText = String(flags['metrics-port']);
+  const metricsPort = Number(portText);
+  if (!Number.isInteger(metricsPort) || metricsPort < 1 || metricsPort > MAX_PORT) {
+    writeError(`--metrics-port has the value "${portText}"; expected an integer from 1 to 65535`);
+    return null;
+  }
+  return { metricsPort, logLevel: String(flags['log-level']) };
+}
+
+async function readSettings(): Promise<EntrySettings> {
+  const text = await readSettingsFile(process.env);
+  return decodeSettings(text).caseOf<EntrySettings>({
+    Left: (diagnostic) => {
+      throw new DiagnosticError(diagnostic);
+    },
+    Right: (decoded) => decoded,
+  });
+}
+
+/** Runs an operator's command on the store that the settings name. */
+async function runOnStore(
+  command: (store: PrefixStore) => Effect.Effect<readonly string[], Diagnostic>,
+): Promise<void> {
+  processSignals.release();
+  const { storeAddress } = await readSettings();
+  const store = createPlatformStore(storeAddress, STORE_TIMEOUT_MS);
+  const lines = await Effect.runPromise(
+    Effect.match(command(store), {
+      onFailure: (diagnostic) => {
+        throw new DiagnosticError(diagnostic);
+      },
+      onSuccess: (result) => result,
+    }),
+  );
+  lines.forEach((line) => process.stdout.write(`${line}\n`));
+  process.exit();
+}
+
+/** Prints the status of the daemon that runs with the same settings file. */
+async function printStatus({ metricsPort }: Options): Promise<void> {
+  processSignals.release();
+  const { host } = await readSettings();
+  const address = `${host}:${metricsPort}`;
+  const call = callHttp({
+    address,
+    method: 'GET',
+    path: STATUS_PATH,
+    body: null,
+    timeoutMs: STATUS_TIMEOUT_MS,
+  });
+  const text = await Effect.runPromise(
+    Effect.match(call, {
+      onFailure: () => {
+        throw new DiagnosticError(createDiagnostic(Diagnostics.PeerUnavailable, address));
+      },
+      onSuccess: (response) => response.text,
+    }),
+  );
+  process.stdout.write(text);
+  process.exit();
+}
+
+function readWallMs(): number {
+  return Effect.runSync(Clock.clockWith((clock) => clock.currentTimeMillis));
+}
+
+sade('gentiandeck-entry')
+  .version(VERSION)
+  .describe(
+    'The daemon of an entry VM. It reads its settings from a file that the platform supplies.',
+  )
+  .command('run', 'Run the daemon', { default: true })
+  .option('--metrics-port', 'Port of the metrics server', DEFAULT_METRICS_PORT)
+  .option('--log-level', 'Minimum log level', DEFAULT_LOG_LEVEL)
+  .action((flags: Record<string, unknown>) => {
+    const options = parseOptions(flags);
+    if (options === null) {
+      process.exitCode = EXIT_INVALID_SETTINGS;
+      return;
+    }
+    start(options).catch(fail);
+  })
+  .command('status', 'Print how the daemon of this VM gets what it knows of the fleet')
+  .option('--metrics-port', 'Port of the metrics server', DEFAULT_METRICS_PORT)
+  .action((flags: Record<string, unknown>) => {
+    const options = parseOptions(flags);
+    if (options === null) {
+      process.exitCode = EXIT_INVALID_SETTINGS;
+      return;
+    }
+    printStatus(options).catch(fail);
+  })
+  .command('quarantine list', 'List the quarantined prompt parts and requests')
+  .action(() => {
+    runOnStore((store) => listQuarantines(store, readWallMs())).catch(fail);
+  })
+  .command(
+    'quarantine lift <service> <parts>',
+    'Lift the quarantine of prompt parts joined by +, or of a request',
+  )
+  .action((service: string, parts: string) => {
+    runOnStore((store) =>
+      Effect.as(liftQuarantine(store, service, parts.split('+'), readWallMs()), []),
+    ).catch(fail);
+  })
+  .parse(process.argv);
--- /dev/null
+++ b/src/transport/entry/processSignals.ts
@@ -0,0 +1,56 @@
+/**
+ * Holds the signals that would end the process by default while it starts: a stop or a reload that is requested too early is
+ * carried out once the daemon runs. Imports nothing, so that it is loaded before all other modules.
+ */
+
+/** What the platform requests by a signal. */
+export const SignalRequest = { Stop: 'stop', Reload: 'reload' } as const;
+export type SignalRequest = (typeof SignalRequest)[keyof typeof SignalRequest];
+
+const REQUESTS: Readonly<Record<'SIGTERM' | 'SIGINT' | 'SIGHUP', SignalRequest>> = {
+  SIGTERM: SignalRequest.Stop,
+  SIGINT: SignalRequest.Stop,
+  SIGHUP: SignalRequest.Reload,
+};
+
+/** What carries out each request. A request without a handler is held. */
+export type SignalHandlers = Readonly<Partial<Record<SignalRequest, () => void>>>;
+
+/** The signals of a process. */
+export interface ProcessSignals {
+  /** Replaces the handlers, and passes held requests on to them. */
+  readonly handle: (handlers: SignalHandlers) => void;
+  /** Gives the signals back their default actions. */
+  readonly release: () => void;
+}
+
+type SignalSource = Pick<NodeJS.Process, 'on' | 'off'>;
+
+/** Starts to hold the signals of a process. */
+export function holdSignals(source: SignalSource): ProcessSignals {
+  const held = new Set<SignalRequest>();
+  let handlers: SignalHandlers = {};
+  const passOn = (request: SignalRequest): void => {
+    const handler = handlers[request];
+    if (handler === undefined) {
+      held.add(request);
+    } else {
+      held.delete(request);
+      handler();
+    }
+  };
+  const listeners = Object.entries(REQUESTS).map(([signal, request]) => {
+    const listener = (): void => passOn(request);
+    source.on(signal, listener);
+    return { signal, listener };
+  });
+  return {
+    handle: (newHandlers) => {
+      handlers = newHandlers;
+      [...held].forEach(passOn);
+    },
+    release: () => listeners.forEach(({ listener, signal }) => source.off(signal, listener)),
+  };
+}
+
+export const processSignals = holdSignals(process);
--- a/tests/processes/entryStart.test.ts
+++ b/tests/processes/entryStart.test.ts
@@ -134,6 +134,27 @@
 }
 
 describe('a process that is starting', () => {
+  it('lives on and reloads its settings when SIGHUP comes while it reads them', async () => {
+    const { path, pipe, started } = await startReading();
+    started.kill('SIGHUP');
+    supplySettings(pipe, createSettings());
+    await waitUntilReady(started);
+    supplySettings(await openPipe(path), createSettings());
+    await waitFor('the settings are reloaded', () => output.includes(RELOADED_TEXT));
+    expect(isRunning(started)).toBe(true);
+  });
+
+  it.each(['SIGTERM', 'SIGINT'] as const)(
+    'ends with success when %s comes while it reads its settings',
+    async (signal) => {
+      const { pipe, started } = await startReading();
+      const exited = once(started, 'exit');
+      started.kill(signal);
+      supplySettings(pipe, createSettings());
+      expect(await exited).toEqual([0, null]);
+    },
+  );
+
   it.each(Object.entries(PortName))(
     'waits for the port that another process still has: %s',
     async (_name, index) => {
