Read a settings file again that is not complete yet

A process that read its settings file while the platform was writing it ended with status 2 and the line "The request body is invalid"; a reload at such a moment kept the old settings for good.

Cause: a file was read once, and whatever was there was taken for the operator's.

One that is complete and wrong ends the process at once, with the path and what was expected.

--- a/src/bin/entryProgram.ts
+++ b/src/bin/entryProgram.ts
@@ -3,7 +3,7 @@
  */
 import { Clock, Effect } from 'effect';
 import sade from 'sade';
-import { decodeSettings, readSettingsFile } from '../../platform/settings.js';
+import { readSettings } from '../../platform/settings.js';
 import { createPlatformStore } from '../../platform/store.js';
 import { PLATFORM_WIRE } from '../../platform/wire.js';
 import { EntryLogPrefix } from '../coordination/entry/commands.js';
@@ -48,17 +48,14 @@
 
 /** Reads the settings file again and applies it. Keeps the current settings if it cannot be read or decoded. */
 async function reload(daemon: EntryDaemon, log: EntryLog): Promise<void> {
-  const logError = (detail: string): void => {
-    log.write(LogLevel.Error, EntryLogPrefix.Lifecycle, 'The settings could not be reloaded.', {
-      detail,
-    });
-  };
-  try {
-    const text = await readSettingsFile(process.env);
-    decodeSettings(text).caseOf({ Left: ({ message }) => logError(message), Right: daemon.reload });
-  } catch (error) {
-    logError(error instanceof Error ? error.message : String(error));
-  }
+  const settings = await readSettings(process.env);
+  settings.caseOf({
+    Left: ({ message: detail }) =>
+      log.write(LogLevel.Error, EntryLogPrefix.Lifecycle, 'The settings could not be reloaded.', {
+        detail,
+      }),
+    Right: daemon.reload,
+  });
 }
 
 async function run(settings: EntrySettings, { logLevel, metricsPort }: Options): Promise<void> {
@@ -84,8 +81,8 @@
 async function start(options: Options): Promise<void> {
   // Nothing has been accepted yet, so a stop needs no shutdown.
   processSignals.handle({ [SignalRequest.Stop]: () => process.exit() });
-  const text = await readSettingsFile(process.env);
-  await decodeSettings(text).caseOf<Promise<void>>({
+  const read = await readSettings(process.env);
+  await read.caseOf<Promise<void>>({
     Left: ({ message }) => {
       writeError(message);
       process.exitCode = EXIT_INVALID_SETTINGS;
@@ -111,9 +108,10 @@
   return { metricsPort, logLevel: String(flags['log-level']) };
 }
 
-async function readSettings(): Promise<EntrySettings> {
-  const text = await readSettingsFile(process.env);
-  return decodeSettings(text).caseOf<EntrySettings>({
+/** @throws DiagnosticError if the settings cannot be read or decoded. */
+async function requireSettings(): Promise<EntrySettings> {
+  const settings = await readSettings(process.env);
+  return settings.caseOf<EntrySettings>({
     Left: (diagnostic) => {
       throw new DiagnosticError(diagnostic);
     },
@@ -126,7 +124,7 @@
   command: (store: PrefixStore) => Effect.Effect<readonly string[], Diagnostic>,
 ): Promise<void> {
   processSignals.release();
-  const { storeAddress } = await readSettings();
+  const { storeAddress } = await requireSettings();
   const store = createPlatformStore(storeAddress, STORE_TIMEOUT_MS);
   const lines = await Effect.runPromise(
     Effect.match(command(store), {
@@ -143,7 +141,7 @@
 /** Prints the status of the daemon that runs with the same settings file. */
 async function printStatus({ metricsPort }: Options): Promise<void> {
   processSignals.release();
-  const { host } = await readSettings();
+  const { host } = await requireSettings();
   const address = `${host}:${metricsPort}`;
   const call = callHttp({
     address,
--- a/src/state/diagnostics.ts
+++ b/src/state/diagnostics.ts
@@ -282,6 +282,12 @@
     'Setting {0} has the value "{1}"; expected {2}.',
   ),
   UnknownSetting: define(3002, 'unknown_setting', Operator, 'Setting {0} does not exist.'),
+  InvalidSettingsFile: define(
+    3003,
+    'invalid_settings_file',
+    Operator,
+    'The settings file {0} is invalid: {1}.',
+  ),
   PeerUnavailable: define(4001, 'peer_unavailable', Failure, 'Peer "{0}" did not respond.'),
 } as const;
 
--- a/tests/processes/entryStart.test.ts
+++ b/tests/processes/entryStart.test.ts
@@ -181,4 +181,40 @@
     await waitUntilReady(startEntry(path));
     other.close();
   });
+
+  it.each([
+    { name: 'half written', text: () => createSettings().slice(0, 80) },
+    { name: 'empty', text: () => '' },
+  ])('reads settings again that are $name', async ({ text }) => {
+    const { path, pipe, started } = await startReading();
+    const completePath = join(folder, 'complete');
+    writeFileSync(completePath, createSettings());
+    renameSync(completePath, path);
+    supplySettings(pipe, text());
+    await waitUntilReady(started);
+  });
+
+  it('waits for settings that are missing', async () => {
+    const path = join(folder, 'settings.json');
+    const started = startEntry(path);
+    setTimeout(() => writeFileSync(path, createSettings()), MISSING_SETTINGS_MS);
+    await waitUntilReady(started);
+  });
+
+  it('ends with a line that names the file when its settings are wrong', async () => {
+    const path = join(folder, 'settings.json');
+    writeFileSync(path, JSON.stringify({ node_name: 'vm-1' }));
+    const started = startEntry(path);
+    const [code] = await once(started, 'exit');
+    expect(code).toBe(2);
+    expect(output).toContain(path);
+  });
+
+  it('serves while its log cannot be written', async () => {
+    const path = join(folder, 'settings.json');
+    writeFileSync(path, createSettings());
+    const full = openSync('/dev/full', 'w');
+    await waitUntilReady(startEntry(path, full));
+    closeSync(full);
+  });
 });
