Tell an answer without a length from one whose server was killed

Callers could get a part of a stream, or of a body, as if it were whole: where an answer had neither a length nor chunks and its server was killed between two events, or inside the body.

Cause: the end of such an answer is the end of its connection. A kernel closes the connections of a process that was killed with FIN like those of one that has finished, unless data lies unread; only a reset counted as broken off.

Change: when such an answer ends, its server is probed before the answer counts as complete. Where no process listens any more, the attempt has lost its connection, so that a stream is resumed or broken off visibly. Answers with a length or chunks are not probed.

Result: tests/entry/answerEnds.test.ts, a body, a large body and a stream whose server closes its port with the connection: three of three completed before, all fail now; those whose server lives on complete as before.

--- a/src/transport/entry/answers.ts
+++ b/src/transport/entry/answers.ts
@@ -3,7 +3,8 @@
  * are buffered until the event loop decides whether to deliver them; large ones are forwarded as they arrive.
  */
 import type { IncomingMessage } from 'node:http';
-import { EntryEventKind } from '../../coordination/entry/events.js';
+import { Effect } from 'effect';
+import { EntryEventKind, ProbeOutcome } from '../../coordination/entry/events.js';
 import {
   createEventFrameReader,
   type EventFrame,
@@ -22,6 +23,7 @@
   recordProgress,
   recordSignal,
 } from './attempt.js';
+import { probeAddress } from './backendProbe.js';
 import { type ForwardExchange, isAnswerBegun, recordStreamEvent } from './exchange.js';
 import type { AnswerHead } from './wire.js';
 
@@ -101,6 +103,33 @@
   return hasNoBody || hasFraming;
 }
 
+/**
+ * Calls `complete` for an answer whose body has ended. One that ends with its connection was broken off if its server has ended too: the
+ * kernel closes the connections of a process that was killed in the same way as the process itself.
+ */
+function completeUnlessServerEnded(
+  attempt: Attempt,
+  response: IncomingMessage,
+  complete: () => void,
+): void {
+  if (isFramed(attempt.exchange, response)) {
+    complete();
+    return;
+  }
+  attempt.isBodyRead = true;
+  const decide = (outcome: ProbeOutcome): void => {
+    if (attempt.isSettled) {
+      return;
+    }
+    if (outcome === ProbeOutcome.Gone) {
+      failForLostConnection(attempt);
+    } else {
+      complete();
+    }
+  };
+  Effect.runFork(Effect.map(probeAddress(attempt.command.address), decide));
+}
+
 function startAnswer(attempt: Attempt, response: IncomingMessage): void {
   const { context, exchange } = attempt;
   if (!isAnswerBegun(exchange) && !exchange.response.destroyed) {
@@ -157,10 +186,12 @@
       failForLostConnection(attempt);
       return;
     }
-    startAnswer(attempt, response);
-    attempt.exchange.isEnded = true;
-    attempt.exchange.response.end();
-    completeAttempt(attempt);
+    completeUnlessServerEnded(attempt, response, () => {
+      startAnswer(attempt, response);
+      attempt.exchange.isEnded = true;
+      attempt.exchange.response.end();
+      completeAttempt(attempt);
+    });
   });
 }
 
@@ -197,11 +228,15 @@
     }
     if (!isComplete()) {
       failForLostConnection(attempt);
-    } else if (isForwarding) {
-      exchange.isEnded = true;
-      exchange.response.end();
-      completeAttempt(attempt);
-    } else {
+      return;
+    }
+    completeUnlessServerEnded(attempt, response, () => {
+      if (isForwarding) {
+        exchange.isEnded = true;
+        exchange.response.end();
+        completeAttempt(attempt);
+        return;
+      }
       const headers = context.wire.encodeAnswerHead(response.rawHeaders);
       const status = response.statusCode ?? 0;
       completeBufferedAttempt(
@@ -211,7 +246,7 @@
         Buffer.concat(chunks),
         isFramed(exchange, response),
       );
-    }
+    });
   });
 }
 
--- a/src/transport/entry/attempt.ts
+++ b/src/transport/entry/attempt.ts
@@ -51,6 +51,8 @@
   isSettled: boolean;
   /** True once the event loop has been told that the server has begun to answer. */
   isAnswerReported: boolean;
+  /** True once the body has ended in order, after which its connection may close. */
+  isBodyRead: boolean;
   readonly startedAtMs: number;
   progressAtMs: number;
   stallTimer: NodeJS.Timeout | null;
@@ -268,7 +270,11 @@
   };
   context.agents.onConnection(request, () => runAfterUnreadData(context.isBehind(), send));
   request.on('error', (error) => failForError(attempt, error));
-  request.on('close', () => failForLostConnection(attempt));
+  request.on('close', () => {
+    if (!attempt.isBodyRead) {
+      failForLostConnection(attempt);
+    }
+  });
   request.on('response', (response) => {
     const head = context.wire.decodeAnswerHead(response.statusCode ?? 0, response.headers);
     const { backendId, bornAtWallMs } = command;
@@ -307,6 +313,7 @@
     load: null,
     isSettled: false,
     isAnswerReported: false,
+    isBodyRead: false,
     startedAtMs: context.getNowMs(),
     progressAtMs: context.getNowMs(),
     stallTimer: null,
--- a/tests/entry/answerEnds.test.ts
+++ b/tests/entry/answerEnds.test.ts
@@ -274,6 +274,29 @@
     },
   );
 
+  // The kernel closes the connections of a killed process in the same order as those of one that has finished.
+  it.each([
+    { name: 'a body', answer: `${HEAD}\r\nwhole` },
+    { name: 'a large body', answer: `${HEAD}\r\n${'x'.repeat(1_100_000)}` },
+    { name: 'a stream', answer: STREAM_HEAD + FIRST_EVENT },
+  ])('is not complete if its server has ended with the connection: $name', async ({ answer }) => {
+    const events: EntryEvent[] = [];
+    const server = net.createServer((socket) => {
+      socket.on('error', () => {});
+      socket.once('data', () => {
+        server.close();
+        socket.end(answer);
+      });
+    });
+    const address = await listen(server);
+    callThrough(await startForwarder(events), address);
+    await waitUntil(() => events.some(({ kind }) => kind !== EntryEventKind.AnswerStarted));
+    expect(events.at(-1)).toMatchObject({
+      kind: EntryEventKind.AttemptFailed,
+      failure: { diagnostic: { key: 'answer_truncated' } },
+    });
+  });
+
   const STALLS = [
     { name: 'an event grows without end', first: 'data: ', filler: 'x' },
     { name: 'only comments arrive', first: '', filler: ': open\n\n' },
