Send an answer without a length in chunks to callers that read them

A caller could take a part of a stream for the whole one when the VM itself was killed, or ended, in the middle of it.

Cause: an answer that came with neither a length nor chunks was sent on in the same way, so its end was the end of the caller's connection, and the kernel closes that in order for a process that is killed. Only a break that the VM decided on was shown, by a reset.

Change: callers of HTTP/1.1 get such an answer in chunks, or with a length where it is whole before it is sent; a caller of HTTP/1.0 gets it as before, and a reset at a break, now also where the server's answer came in chunks.

Result: tests/entry/answerEnds.test.ts, "is sent on in chunks": two of three rows failed before, all pass.

--- a/src/transport/entry/answers.ts
+++ b/src/transport/entry/answers.ts
@@ -134,11 +134,10 @@
   const { context, exchange } = attempt;
   if (!isAnswerBegun(exchange) && !exchange.response.destroyed) {
     const headers = context.wire.encodeAnswerHead(response.rawHeaders);
-    if (!isFramed(exchange, response)) {
-      exchange.endsWithConnection = true;
-      exchange.response.shouldKeepAlive = false;
-      exchange.response.useChunkedEncodingByDefault = false;
-    }
+    // Chunks show the caller that an answer without a length is cut off, also when this VM is killed.
+    exchange.endsWithConnection =
+      !exchange.response.useChunkedEncodingByDefault &&
+      response.headers['content-length'] === undefined;
     exchange.response.writeHead(response.statusCode ?? HTTP_OK, [...headers]);
   }
   reportAnswerStarted(attempt);
@@ -239,13 +238,7 @@
       }
       const headers = context.wire.encodeAnswerHead(response.rawHeaders);
       const status = response.statusCode ?? 0;
-      completeBufferedAttempt(
-        attempt,
-        status,
-        headers,
-        Buffer.concat(chunks),
-        isFramed(exchange, response),
-      );
+      completeBufferedAttempt(attempt, status, headers, Buffer.concat(chunks));
     });
   });
 }
--- a/tests/entry/answerEnds.test.ts
+++ b/tests/entry/answerEnds.test.ts
@@ -297,6 +297,42 @@
     });
   });
 
+  // A VM that is killed closes the connections of its callers in order, too.
+  it.each([
+    { name: 'a large body', answer: `${HEAD}\r\n${'x'.repeat(1_100_000)}`, version: '1.1' },
+    { name: 'a stream', answer: STREAM_HEAD + FIRST_EVENT, version: '1.1' },
+    {
+      name: 'a stream, to a caller that reads no chunks',
+      answer: STREAM_HEAD + FIRST_EVENT,
+      version: '1.0',
+    },
+  ])('is sent on in chunks where the caller reads them: $name', async ({ answer, version }) => {
+    const server = net.createServer((socket) => {
+      socket.on('error', () => {});
+      socket.once('data', () => socket.write(answer));
+      closers.push(() => {
+        socket.destroy();
+      });
+    });
+    const address = await listen(server);
+    closers.push(() => {
+      server.close();
+    });
+    const [host = '', port = ''] = (await startForwarder([])).split(':');
+    const caller = net.connect(Number(port), host);
+    caller.on('error', () => {});
+    closers.push(() => {
+      caller.destroy();
+    });
+    caller.write(`GET /${address} HTTP/${version}\r\nHost: h\r\n\r\n`);
+    let text = '';
+    caller.on('data', (chunk: Buffer) => {
+      text += chunk.toString();
+    });
+    await waitUntil(() => text.includes('\r\n\r\n'));
+    expect(/^transfer-encoding: chunked/im.test(text)).toBe(version === '1.1');
+  });
+
   const STALLS = [
     { name: 'an event grows without end', first: 'data: ', filler: 'x' },
     { name: 'only comments arrive', first: '', filler: ': open\n\n' },
