Resume a stream only after events whose place is known

Callers could get a stream in which the events of two runs were joined, events came twice, or events were missing: "a number went back".

Cause: whether a broken stream may go on at another server was decided by its route alone. After events without an id, or with one that is no number, the next server began anew or at an older id, and its events without ids were all passed on. Ids were compared as floating-point numbers, so those beyond 2^53 compared as equal and were dropped.

Change: a stream goes on elsewhere only if all data that its caller has is numbered; a second run whose data has no number is broken off. Numbers of any size are compared exactly. In one run, events are passed on as they come.

--- a/src/coordination/entry/events.ts
+++ b/src/coordination/entry/events.ts
@@ -256,12 +256,16 @@
     readonly isAnswerBegun: boolean;
     /** Time of the last stream event that was sent to the caller; absent or null if none was. */
     readonly lastEventAtMs?: number | null;
+    /** True if the caller has events whose place in the stream is not known; absent if it has none. */
+    readonly hasUnnumberedEvents?: boolean;
   };
   [EntryEventKind.AttemptStalled]: {
     readonly requestId: string;
     readonly attempt: number;
     readonly silentMs: number;
     readonly isAnswerBegun: boolean;
+    /** True if the caller has events whose place in the stream is not known; absent if it has none. */
+    readonly hasUnnumberedEvents?: boolean;
   };
   /** The head of a response states the requests that its server takes from all VMs together. */
   [EntryEventKind.LimitReported]: {
--- a/src/coordination/entry/requests/admission.ts
+++ b/src/coordination/entry/requests/admission.ts
@@ -197,6 +197,7 @@
     notRunAttempts: 0,
     runStatus: RunStatus.NotRun,
     firstEventAtMs: null,
+    hasUnnumberedEvents: false,
     lastEventAtMs: null,
     attemptAnsweredAtMs: null,
     dispatchedAtMs: nowMs,
--- a/src/coordination/entry/requests/attempts.ts
+++ b/src/coordination/entry/requests/attempts.ts
@@ -176,6 +176,7 @@
   const { diagnostic, isMisdirected, isRefusedByServer } = failure;
   const isConnectionLost = !isRefusedByServer && LOST_CONNECTION_CODES.has(diagnostic.code);
   recordFailure(state, record, failure, nowMs);
+  record.hasUnnumberedEvents ||= event.hasUnnumberedEvents ?? false;
   if (isAnswerBegun) {
     recordBegunAnswer(record, event.lastEventAtMs ?? null, nowMs);
   }
@@ -247,6 +248,9 @@
   nowMs: number,
 ): EntryCommand[] {
   const record = findAttempt(state, event.requestId, event.attempt);
+  if (record !== undefined) {
+    record.hasUnnumberedEvents ||= event.hasUnnumberedEvents ?? false;
+  }
   // A server that sends no data may still have run the request.
   const shouldRetry =
     record !== undefined && mayRunTwice(record) && isRetrySafe(record, event.isAnswerBegun);
--- a/src/coordination/entry/requests/retries.ts
+++ b/src/coordination/entry/requests/retries.ts
@@ -45,7 +45,8 @@
 /** Returns whether a retry is safe, given whether the request may have run and whether its answer has begun. */
 export function isRetrySafe(record: ForwardRecord, isAnswerBegun: boolean): boolean {
   if (isAnswerBegun) {
-    return record.route.kind === RouteKind.Stream && record.route.isResumable;
+    const { isResumable, kind } = record.route;
+    return kind === RouteKind.Stream && isResumable && !record.hasUnnumberedEvents;
   }
   return mayRunTwice(record) || record.runStatus === RunStatus.NotRun;
 }
--- a/src/protocol/entry/eventFrames.ts
+++ b/src/protocol/entry/eventFrames.ts
@@ -75,9 +75,14 @@
   };
 }
 
-/** Returns whether an event comes after another in the same stream. Ids that are not numbers need only differ. */
+const NUMBER_PATTERN = /^\d+$/;
+
+/** Returns whether the id of an event gives its place in the stream: ids are increasing numbers. */
+export function isEventNumber(id: string | null): id is string {
+  return id !== null && NUMBER_PATTERN.test(id);
+}
+
+/** Returns whether an event comes after another in the same stream. Numbers may be larger than the safe integers. */
 export function isLaterEvent(id: string, lastId: string): boolean {
-  const number = Number(id);
-  const lastNumber = Number(lastId);
-  return Number.isNaN(number) || Number.isNaN(lastNumber) ? id !== lastId : number > lastNumber;
+  return BigInt(id) > BigInt(lastId);
 }
--- a/src/transport/entry/answers.ts
+++ b/src/transport/entry/answers.ts
@@ -8,6 +8,7 @@
 import {
   createEventFrameReader,
   type EventFrame,
+  isEventNumber,
   isLaterEvent,
 } from '../../protocol/entry/eventFrames.js';
 import { isAnswerHead } from '../../protocol/httpText.js';
@@ -144,15 +145,20 @@
 }
 
 function forwardEvent(attempt: Attempt, response: IncomingMessage, frame: EventFrame): void {
-  const { context, exchange } = attempt;
+  const { context, exchange, resumedAfterId } = attempt;
   const { lastEventId } = exchange;
-  const isAlreadySent =
-    frame.id !== null && lastEventId !== null && !isLaterEvent(frame.id, lastEventId);
-  if (isAlreadySent) {
+  const isNumbered = isEventNumber(frame.id);
+  if (resumedAfterId !== null && frame.hasData && !isNumbered) {
+    // Whether the caller has this event from the earlier run is not known.
+    rejectAnswer(attempt);
+    return;
+  }
+  const isAlreadySent = isNumbered && lastEventId !== null && !isLaterEvent(frame.id, lastEventId);
+  if (isAlreadySent || attempt.isSettled) {
     return;
   }
   startAnswer(attempt, response);
-  recordStreamEvent(exchange, frame.id, context.getNowMs());
+  recordStreamEvent(exchange, frame, context.getNowMs());
   writeWithBackpressure(attempt, response, frame.bytes);
 }
 
--- a/src/transport/entry/attempt.ts
+++ b/src/transport/entry/attempt.ts
@@ -49,6 +49,8 @@
   runState: RunState;
   load: BackendLoad | null;
   isSettled: boolean;
+  /** Id of the event after which this attempt goes on with a stream; null if the caller has no event yet. */
+  readonly resumedAfterId: string | null;
   /** True once the event loop has been told that the server has begun to answer. */
   isAnswerReported: boolean;
   /** True once the body has ended in order, after which its connection may close. */
@@ -121,6 +123,7 @@
     load,
     isAnswerBegun: isAnswerBegun(exchange),
     lastEventAtMs: exchange.lastEventAtMs,
+    hasUnnumberedEvents: exchange.hasUnnumberedEvents,
   });
 }
 
@@ -194,6 +197,7 @@
         attempt: attemptNumber,
         silentMs,
         isAnswerBegun: isAnswerBegun(exchange),
+        hasUnnumberedEvents: exchange.hasUnnumberedEvents,
       });
     }
     const delayMs = silentMs >= timeoutMs ? timeoutMs : timeoutMs - silentMs;
@@ -311,6 +315,7 @@
     runState: RunState.NotSent,
     load: null,
     isSettled: false,
+    resumedAfterId: exchange.lastEventId,
     isAnswerReported: false,
     isBodyRead: false,
     startedAtMs: context.getNowMs(),
--- a/src/transport/entry/exchange.ts
+++ b/src/transport/entry/exchange.ts
@@ -2,6 +2,7 @@
  * Holds a forwarded request and sends the response to its caller. Response bodies are streamed outside the event loop.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { type EventFrame, isEventNumber } from '../../protocol/entry/eventFrames.js';
 import {
   getForwardRefusalHeaders,
   getForwardRefusalStatus,
@@ -29,6 +30,8 @@
   readonly rejectedAddresses: Set<string>;
   /** Id of the last event that was sent to the caller, over all attempts. */
   lastEventId: string | null;
+  /** True once the caller has data whose place in the stream is not known, so that no other server can go on after it. */
+  hasUnnumberedEvents: boolean;
   lastEventAtMs: number | null;
   /** The longest time between two events that were sent to the caller. */
   maxGapMs: number;
@@ -60,6 +63,7 @@
     ...fields,
     rejectedAddresses: new Set(),
     lastEventId: null,
+    hasUnnumberedEvents: false,
     lastEventAtMs: null,
     maxGapMs: 0,
     sumGapsMs: 0,
@@ -152,7 +156,7 @@
 /** Records the id and the time of a stream event that is sent to the caller. */
 export function recordStreamEvent(
   exchange: ForwardExchange,
-  id: string | null,
+  { hasData, id }: Pick<EventFrame, 'hasData' | 'id'>,
   nowMs: number,
 ): void {
   if (exchange.lastEventAtMs !== null) {
@@ -162,5 +166,9 @@
   }
   exchange.eventCount += 1;
   exchange.lastEventAtMs = nowMs;
-  exchange.lastEventId = id ?? exchange.lastEventId;
+  if (isEventNumber(id)) {
+    exchange.lastEventId = id;
+  } else if (hasData) {
+    exchange.hasUnnumberedEvents = true;
+  }
 }
--- a/tests/entry/brokenStreams.test.ts
+++ b/tests/entry/brokenStreams.test.ts
@@ -158,6 +158,57 @@
     },
   );
 
+  const LARGE = 9_007_199_254_740_992n;
+  const formatEvents = (...ids: readonly (bigint | string)[]): string =>
+    ids.map((id) => `id: ${id}\ndata: ${id}\n\n`).join('');
+
+  const NUMBERINGS: readonly {
+    readonly name: string;
+    readonly first: string;
+    readonly next: string;
+    /** Whether the caller gets the whole stream. */
+    readonly isWhole: boolean;
+  }[] = [
+    {
+      name: 'ids beyond the safe integers',
+      first: formatEvents(LARGE, LARGE + 1n),
+      next: formatEvents(LARGE, LARGE + 1n, LARGE + 2n),
+      isWhole: true,
+    },
+    {
+      name: 'ids with leading zeros',
+      first: formatEvents('001', '002'),
+      next: formatEvents('002', '003'),
+      isWhole: true,
+    },
+    {
+      name: 'a second run without ids',
+      first: FIRST_EVENTS,
+      next: 'data: a\n\ndata: b\n\ndata: c\n\n',
+      isWhole: false,
+    },
+    {
+      name: 'a second run whose ids are no numbers',
+      first: FIRST_EVENTS,
+      next: formatEvents('a', 'b', 'c'),
+      isWhole: false,
+    },
+  ];
+
+  it.each(NUMBERINGS)(
+    'never has an event twice, nor one too few, with $name',
+    async ({ first, isWhole, next }) => {
+      const broken = `Transfer-Encoding: chunked\r\n\r\n${first.length.toString(16)}\r\n${first}\r\n`;
+      const answer = `${STREAM_HEAD}Content-Length: ${next.length}\r\n\r\n${next}`;
+      const received = await resumeAt(
+        await startServer(answer, () => {}),
+        await startServer(STREAM_HEAD + broken, reset),
+      );
+      const rest = next.slice(next.lastIndexOf('id: '));
+      expect(received).toEqual({ text: isWhole ? first + rest : first, isComplete: isWhole });
+    },
+  );
+
   it('goes on at the next event of another server', async () => {
     const body = FIRST_EVENTS + LAST_EVENT;
     const answer = `${STREAM_HEAD}Content-Length: ${body.length}\r\n\r\n${body}`;
--- a/tests/entry/resumedStreams.test.ts
+++ b/tests/entry/resumedStreams.test.ts
@@ -57,7 +57,12 @@
   { name: 'the connect fails', failure: NOT_CONNECTED },
 ];
 
-function fail(vm: TestVm, failure: AttemptFailure, nowMs = FAILED_AT_MS): EntryCommand[] {
+function fail(
+  vm: TestVm,
+  failure: AttemptFailure,
+  nowMs = FAILED_AT_MS,
+  hasUnnumberedEvents = false,
+): EntryCommand[] {
   const attempt = vm.state.requests.get('r')?.attempt ?? 0;
   return vm.step(
     {
@@ -68,6 +73,7 @@
       load: null,
       isAnswerBegun: true,
       lastEventAtMs: LAST_EVENT_AT_MS,
+      hasUnnumberedEvents,
     },
     nowMs,
   );
@@ -262,6 +268,33 @@
     expect(vm.state.requests.size).toBe(0);
   });
 
+  // Another server would begin anew, and its events without ids could not be told from those that the caller has.
+  it.each([
+    {
+      name: 'its server breaks off',
+      expected: ABORTED,
+      end: (vm: TestVm) => fail(vm, LOST, ARRIVED_AT_MS + 400, true),
+    },
+    {
+      name: 'its server falls silent',
+      expected: NOTHING,
+      end: (vm: TestVm) => {
+        const stalled = { requestId: 'r', attempt: 1, silentMs: SILENT_MS, isAnswerBegun: true };
+        const kind = EntryEventKind.AttemptStalled;
+        return vm.step({ kind, ...stalled, hasUnnumberedEvents: true }, STALLED_AT_MS);
+      },
+    },
+  ])(
+    'does not go on at another server after events without a number when $name',
+    ({ end, expected }) => {
+      const vm = createTestVm();
+      vm.receiveRequest(createTestRequest('r', '/draft/x', { promptParts: PARTS }), ARRIVED_AT_MS);
+      const started = { requestId: 'r', attempt: 1, load: null };
+      vm.step({ kind: EntryEventKind.AnswerStarted, ...started }, ARRIVED_AT_MS + 300);
+      expect(summarize(end(vm))).toEqual(expected);
+    },
+  );
+
   it('is aborted at once if it cannot be resumed', () => {
     const vm = startMovedStream(15_000, '/letter/x');
     expect(summarize(fail(vm, REJECTED))).toEqual(ABORTED);
