Never take a fence again that was given up while its renewal was under way

By reading, in the review: a controller that stops releases its lease, and a renewal that is answered after that made it take its old fence again, until it read the change; "a number went back". Its orders could reach engines beside those of the next controller.

Cause: any answer with a fence that the VM did not hold counted as the start of a term.

Change: the answer to a renewal starts no term, and neither does any answer once the VM stops; the lease is released instead.

Result: placement.test.ts, "the answer to a call for the lease": three of four failed before (a stop, a loss, an acquisition that ends after the stop), all pass. The other daemon bounds a term by the time at which the call was sent and releases nothing; it is as it was.

--- a/src/coordination/entry/events.ts
+++ b/src/coordination/entry/events.ts
@@ -378,6 +378,8 @@
     /** True if it is certain that this VM does not hold the lease. */
     readonly isLost: boolean;
     readonly sentAtMs: number;
+    /** True for the answer to a renewal; absent if the call was to acquire the lease. */
+    readonly isRenewal?: boolean;
   };
   [EntryEventKind.OrderAnswered]: {
     readonly backendId: string;
--- a/src/coordination/entry/placement/controller.ts
+++ b/src/coordination/entry/placement/controller.ts
@@ -33,7 +33,7 @@
 import { isAcceptingRequests } from '../requests/backendSelection.js';
 import { compareRelayRank } from '../exchange/relays.js';
 import { isPaused, shortenPauses } from '../servers/serverPauses.js';
-import { EntryLifecycle, type EntryState } from '../state.js';
+import { EntryLifecycle, type EntryState, isShuttingDown } from '../state.js';
 
 /** Renewals in the duration of a lease, so that one lost response does not let it expire. */
 const RENEWALS_PER_LEASE = 3;
@@ -290,7 +290,7 @@
   event: EntryEventOf<typeof EntryEventKind.ControllerLeaseAnswered>,
   nowMs: number,
 ): EntryCommand[] {
-  const { fence, isLost, sentAtMs } = event;
+  const { fence, isLost, isRenewal = false, sentAtMs } = event;
   const { placement, policy, self } = state;
   if (isLost) {
     return stopController(state, 'the lease has ended');
@@ -299,6 +299,10 @@
     return [];
   }
   const isNew = placement.fence !== fence;
+  if (isNew && (isRenewal || isShuttingDown(state))) {
+    // The lease was given up while the call was under way.
+    return [{ kind: EntryCommandKind.ReleaseControllerLease, fence }];
+  }
   const heldUntilMs = sentAtMs + policy.controllerLeaseMs * LEASE_TRUST_FRACTION;
   placement.leaseValidUntilMs = isNew
     ? heldUntilMs
--- a/src/transport/entry/placementExecutors.ts
+++ b/src/transport/entry/placementExecutors.ts
@@ -45,7 +45,7 @@
     const kind = EntryEventKind.ControllerLeaseAnswered;
     // The lease also ran out while this VM was suspended, which its clock does not show.
     const report = (result: LeaseResult): void =>
-      post({ kind, ...result, sentAtMs: getNowMs() - getAgeMs() });
+      post({ kind, ...result, sentAtMs: getNowMs() - getAgeMs(), isRenewal: isHeld });
     runDetached(Effect.map(lease, report), writeLog, () => report(NOT_ACQUIRED));
   };
   return {
--- a/tests/entry/placement.test.ts
+++ b/tests/entry/placement.test.ts
@@ -6,6 +6,7 @@
 import { type EntryCommand, EntryCommandKind } from '../../src/coordination/entry/commands.js';
 import {
   EngineOrderOutcome,
+  type EntryEvent,
   EntryEventKind,
   OrderAction,
 } from '../../src/coordination/entry/events.js';
@@ -29,6 +30,7 @@
   createTestEntry,
   createTestRequest,
   createTestVm,
+  findCommands,
   type TestVm,
 } from './fixtures.js';
 
@@ -365,6 +367,65 @@
   },
 ];
 
+const FENCE = 9;
+
+/** What happens between a call to the store for the lease and its late answer. */
+const LATE_ANSWERS: readonly {
+  readonly name: string;
+  readonly isRenewal: boolean;
+  readonly before: EntryEvent | null;
+  readonly isController: boolean;
+}[] = [
+  {
+    name: 'a renewal, while the VM is the controller',
+    isRenewal: true,
+    before: null,
+    isController: true,
+  },
+  {
+    name: 'a renewal, once the VM stops and has released the lease',
+    isRenewal: true,
+    before: { kind: EntryEventKind.StopRequested },
+    isController: false,
+  },
+  {
+    name: 'a renewal, once the lease is known to be lost',
+    isRenewal: true,
+    before: {
+      kind: EntryEventKind.ControllerLeaseAnswered,
+      fence: null,
+      isLost: true,
+      sentAtMs: START_MS,
+    },
+    isController: false,
+  },
+];
+
+describe('the answer to a call for the lease of the controller', () => {
+  // A fence that was given back would be used beside that of the next controller.
+  it.each(LATE_ANSWERS)('never gives back a fence that was released: $name', (late) => {
+    const vm = createTestVm();
+    const kind = EntryEventKind.ControllerLeaseAnswered;
+    const answer = { kind, fence: FENCE, isLost: false, sentAtMs: START_MS };
+    vm.step({ ...answer, isRenewal: false }, START_MS);
+    if (late.before !== null) {
+      vm.step(late.before, START_MS + 100);
+    }
+    vm.step({ ...answer, isRenewal: late.isRenewal }, START_MS + 300);
+    expect(vm.state.placement.fence).toBe(late.isController ? FENCE : null);
+  });
+
+  it('releases a lease that was acquired only once the VM had begun to stop', () => {
+    const vm = createTestVm();
+    vm.step({ kind: EntryEventKind.StopRequested }, START_MS);
+    const kind = EntryEventKind.ControllerLeaseAnswered;
+    const answer = { kind, fence: FENCE, isLost: false, sentAtMs: START_MS, isRenewal: false };
+    const commands = vm.step(answer, START_MS + 300);
+    expect(vm.state.placement.fence).toBeNull();
+    expect(findCommands(commands, EntryCommandKind.ReleaseControllerLease)).toHaveLength(1);
+  });
+});
+
 describe('a model that a request waits for', () => {
   it.each(ANSWER_CASES)('is loaded: $name', ({ getOutcome }) => {
     expect(countAcceptedOrders(getOutcome)).toBeGreaterThan(0);
