Read the events of streams whose lines end with CR

A stream whose lines end with CR alone never had a whole event: its caller got nothing until the stream was broken off. After a byte order mark, the first event lost its id.

Cause: the reader knew LF and CR LF as line ends, and looked for the id at the first byte.

Change: a blank line is two line ends of any kind, also where a chunk ends between CR and LF; a byte order mark at the start of a stream is passed on and not read as part of the first line.

--- a/src/protocol/entry/eventFrames.ts
+++ b/src/protocol/entry/eventFrames.ts
@@ -2,10 +2,15 @@
  * Splits the bytes of a stream of server-sent events into complete events, so that they can be forwarded unchanged.
  */
 
-const LINE_FEED = 0x0a;
-const CARRIAGE_RETURN = 0x0d;
+/** A line end and the blank line after it. A line ends with LF, CR LF or CR. */
+const BLANK_LINE_PATTERN = /(?:\r\n|\n|\r(?!\n))(?:\r\n|\n|\r)/g;
+/** Length of the longest blank line with the line end before it, without its last byte: what may have been received of it. */
+const MAX_PARTIAL_BLANK_LINE_LENGTH = 3;
+const LINE_ENDS_PATTERN = /^[\r\n]*$/;
 const ID_PATTERN = /^id:[ ]?(.*)$/m;
 const DATA_PATTERN = /^data(?::|$)/m;
+/** The mark with which a text in UTF-8 may begin, as Latin-1. */
+const BYTE_ORDER_MARK = '\u00ef\u00bb\u00bf';
 
 /** One complete event with the blank line that ends it. */
 export interface EventFrame {
@@ -24,54 +29,69 @@
   readonly getIncompleteLength: () => number;
 }
 
-/** Returns the index after the first blank line that ends at or after an index, or -1 if there is none. */
-function findFrameEnd(bytes: Buffer, fromIndex: number): number {
-  for (
-    let lineEnd = bytes.indexOf(LINE_FEED, fromIndex);
-    lineEnd >= 0;
-    lineEnd = bytes.indexOf(LINE_FEED, lineEnd + 1)
-  ) {
-    const next = bytes[lineEnd + 1];
-    if (next === LINE_FEED) {
-      return lineEnd + 2;
-    }
-    if (next === CARRIAGE_RETURN && bytes[lineEnd + 2] === LINE_FEED) {
-      return lineEnd + 3;
-    }
+/** Returns the index after the first blank line that ends after an index, or -1 if there is none. */
+function findFrameEnd(text: string, fromIndex: number): number {
+  const pattern = BLANK_LINE_PATTERN;
+  pattern.lastIndex = fromIndex;
+  const [blankLine] = pattern.exec(text) ?? [];
+  if (blankLine === undefined) {
+    return -1;
   }
-  return -1;
+  const end = pattern.lastIndex;
+  // A stream whose lines end with CR LF is cut between the two.
+  const isCut = end === text.length && blankLine.includes('\n') && blankLine.endsWith('\r');
+  return isCut ? -1 : end;
 }
 
 function decodeId(text: string): string | null {
   return ID_PATTERN.exec(text)?.[1]?.trim() ?? null;
 }
 
-/** Length of the longest blank line and the line end before it: the part of a blank line that may have been received. */
-const MAX_BLANK_LINE_LENGTH = 3;
+interface FrameRange {
+  readonly start: number;
+  readonly end: number;
+  readonly id: string | null;
+  readonly hasData: boolean;
+}
 
 /** Creates a reader for one stream. */
 export function createEventFrameReader(): EventFrameReader {
   let incomplete: Buffer = Buffer.alloc(0);
+  let isFirst = true;
+
+  const decodeFrame = (text: string, start: number, end: number): FrameRange => {
+    const hasMark = isFirst && text.startsWith(BYTE_ORDER_MARK);
+    isFirst = false;
+    const frameText = text.slice(hasMark ? BYTE_ORDER_MARK.length : start, end);
+    return { start, end, id: decodeId(frameText), hasData: DATA_PATTERN.test(frameText) };
+  };
+
   return {
     addChunk: (chunk) => {
-      const frames: EventFrame[] = [];
       // The bytes received before hold no blank line, so a long event is not searched again with each chunk.
-      let fromIndex = Math.max(0, incomplete.length - MAX_BLANK_LINE_LENGTH);
-      incomplete = incomplete.length === 0 ? chunk : Buffer.concat([incomplete, chunk]);
-      for (
-        let end = findFrameEnd(incomplete, fromIndex);
-        end >= 0;
-        end = findFrameEnd(incomplete, fromIndex)
-      ) {
-        const bytes = incomplete.subarray(0, end);
-        const text = bytes.toString('latin1');
-        frames.push({ bytes, id: decodeId(text), hasData: DATA_PATTERN.test(text) });
-        incomplete = incomplete.subarray(end);
-        fromIndex = 0;
+      let fromIndex = Math.max(0, incomplete.length - MAX_PARTIAL_BLANK_LINE_LENGTH);
+      const bytes = incomplete.length === 0 ? chunk : Buffer.concat([incomplete, chunk]);
+      const text = bytes.toString('latin1');
+      const frames: FrameRange[] = [];
+      let start = 0;
+      for (let end = findFrameEnd(text, fromIndex); end >= 0; end = findFrameEnd(text, fromIndex)) {
+        frames.push(decodeFrame(text, start, end));
+        start = end;
+        fromIndex = end;
       }
-      return frames;
+      incomplete = bytes.subarray(start);
+      return frames.map(({ hasData, id, ...range }) => ({
+        bytes: bytes.subarray(range.start, range.end),
+        id,
+        hasData,
+      }));
     },
-    getIncompleteLength: () => incomplete.length,
+    // What is left of a blank line belongs to the event before it.
+    getIncompleteLength: () =>
+      incomplete.length <= MAX_PARTIAL_BLANK_LINE_LENGTH &&
+      LINE_ENDS_PATTERN.test(incomplete.toString('latin1'))
+        ? 0
+        : incomplete.length,
   };
 }
 
--- a/tests/entry/stalledStreams.test.ts
+++ b/tests/entry/stalledStreams.test.ts
@@ -20,7 +20,49 @@
   { name: 'a comment before an event', chunk: ':\n\ndata: a\n\n', hasData: [false, true] },
 ];
 
+interface ExpectedFrame {
+  readonly text: string;
+  readonly id: string | null;
+}
+
+const LINE_END_CASES: readonly {
+  readonly name: string;
+  readonly stream: string;
+  readonly frames: readonly ExpectedFrame[];
+}[] = ['\n', '\r\n', '\r'].flatMap((end) => {
+  const events = ['1', '2'].map((id) => ({
+    text: `id: ${id}${end}data: a${end}${end}`,
+    id,
+  }));
+  const stream = events.map(({ text }) => text).join('');
+  const [first, second] = events;
+  const mark = '\u00ef\u00bb\u00bf';
+  const marked = [{ text: mark + first!.text, id: '1' }, second!];
+  const name = JSON.stringify(end);
+  return [
+    { name, stream, frames: events },
+    { name: `${name} after a byte order mark`, stream: mark + stream, frames: marked },
+  ];
+});
+
 describe('the events of a stream', () => {
+  it.each(LINE_END_CASES)(
+    'are the same wherever the stream is cut, with lines that end with $name',
+    ({ frames, stream }) => {
+      const bytes = Buffer.from(stream, 'latin1');
+      const readCutAt = (index: number): (ExpectedFrame | number)[] => {
+        const reader = createEventFrameReader();
+        const chunks = [bytes.subarray(0, index), bytes.subarray(index)];
+        const read = chunks.flatMap((chunk) => reader.addChunk(chunk));
+        const texts = read.map(({ bytes: part, id }) => ({ text: part.toString('latin1'), id }));
+        return [...texts.map(({ id, text }) => ({ text, id })), reader.getIncompleteLength()];
+      };
+      Array.from({ length: bytes.length }, (_, index) => index).forEach((index) => {
+        expect(readCutAt(index)).toEqual([...frames, 0]);
+      });
+    },
+  );
+
   it.each(CASES)('count as progress if they have data: $name', ({ chunk, hasData }) => {
     const frames = createEventFrameReader().addChunk(Buffer.from(chunk));
     expect(frames.map((frame) => frame.hasData)).toEqual(hasData);
