End streams that bring no data, and informational responses without end

A faulty server that sent comments or empty lines without end to 80 callers ended the VM's process within three seconds ("Reached heap limit"), and the requests of all others with it; with 12 callers, others waited for ten seconds. Informational responses without end went on until the caller's deadline.

Cause: each event of two or five bytes became a frame with a match, an object and a write of its own, so a chunk of 64 KB cost many times its size before the pause of the reader took hold. Bytes were bounded in an event and in all, not between two events with data; informational responses were not counted at all.

Change: events that arrive together are sent in one write; events without data and id are read as one frame; a stream with 1 MB since its last data ends, as does an attempt after 32 informational responses.

--- a/src/protocol/entry/eventFrames.ts
+++ b/src/protocol/entry/eventFrames.ts
@@ -12,7 +12,7 @@
 /** The mark with which a text in UTF-8 may begin, as Latin-1. */
 const BYTE_ORDER_MARK = '\u00ef\u00bb\u00bf';
 
-/** One complete event with the blank line that ends it. */
+/** One complete event with the blank line that ends it, or several together that have neither data nor an id. */
 export interface EventFrame {
   readonly bytes: Buffer;
   /** The id of the event; null if it has none. */
@@ -49,11 +49,22 @@
 
 interface FrameRange {
   readonly start: number;
-  readonly end: number;
+  end: number;
   readonly id: string | null;
   readonly hasData: boolean;
 }
 
+/** Adds a frame to those of the same chunk. Frames without data and id are put together, since a chunk may have thousands. */
+function addFrame(frames: FrameRange[], frame: FrameRange): void {
+  const last = frames.at(-1);
+  const isEmpty = ({ hasData, id }: FrameRange): boolean => !hasData && id === null;
+  if (last !== undefined && isEmpty(last) && isEmpty(frame)) {
+    last.end = frame.end;
+  } else {
+    frames.push(frame);
+  }
+}
+
 /** Creates a reader for one stream. */
 export function createEventFrameReader(): EventFrameReader {
   let incomplete: Buffer = Buffer.alloc(0);
@@ -75,7 +86,7 @@
       const frames: FrameRange[] = [];
       let start = 0;
       for (let end = findFrameEnd(text, fromIndex); end >= 0; end = findFrameEnd(text, fromIndex)) {
-        frames.push(decodeFrame(text, start, end));
+        addFrame(frames, decodeFrame(text, start, end));
         start = end;
         fromIndex = end;
       }
--- a/src/transport/entry/answers.ts
+++ b/src/transport/entry/answers.ts
@@ -36,7 +36,7 @@
 const MAX_BUFFERED_BYTES = 1_048_576;
 /** Longest body of a response. */
 const MAX_ANSWER_BYTES = 67_108_864;
-/** Longest event of a stream. */
+/** Longest event of a stream, and most bytes between two events with data. */
 const MAX_EVENT_BYTES = 1_048_576;
 /** Limits on the body of a rejection, which is read only so that its connection can be used again. */
 const MAX_REJECTION_BYTES = 65_536;
@@ -144,27 +144,45 @@
   reportAnswerStarted(attempt);
 }
 
-function forwardEvent(attempt: Attempt, response: IncomingMessage, frame: EventFrame): void {
-  const { context, exchange, resumedAfterId } = attempt;
+/** Returns whether an event of a second run cannot be placed among those that the caller has. */
+function isUnplaced({ resumedAfterId }: Attempt, { hasData, id }: EventFrame): boolean {
+  return resumedAfterId !== null && hasData && !isEventNumber(id);
+}
+
+/** Records an event that goes to the caller. Returns false for one that the caller has already. */
+function takeEvent({ context, exchange }: Attempt, frame: EventFrame): boolean {
   const { lastEventId } = exchange;
-  const isNumbered = isEventNumber(frame.id);
-  if (resumedAfterId !== null && frame.hasData && !isNumbered) {
-    // Whether the caller has this event from the earlier run is not known.
-    rejectAnswer(attempt);
-    return;
+  const isAlreadySent =
+    isEventNumber(frame.id) && lastEventId !== null && !isLaterEvent(frame.id, lastEventId);
+  if (!isAlreadySent) {
+    recordStreamEvent(exchange, frame, context.getNowMs());
   }
-  const isAlreadySent = isNumbered && lastEventId !== null && !isLaterEvent(frame.id, lastEventId);
-  if (isAlreadySent || attempt.isSettled) {
-    return;
+  return !isAlreadySent;
+}
+
+/** Sends events that have arrived together in one write: each write has a cost that a short event does not bear. */
+function forwardEvents(
+  attempt: Attempt,
+  response: IncomingMessage,
+  frames: readonly EventFrame[],
+): void {
+  const unplacedIndex = frames.findIndex((frame) => isUnplaced(attempt, frame));
+  const placed = unplacedIndex < 0 ? frames : frames.slice(0, unplacedIndex);
+  const taken = placed.filter((frame) => takeEvent(attempt, frame));
+  if (taken.length > 0) {
+    startAnswer(attempt, response);
+    const bytes = taken.map((frame) => frame.bytes);
+    writeWithBackpressure(attempt, response, bytes.length === 1 ? bytes[0]! : Buffer.concat(bytes));
+  }
+  if (placed !== frames) {
+    rejectAnswer(attempt);
   }
-  startAnswer(attempt, response);
-  recordStreamEvent(exchange, frame, context.getNowMs());
-  writeWithBackpressure(attempt, response, frame.bytes);
 }
 
 function forwardEventStream(attempt: Attempt, response: IncomingMessage): void {
   const reader = createEventFrameReader();
   let receivedBytes = 0;
+  let bytesSinceData = 0;
   const isComplete = createCompletenessCheck(response);
   response.on('data', (chunk: Buffer) => {
     if (attempt.isSettled) {
@@ -172,12 +190,14 @@
     }
     advanceAttempt(attempt, DispatchSignal.BodyReceived);
     receivedBytes += chunk.length;
+    bytesSinceData += chunk.length;
     const frames = reader.addChunk(chunk);
     if (frames.some(({ hasData }) => hasData)) {
       recordProgress(attempt);
+      bytesSinceData = 0;
     }
-    frames.forEach((frame) => forwardEvent(attempt, response, frame));
-    if (reader.getIncompleteLength() > MAX_EVENT_BYTES) {
+    forwardEvents(attempt, response, frames);
+    if (Math.max(reader.getIncompleteLength(), bytesSinceData) > MAX_EVENT_BYTES) {
       rejectTooLarge(attempt, MAX_EVENT_BYTES);
     } else if (receivedBytes > MAX_ANSWER_BYTES) {
       rejectTooLarge(attempt, MAX_ANSWER_BYTES);
--- a/src/transport/entry/attempt.ts
+++ b/src/transport/entry/attempt.ts
@@ -24,6 +24,8 @@
 
 /** Longest head of a response. */
 const MAX_ANSWER_HEAD_BYTES = 16_384;
+/** Most informational responses (1xx) before a response. */
+const MAX_INFORMATIONAL_RESPONSES = 32;
 /** Prefix of the codes of errors that the HTTP parser of Node.js reports. */
 const PARSER_ERROR_PREFIX = 'HPE_';
 const HEAD_OVERFLOW_CODE = 'HPE_HEADER_OVERFLOW';
@@ -278,6 +280,13 @@
       failForLostConnection(attempt);
     }
   });
+  let informationCount = 0;
+  request.on('information', () => {
+    informationCount += 1;
+    if (informationCount > MAX_INFORMATIONAL_RESPONSES) {
+      failAttempt(attempt, Diagnostics.AnswerMismatched);
+    }
+  });
   request.on('response', (response) => {
     const head = context.wire.decodeAnswerHead(response.statusCode ?? 0, response.headers);
     const { backendId, bornAtWallMs } = command;
--- a/tests/entry/answerEnds.test.ts
+++ b/tests/entry/answerEnds.test.ts
@@ -181,6 +181,24 @@
     filler: FILLER,
     key: 'answer_too_large',
   },
+  {
+    name: 'in events without data',
+    beginning: `${HEAD}Content-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\n`,
+    filler: ': c\n\n'.repeat(3_000),
+    key: 'answer_too_large',
+  },
+  {
+    name: 'in empty lines of a stream',
+    beginning: `${HEAD}Content-Type: text/event-stream\r\n\r\n`,
+    filler: '\n'.repeat(16_384),
+    key: 'answer_too_large',
+  },
+  {
+    name: 'in informational responses',
+    beginning: '',
+    filler: 'HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n'.repeat(300),
+    key: 'answer_mismatched',
+  },
   {
     name: 'in an event of many lines',
     beginning: `${HEAD}Content-Type: text/event-stream\r\n\r\nid: 1\n`,
--- a/tests/entry/stalledStreams.test.ts
+++ b/tests/entry/stalledStreams.test.ts
@@ -63,6 +63,11 @@
     },
   );
 
+  it('are one where they have neither data nor an id', () => {
+    const frames = createEventFrameReader().addChunk(Buffer.from('\n'.repeat(65_536)));
+    expect(frames.map(({ bytes }) => bytes.length)).toEqual([65_536]);
+  });
+
   it.each(CASES)('count as progress if they have data: $name', ({ chunk, hasData }) => {
     const frames = createEventFrameReader().addChunk(Buffer.from(chunk));
     expect(frames.map((frame) => frame.hasData)).toEqual(hasData);
