--- a/src/transport/entry/answers.ts
+++ b/src/transport/entry/answers.ts
@@ -135,10 +135,11 @@
   const { context, exchange } = attempt;
   if (!isAnswerBegun(exchange) && !exchange.response.destroyed) {
     const headers = context.wire.encodeAnswerHead(response.rawHeaders);
-    // Chunks show the caller that an answer without a length is cut off, also when this VM is killed.
-    exchange.endsWithConnection =
-      !exchange.response.useChunkedEncodingByDefault &&
-      response.headers['content-length'] === undefined;
+    if (!isFramed(exchange, response)) {
+      exchange.endsWithConnection = true;
+      exchange.response.shouldKeepAlive = false;
+      exchange.response.useChunkedEncodingByDefault = false;
+    }
     exchange.response.writeHead(response.statusCode ?? HTTP_OK, [...headers]);
   }
   reportAnswerStarted(attempt);
@@ -264,7 +265,13 @@
       }
       const headers = context.wire.encodeAnswerHead(response.rawHeaders);
       const status = response.statusCode ?? 0;
-      completeBufferedAttempt(attempt, status, headers, Buffer.concat(chunks));
+      completeBufferedAttempt(
+        attempt,
+        status,
+        headers,
+        Buffer.concat(chunks),
+        isFramed(exchange, response),
+      );
     });
   });
 }
--- a/src/transport/entry/attempt.ts
+++ b/src/transport/entry/attempt.ts
@@ -150,12 +150,13 @@
   status: number,
   headers: readonly string[],
   body: Buffer,
+  isFramed: boolean,
 ): void {
   const { command, context, exchange, load } = attempt;
   if (!settle(attempt)) {
     return;
   }
-  exchange.bufferedAnswer = { attempt: command.attempt, status, headers, body };
+  exchange.bufferedAnswer = { attempt: command.attempt, status, headers, body, isFramed };
   const { requestId } = command;
   const kind = EntryEventKind.AnswerReady;
   context.post({ kind, requestId, attempt: command.attempt, status, load });
--- a/src/transport/entry/commandTable.ts
+++ b/src/transport/entry/commandTable.ts
@@ -31,7 +31,12 @@
 } from './commandContext.js';
 import { runDetached } from './defects.js';
 import { NO_LOAN, type RateLoan, waitForReply } from './entryPeers.js';
-import { abortForwardAnswer, sendForwardRefusal, sendWholeAnswer } from './exchange.js';
+import {
+  abortForwardAnswer,
+  sendForwardRefusal,
+  sendUnframedAnswer,
+  sendWholeAnswer,
+} from './exchange.js';
 import { applyCallerTimeouts } from './forwardServer.js';
 import { createPlacementExecutors, type PlacementKind } from './placementExecutors.js';
 import { applyStoreUpdate } from './storeWatches.js';
@@ -91,8 +96,9 @@
     [EntryCommandKind.DeliverAnswer]: ({ attempt, requestId }) => {
       const exchange = exchanges.get(requestId);
       if (exchange?.bufferedAnswer?.attempt === attempt) {
-        const { body, headers, status } = exchange.bufferedAnswer;
-        sendWholeAnswer(exchange, status, headers, body);
+        const { body, headers, isFramed, status } = exchange.bufferedAnswer;
+        const send = isFramed ? sendWholeAnswer : sendUnframedAnswer;
+        send(exchange, status, headers, body);
       }
     },
     [EntryCommandKind.Refuse]: ({ refusal, requestId }) => {
--- a/src/transport/entry/exchange.ts
+++ b/src/transport/entry/exchange.ts
@@ -17,6 +17,10 @@
   readonly status: number;
   readonly headers: readonly string[];
   readonly body: Buffer;
+  /**
+   * False if the response marked its end only by closing the connection. It is then sent to the caller in the same way.
+   */
+  readonly isFramed: boolean;
 }
 
 /** A request that has been read completely and whose response has not been sent completely. */
@@ -45,7 +49,7 @@
     /** Fails the attempt instead if nothing of its request has been sent. */
     readonly recall: () => void;
   } | null;
-  /** True if the response to a caller that reads no chunks ends with its connection, so that only a reset shows a break. */
+  /** True if the response ends with its connection, so that only a reset shows that it is incomplete. */
   endsWithConnection: boolean;
   /** True once the response has been handed over to be sent, or the caller has left. */
   isEnded: boolean;
@@ -100,6 +104,24 @@
   }
 }
 
+/** Sends a response whose end is marked only by closing the connection. Whether its body is complete is not known. */
+export function sendUnframedAnswer(
+  exchange: ForwardExchange,
+  status: number,
+  headers: readonly string[],
+  body: Buffer,
+): void {
+  const { response } = exchange;
+  exchange.isEnded = true;
+  if (response.destroyed || response.headersSent) {
+    return;
+  }
+  response.shouldKeepAlive = false;
+  response.useChunkedEncodingByDefault = false;
+  response.writeHead(status, [...headers, 'Connection', 'close']);
+  response.end(body);
+}
+
 /**
  * Sends a complete response. The event loop may decide on one before it learns that another has started; that one is broken
  * off.
--- a/tests/entry/requestInvariant.test.ts
+++ b/tests/entry/requestInvariant.test.ts
@@ -13,6 +13,7 @@
   abortForwardAnswer,
   type ForwardExchange,
   sendForwardRefusal,
+  sendUnframedAnswer,
   sendWholeAnswer,
 } from '../../src/transport/entry/exchange.js';
 import {
@@ -42,6 +43,7 @@
 /** What the event loop does with a request. */
 const ANSWERS: Readonly<Record<string, (exchange: ForwardExchange) => void>> = {
   whole: (exchange) => sendWholeAnswer(exchange, 200, [], MARK),
+  unframed: (exchange) => sendUnframedAnswer(exchange, 200, [], Buffer.from(MARK)),
   refused: (exchange) => sendForwardRefusal(exchange, REFUSAL, PLATFORM_WIRE),
   aborted: (exchange) => abortForwardAnswer(exchange, REFUSAL, PLATFORM_WIRE),
   refusedAfterBegin: (exchange) => {
