Keep the event loop free while streams bring short events without end

Cause: a chunk of 64 KB has thousands of such events, each of which costs time, and all streams together were read as fast as they came.

Streams that bring few events at once are never paused.

--- a/src/protocol/entry/eventFrames.ts
+++ b/src/protocol/entry/eventFrames.ts
@@ -2,8 +2,8 @@
  * Splits the bytes of a stream of server-sent events into complete events, so that they can be forwarded unchanged.
  */
 
-/** A line end and the blank line after it. A line ends with LF, CR LF or CR. */
-const BLANK_LINE_PATTERN = /(?:\r\n|\n|\r(?!\n))(?:\r\n|\n|\r)/g;
+/** A line end and the blank lines after it. A line ends with LF, CR LF or CR. */
+const BLANK_LINE_PATTERN = /(?:\r\n|\n|\r(?!\n))(?:\r\n|\n|\r)[\r\n]*/g;
 /** Length of the longest blank line with the line end before it, without its last byte: what may have been received of it. */
 const MAX_PARTIAL_BLANK_LINE_LENGTH = 3;
 const LINE_ENDS_PATTERN = /^[\r\n]*$/;
@@ -29,7 +29,7 @@
   readonly getIncompleteLength: () => number;
 }
 
-/** Returns the index after the first blank line that ends after an index, or -1 if there is none. */
+/** Returns the index after the first blank lines that end after an index, or -1 if there are none. */
 function findFrameEnd(text: string, fromIndex: number): number {
   const pattern = BLANK_LINE_PATTERN;
   pattern.lastIndex = fromIndex;
--- a/src/transport/entry/answers.ts
+++ b/src/transport/entry/answers.ts
@@ -36,8 +36,12 @@
 const MAX_BUFFERED_BYTES = 1_048_576;
 /** Longest body of a response. */
 const MAX_ANSWER_BYTES = 67_108_864;
-/** Longest event of a stream, and most bytes between two events with data. */
+/** Longest event of a stream. */
 const MAX_EVENT_BYTES = 1_048_576;
+/** Most bytes of whole events without data between two events with data. */
+const MAX_IDLE_BYTES = 65_536;
+/** Events that a stream may bring in one chunk without being paced. */
+const MAX_UNPACED_EVENTS = 64;
 /** Limits on the body of a rejection, which is read only so that its connection can be used again. */
 const MAX_REJECTION_BYTES = 65_536;
 const MAX_REJECTION_MS = 1_000;
@@ -84,12 +88,40 @@
   return () => response.complete && socket.errored === null;
 }
 
+/** Why a response is not read for now. */
+const PauseReason = { SlowCaller: 'slowCaller', Pace: 'pace' } as const;
+type PauseReason = (typeof PauseReason)[keyof typeof PauseReason];
+
+/** Stops reading a response, and returns the function that ends this. It is read again once no reason is left. */
+function pauseResponse(
+  attempt: Attempt,
+  response: IncomingMessage,
+  reason: PauseReason,
+): () => void {
+  const { pauseReasons } = attempt;
+  pauseReasons.add(reason);
+  response.pause();
+  return () => {
+    pauseReasons.delete(reason);
+    if (pauseReasons.size === 0) {
+      response.resume();
+    }
+  };
+}
+
 /** Writes bytes to the caller, and pauses reading from the server while the caller reads too slowly. */
 function writeWithBackpressure(attempt: Attempt, response: IncomingMessage, bytes: Buffer): void {
   const caller = attempt.exchange.response;
   if (!caller.write(bytes)) {
-    response.pause();
-    caller.once('drain', () => response.resume());
+    caller.once('drain', pauseResponse(attempt, response, PauseReason.SlowCaller));
+  }
+}
+
+/** Pauses a stream that has brought many events at once, if all such streams together have brought more than they may. */
+function keepPace(attempt: Attempt, response: IncomingMessage, eventCount: number): void {
+  const delayMs = eventCount > MAX_UNPACED_EVENTS ? attempt.context.eventPacer.take(eventCount) : 0;
+  if (delayMs > 0) {
+    setTimeout(pauseResponse(attempt, response, PauseReason.Pace), delayMs);
   }
 }
 
@@ -183,7 +215,7 @@
 function forwardEventStream(attempt: Attempt, response: IncomingMessage): void {
   const reader = createEventFrameReader();
   let receivedBytes = 0;
-  let bytesSinceData = 0;
+  let idleBytes = 0;
   const isComplete = createCompletenessCheck(response);
   response.on('data', (chunk: Buffer) => {
     if (attempt.isSettled) {
@@ -191,15 +223,20 @@
     }
     advanceAttempt(attempt, DispatchSignal.BodyReceived);
     receivedBytes += chunk.length;
-    bytesSinceData += chunk.length;
     const frames = reader.addChunk(chunk);
-    if (frames.some(({ hasData }) => hasData)) {
+    const lastDataIndex = frames.findLastIndex(({ hasData }) => hasData);
+    const idleFrames = frames.slice(lastDataIndex + 1);
+    if (lastDataIndex >= 0) {
       recordProgress(attempt);
-      bytesSinceData = 0;
+      idleBytes = 0;
     }
+    idleBytes += idleFrames.reduce((sum, { bytes }) => sum + bytes.length, 0);
     forwardEvents(attempt, response, frames);
-    if (Math.max(reader.getIncompleteLength(), bytesSinceData) > MAX_EVENT_BYTES) {
+    keepPace(attempt, response, frames.length);
+    if (reader.getIncompleteLength() > MAX_EVENT_BYTES) {
       rejectTooLarge(attempt, MAX_EVENT_BYTES);
+    } else if (idleBytes > MAX_IDLE_BYTES) {
+      rejectTooLarge(attempt, MAX_IDLE_BYTES);
     } else if (receivedBytes > MAX_ANSWER_BYTES) {
       rejectTooLarge(attempt, MAX_ANSWER_BYTES);
     }
--- a/src/transport/entry/attempt.ts
+++ b/src/transport/entry/attempt.ts
@@ -17,6 +17,7 @@
 import { RunState } from '../../state/types.js';
 import { splitAddress } from '../httpCall.js';
 import type { BackendAgents } from './backendAgent.js';
+import type { EventPacer } from './eventPacer.js';
 import { type ForwardExchange, isAnswerBegun } from './exchange.js';
 import { runAfterUnreadData } from './loopDelay.js';
 import { postStatement } from './serverStatements.js';
@@ -40,6 +41,8 @@
   readonly wire: EntryWire;
   /** Returns whether the ends of callers' connections may lie unread. */
   readonly isBehind: () => boolean;
+  /** Shared by the streams of all attempts. */
+  readonly eventPacer: EventPacer;
 }
 
 /** An attempt in progress. */
@@ -60,6 +63,8 @@
   readonly startedAtMs: number;
   progressAtMs: number;
   stallTimer: NodeJS.Timeout | null;
+  /** Why the response is not read for now; empty while it is. */
+  readonly pauseReasons: Set<string>;
 }
 
 /** Advances the run state of an attempt. */
@@ -331,6 +336,7 @@
     startedAtMs: context.getNowMs(),
     progressAtMs: context.getNowMs(),
     stallTimer: null,
+    pauseReasons: new Set(),
   };
   Either.encase(() => createRequest(attempt)).caseOf({
     Left: ({ message }) => failAttempt(attempt, Diagnostics.RequestNotStarted, null, message),
--- a/src/transport/entry/entryDaemon.ts
+++ b/src/transport/entry/entryDaemon.ts
@@ -32,6 +32,7 @@
 import { type EntryLog, logUnexpectedError } from './entryLog.js';
 import { createEntryPeerClient, createEntryPeerServer, type EntryReplies } from './entryPeers.js';
 import { abortForwardAnswer, type ForwardExchange } from './exchange.js';
+import { createEventPacer } from './eventPacer.js';
 import { createForwardServer, createReadinessServer } from './forwardServer.js';
 import { createLoopDelayMonitor } from './loopDelay.js';
 import { createLoopWorkMeter } from './loopWork.js';
@@ -239,7 +240,14 @@
     post,
     wire,
     exchanges,
-    attempts: { post, getNowMs, agents, wire, isBehind: loopDelay.isBehind },
+    attempts: {
+      post,
+      getNowMs,
+      agents,
+      wire,
+      isBehind: loopDelay.isBehind,
+      eventPacer: createEventPacer(getNowMs),
+    },
     peers,
     peerCalls,
     replies,
--- a/tests/entry/answerEnds.test.ts
+++ b/tests/entry/answerEnds.test.ts
@@ -98,6 +98,7 @@
     agents,
     wire: PLATFORM_WIRE,
     isBehind: () => false,
+    eventPacer: { take: () => 0 },
   };
   const server = http.createServer((request, response) => {
     const body = Buffer.alloc(0);
--- a/tests/entry/brokenStreams.test.ts
+++ b/tests/entry/brokenStreams.test.ts
@@ -69,7 +69,11 @@
       handlers.onFailure();
     }
   };
-  const clocks = { getNowMs: () => performance.now(), isBehind: () => false };
+  const clocks = {
+    getNowMs: () => performance.now(),
+    isBehind: () => false,
+    eventPacer: { take: () => 0 },
+  };
   const context = { post, ...clocks, agents, wire: PLATFORM_WIRE };
   const server = http.createServer((request, response) => {
     const fields = { requestId: 'r', callerRequestId: 'id', request, response };
--- a/tests/entry/lateDispatch.test.ts
+++ b/tests/entry/lateDispatch.test.ts
@@ -117,6 +117,7 @@
     agents,
     wire: PLATFORM_WIRE,
     isBehind,
+    eventPacer: { take: () => 0 },
   };
   const server = createForwardServer({
     writeLog: () => {},
--- a/tests/entry/refusedCalls.test.ts
+++ b/tests/entry/refusedCalls.test.ts
@@ -96,6 +96,7 @@
         agents,
         wire: PLATFORM_WIRE,
         isBehind: () => false,
+        eventPacer: { take: () => 0 },
       };
       startAttempt({ ...DISPATCH, ...command }, exchange, context, () => {});
       expect(events).toMatchObject([
@@ -192,6 +193,7 @@
           agents,
           wire: PLATFORM_WIRE,
           isBehind: () => false,
+          eventPacer: { take: () => 0 },
         };
         const address = `127.0.0.1:${port}`;
         startAttempt({ ...DISPATCH, address, isStream }, exchange, context, handleAnswer);
--- a/tests/entry/replayedAnswers.test.ts
+++ b/tests/entry/replayedAnswers.test.ts
@@ -100,7 +100,11 @@
       waiting.resolve({ body: null, runStatus });
     }
   };
-  const clocks = { getNowMs: () => performance.now(), isBehind: () => false };
+  const clocks = {
+    getNowMs: () => performance.now(),
+    isBehind: () => false,
+    eventPacer: { take: () => 0 },
+  };
   const context = { post, ...clocks, agents, wire: PLATFORM_WIRE };
   const server = http.createServer((request, response) => {
     const callerRequestId = String(request.headers['x-attempt-id']);
--- a/tests/entry/timerLimits.test.ts
+++ b/tests/entry/timerLimits.test.ts
@@ -91,7 +91,14 @@
       const post = (event: EntryEvent): void => {
         events.push(event);
       };
-      const context = { post, getNowMs: () => 0, agents, wire, isBehind: () => false };
+      const context = {
+        post,
+        getNowMs: () => 0,
+        agents,
+        wire,
+        isBehind: () => false,
+        eventPacer: { take: () => 0 },
+      };
       startAttempt(command, exchange, context, () => {});
       await vi.advanceTimersByTimeAsync(800);
       agents.close();
