Recall resumed streams that wait for a connection to a server that leaves

Streams that had broken off with one server and waited for a connection to the next were sent to it 2.5 s after it had said that it leaves, and were lost when it exited, though a third server was idle.

Cause: what is recalled from a server was chosen by whether its answer had begun at all, not whether the current attempt had been answered.

Change: `recallUnsent` looks at the current attempt. It serves a server that leaves, one that is gone or replaced, and one that asks for a pause.

--- a/src/coordination/entry/servers/leavingServers.ts
+++ b/src/coordination/entry/servers/leavingServers.ts
@@ -21,12 +21,12 @@
 export const LeavingSource = { Answer: 'answer', Peer: 'peer' } as const;
 export type LeavingSource = (typeof LeavingSource)[keyof typeof LeavingSource];
 
-/** Recalls the requests that were dispatched to a server and have not been sent to it. */
+/** Recalls the requests that were dispatched to a server and have not been sent to it, also those that go on with a stream. */
 export function recallUnsent(state: EntryState, { entry }: Backend): EntryCommand[] {
   return [...state.requests.values()]
     .filter(
-      ({ backendId, firstEventAtMs, phase }) =>
-        phase === ForwardPhase.Dispatched && backendId === entry.id && firstEventAtMs === null,
+      ({ attemptAnsweredAtMs, backendId, phase }) =>
+        phase === ForwardPhase.Dispatched && backendId === entry.id && attemptAnsweredAtMs === null,
     )
     .map(({ attempt, request }) => ({
       kind: EntryCommandKind.RecallAttempt,
--- a/tests/entry/fixtures.ts
+++ b/tests/entry/fixtures.ts
@@ -220,7 +220,7 @@
     changes: readonly BackendChange[],
     revision: number,
     nowMs?: number,
-  ) => void;
+  ) => EntryCommand[];
 }
 
 /** Creates a VM that is ready and has two backend servers of each service. */
@@ -239,9 +239,9 @@
     changes: readonly BackendChange[],
     revision: number,
     nowMs = 10_000,
-  ): void => {
+  ): EntryCommand[] => {
     const kind = EntryEventKind.BackendsRead;
-    step({ kind, isSnapshot: false, changes, revision, source: 'test' }, nowMs);
+    return step({ kind, isSnapshot: false, changes, revision, source: 'test' }, nowMs);
   };
   const kind = EntryEventKind.ConfigurationRead;
   step({ kind, deployment: createTestDeployment(), revision: 1, source: 'test' }, 0);
--- a/tests/entry/resumedStreams.test.ts
+++ b/tests/entry/resumedStreams.test.ts
@@ -251,6 +251,63 @@
   });
 });
 
+const RECALLED: AttemptFailure = {
+  ...NOT_CONNECTED,
+  diagnostic: createDiagnostic(Diagnostics.RequestRecalled, 'x'),
+};
+
+/** What shows that the server of an attempt is not to be used. */
+const DEPARTURES: readonly {
+  readonly name: string;
+  readonly depart: (vm: TestVm, id: string) => EntryCommand[];
+}[] = [
+  {
+    name: 'announces that it leaves',
+    depart: (vm, id) => {
+      const entry = { ...createTestEntry(id, 'llm'), isLeaving: true };
+      return vm.readBackends([{ id, revision: 9, entry }], 9);
+    },
+  },
+  { name: 'is gone', depart: (vm, id) => vm.readBackends([{ id, revision: 9, entry: null }], 9) },
+  {
+    name: 'asks for a pause',
+    depart: (vm, backendId) =>
+      vm.step(
+        {
+          kind: EntryEventKind.ServerStated,
+          backendId,
+          bornAtWallMs: createTestEntry(backendId, 'llm').bornAtWallMs,
+          requestName: 'other',
+          isLeaving: false,
+          pauseMs: 5_000,
+          isMalformed: false,
+        },
+        FAILED_AT_MS,
+      ),
+  },
+];
+
+describe('a stream that has begun and waits for a connection to the next server', () => {
+  // Only requests whose answers had not begun were recalled, so it was sent to a server that had left.
+  it.each(DEPARTURES)('goes on at a third server when that $name', ({ depart }) => {
+    const vm = startMovedStream();
+    const { attempt, backendId } = vm.state.requests.get('r')!;
+    const recalled = findCommands(depart(vm, backendId!), EntryCommandKind.RecallAttempt);
+    expect(recalled).toMatchObject([{ requestId: 'r', attempt }]);
+    addServer(vm, 'e3', FAILED_AT_MS + 5);
+    expect(summarize(fail(vm, RECALLED, FAILED_AT_MS + 10)).servers).toEqual(['e3']);
+  });
+
+  it('is not recalled once that server has answered', () => {
+    const vm = startMovedStream();
+    const { attempt, backendId } = vm.state.requests.get('r')!;
+    const started = { requestId: 'r', attempt, load: null };
+    vm.step({ kind: EntryEventKind.AnswerStarted, ...started }, FAILED_AT_MS);
+    const commands = vm.readBackends([{ id: backendId!, revision: 9, entry: null }], 9);
+    expect(findCommands(commands, EntryCommandKind.RecallAttempt)).toEqual([]);
+  });
+});
+
 describe('a stream that has begun', () => {
   const SPENT = [
     { name: 'its attempts are spent', failures: [LOST] },
