List the VMs again when the first call for them has failed

All VMs were killed while the store was slow, and the store went down while they registered: none was ever ready again, and every request got 503.

Cause: the call that lists the VMs came after the registration and was made once. If it failed, the next step was a renewal, since there was a lease by then; without the list a VM has no role, so it never read the store.

Change: registration, list and renewal are steps of their own, each repeated until it succeeds.

--- a/src/transport/entry/vmRegistration.ts
+++ b/src/transport/entry/vmRegistration.ts
@@ -46,7 +46,7 @@
   /** Finds the other VMs, one of which relays the contents of the store. */
   const discoverVms: Effect.Effect<void, Diagnostic> = Effect.map(
     store.list(EntryKey.Vms),
-    ({ items }) =>
+    ({ items }) => {
       onVmsListed(
         items.flatMap((item) =>
           decodeListedVm(item.key, item.value ?? '').caseOf<ListedEntryVm[]>({
@@ -58,7 +58,9 @@
             Right: (listed) => [listed],
           }),
         ),
-      ),
+      );
+      areVmsListed = true;
+    },
   );
 
   const register: Effect.Effect<void, Diagnostic> = Effect.gen(function* registerVm() {
@@ -75,10 +77,6 @@
       yield* Effect.fail(createDiagnostic(Diagnostics.StoreUnknown));
     }
     leaseId = newLeaseId;
-    if (!areVmsListed) {
-      yield* discoverVms;
-      areVmsListed = true;
-    }
     writeLog(LogLevel.Info, EntryLogPrefix.Peer, 'This VM has been registered in the store.', {
       version: formatStoreRevision(version ?? 0),
     });
@@ -96,10 +94,17 @@
       }
     });
 
-  const step = Effect.suspend(() => (leaseId === null ? register : renew(leaseId)));
-  const pause = Effect.suspend(() =>
-    Effect.raceFirst(Effect.sleep(leaseId === null ? 0 : RENEW_INTERVAL_MS), wakeUp.await),
-  ).pipe(Effect.tap(() => wakeUp.close));
+  /** Each step is repeated until it succeeds, so that a call that fails leaves nothing out. */
+  const step = Effect.suspend(() => {
+    if (leaseId === null) {
+      return register;
+    }
+    return areVmsListed ? renew(leaseId) : discoverVms;
+  });
+  const pause = Effect.suspend(() => {
+    const isStepDue = leaseId === null || !areVmsListed;
+    return Effect.raceFirst(Effect.sleep(isStepDue ? 0 : RENEW_INTERVAL_MS), wakeUp.await);
+  }).pipe(Effect.tap(() => wakeUp.close));
   return {
     run: Effect.forever(
       Effect.matchEffect(recoverDefects(step, writeLog), {
