Hold back a request that was sound before it began to crash servers

A request that was answered within the last minute, and then crashed each server that ran it, reached servers more than twenty times later than the contact time after the third crash (bound: three), and bookings of other callers at those servers were lost.

Cause: health within a minute before a crash excluded a request as a suspect, as it does a prompt part: by itself a crash does not tell a culprit from one that was there by chance. But a part comes with other things, a request is always the same, and what it meets may change.

Change: the memory of health is a rule of the kind of cause. For requests, an answer clears earlier crashes only; one that was healthy just before needs crashes in three waves of 0.8 s, so that servers which end one after the other hold back no request that is sent again meanwhile.

--- a/src/state/entry/crashAttribution.ts
+++ b/src/state/entry/crashAttribution.ts
@@ -31,6 +31,9 @@
   ...Object.values(CAUSE_RULES).flatMap((rule) => rule.requiredCrashesByAddresses),
 );
 
+/** Crashes that are further apart than this are not of one wave, as of servers that lose power one after the other. */
+const WAVE_MS = 800;
+
 /** Number of crashes from which on a request that was present is not sent to another server. */
 const RETRY_CRASH_LIMIT = 2;
 
@@ -76,6 +79,17 @@
   return timesMs.filter((atMs, i) => i === 0 || atMs - timesMs[i - 1]! > SIMULTANEOUS_MS).length;
 }
 
+/** Counts the waves of crashes, each of which ends after a fixed time. */
+function countWaves(crashes: readonly CrashReport[]): number {
+  const timesMs = crashes.map(({ atMs }) => atMs).sort((a, b) => a - b);
+  const startsMs = timesMs.reduce<number[]>(
+    (starts, atMs) =>
+      atMs - (starts.at(-1) ?? Number.NEGATIVE_INFINITY) > WAVE_MS ? [...starts, atMs] : starts,
+    [],
+  );
+  return startsMs.length;
+}
+
 /** Counts the requests with a cause among the suspects of its crashes. */
 function countRequests({ cause, crashes }: Candidate): number {
   const requests = crashes.flatMap((crash) => findSuspects(crash, [cause]));
@@ -125,12 +139,12 @@
   );
 }
 
-/** Returns whether a cause was healthy shortly before the crashes that it is a suspect of. */
-function wasHealthyBefore(
-  evidence: CrashEvidence,
-  { cause, crashes, service }: Candidate,
-): boolean {
-  return crashes[0]!.atMs - getHealthyMs(evidence, service, cause) < HEALTH_MEMORY_MS;
+/** Returns whether a cause was healthy shortly before the crashes that it is a suspect of, which are too few against that. */
+function isExonerated(evidence: CrashEvidence, candidate: Candidate): boolean {
+  const { cause, crashes, service } = candidate;
+  const wasHealthyBefore =
+    crashes[0]!.atMs - getHealthyMs(evidence, service, cause) < HEALTH_MEMORY_MS;
+  return wasHealthyBefore && countWaves(crashes) < getRule(candidate).wavesAgainstHealth;
 }
 
 /** Returns whether two causes occurred in the same requests in all crashes of the first one. */
@@ -177,7 +191,7 @@
   const held = listHeld(evidence);
   const candidates = [...listCandidates(evidence).values()]
     .filter(({ crashes }) => crashes.length >= MIN_REQUIRED_CRASHES)
-    .filter((candidate) => !wasHealthyBefore(evidence, candidate))
+    .filter((candidate) => !isExonerated(evidence, candidate))
     .sort((a, b) => b.crashes.length - a.crashes.length);
   const isQuarantined = ({ cause, crashes }: Candidate): boolean =>
     held.some(
@@ -244,9 +258,9 @@
   const crashes = [...evidence.crashes.values()].filter((crash) => crash.service === service);
   return causes.some((cause) => {
     const healthyMs = getHealthyMs(evidence, service, cause);
+    const { healthMemoryMs } = CAUSE_RULES[getCauseKind(cause)];
     const uncleared = crashes.filter(
-      (crash) =>
-        crash.atMs - healthyMs > HEALTH_MEMORY_MS && findSuspects(crash, [cause]).length > 0,
+      (crash) => crash.atMs - healthyMs > healthMemoryMs && findSuspects(crash, [cause]).length > 0,
     );
     return uncleared.length >= RETRY_CRASH_LIMIT;
   });
--- a/src/state/entry/crashCauses.ts
+++ b/src/state/entry/crashCauses.ts
@@ -29,6 +29,10 @@
 
 /** What crashes must show before one of their suspects is quarantined. */
 export interface CauseRule {
+  /** A cause that was healthy within this time before a crash is no suspect of it. */
+  readonly healthMemoryMs: number;
+  /** Number of waves of crashes since a cause was healthy, from which on its health before them does not count. */
+  readonly wavesAgainstHealth: number;
   /**
    * Number of crashes, by the number of different addresses, the last entry for all higher numbers. A server that crashes
    * by itself has one address.
@@ -51,11 +55,13 @@
 }
 
 /**
- * A part stands for all requests that have it, so the evidence against it must exclude chance. A quarantined request
- * holds back only its own repeats.
+ * A part stands for all requests that have it, so the evidence against it must exclude chance; one that was healthy just now
+ * has come with something else. A quarantined request holds back only its own repeats, and a server may have changed under it.
  */
 export const CAUSE_RULES: Readonly<Record<CauseKind, CauseRule>> = {
   [CauseKind.PromptPart]: {
+    healthMemoryMs: 60_000,
+    wavesAgainstHealth: Number.POSITIVE_INFINITY,
     requiredCrashesByAddresses: [Number.POSITIVE_INFINITY, 5, 4, 3],
     countsMoments: true,
     unansweredCrashWeight: 0.5,
@@ -65,6 +71,8 @@
     requiresNoRival: true,
   },
   [CauseKind.Request]: {
+    healthMemoryMs: 0,
+    wavesAgainstHealth: 3,
     requiredCrashesByAddresses: [Number.POSITIVE_INFINITY, 3],
     countsMoments: false,
     unansweredCrashWeight: 1,
--- a/src/state/entry/crashEvidence.ts
+++ b/src/state/entry/crashEvidence.ts
@@ -7,7 +7,7 @@
  *
  * The functions are pure transitions of one table; all times are on the clock of the VM that owns the table.
  */
-import { CauseKind, getCauseKind } from './crashCauses.js';
+import { CAUSE_RULES, CauseKind, getCauseKind } from './crashCauses.js';
 
 /** A request that was at a server when it crashed, and whose answer had not been running for some time. */
 export interface Suspect {
@@ -79,7 +79,7 @@
 /** Longest delay of a message between VMs. */
 const MAX_MESSAGE_DELAY_MS = 1_000;
 
-/** A cause that was healthy within this time before its first crash is not quarantined. */
+/** Health within this time before its first crash speaks for a cause. */
 export const HEALTH_MEMORY_MS = 60_000;
 
 /** Creates a table without evidence. */
@@ -159,7 +159,8 @@
   { isAnswering, parts, requestCause }: Suspect,
 ): Suspect {
   const isPlausible = (cause: string): boolean =>
-    isCause(cause) && atMs - getHealthyMs(evidence, service, cause) > HEALTH_MEMORY_MS;
+    isCause(cause) &&
+    atMs - getHealthyMs(evidence, service, cause) > CAUSE_RULES[getCauseKind(cause)].healthMemoryMs;
   const keptParts = parts.filter(isCause).slice(-MAX_PARTS_OF_SUSPECT);
   return {
     isAnswering,
--- a/src/state/entry/quarantineTable.ts
+++ b/src/state/entry/quarantineTable.ts
@@ -2,12 +2,12 @@
  * The quarantines of prompt parts and requests: which requests they apply to, how those of several VMs are merged, and
  * how they end.
  */
+import { CAUSE_RULES, getCauseKind } from './crashCauses.js';
 import {
   containsAll,
   type CrashReport,
   findSuspects,
   getHealthyMs,
-  HEALTH_MEMORY_MS,
   isCause,
   MAX_PARTS_OF_SUSPECT,
   type CrashEvidence,
@@ -94,8 +94,8 @@
 }
 
 /**
- * Returns whether the only cause of a quarantine has been healthy since the first crash that it is blamed for, or shortly
- * before it.
+ * Returns whether the only cause of a quarantine has been healthy since the first crash that it is blamed for, or so shortly
+ * before it that it is no suspect.
  */
 export function isRefuted(
   evidence: CrashEvidence,
@@ -104,7 +104,8 @@
   const [cause = ''] = causes;
   return (
     causes.length === 1 &&
-    getHealthyMs(evidence, service, cause) > firstCrashAtMs - HEALTH_MEMORY_MS
+    getHealthyMs(evidence, service, cause) >
+      firstCrashAtMs - CAUSE_RULES[getCauseKind(cause)].healthMemoryMs
   );
 }
 
--- a/tests/entry/requestCrash.test.ts
+++ b/tests/entry/requestCrash.test.ts
@@ -19,6 +19,8 @@
 /** Arrivals of the request at servers after its third crash and the contact time. */
 const MAX_LATE_ARRIVALS = 3;
 const DECISIVE_CRASHES = 3;
+/** How long a request is sound that then begins to crash servers. */
+const SOUND_MS = 4_000;
 /** Time between two sound requests whose shared parts are those of the request that crashes servers. */
 const SHARED_SESSION_GAP_MS = 250;
 const QUARANTINE_KEYS: ReadonlySet<string> = new Set(['prompt_quarantined', 'request_quarantined']);
@@ -114,6 +116,23 @@
   { ...BASE, name: 'sent to three VMs at the same moment', copies: 3 },
   { ...BASE, name: 'sent again seldom', repeatMs: 5_000 },
   { ...BASE, name: 'without prompt parts', isWithoutParts: true },
+  {
+    ...BASE,
+    name: 'that was sound within the last minute',
+    disturb: (fleet) => {
+      fleet.crashingContents.delete('bad');
+      fleet.at(START_MS + SOUND_MS, () => fleet.crashingContents.add('bad'));
+    },
+  },
+  {
+    ...BASE,
+    name: 'that was sound within the last minute, sent to three VMs at the same moment',
+    copies: 3,
+    disturb: (fleet) => {
+      fleet.crashingContents.delete('bad');
+      fleet.at(START_MS + SOUND_MS, () => fleet.crashingContents.add('bad'));
+    },
+  },
   { ...BASE, name: 'that crashes servers before the head of the answer', isHeadSent: false },
   { ...BASE, name: 'under high load', requestsPerSecond: 200 },
   { ...BASE, name: 'while a third of the messages between VMs are lost', peerLoss: 0.33 },
