Give what entry VMs are to each other a module of its own

The registration of a VM, the message between VMs and what it requests of the store move to peerMessage.ts; types and a constant only, no change of behaviour.

--- a/src/coordination/entry/commands.ts
+++ b/src/coordination/entry/commands.ts
@@ -6,7 +6,8 @@
 import type { Quarantine } from '../../state/entry/crashEvidence.js';
 import type { Refusal } from '../../state/types.js';
 import type { LogLevel, RequestMetrics } from '../events.js';
-import type { EngineOrder, EntryEvent, LimitName, PeerMessage, StoreRequest } from './events.js';
+import type { EngineOrder, EntryEvent, LimitName } from './events.js';
+import type { PeerMessage, StoreRequest } from './peerMessage.js';
 import type { PeerCallPurpose } from './exchange/peerCallPurpose.js';
 
 /** The kinds of commands that the event loop issues. */
--- a/src/coordination/entry/exchange/exchangePeers.ts
+++ b/src/coordination/entry/exchange/exchangePeers.ts
@@ -2,7 +2,7 @@
  * Chooses the VMs with which a VM exchanges its reports, and those to which it sends what it has just learned.
  */
 import { nextRandomInt } from '../../../state/random.js';
-import type { ListedEntryVm } from '../events.js';
+import type { ListedEntryVm } from '../peerMessage.js';
 import { selectRelay } from './relays.js';
 import { type EntryState, RelayRole } from '../state.js';
 
--- a/src/coordination/entry/exchange/gossip.ts
+++ b/src/coordination/entry/exchange/gossip.ts
@@ -11,13 +11,8 @@
   type VmReport,
 } from '../../../state/entry/reports.js';
 import { createEntryTimer, type EntryCommand, EntryCommandKind } from '../commands.js';
-import {
-  EntryEventKind,
-  type EntryEventOf,
-  type ListedEntryVm,
-  type PeerMessage,
-  StoreRequest,
-} from '../events.js';
+import { EntryEventKind, type EntryEventOf } from '../events.js';
+import { type ListedEntryVm, type PeerMessage, StoreRequest } from '../peerMessage.js';
 import { PeerCallPurpose } from './peerCallPurpose.js';
 import { createRelativeEvidence, mergeEvidence } from './evidenceExchange.js';
 import { withoutSpreading } from './evidenceSpread.js';
--- a/src/coordination/entry/exchange/relays.ts
+++ b/src/coordination/entry/exchange/relays.ts
@@ -18,7 +18,8 @@
   EntryCommandKind,
   EntryLogPrefix,
 } from '../commands.js';
-import { EntryEventKind, type EntryEventOf, type ListedEntryVm } from '../events.js';
+import { EntryEventKind, type EntryEventOf } from '../events.js';
+import type { ListedEntryVm } from '../peerMessage.js';
 import { type EntryState, RelayRole } from '../state.js';
 
 /** Two relays, so that the failure of one leaves another with the same data. */
--- a/src/coordination/entry/state.ts
+++ b/src/coordination/entry/state.ts
@@ -27,7 +27,8 @@
 import { createRandom, type RandomState } from '../../state/random.js';
 import type { RunStatus } from '../../state/types.js';
 import { createDemandTable, type DemandTable } from './exchange/demand.js';
-import type { ControllerLeaseHolder, ForwardRequest, ListedEntryVm } from './events.js';
+import type { ControllerLeaseHolder, ForwardRequest } from './events.js';
+import type { ListedEntryVm } from './peerMessage.js';
 import { createPlacementState, type PlacementState } from './placement/placementState.js';
 import type { EntryPolicy } from './policy.js';
 
--- a/src/protocol/entry/peerMessages.ts
+++ b/src/protocol/entry/peerMessages.ts
@@ -10,7 +10,7 @@
   VmReport,
   WorkspaceDemand,
 } from '../../state/entry/reports.js';
-import type { PeerMessage } from '../../coordination/entry/events.js';
+import type { PeerMessage } from '../../coordination/entry/peerMessage.js';
 import type { StoreUpdate } from '../../state/storedItems.js';
 import {
   type ModelDemand as ModelDemandWire,
--- a/src/transport/entry/commandTable.ts
+++ b/src/transport/entry/commandTable.ts
@@ -8,12 +8,8 @@
   type EntryCommandOf,
   EntryLogPrefix,
 } from '../../coordination/entry/commands.js';
-import {
-  type EntryEvent,
-  EntryEventKind,
-  ProbeOutcome,
-  StoreRequest,
-} from '../../coordination/entry/events.js';
+import { type EntryEvent, EntryEventKind, ProbeOutcome } from '../../coordination/entry/events.js';
+import { StoreRequest } from '../../coordination/entry/peerMessage.js';
 import { PeerCallPurpose } from '../../coordination/entry/exchange/peerCallPurpose.js';
 import { LogLevel } from '../../coordination/events.js';
 import type { LoopTimers } from '../../coordination/loop.js';
--- a/src/transport/entry/entryKeysReader.ts
+++ b/src/transport/entry/entryKeysReader.ts
@@ -7,8 +7,8 @@
   type ControllerLeaseHolder,
   type EntryEvent,
   EntryEventKind,
-  type ListedEntryVm,
 } from '../../coordination/entry/events.js';
+import type { ListedEntryVm } from '../../coordination/entry/peerMessage.js';
 import type { StoredItem } from '../../state/storedItems.js';
 import { MALFORMED_VM_TEXT, type MalformedEntries } from './malformedEntries.js';
 import {
--- a/src/transport/entry/entryPeers.ts
+++ b/src/transport/entry/entryPeers.ts
@@ -12,8 +12,8 @@
   EntryEventKind,
   LimitKind,
   type LimitName,
-  type PeerMessage,
 } from '../../coordination/entry/events.js';
+import type { PeerMessage } from '../../coordination/entry/peerMessage.js';
 import {
   areTokens,
   decodePeerMessage,
--- a/src/transport/entry/storeKeys.ts
+++ b/src/transport/entry/storeKeys.ts
@@ -3,7 +3,8 @@
  */
 import { Schema } from 'effect';
 import { Either, Left, Right } from 'purify-ts';
-import type { ControllerLeaseHolder, ListedEntryVm } from '../../coordination/entry/events.js';
+import type { ControllerLeaseHolder } from '../../coordination/entry/events.js';
+import type { ListedEntryVm } from '../../coordination/entry/peerMessage.js';
 import { shiftQuarantine } from '../../state/entry/evidenceReports.js';
 import { type Quarantine, QuarantineStatus } from '../../state/entry/crashEvidence.js';
 import {
--- a/src/transport/entry/vmRegistration.ts
+++ b/src/transport/entry/vmRegistration.ts
@@ -3,7 +3,7 @@
  * deletes the entry when the lease expires, some seconds after the VM has failed.
  */
 import { Effect, Latch } from 'effect';
-import type { ListedEntryVm } from '../../coordination/entry/events.js';
+import type { ListedEntryVm } from '../../coordination/entry/peerMessage.js';
 import { EntryLogPrefix } from '../../coordination/entry/commands.js';
 import { LogLevel } from '../../coordination/events.js';
 import { createDiagnostic, type Diagnostic, Diagnostics } from '../../state/diagnostics.js';
--- a/tests/entry/discovery.test.ts
+++ b/tests/entry/discovery.test.ts
@@ -4,7 +4,8 @@
  */
 import { describe, expect, it } from 'vitest';
 import { EntryCommandKind } from '../../src/coordination/entry/commands.js';
-import { EntryEventKind, StoreRequest } from '../../src/coordination/entry/events.js';
+import { EntryEventKind } from '../../src/coordination/entry/events.js';
+import { StoreRequest } from '../../src/coordination/entry/peerMessage.js';
 import {
   createPeerMessage,
   createTestDeployment,
--- a/tests/entry/fixtures.ts
+++ b/tests/entry/fixtures.ts
@@ -11,8 +11,8 @@
   type EntryEvent,
   EntryEventKind,
   type ForwardRequest,
-  type PeerMessage,
 } from '../../src/coordination/entry/events.js';
+import type { PeerMessage } from '../../src/coordination/entry/peerMessage.js';
 import { stepEntry } from '../../src/coordination/entry/handlers.js';
 import { ENTRY_POLICY_DEFAULTS, type EntryPolicy } from '../../src/coordination/entry/policy.js';
 import { NO_EVIDENCE } from '../../src/protocol/entry/peerMessages.js';
--- a/tests/entry/pausedProcess.test.ts
+++ b/tests/entry/pausedProcess.test.ts
@@ -6,12 +6,8 @@
 import { Deferred, Effect } from 'effect';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import { EntryCommandKind } from '../../src/coordination/entry/commands.js';
-import {
-  type EntryEvent,
-  EntryEventKind,
-  LimitKind,
-  StoreRequest,
-} from '../../src/coordination/entry/events.js';
+import { type EntryEvent, EntryEventKind, LimitKind } from '../../src/coordination/entry/events.js';
+import { StoreRequest } from '../../src/coordination/entry/peerMessage.js';
 import { PeerCallPurpose } from '../../src/coordination/entry/exchange/peerCallPurpose.js';
 import { createStoreMirror } from '../../src/state/entry/storeMirror.js';
 import { createEntryCommandExecutor } from '../../src/transport/entry/commandTable.js';
--- a/tests/entry/rates.test.ts
+++ b/tests/entry/rates.test.ts
@@ -5,7 +5,8 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 import { type EntryCommand, EntryCommandKind } from '../../src/coordination/entry/commands.js';
-import { EntryEventKind, type PeerMessage } from '../../src/coordination/entry/events.js';
+import { EntryEventKind } from '../../src/coordination/entry/events.js';
+import type { PeerMessage } from '../../src/coordination/entry/peerMessage.js';
 import { stepEntry } from '../../src/coordination/entry/handlers.js';
 import { createEntryState, type EntryState } from '../../src/coordination/entry/state.js';
 import { createRandom, nextRandom, nextRandomInt } from '../../src/state/random.js';
--- a/tests/entry/thrownErrors.test.ts
+++ b/tests/entry/thrownErrors.test.ts
@@ -11,8 +11,8 @@
   type EntryEvent,
   EntryEventKind,
   LimitKind,
-  StoreRequest,
 } from '../../src/coordination/entry/events.js';
+import { StoreRequest } from '../../src/coordination/entry/peerMessage.js';
 import { PeerCallPurpose } from '../../src/coordination/entry/exchange/peerCallPurpose.js';
 import { createStoreMirror } from '../../src/state/entry/storeMirror.js';
 import type { EntryCommandContext } from '../../src/transport/entry/commandContext.js';
--- a/tests/fakes/exchangeFleet.ts
+++ b/tests/fakes/exchangeFleet.ts
@@ -9,12 +9,8 @@
   EntryCommandKind,
   type EntryCommandOf,
 } from '../../src/coordination/entry/commands.js';
-import {
-  type EntryEvent,
-  EntryEventKind,
-  type ListedEntryVm,
-  StoreRequest,
-} from '../../src/coordination/entry/events.js';
+import { type EntryEvent, EntryEventKind } from '../../src/coordination/entry/events.js';
+import { type ListedEntryVm, StoreRequest } from '../../src/coordination/entry/peerMessage.js';
 import type { PeerCallPurpose } from '../../src/coordination/entry/exchange/peerCallPurpose.js';
 import { stepEntry } from '../../src/coordination/entry/handlers.js';
 import {
