Give a relay the time to answer a VM that could not read the store itself

Cause: its contents are too old by then, so the timer of their age was due at once, before the relay had answered.

Change: after a VM has read the store itself, that timer waits at least for the time of a call. A VM that changes from one relay to another gets no such time.

The answers of the simulated fleet now take two of its steps, since those of one step came as fast as the timer and hid the fault.

--- a/src/coordination/entry/exchange/relays.ts
+++ b/src/coordination/entry/exchange/relays.ts
@@ -27,6 +27,9 @@
 /** How long a relay that did not answer, or had no current data, is not asked again. */
 const RELAY_FAILURE_MS = 2_000;
 
+/** Time in which a relay answers that a VM asks after it could not read the store itself, so that its contents are old. */
+const RELAY_ANSWER_MS = 700;
+
 /** Orders VMs by their suitability as a relay or as the controller. */
 export function compareRelayRank(a: ListedEntryVm, b: ListedEntryVm): number {
   return (
@@ -77,15 +80,19 @@
   return isRelay(state, state.self.vmId) ? RelayRole.Standby : RelayRole.Relayed;
 }
 
-/** Starts the timer that ends the use of a relay unless the store confirms its contents again before. */
-export function startAgeTimer(state: EntryState, nowMs: number): EntryCommand[] {
+/**
+ * Starts the timer that ends the use of a relay unless the store confirms its contents again before.
+ *
+ * @param minDelayMs Shortest time until then, however old the contents are.
+ */
+export function startAgeTimer(state: EntryState, nowMs: number, minDelayMs = 0): EntryCommand[] {
   const { policy, relayRole, store } = state;
   const isRelayUsed = relayRole === RelayRole.Relayed || relayRole === RelayRole.Standby;
   if (!isRelayUsed || !Number.isFinite(store.confirmedAtMs)) {
     return [];
   }
   const kind = EntryEventKind.StoreContentsAged;
-  const delayMs = Math.max(0, store.confirmedAtMs + policy.maxStoreAgeMs - nowMs);
+  const delayMs = Math.max(minDelayMs, store.confirmedAtMs + policy.maxStoreAgeMs - nowMs);
   return [createEntryTimer(kind, delayMs, { kind })];
 }
 
@@ -103,13 +110,14 @@
   if (role === state.relayRole && relayId === state.relayId) {
     return [];
   }
+  const hasReadItself = state.relayRole === RelayRole.Reader;
   state.relayRole = role;
   state.relayId = relayId;
   const kind = EntryEventKind.PeerTick;
   return [
     { kind: EntryCommandKind.SetStoreAccess, isReader: role === RelayRole.Reader },
     createEntryTimer(kind, 0, { kind }),
-    ...startAgeTimer(state, nowMs),
+    ...startAgeTimer(state, nowMs, hasReadItself ? RELAY_ANSWER_MS : 0),
     ...(role === RelayRole.Standby ? [createChangesTimer(0)] : []),
     createEntryLog(LogLevel.Info, EntryLogPrefix.Store, 'The access to the store has changed.', {
       role,
--- a/tests/entry/relays.test.ts
+++ b/tests/entry/relays.test.ts
@@ -237,6 +237,40 @@
   );
 });
 
+/** How a VM comes to read the store itself, which it cannot reach. */
+const UNREACHABLE: readonly { readonly name: string; readonly cut: (vm: ExchangeVm) => void }[] = [
+  { name: 'is refused by it', cut: (vm) => Object.assign(vm, { isRefusedByStore: true }) },
+  { name: 'gets no answer of it', cut: (vm) => Object.assign(vm, { isStoreSilent: true }) },
+];
+/** Longer than a VM uses contents that are not confirmed, and than its relays are not asked again. */
+const RELAYS_AWAY_MS = 4_000;
+/** A relay is asked again after 2 s, and answers one round later. */
+const MAX_RETURN_MS = 3_500;
+
+describe('a VM that cannot reach the store', () => {
+  // Its contents are too old when it asks its relay again, which has to have the time to answer.
+  it.each(UNREACHABLE)('is served by its relays once these are back, when it $name', ({ cut }) => {
+    const fleet = startFleet({ vmCount: 9 });
+    const [vm] = findByRole(fleet, RelayRole.Relayed);
+    const { failureDomain } = vm!.listed;
+    const relays = fleet.vms.filter(
+      (other) => other !== vm && other.listed.failureDomain === failureDomain,
+    );
+    cut(vm!);
+    relays.forEach((relay) => Object.assign(relay, { isRunning: false }));
+    fleet.runFor(RELAYS_AWAY_MS);
+    relays.forEach((relay) => Object.assign(relay, { isRunning: true }));
+    fleet.write('withdrawn', null);
+    fleet.runFor(MAX_RETURN_MS);
+    expect(vm!.mirror.items.has('withdrawn')).toBe(false);
+    const roles = Array.from({ length: 40 }, () => {
+      fleet.runFor(100);
+      return vm!.state.relayRole;
+    });
+    expect(new Set(roles)).toEqual(new Set([RelayRole.Relayed]));
+  });
+});
+
 describe('the mirror of the store', () => {
   const change = fc.record({
     key: fc.constantFrom('a', 'b', 'c', 'd'),
--- a/tests/fakes/exchangeFleet.ts
+++ b/tests/fakes/exchangeFleet.ts
@@ -33,6 +33,8 @@
 import { createTestDeployment, TEST_POLICY, TEST_WORKSPACE } from '../entry/fixtures.js';
 
 const STEP_MS = 40;
+/** Time from a call to its answer, in which due timers fire. */
+const ANSWER_MS = 2 * STEP_MS;
 const STORE_READ_MS = 200;
 const CALL_TIMEOUT_MS = 700;
 const WATCH_TIMEOUT_MARGIN_MS = 600;
@@ -201,7 +203,7 @@
     const sentAtMs = nowMs;
     const answer = encodePeerMessage(reply.message, { changes, isCurrent, ageMs });
     countBytes(receiver, vm, toBinary(PeerMessageSchema, answer).length);
-    postLater(STEP_MS, () => {
+    postLater(ANSWER_MS, () => {
       if (changes !== null) {
         updateStoreMirror(vm.mirror, changes);
       }
