Bound the replies of engines to the VM's own calls

A controller whose engines all sent bodies without end held 8 MB of each at once: 368 MB for 60 calls in our test, over the 350 MB of a VM. Endless informational responses went on until the time-out.

Cause: `callHttp` had one bound for every reply, that of the store's pages.

Change: replies of engines are bounded by 256 KB; 32 informational responses end any call.

Result: endlessReplies.test.ts, eight kinds of bytes without end in 60 replies at once of engines and of peers, and of the store, and a probe: one of 25 failed before (a body, engines), all pass. The others were bounded already, which was known by reading only.

--- a/src/transport/entry/attempt.ts
+++ b/src/transport/entry/attempt.ts
@@ -15,7 +15,7 @@
 import { createDiagnostic, type DiagnosticMessage, Diagnostics } from '../../state/diagnostics.js';
 import { advanceRunState, DispatchSignal } from '../../state/runState.js';
 import { RunState } from '../../state/types.js';
-import { splitAddress } from '../httpCall.js';
+import { MAX_INFORMATIONAL_RESPONSES, splitAddress } from '../httpCall.js';
 import type { BackendAgents } from './backendAgent.js';
 import type { EventPacer } from './eventPacer.js';
 import { type ForwardExchange, isAnswerBegun } from './exchange.js';
@@ -25,8 +25,6 @@
 
 /** Longest head of a response. */
 const MAX_ANSWER_HEAD_BYTES = 16_384;
-/** Most informational responses (1xx) before a response. */
-const MAX_INFORMATIONAL_RESPONSES = 32;
 /** Prefix of the codes of errors that the HTTP parser of Node.js reports. */
 const PARSER_ERROR_PREFIX = 'HPE_';
 const HEAD_OVERFLOW_CODE = 'HPE_HEADER_OVERFLOW';
--- a/src/transport/entry/placementExecutors.ts
+++ b/src/transport/entry/placementExecutors.ts
@@ -15,6 +15,8 @@
 
 /** Engines respond within milliseconds. One that has not responded by then is slow or cut off. */
 const ENGINE_TIMEOUT_MS = 1_000;
+/** Longest reply of an engine. The controller calls all engines at once. */
+export const MAX_ENGINE_RESPONSE_BYTES = 262_144;
 const HTTP_OK = 200;
 
 /** The commands of the controller. */
@@ -68,6 +70,7 @@
         body: wire.encodeEngineOrder(order, self.vmId, fence),
         headers: wire.encodeEngineRequestHead(backendId),
         timeoutMs: ENGINE_TIMEOUT_MS,
+        maxResponseBytes: MAX_ENGINE_RESPONSE_BYTES,
         usesNewConnection: true,
       });
       const { Rejected, Unknown } = EngineOrderOutcome;
@@ -112,6 +115,7 @@
         body: null,
         headers: wire.encodeEngineRequestHead(backendId),
         timeoutMs: ENGINE_TIMEOUT_MS,
+        maxResponseBytes: MAX_ENGINE_RESPONSE_BYTES,
       });
       runDetached(
         Effect.match(call, {
--- a/src/transport/httpCall.ts
+++ b/src/transport/httpCall.ts
@@ -6,7 +6,9 @@
 import { Effect } from 'effect';
 import { Either } from 'purify-ts';
 
-const MAX_RESPONSE_BYTES = 8_388_608;
+const DEFAULT_MAX_RESPONSE_BYTES = 8_388_608;
+/** Most informational responses (1xx) before a response. */
+export const MAX_INFORMATIONAL_RESPONSES = 32;
 const MAX_IDLE_SOCKETS = 64;
 
 /** A call without a complete response. */
@@ -29,6 +31,8 @@
   readonly body: string | null;
   readonly headers?: Readonly<Record<string, string>>;
   readonly timeoutMs: number;
+  /** Longest body of a response, where many calls are made at once. */
+  readonly maxResponseBytes?: number;
   /**
    * Whether to open a new connection. The server may close a pooled one just as the request is sent.
    */
@@ -48,7 +52,9 @@
   call: HttpCall,
   resume: (result: Effect.Effect<HttpCallResponse, HttpCallFailure>) => void,
 ): () => void {
+  const { maxResponseBytes = DEFAULT_MAX_RESPONSE_BYTES } = call;
   let isConnected = false;
+  let informationCount = 0;
   const fail = (reason: string): void => {
     resume(Effect.fail({ mayHaveRun: isConnected, reason }));
   };
@@ -71,7 +77,7 @@
       response.on('data', (chunk: Buffer) => {
         sizeBytes += chunk.length;
         chunks.push(chunk);
-        if (sizeBytes > MAX_RESPONSE_BYTES) {
+        if (sizeBytes > maxResponseBytes) {
           request.destroy();
         }
       });
@@ -92,6 +98,12 @@
       });
     }
   });
+  request.on('information', () => {
+    informationCount += 1;
+    if (informationCount > MAX_INFORMATIONAL_RESPONSES) {
+      request.destroy(new Error('too many informational responses'));
+    }
+  });
   request.on('error', (error) => fail(error.message));
   request.end(call.body ?? undefined);
   return () => request.destroy();
