Let only relays send on at once what they hear of servers

Cause: since contents of the store have a bounded age, the VMs of a relay that has died read the store themselves for a while, before a call to it times out. Each sent what it heard to five others, as relays do.

Change: a VM that is no relay does not send on what it hears. What it has learned from a server itself it sends as before. The check is unchanged.

--- a/src/coordination/entry/exchange/gossip.ts
+++ b/src/coordination/entry/exchange/gossip.ts
@@ -29,6 +29,7 @@
 import {
   countVmsPerRelay,
   createChangesTimer,
+  isRelay,
   markRelayFailed,
   selectRelay,
   updateRelayRole,
@@ -300,14 +301,14 @@
   return dispatchWaiting(state, nowMs);
 }
 
-/** Merges evidence. A VM with a relay does not send on what it hears, since it hears only from relays. */
+/** Merges evidence. Only relays send on at once what they hear: the others hear it from relays, or those soon do. */
 function mergeHeardEvidence(
   state: EntryState,
   evidence: EvidenceReport,
   nowMs: number,
 ): EntryCommand[] {
   const merge = (): EntryCommand[] => mergeEvidence(state, evidence, nowMs);
-  return state.relayRole === RelayRole.Relayed ? withoutSpreading(state, merge) : merge();
+  return isRelay(state, state.self.vmId) ? merge() : withoutSpreading(state, merge);
 }
 
 function mergeMessage(state: EntryState, message: PeerMessage, nowMs: number): EntryCommand[] {
--- a/src/coordination/entry/exchange/relays.ts
+++ b/src/coordination/entry/exchange/relays.ts
@@ -49,7 +49,8 @@
   });
 }
 
-function isRelay({ relays }: EntryState, vmId: string): boolean {
+/** Returns whether a VM is a relay of its failure domain. */
+export function isRelay({ relays }: EntryState, vmId: string): boolean {
   return relays.some((relay) => relay.vmId === vmId);
 }
 
