--- a/tests/processes/exhaustedResources.test.ts
+++ b/tests/processes/exhaustedResources.test.ts
@@ -9,6 +9,7 @@
 import {
   callEntry,
   type EntryProcess,
+  Framing,
   getPeakMemoryKb,
   startEntryProcess,
 } from '../stand-ins/entryProcess.js';
@@ -102,19 +103,25 @@
     await waitFor('a call is served again', isServed);
   });
 
-  it('keeps within its memory and refuses what it cannot hold as not run', async () => {
-    await waitFor('a call is served', isServed);
-    workMs = 1_000;
-    const large = Array.from({ length: LARGE_CALLS }, (_, i) =>
-      callEntry(entry, '/book/x', `book-${i}`, LARGE_BODY),
-    );
-    const answers = await Promise.all(large);
-    expect(isRunning(entry.vm)).toBe(true);
-    expect(getPeakMemoryKb(entry.vm)).toBeLessThan(MAX_MEMORY_KB);
-    expect(answers.filter(({ status }) => status === 200).length).toBeGreaterThan(0);
-    const others = answers.filter(({ status }) => status !== 200);
-    expect(others.filter(({ retryAfter, status }) => status !== 503 || !retryAfter)).toEqual([]);
-    workMs = 0;
-    await waitFor('a call is served again', isServed);
-  });
+  it.each([
+    { name: 'a length', getFraming: Framing.Length },
+    { name: 'chunks', getFraming: Framing.Chunks },
+  ])(
+    'keeps within its memory and rejects what it cannot hold, with $name',
+    async ({ getFraming }) => {
+      await waitFor('a call is served', isServed);
+      workMs = 1_000;
+      const large = Array.from({ length: LARGE_CALLS }, (_, i) =>
+        callEntry(entry, '/book/x', `book-${i}`, LARGE_BODY, getFraming),
+      );
+      const answers = await Promise.all(large);
+      expect(isRunning(entry.vm)).toBe(true);
+      expect(getPeakMemoryKb(entry.vm)).toBeLessThan(MAX_MEMORY_KB);
+      expect(answers.filter(({ status }) => status === 200).length).toBeGreaterThan(0);
+      const others = answers.filter(({ status }) => status !== 200);
+      expect(others.filter(({ retryAfter, status }) => status !== 503 || !retryAfter)).toEqual([]);
+      workMs = 0;
+      await waitFor('a call is served again', isServed);
+    },
+  );
 });
--- a/tests/stand-ins/entryProcess.ts
+++ b/tests/stand-ins/entryProcess.ts
@@ -46,19 +46,26 @@
   return { vm, address };
 }
 
+/** The header that tells how a body is framed. */
+export const Framing = {
+  Length: (body: Buffer) => ({ 'content-length': body.length }),
+  Chunks: () => ({ 'transfer-encoding': 'chunked' }),
+} as const;
+
 /** Sends a request on a connection of its own and reads its answer to the end. */
 export function callEntry(
   { address }: EntryProcess,
   path: string,
   id: string,
   body: Buffer | null = null,
+  getFraming: (body: Buffer) => http.OutgoingHttpHeaders = Framing.Length,
 ): Promise<CallResult> {
   const startMs = performance.now();
   const [host = '', port = ''] = address.split(':');
   const headers = {
     ...{ host: 'h', 'x-attempt-id': id, 'x-api-key': 'key-1' },
     'x-deadline-ms': String(CALLER_TIMEOUT_MS),
-    ...(body === null ? {} : { 'content-length': body.length }),
+    ...(body === null ? {} : getFraming(body)),
   };
   const method = body === null ? 'GET' : 'POST';
   return new Promise((resolve) => {
