Close the connection of a request that is rejected for want of memory

Cause: left the connection open, so that a caller that was still sending would read the rejection. Since the rejection waits for the end of the body there is no need for this.

Change: the rejection closes its connection, as those for other reasons before a request is admitted do.

--- a/src/transport/entry/forwardServer.ts
+++ b/src/transport/entry/forwardServer.ts
@@ -106,7 +106,7 @@
   });
 }
 
-/** Rejects a request for which no exchange exists, and closes its connection unless the reason passes by itself. */
+/** Rejects a request for which no exchange exists, and closes its connection. */
 function sendRefusal(
   { writeLog }: ForwardServerContext,
   response: ServerResponse,
@@ -117,13 +117,9 @@
     return;
   }
   const isPassing = diagnostic.code === Diagnostics.MemoryExhausted.code;
-  const refusal = createRefusal(
-    diagnostic,
-    RunStatus.NotRun,
-    isPassing ? MEMORY_RETRY_AFTER_MS : null,
-  );
-  const closing = isPassing ? [] : ['Connection', 'close'];
-  response.writeHead(status, [...getForwardRefusalHeaders(refusal), ...closing]);
+  const retryAfterMs = isPassing ? MEMORY_RETRY_AFTER_MS : null;
+  const refusal = createRefusal(diagnostic, RunStatus.NotRun, retryAfterMs);
+  response.writeHead(status, [...getForwardRefusalHeaders(refusal), 'Connection', 'close']);
   response.end(encodeRefusal(refusal));
   const fields = { reason: diagnostic.key, detail: diagnostic.message };
   writeLog(LogLevel.Info, EntryLogPrefix.Request, 'The request was not admitted.', fields);
--- a/tests/entry/requestEnds.test.ts
+++ b/tests/entry/requestEnds.test.ts
@@ -156,4 +156,23 @@
     await waitUntil(() => front.lines.length > 0);
     expect(front.lines).toMatchObject([{ text: 'The request was not admitted.' }]);
   });
+
+  it.each([
+    { name: 'a length', parts: ['Content-Length: 8\r\n\r\nbody', 'body'] },
+    { name: 'chunks', parts: ['Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n', '0\r\n\r\n'] },
+  ])('for want of memory, with $name, is answered after its body and closes', async ({ parts }) => {
+    const front = await startFrontServer({}, 3);
+    const { received, socket } = await connectCaller(front);
+    closers.push(front.close, () => socket.destroy());
+    socket.write(`POST /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\n${parts[0]}`);
+    await new Promise((resolve) => {
+      setTimeout(resolve, 50);
+    });
+    expect(received.text).toBe('');
+    socket.write(parts[1]!);
+    await waitUntil(() => received.text.includes('memory_exhausted'));
+    expect(received.text).toMatch(/^HTTP\/1.1 503 /);
+    expect(received.text).toMatch(/\r\nretry-after: /i);
+    await waitUntil(() => received.isEnded);
+  });
 });
--- a/tests/fakes/frontServer.ts
+++ b/tests/fakes/frontServer.ts
@@ -41,8 +41,11 @@
   readonly close: () => void;
 }
 
-/** Starts a server for callers. */
-export async function startFrontServer(limits: Partial<CallerLimits> = {}): Promise<FrontServer> {
+/** Starts a server for callers, with memory for the bodies of requests. */
+export async function startFrontServer(
+  limits: Partial<CallerLimits> = {},
+  maxHeldBytes = Number.POSITIVE_INFINITY,
+): Promise<FrontServer> {
   const lines: LogLine[] = [];
   const events: EntryEvent[] = [];
   const exchanges = new Map<string, ForwardExchange>();
@@ -68,7 +71,7 @@
     getLimits: () => current.limits,
     isShuttingDown: () => behaviour.isShuttingDown,
     maxConnections: 100,
-    bodyMemory: createBodyMemory(Number.POSITIVE_INFINITY),
+    bodyMemory: createBodyMemory(maxHeldBytes),
     loopDelay: { getDelayMs: () => 0, isBehind: () => false },
   });
   applyCallerTimeouts(server, current.limits);
