--- a/src/coordination/entry/exchange/gossip.ts
+++ b/src/coordination/entry/exchange/gossip.ts
@@ -301,7 +301,7 @@
   return dispatchWaiting(state, nowMs);
 }
 
-/** Merges evidence. Only relays send on at once what they hear: the others hear it from relays, or those soon do. */
+/** Merges evidence. Only a relay sends on at once what it hears; any other VM tells it with its next exchange. */
 function mergeHeardEvidence(
   state: EntryState,
   evidence: EvidenceReport,
