Test that cut streams do not look complete, and that crowds of callers end no process

What callers saw: a stream without a length that its deadline cut, or whose VM was killed, ended in order; calls of others failed or were late, or the process ended, beside many callers that each did what is allowed.

--- /dev/null
+++ b/tests/processes/cutStreams.test.ts
@@ -0,0 +1,129 @@
+/**
+ * Tests that no caller takes a stream for complete that was cut, whatever cuts it, with many callers that read fast and slowly.
+ */
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { type EntryProcess, startEntryProcess } from '../stand-ins/entryProcess.js';
+import { createConfiguration } from '../stand-ins/entryVms.js';
+import { type PlatformStore, startPlatformStore } from '../stand-ins/platformStore.js';
+import {
+  endProcess,
+  findFreePort,
+  type StartedProcess,
+  startProgram,
+  waitFor,
+} from '../stand-ins/processes.js';
+import { looksComplete, readStream, type StreamResult } from '../stand-ins/streamCaller.js';
+
+const CALLERS = 60;
+const EVENTS = 400;
+const HEARTBEAT_MS = 500;
+const CUT_AFTER_MS = 1_500;
+const LONG_DEADLINE_MS = 20_000;
+
+let store: PlatformStore;
+let entry: EntryProcess;
+let servers: StartedProcess[] = [];
+const heartbeats: NodeJS.Timeout[] = [];
+
+async function startServer(id: string, framing: string, eventBytes: number): Promise<void> {
+  const port = await findFreePort();
+  const flags = { port, framing, 'event-bytes': eventBytes, 'interval-ms': 30, events: EVENTS };
+  const args = Object.entries(flags).flatMap(([name, value]) => [`--${name}`, String(value)]);
+  servers.push(await startProgram(id, 'tests/stand-ins/streamServerMain.js', args, 'ready'));
+  const born = Date.now();
+  let seq = 0;
+  const register = (): void => {
+    seq += 1;
+    const state = { state: 'ready', cold_left_ms: 0, born, seq, zone: 'fd-a', version: 'v1' };
+    const address = `127.0.0.1:${port}`;
+    store.put(`servers/${id}`, { service: 'flow', address, slots: 400, ...state });
+  };
+  register();
+  heartbeats.push(setInterval(register, HEARTBEAT_MS));
+}
+
+beforeEach(async () => {
+  store = await startPlatformStore();
+  const configuration = createConfiguration(1, ['key-1']);
+  const route = {
+    ...{ name: 'flow', prefix: '/flow/', route_kind: 'streaming', service: 'flow', host: 'h' },
+    ...{ timeout_ms: LONG_DEADLINE_MS, goal_ms: 1_000, attempts: 2, public: true },
+  };
+  store.put('op/config', {
+    ...configuration,
+    routes: [...configuration.routes, route],
+    services: [...configuration.services, { name: 'flow', max_conns: 400 }],
+  });
+  entry = await startEntryProcess(store.address);
+});
+
+afterEach(async () => {
+  heartbeats.splice(0).forEach((heartbeat) => clearInterval(heartbeat));
+  await Promise.all([entry.vm, ...servers].map((started) => endProcess(started)));
+  servers = [];
+  await store.close();
+});
+
+function openStreams(deadlineMs: number): Promise<StreamResult[]> {
+  const streams = Array.from({ length: CALLERS }, (_, i) =>
+    readStream(
+      entry.address,
+      ['GET /flow/x HTTP/1.1', 'Host: h', `X-Attempt-Id: c${i}`, `X-Deadline-Ms: ${deadlineMs}`],
+      i % 2 === 0,
+    ),
+  );
+  return Promise.all(streams);
+}
+
+function wait(delayMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, delayMs);
+  });
+}
+
+/** What cuts the streams. */
+const CUTS = [
+  {
+    cut: 'the grace period of a stop',
+    deadlineMs: LONG_DEADLINE_MS,
+    run: () => {
+      entry.vm.child.kill('SIGTERM');
+    },
+  },
+  { cut: 'the deadline of the requests', deadlineMs: 2_000, run: () => {} },
+  {
+    cut: 'the end of the servers',
+    deadlineMs: LONG_DEADLINE_MS,
+    run: () => servers.forEach(({ child }) => child.kill('SIGKILL')),
+  },
+  {
+    cut: 'the end of the VM',
+    deadlineMs: LONG_DEADLINE_MS,
+    run: () => {
+      entry.vm.child.kill('SIGKILL');
+    },
+  },
+] as const;
+
+const CASES = CUTS.flatMap((cut) => ['chunks', 'none'].flatMap((framing) => ({ ...cut, framing })));
+
+describe('a stream that is cut', () => {
+  it.each(CASES)(
+    'does not look complete to any caller: $cut, framing $framing',
+    async ({ deadlineMs, framing, run }) => {
+      await startServer('s1', framing, 20_000);
+      await startServer('s2', framing, 20_000);
+      await waitFor('a stream begins', async () => {
+        const head = ['GET /flow/x HTTP/1.1', 'Host: h', 'X-Attempt-Id: try', 'X-Deadline-Ms: 300'];
+        return (await readStream(entry.address, head, false)).status === 200;
+      });
+      const streams = openStreams(deadlineMs);
+      await wait(CUT_AFTER_MS);
+      run();
+      const results = await streams;
+      const begun = results.filter(({ status }) => status === 200);
+      expect(begun.length).toBeGreaterThan(CALLERS / 2);
+      expect(begun.filter(looksComplete).map(({ eventIds }) => eventIds.length)).toEqual([]);
+    },
+  );
+});
--- /dev/null
+++ b/tests/processes/manyAtOnce.test.ts
@@ -0,0 +1,131 @@
+/**
+ * Tests that the process of an entry VM lives within its memory and serves its other callers while many callers at once do what
+ * is allowed to each of them.
+ */
+import http from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import {
+  callEntry,
+  type CallResult,
+  type EntryProcess,
+  getPeakMemoryKb,
+  startEntryProcess,
+} from '../stand-ins/entryProcess.js';
+import { createConfiguration } from '../stand-ins/entryVms.js';
+import { type PlatformStore, startPlatformStore } from '../stand-ins/platformStore.js';
+import {
+  endProcess,
+  isRunning,
+  type StartedProcess,
+  startProgram,
+  waitFor,
+} from '../stand-ins/processes.js';
+
+/** The memory of a VM. */
+const MAX_MEMORY_KB = 350 * 1_024;
+/** The timeout of the route of the other callers. */
+const MAX_OTHER_MS = 3_000;
+const OTHER_CALLS = 30;
+const OTHER_INTERVAL_MS = 100;
+const HEARTBEAT_MS = 500;
+const LARGE_ANSWER_BYTES = 1_000_000;
+const SLOW_ANSWER_BYTES = 4_000_000;
+
+let store: PlatformStore;
+let entry: EntryProcess;
+let server: http.Server;
+let heartbeat: NodeJS.Timeout;
+let flood: StartedProcess | null = null;
+
+/** Sizes and times of the answers by the first segment of their paths. */
+const ANSWERS: Readonly<Record<string, { sizeBytes: number; workMs: number }>> = {
+  look: { sizeBytes: 5, workMs: 0 },
+  book: { sizeBytes: 5, workMs: 0 },
+  large: { sizeBytes: LARGE_ANSWER_BYTES, workMs: 3_000 },
+  unread: { sizeBytes: SLOW_ANSWER_BYTES, workMs: 0 },
+};
+const LARGE_ROUTES = ['large', 'unread'].map((name) => ({
+  ...{ name, prefix: `/${name}/`, route_kind: 'idempotent', service: 'counter', host: 'h' },
+  ...{ timeout_ms: 20_000, goal_ms: 1_000, attempts: 2, public: true },
+}));
+
+beforeEach(async () => {
+  server = http.createServer((request, response) => {
+    const { sizeBytes, workMs } = ANSWERS[(request.url ?? '').split('/')[1]!]!;
+    const headers = {
+      ...{ 'x-attempt-id': String(request.headers['x-attempt-id']), 'x-server-seal': 's' },
+      'content-length': sizeBytes,
+    };
+    setTimeout(() => {
+      response.writeHead(200, headers);
+      response.end(Buffer.alloc(sizeBytes, 'x'));
+    }, workMs);
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  store = await startPlatformStore();
+  const configuration = createConfiguration(1, ['key-1']);
+  store.put('op/config', {
+    ...configuration,
+    routes: [...configuration.routes, ...LARGE_ROUTES],
+    services: configuration.services.map((service) => ({ ...service, max_conns: 1_000 })),
+  });
+  const born = Date.now();
+  let seq = 0;
+  const register = (): void => {
+    seq += 1;
+    const state = { state: 'ready', cold_left_ms: 0, born, seq, zone: 'fd-a', version: 'v1' };
+    const address = `127.0.0.1:${port}`;
+    store.put('servers/c1', { service: 'counter', address, slots: 1_000, ...state });
+  };
+  register();
+  heartbeat = setInterval(register, HEARTBEAT_MS);
+  entry = await startEntryProcess(store.address, { memory_mb: 350, max_fds: 4_100 });
+  await waitFor(
+    'a call is served',
+    async () => (await callEntry(entry, '/look/x', 'try')).status === 200,
+  );
+});
+
+afterEach(async () => {
+  clearInterval(heartbeat);
+  await Promise.all([flood, entry.vm].map((started) => started && endProcess(started)));
+  await store.close();
+  server.closeAllConnections();
+  server.close();
+});
+
+const CASES = [
+  { name: '2,500 heads of 110 KB without an end', pattern: 'heads', count: 2_500 },
+  { name: '2,500 headers of 130 KB', pattern: 'header', count: 2_500 },
+  { name: '500 connections with 300 requests', pattern: 'pipelined', count: 500 },
+  { name: '4,200 idle connections', pattern: 'idle', count: 4_200 },
+  { name: '400 answers of 1 MB', pattern: 'large', count: 400 },
+  { name: '400 answers of 4 MB that are not read', pattern: 'unread', count: 400 },
+];
+
+describe('many callers at once', () => {
+  it.each(CASES)('end no process and no call of others: $name', async ({ count, pattern }) => {
+    const args = ['--address', entry.address, '--pattern', pattern, '--count', String(count)];
+    flood = await startProgram('flood', 'tests/stand-ins/floodCallerMain.js', args, 'ready');
+    const others: Promise<CallResult>[] = [];
+    for (let i = 0; i < OTHER_CALLS; i += 1) {
+      others.push(callEntry(entry, '/look/x', `look-${i}`));
+      await new Promise((resolve) => {
+        setTimeout(resolve, OTHER_INTERVAL_MS);
+      });
+    }
+    const answers = await Promise.all(others);
+    const peakMemoryKb = isRunning(entry.vm) ? getPeakMemoryKb(entry.vm) : null;
+    const failed = answers.filter(({ status }) => status !== 200).length;
+    const late = answers.filter(({ durationMs }) => durationMs > MAX_OTHER_MS).length;
+    expect({ failed, late, peakMemoryKb }).toEqual({
+      failed: 0,
+      late: 0,
+      peakMemoryKb: expect.toSatisfy((kb: number | null) => kb !== null && kb < MAX_MEMORY_KB),
+    });
+  });
+});
--- a/tests/stand-ins/entryProcess.ts
+++ b/tests/stand-ins/entryProcess.ts
@@ -25,8 +25,11 @@
   readonly durationMs: number;
 }
 
-/** Starts a VM that uses a store, and waits until it is ready. */
-export async function startEntryProcess(storeAddress: string): Promise<EntryProcess> {
+/** Starts a VM that uses a store and has the given limits, and waits until it is ready. */
+export async function startEntryProcess(
+  storeAddress: string,
+  limits: Readonly<Record<string, number>> = {},
+): Promise<EntryProcess> {
   const ports = await Promise.all([findFreePort(), findFreePort(), findFreePort(), findFreePort()]);
   const address = `127.0.0.1:${ports[0]}`;
   const path = join(mkdtempSync(join(tmpdir(), 'entry-')), 'settings.json');
@@ -38,6 +41,7 @@
     listen: { frontend_addr: address, ready_addr: `127.0.0.1:${ports[1]}` },
     platform: { address: storeAddress },
     bounds: { grace_s: 1, fencing: true },
+    limits,
   };
   writeFileSync(path, JSON.stringify(settings));
   const environment = { [SETTINGS_VARIABLE]: path, NODE_OPTIONS: HEAP_OPTION };
--- /dev/null
+++ b/tests/stand-ins/streamCaller.ts
@@ -0,0 +1,73 @@
+/**
+ * Reads event streams from an entry VM over plain sockets, fast or slowly, and tells how each connection ended.
+ */
+import net from 'node:net';
+
+/** How a connection ended as its caller saw it. */
+export const StreamEnd = { InOrder: 'inOrder', Reset: 'reset' } as const;
+export type StreamEnd = (typeof StreamEnd)[keyof typeof StreamEnd];
+
+/** What a caller has read of a stream. */
+export interface StreamResult {
+  readonly end: StreamEnd;
+  readonly isSlow: boolean;
+  readonly status: number;
+  /** Whether the answer's own framing marks its end; false for one without framing. */
+  readonly hasEndMark: boolean;
+  readonly isFramed: boolean;
+  /** Ids of the whole events, in the order in which they came. */
+  readonly eventIds: readonly number[];
+}
+
+/** A caller that reads slowly reads a chunk in each of these intervals. */
+const SLOW_READ_MS = 40;
+const SLOW_BUFFER_BYTES = 16_384;
+
+/** Opens a stream and reads it until its connection ends. `onEvent` is called with the number of whole events so far. */
+export function readStream(
+  address: string,
+  head: readonly string[],
+  isSlow: boolean,
+): Promise<StreamResult> {
+  const [host = '', port = ''] = address.split(':');
+  return new Promise((resolve) => {
+    const socket = net.connect({
+      host,
+      port: Number(port),
+      ...(isSlow ? { highWaterMark: SLOW_BUFFER_BYTES } : {}),
+    });
+    const chunks: string[] = [];
+    let isReset = false;
+    socket.on('error', () => {
+      isReset = true;
+    });
+    socket.on('data', (chunk: Buffer) => {
+      chunks.push(chunk.toString('latin1'));
+      if (isSlow) {
+        socket.pause();
+        setTimeout(() => socket.resume(), SLOW_READ_MS);
+      }
+    });
+    socket.on('close', () => {
+      const text = chunks.join('');
+      const bodyIndex = text.indexOf('\r\n\r\n') + 4;
+      const isFramed = /^transfer-encoding: chunked/im.test(text.slice(0, bodyIndex));
+      resolve({
+        end: isReset ? StreamEnd.Reset : StreamEnd.InOrder,
+        isSlow,
+        status: Number(/^HTTP\/1.1 (\d+)/.exec(text)?.[1] ?? 0),
+        hasEndMark: text.endsWith('0\r\n\r\n'),
+        isFramed,
+        eventIds: [...text.slice(bodyIndex).matchAll(/id: (\d+)\ndata: x+\n\n/g)].map(([, id]) =>
+          Number(id),
+        ),
+      });
+    });
+    socket.write(`${head.join('\r\n')}\r\n\r\n`);
+  });
+}
+
+/** Returns whether a caller takes a stream for complete: its framing says so, or it has none and its connection ended in order. */
+export function looksComplete({ end, hasEndMark, isFramed }: StreamResult): boolean {
+  return isFramed ? hasEndMark : end === StreamEnd.InOrder;
+}
