Tell a reset from an end in order in the callers of the stream tests

Seen: cutStreams.test.ts counted 18 of 60 callers that take a stream without a length for complete when its deadline cuts it.

Cause: the callers, not the VM. For a connection that was reset while data lay unread, epoll reports POLLHUP, and libuv then reports an end in order (uv__stream_eof after a partial read). Each such caller was counted as having seen an end.

Change: when libuv reports an end, the caller writes a byte. ECONNRESET means a reset, EPIPE an end in order before the reset, success an end. The check is stricter in the other direction: an end in order that a reset follows counted as a reset before. New rows of cutStreams.test.ts: a resumable stream on two server processes, one killed, is complete at all callers, framed or not (with a retry budget that suffices).

--- a/tests/processes/cutStreams.test.ts
+++ b/tests/processes/cutStreams.test.ts
@@ -16,6 +16,7 @@
 
 const CALLERS = 60;
 const EVENTS = 400;
+const RESUMED_EVENTS = 100;
 const HEARTBEAT_MS = 500;
 const CUT_AFTER_MS = 1_500;
 const LONG_DEADLINE_MS = 20_000;
@@ -25,9 +26,14 @@
 let servers: StartedProcess[] = [];
 const heartbeats: NodeJS.Timeout[] = [];
 
-async function startServer(id: string, framing: string, eventBytes: number): Promise<void> {
+async function startServer(
+  id: string,
+  framing: string,
+  eventBytes: number,
+  events = EVENTS,
+): Promise<void> {
   const port = await findFreePort();
-  const flags = { port, framing, 'event-bytes': eventBytes, 'interval-ms': 30, events: EVENTS };
+  const flags = { port, framing, 'event-bytes': eventBytes, 'interval-ms': 30, events };
   const args = Object.entries(flags).flatMap(([name, value]) => [`--${name}`, String(value)]);
   servers.push(await startProgram(id, 'tests/stand-ins/streamServerMain.js', args, 'ready'));
   const born = Date.now();
@@ -49,12 +55,13 @@
     ...{ name: 'flow', prefix: '/flow/', route_kind: 'streaming', service: 'flow', host: 'h' },
     ...{ timeout_ms: LONG_DEADLINE_MS, goal_ms: 1_000, attempts: 2, public: true },
   };
+  const resumable = { ...route, name: 'resumed', prefix: '/resumed/', resumable: true };
   store.put('op/config', {
     ...configuration,
-    routes: [...configuration.routes, route],
+    routes: [...configuration.routes, route, resumable],
     services: [...configuration.services, { name: 'flow', max_conns: 400 }],
   });
-  entry = await startEntryProcess(store.address);
+  entry = await startEntryProcess(store.address, {}, { retry_slack: 500 });
 });
 
 afterEach(async () => {
@@ -64,11 +71,14 @@
   await store.close();
 });
 
-function openStreams(deadlineMs: number): Promise<StreamResult[]> {
+function openStreams(deadlineMs: number, path = '/flow/x'): Promise<StreamResult[]> {
   const streams = Array.from({ length: CALLERS }, (_, i) =>
     readStream(
       entry.address,
-      ['GET /flow/x HTTP/1.1', 'Host: h', `X-Attempt-Id: c${i}`, `X-Deadline-Ms: ${deadlineMs}`],
+      [
+        ...[`GET ${path} HTTP/1.1`, 'Host: h', `X-Attempt-Id: c${i}`],
+        ...[`X-Deadline-Ms: ${deadlineMs}`, 'Connection: close'],
+      ],
       i % 2 === 0,
     ),
   );
@@ -81,6 +91,13 @@
   });
 }
 
+async function waitForStream(): Promise<void> {
+  await waitFor('a stream begins', async () => {
+    const head = ['GET /flow/x HTTP/1.1', 'Host: h', 'X-Attempt-Id: try', 'X-Deadline-Ms: 300'];
+    return (await readStream(entry.address, head, false)).status === 200;
+  });
+}
+
 /** What cuts the streams. */
 const CUTS = [
   {
@@ -113,10 +130,7 @@
     async ({ deadlineMs, framing, run }) => {
       await startServer('s1', framing, 20_000);
       await startServer('s2', framing, 20_000);
-      await waitFor('a stream begins', async () => {
-        const head = ['GET /flow/x HTTP/1.1', 'Host: h', 'X-Attempt-Id: try', 'X-Deadline-Ms: 300'];
-        return (await readStream(entry.address, head, false)).status === 200;
-      });
+      await waitForStream();
       const streams = openStreams(deadlineMs);
       await wait(CUT_AFTER_MS);
       run();
@@ -127,3 +141,23 @@
     },
   );
 });
+
+describe('a stream that may be resumed', () => {
+  it.each(['chunks', 'none'])(
+    'is complete at every caller although one of two servers is killed: framing %s',
+    async (framing) => {
+      await startServer('s1', framing, 2_000, RESUMED_EVENTS);
+      await startServer('s2', framing, 2_000, RESUMED_EVENTS);
+      await waitForStream();
+      const streams = openStreams(LONG_DEADLINE_MS, '/resumed/x');
+      await wait(CUT_AFTER_MS);
+      servers[0]?.child.kill('SIGKILL');
+      const results = await streams;
+      const eventIds = Array.from({ length: RESUMED_EVENTS }, (_, index) => index + 1);
+      const broken = results.filter(
+        (result) => !looksComplete(result) || result.eventIds.join() !== eventIds.join(),
+      );
+      expect(broken.map((result) => [result.end, result.eventIds.length])).toEqual([]);
+    },
+  );
+});
--- a/tests/stand-ins/entryProcess.ts
+++ b/tests/stand-ins/entryProcess.ts
@@ -25,10 +25,11 @@
   readonly durationMs: number;
 }
 
-/** Starts a VM that uses a store and has the given limits, and waits until it is ready. */
+/** Starts a VM that uses a store and has the given limits and bounds, and waits until it is ready. */
 export async function startEntryProcess(
   storeAddress: string,
   limits: Readonly<Record<string, number>> = {},
+  bounds: Readonly<Record<string, number>> = {},
 ): Promise<EntryProcess> {
   const ports = await Promise.all([findFreePort(), findFreePort(), findFreePort(), findFreePort()]);
   const address = `127.0.0.1:${ports[0]}`;
@@ -40,7 +41,7 @@
     port_range: [ports[2], ports[2]],
     listen: { frontend_addr: address, ready_addr: `127.0.0.1:${ports[1]}` },
     platform: { address: storeAddress },
-    bounds: { grace_s: 1, fencing: true },
+    bounds: { grace_s: 1, fencing: true, ...bounds },
     limits,
   };
   writeFileSync(path, JSON.stringify(settings));
--- a/tests/stand-ins/streamCaller.ts
+++ b/tests/stand-ins/streamCaller.ts
@@ -22,6 +22,8 @@
 /** A caller that reads slowly reads a chunk in each of these intervals. */
 const SLOW_READ_MS = 40;
 const SLOW_BUFFER_BYTES = 16_384;
+/** Error of a connection that was reset. After an end in order, it is EPIPE. */
+const RESET_CODE = 'ECONNRESET';
 
 /** Opens a stream and reads it until its connection ends. `onEvent` is called with the number of whole events so far. */
 export function readStream(
@@ -34,12 +36,20 @@
     const socket = net.connect({
       host,
       port: Number(port),
+      allowHalfOpen: true,
       ...(isSlow ? { highWaterMark: SLOW_BUFFER_BYTES } : {}),
     });
     const chunks: string[] = [];
     let isReset = false;
-    socket.on('error', () => {
-      isReset = true;
+    socket.on('error', ({ code }: NodeJS.ErrnoException) => {
+      isReset ||= code === RESET_CODE;
+    });
+    // For a reset that finds unread data, libuv reports an end in order. Writing then fails with the error of the reset.
+    socket.on('end', () => {
+      socket.write('.', (error?: NodeJS.ErrnoException | null) => {
+        isReset = error?.code === RESET_CODE;
+        socket.destroy();
+      });
     });
     socket.on('data', (chunk: Buffer) => {
       chunks.push(chunk.toString('latin1'));
