Reset cut answers of HTTP/1.0 callers, which end with their connections

Cause: whether a cut answer is reset or closed was decided by the framing of the server's answer. HTTP/1.0 has no chunks, so Node.js sends such an answer without framing, and closing its connection in order looks like its end.

Change: an answer of unknown length to an HTTP/1.0 caller counts as one that ends with its connection, and is reset when it is cut. The reset is in one place, transport/unframedAnswers.ts.

--- a/src/transport/entry/answers.ts
+++ b/src/transport/entry/answers.ts
@@ -24,8 +24,14 @@
   recordProgress,
   recordSignal,
 } from './attempt.js';
+import { lacksChunks } from '../unframedAnswers.js';
 import { probeAddress } from './backendProbe.js';
-import { type ForwardExchange, isAnswerBegun, recordStreamEvent } from './exchange.js';
+import {
+  endWithConnection,
+  type ForwardExchange,
+  isAnswerBegun,
+  recordStreamEvent,
+} from './exchange.js';
 import type { AnswerHead } from './wire.js';
 
 const HTTP_OK = 200;
@@ -167,10 +173,10 @@
   const { context, exchange } = attempt;
   if (!isAnswerBegun(exchange) && !exchange.response.destroyed) {
     const headers = context.wire.encodeAnswerHead(response.rawHeaders);
-    if (!isFramed(exchange, response)) {
-      exchange.endsWithConnection = true;
-      exchange.response.shouldKeepAlive = false;
-      exchange.response.useChunkedEncodingByDefault = false;
+    const hasLength = response.headers['content-length'] !== undefined;
+    const isLengthUnknown = !hasLength && lacksChunks(exchange.request);
+    if (!isFramed(exchange, response) || isLengthUnknown) {
+      endWithConnection(exchange);
     }
     exchange.response.writeHead(response.statusCode ?? HTTP_OK, [...headers]);
   }
--- a/src/transport/entry/exchange.ts
+++ b/src/transport/entry/exchange.ts
@@ -9,6 +9,7 @@
 } from '../../protocol/entry/refusals.js';
 import { encodeRefusal } from '../../protocol/statusCodes.js';
 import type { Refusal } from '../../state/types.js';
+import { resetAnswer } from '../unframedAnswers.js';
 import type { EntryWire } from './wire.js';
 
 /** A complete response that is buffered until the event loop decides whether to deliver it. */
@@ -98,12 +99,20 @@
   }
   exchange.isAborted = true;
   if (endsWithConnection) {
-    response.socket?.resetAndDestroy();
+    resetAnswer(response);
   } else {
     response.destroy();
   }
 }
 
+/** Marks the end of a response that has not started only by closing its connection. */
+export function endWithConnection(exchange: ForwardExchange): void {
+  const { response } = exchange;
+  exchange.endsWithConnection = true;
+  response.shouldKeepAlive = false;
+  response.useChunkedEncodingByDefault = false;
+}
+
 /** Sends a response whose end is marked only by closing the connection. Whether its body is complete is not known. */
 export function sendUnframedAnswer(
   exchange: ForwardExchange,
@@ -116,8 +125,7 @@
   if (response.destroyed || response.headersSent) {
     return;
   }
-  response.shouldKeepAlive = false;
-  response.useChunkedEncodingByDefault = false;
+  endWithConnection(exchange);
   response.writeHead(status, [...headers, 'Connection', 'close']);
   response.end(body);
 }
--- a/tests/processes/cutStreams.test.ts
+++ b/tests/processes/cutStreams.test.ts
@@ -71,12 +71,16 @@
   await store.close();
 });
 
-function openStreams(deadlineMs: number, path = '/flow/x'): Promise<StreamResult[]> {
+function openStreams(
+  deadlineMs: number,
+  path = '/flow/x',
+  protocol = 'HTTP/1.1',
+): Promise<StreamResult[]> {
   const streams = Array.from({ length: CALLERS }, (_, i) =>
     readStream(
       entry.address,
       [
-        ...[`GET ${path} HTTP/1.1`, 'Host: h', `X-Attempt-Id: c${i}`],
+        ...[`GET ${path} ${protocol}`, 'Host: h', `X-Attempt-Id: c${i}`],
         ...[`X-Deadline-Ms: ${deadlineMs}`, 'Connection: close'],
       ],
       i % 2 === 0,
@@ -99,7 +103,12 @@
 }
 
 /** What cuts the streams. */
-const CUTS = [
+const CUTS: readonly {
+  cut: string;
+  deadlineMs: number;
+  protocol?: string;
+  run: () => void;
+}[] = [
   {
     cut: 'the grace period of a stop',
     deadlineMs: LONG_DEADLINE_MS,
@@ -108,6 +117,12 @@
     },
   },
   { cut: 'the deadline of the requests', deadlineMs: 2_000, run: () => {} },
+  {
+    cut: 'the deadline of HTTP/1.0 requests',
+    deadlineMs: 2_000,
+    protocol: 'HTTP/1.0',
+    run: () => {},
+  },
   {
     cut: 'the end of the servers',
     deadlineMs: LONG_DEADLINE_MS,
@@ -120,18 +135,18 @@
       entry.vm.child.kill('SIGKILL');
     },
   },
-] as const;
+];
 
 const CASES = CUTS.flatMap((cut) => ['chunks', 'none'].flatMap((framing) => ({ ...cut, framing })));
 
 describe('a stream that is cut', () => {
   it.each(CASES)(
     'does not look complete to any caller: $cut, framing $framing',
-    async ({ deadlineMs, framing, run }) => {
+    async ({ deadlineMs, framing, protocol, run }) => {
       await startServer('s1', framing, 20_000);
       await startServer('s2', framing, 20_000);
       await waitForStream();
-      const streams = openStreams(deadlineMs);
+      const streams = openStreams(deadlineMs, '/flow/x', protocol);
       await wait(CUT_AFTER_MS);
       run();
       const results = await streams;
