Do not let SIGUSR2 and SIGALRM end an entry VM, nor SIGUSR1 open a debugger; stop in order at SIGQUIT

Callers saw connections of a VM break off when anything sent one of these signals to its process (a log rotation, an operator's habit from another server): Node.js keeps the default actions of all signals without a listener.

Cause: processSignals.ts listened to SIGTERM, SIGINT and SIGHUP only. Evidence: entrySignals.test.ts on: SIGUSR2, SIGALRM and SIGQUIT ended the process by the signal (three of three), SIGUSR1 made it listen for a debugger on 127.0.0.1:9229.

Change: SIGQUIT requests a stop, as with other servers; the three others request nothing and are ignored from the first module on. Operators' commands keep the default actions.

--- a/src/transport/entry/processSignals.ts
+++ b/src/transport/entry/processSignals.ts
@@ -7,12 +7,18 @@
 export const SignalRequest = { Stop: 'stop', Reload: 'reload' } as const;
 export type SignalRequest = (typeof SignalRequest)[keyof typeof SignalRequest];
 
-const REQUESTS: Readonly<Record<'SIGTERM' | 'SIGINT' | 'SIGHUP', SignalRequest>> = {
+const REQUESTS: Readonly<Record<string, SignalRequest>> = {
   SIGTERM: SignalRequest.Stop,
   SIGINT: SignalRequest.Stop,
+  SIGQUIT: SignalRequest.Stop,
   SIGHUP: SignalRequest.Reload,
 };
 
+/** Signals that request nothing; by default, the first opens a debugger and the others end the process. */
+const IGNORED_SIGNALS = ['SIGUSR1', 'SIGUSR2', 'SIGALRM'] as const;
+
+function ignoreSignal(): void {}
+
 /** What carries out each request. A request without a handler is held. */
 export type SignalHandlers = Readonly<Partial<Record<SignalRequest, () => void>>>;
 
@@ -44,12 +50,16 @@
     source.on(signal, listener);
     return { signal, listener };
   });
+  IGNORED_SIGNALS.forEach((signal) => source.on(signal, ignoreSignal));
   return {
     handle: (newHandlers) => {
       handlers = newHandlers;
       [...held].forEach(passOn);
     },
-    release: () => listeners.forEach(({ listener, signal }) => source.off(signal, listener)),
+    release: () => {
+      listeners.forEach(({ listener, signal }) => source.off(signal, listener));
+      IGNORED_SIGNALS.forEach((signal) => source.off(signal, ignoreSignal));
+    },
   };
 }
 
--- a/tests/stand-ins/entryProcess.ts
+++ b/tests/stand-ins/entryProcess.ts
@@ -8,7 +8,8 @@
 import { SETTINGS_VARIABLE } from '../../platform/names.js';
 import { findFreePort, type StartedProcess, startProgram } from './processes.js';
 
-const PROGRAM = 'src/bin/gentiandeckEntry.js';
+/** The program of an entry VM. */
+export const ENTRY_PROGRAM = 'src/bin/gentiandeckEntry.js';
 const HEAP_OPTION = '--max-old-space-size=200';
 const CALLER_TIMEOUT_MS = 8_000;
 
@@ -25,28 +26,49 @@
   readonly durationMs: number;
 }
 
-/** Starts a VM that uses a store and has the given limits, and waits until it is ready. */
-export async function startEntryProcess(
+/** What a process of a VM is started with, and its addresses. */
+export interface PreparedEntry {
+  readonly address: string;
+  readonly readyAddress: string;
+  readonly metricsAddress: string;
+  readonly settingsPath: string;
+  readonly args: readonly string[];
+  readonly environment: Readonly<Record<string, string>>;
+}
+
+/** Writes the settings of a VM that uses a store and has the given limits. */
+export async function prepareEntry(
   storeAddress: string,
   limits: Readonly<Record<string, number>> = {},
-): Promise<EntryProcess> {
+): Promise<PreparedEntry> {
   const ports = await Promise.all([findFreePort(), findFreePort(), findFreePort(), findFreePort()]);
   const address = `127.0.0.1:${ports[0]}`;
-  const path = join(mkdtempSync(join(tmpdir(), 'entry-')), 'settings.json');
+  const readyAddress = `127.0.0.1:${ports[1]}`;
+  const settingsPath = join(mkdtempSync(join(tmpdir(), 'entry-')), 'settings.json');
   const settings = {
     node_name: 'vm-1',
     ip: '127.0.0.1',
     zone: 'fd-a',
     port_range: [ports[2], ports[2]],
-    listen: { frontend_addr: address, ready_addr: `127.0.0.1:${ports[1]}` },
+    listen: { frontend_addr: address, ready_addr: readyAddress },
     platform: { address: storeAddress },
     bounds: { grace_s: 1, fencing: true },
     limits,
   };
-  writeFileSync(path, JSON.stringify(settings));
-  const environment = { [SETTINGS_VARIABLE]: path, NODE_OPTIONS: HEAP_OPTION };
+  writeFileSync(settingsPath, JSON.stringify(settings));
+  const environment = { [SETTINGS_VARIABLE]: settingsPath, NODE_OPTIONS: HEAP_OPTION };
   const args = ['--metrics-port', String(ports[3])];
-  const vm = await startProgram('vm-1', PROGRAM, args, 'The VM is ready.', environment);
+  const metricsAddress = `127.0.0.1:${ports[3]}`;
+  return { address, readyAddress, metricsAddress, settingsPath, args, environment };
+}
+
+/** Starts a VM that uses a store and has the given limits, and waits until it is ready. */
+export async function startEntryProcess(
+  storeAddress: string,
+  limits: Readonly<Record<string, number>> = {},
+): Promise<EntryProcess> {
+  const { address, args, environment } = await prepareEntry(storeAddress, limits);
+  const vm = await startProgram('vm-1', ENTRY_PROGRAM, args, 'The VM is ready.', environment);
   return { vm, address };
 }
 
--- a/tests/stand-ins/platformStore.ts
+++ b/tests/stand-ins/platformStore.ts
@@ -33,6 +33,8 @@
   isDown: boolean;
   /** While set, every POST takes effect, but its connection is closed without an answer. */
   losesAnswers: boolean;
+  /** Delay of every call before the store handles it, and of its answer after that. */
+  delayMs: number;
   /** Discards the change history; a watch from an older revision then receives status 410. */
   compact: () => void;
   readonly copy: () => StoreCopy;
@@ -186,6 +188,7 @@
   const store: Omit<PlatformStore, 'address' | 'close'> = {
     isDown: false,
     losesAnswers: false,
+    delayMs: 0,
     compact: () => {
       compactedRevision = revision;
       history = [];
@@ -219,24 +222,37 @@
     },
   };
 
-  const server = http.createServer((request, response) => {
+  const handleCall = (request: IncomingMessage, response: ServerResponse, body: string): void => {
     const url = new URL(request.url ?? '/', 'http://store');
     const path = /^\/v1\/[a-z-]+/.exec(url.pathname)?.[0] ?? '';
+    const call = `${request.method} ${path}`;
+    const handler = HANDLERS[call];
+    callCounts.set(call, (callCounts.get(call) ?? 0) + 1);
+    response.setHeader('Store-Era', String(era));
+    if (store.isDown || handler === undefined) {
+      sendJson(response, store.isDown ? 503 : 404);
+      return;
+    }
+    if (store.losesAnswers && request.method === 'POST') {
+      handler(url, body, new http.ServerResponse(request));
+      request.socket.destroy();
+      return;
+    }
+    handler(url, body, response);
+  };
+
+  const server = http.createServer((request, response) => {
     void readBody(request).then((body) => {
-      const call = `${request.method} ${path}`;
-      const handler = HANDLERS[call];
-      callCounts.set(call, (callCounts.get(call) ?? 0) + 1);
-      response.setHeader('Store-Era', String(era));
-      if (store.isDown || handler === undefined) {
-        sendJson(response, store.isDown ? 503 : 404);
-        return;
-      }
-      if (store.losesAnswers && request.method === 'POST') {
-        handler(url, body, new http.ServerResponse(request));
-        request.socket.destroy();
+      const { delayMs } = store;
+      if (delayMs === 0) {
+        handleCall(request, response, body);
         return;
       }
-      handler(url, body, response);
+      response.socket?.cork();
+      setTimeout(() => {
+        handleCall(request, response, body);
+        setTimeout(() => response.socket?.uncork(), delayMs);
+      }, delayMs);
     });
   });
   await new Promise<void>((resolve) => {
--- a/tests/stand-ins/processes.ts
+++ b/tests/stand-ins/processes.ts
@@ -51,14 +51,13 @@
   return (await canListen(port)) ? port : findFreePort();
 }
 
-/** Starts a built program and waits until its output contains a text. */
-export async function startProgram(
+/** Starts a built program. */
+export function spawnProgram(
   name: string,
   program: string,
   args: readonly string[],
-  readyText: string,
   environment: Readonly<Record<string, string>> = {},
-): Promise<StartedProcess> {
+): StartedProcess {
   const child = spawn(process.execPath, [getProgramPath(program), ...args], {
     stdio: ['ignore', 'pipe', 'pipe'],
     env: { ...process.env, ...environment },
@@ -66,20 +65,36 @@
   children.add(child);
   child.once('exit', () => children.delete(child));
   let output = '';
-  const started = { name, child, getOutput: () => output };
+  const appendOutput = (chunk: Buffer): void => {
+    output += chunk.toString();
+  };
+  child.stdout.on('data', appendOutput);
+  child.stderr.on('data', appendOutput);
+  return { name, child, getOutput: () => output };
+}
+
+/** Starts a built program and waits until its output contains a text. */
+export async function startProgram(
+  name: string,
+  program: string,
+  args: readonly string[],
+  readyText: string,
+  environment: Readonly<Record<string, string>> = {},
+): Promise<StartedProcess> {
+  const started = spawnProgram(name, program, args, environment);
+  const { child, getOutput } = started;
   await new Promise<void>((resolve, reject) => {
-    const appendOutput = (chunk: Buffer): void => {
-      output += chunk.toString();
-      if (output.includes(readyText)) {
+    const checkOutput = (): void => {
+      if (getOutput().includes(readyText)) {
         resolve();
       }
     };
-    child.stdout.on('data', appendOutput);
-    child.stderr.on('data', appendOutput);
+    child.stdout?.on('data', checkOutput);
+    child.stderr?.on('data', checkOutput);
     child.once('exit', (code) =>
       reject(
         new Error(
-          `process ${name} exited with code ${code} before it was ready, output: ${output}`,
+          `process ${name} exited with code ${code} before it was ready, output: ${getOutput()}`,
         ),
       ),
     );
