Do not end an entry VM at an unexpected error while it waits for its ports

Callers saw a VM end and start again: what handles unexpected errors was installed once the daemon ran, but a process that starts while the one before still drains waits for its ports for seconds, and its readiness server and its sockets work already.

Change: the handlers are installed before the daemon starts.

--- a/src/bin/entryProgram.ts
+++ b/src/bin/entryProgram.ts
@@ -62,11 +62,11 @@
   const log = createEntryLogWriter(logLevel, settings.vmId);
   const store = createPlatformStore(settings.storeAddress, STORE_TIMEOUT_MS);
   const wire = PLATFORM_WIRE;
-  const daemon = await startEntryDaemon({ settings, metricsPort, store, wire, log });
   const logUnexpected = (error: unknown): void => logUnexpectedError(log.write, error);
-  // One failed socket or promise is not allowed to end the process and all other requests.
+  // One failed socket or promise is not allowed to end the process and all other requests. The daemon may wait long for its ports.
   process.on('uncaughtException', logUnexpected);
   process.on('unhandledRejection', logUnexpected);
+  const daemon = await startEntryDaemon({ settings, metricsPort, store, wire, log });
   processSignals.handle({
     [SignalRequest.Stop]: daemon.stop,
     [SignalRequest.Reload]: () => {
--- a/tests/processes/entrySignals.test.ts
+++ b/tests/processes/entrySignals.test.ts
@@ -114,6 +114,23 @@
 });
 
 describe('a VM that is starting', () => {
+  it('lives on when an error is thrown while it waits for a port', async () => {
+    const prepared = await prepareEntry(store.address);
+    const other = net.createServer();
+    servers.push(other);
+    const [host, port] = prepared.address.split(':');
+    other.listen(Number(port), host);
+    await once(other, 'listening');
+    const script = 'setTimeout(()=>{throw(new(Error)("unexpected"))},2500)';
+    const vm = start(prepared, { NODE_OPTIONS: `--import=data:text/javascript,${script}` });
+    await waitFor('the VM waits for its port', () => vm.getOutput().includes('cannot be used yet'));
+    await waitFor('the error is thrown', () => vm.getOutput().includes('unexpected'));
+    await wait(LIVES_ON_MS);
+    expect(isRunning(vm)).toBe(true);
+    other.close();
+    await waitFor('the daemon runs', () => vm.getOutput().includes(STARTED_TEXT));
+  });
+
   it.each<{ name: string; answer: RequestListener }>([
     { name: 'text that is no JSON', answer: (_, response) => response.end('<html>') },
     { name: 'JSON of another form', answer: (_, response) => response.end('[{"items":7}]') },
