Play seeded soaks of entry VMs as real processes

Three VMs (SOAK_VMS), six servers as processes and a store with leases; SIGTERM, SIGKILL, SIGSTOP, SIGHUP in series and overlapping, the next process of a VM beside the one that drains, servers that are killed within events, restart with their id or leave, a store that is down, slow, or loses answers, and changes of routes, timeouts and keys. Callers keep their connections, read slowly, leave, and resume broken streams over several VMs. Checked: whole answers, the order and runs of events, TWICE, REFUSED, LOST, fences and holders of orders, versions on the status, ends and starts of processes. A soak has VMs on a loopback network of its own: without that, processes of other tests took ports of VMs that were down.

--- /dev/null
+++ b/tests/processes/entrySoak.test.ts
@@ -0,0 +1,103 @@
+/**
+ * Plays seeded soaks of entry VMs as real processes: callers keep using a fleet while signals, restarts, faults and changes
+ * come in series and overlap. `SOAK_SEEDS=50 SOAK_FIRST_SEED=1 SOAK_VMS=6` plays more of them by hand.
+ */
+import http from 'node:http';
+import { afterEach, describe, expect, it } from 'vitest';
+import { createRandom } from '../../src/state/random.js';
+import { runEntryCallers } from '../soak/entryCallers.js';
+import {
+  listBrokenPromises,
+  listOrderFaults,
+  listProcessFaults,
+  READY_MS,
+} from '../soak/entryChecks.js';
+import { disruptEntryFleet } from '../soak/entryDisruptions.js';
+import {
+  type EntryFleet,
+  GRACE_MS,
+  isVmReady,
+  type SoakVm,
+  startEntryFleet,
+} from '../soak/entryFleet.js';
+import { watchEntryFleet } from '../soak/entryWatch.js';
+import { wait } from '../stand-ins/entryVms.js';
+import { waitFor } from '../stand-ins/processes.js';
+
+const CALLERS_PER_VM = 6;
+const DISRUPTED_MS = 8_000;
+/** Time after the last disruption in which all has to be in force again: `grace_s` of the last process and `recover_s`. */
+const CALM_MS = GRACE_MS + READY_MS;
+const MIN_SERVED_FRACTION = 0.4;
+const VM_COUNT = Number(process.env.SOAK_VMS ?? 3);
+const SEED_COUNT = Number(process.env.SOAK_SEEDS ?? 3);
+const FIRST_SEED = Number(process.env.SOAK_FIRST_SEED ?? 1);
+const SEEDS = Array.from({ length: SEED_COUNT }, (_, i) => ({ seed: FIRST_SEED + i }));
+
+let fleet: EntryFleet;
+const closers: (() => Promise<void>)[] = [];
+let checkCount = 0;
+
+/** Returns the status that a VM gives to a proper request with a key. */
+function getStatus({ address }: SoakVm, key: string): Promise<number> {
+  checkCount += 1;
+  const [host, port] = address.split(':');
+  const headers = { host: 'h', 'x-attempt-id': `check-${checkCount}`, 'x-api-key': key };
+  return new Promise((resolve) => {
+    http
+      .get({ host, port, path: '/look/x', agent: false, headers }, (response) => {
+        response.resume();
+        resolve(response.statusCode ?? 0);
+      })
+      .on('error', () => resolve(0));
+  });
+}
+
+afterEach(async () => {
+  await Promise.all(closers.splice(0).map((close) => close()));
+});
+
+describe('a soak of entry VMs', () => {
+  it.each(SEEDS)('keeps the promises to all callers and servers, seed $seed', async ({ seed }) => {
+    fleet = await startEntryFleet(VM_COUNT);
+    closers.push(fleet.close);
+    const watch = watchEntryFleet(fleet);
+    closers.push(watch.stop);
+    const endsAtMs = performance.now() + DISRUPTED_MS;
+    let isCalm = false;
+    const callers = VM_COUNT * CALLERS_PER_VM;
+    const calls = runEntryCallers(fleet, createRandom(seed), callers, () => isCalm);
+    const isOver = (): boolean => performance.now() > endsAtMs;
+    const begun = await disruptEntryFleet(fleet, createRandom(seed + 1), isOver);
+    const areAllReady = async (): Promise<boolean> =>
+      (await Promise.all(fleet.vms.map(isVmReady))).every(Boolean);
+    await waitFor('all VMs are ready again', areAllReady, CALM_MS);
+    await wait(1_000);
+    isCalm = true;
+    const outcomes = await calls;
+    const faults = [
+      ...listBrokenPromises(fleet, outcomes),
+      ...listProcessFaults(fleet),
+      ...listOrderFaults(fleet),
+      ...watch.fallen,
+    ];
+    // A VM that is down refuses connections at once; its callers try again many times.
+    const received = outcomes.filter(({ errorCode }) => errorCode !== 'ECONNREFUSED');
+    const served = outcomes.filter(({ isComplete, status }) => status === 200 && isComplete);
+    const lives = fleet.vms.reduce((sum, vm) => sum + vm.lives.length, 0);
+    process.stdout.write(
+      `entry soak ${seed}: ${received.length} requests, ${served.length} served, ${fleet.orders.length} orders of ` +
+        `${new Set(fleet.orders.map(({ fence }) => fence)).size} fences, ${lives} lives; ${begun.join(' ')}\n`,
+    );
+    if (faults.length > 0) {
+      process.stdout.write(`entry soak ${seed}: logs of the VMs in ${fleet.saveLogs()}\n`);
+    }
+    expect(faults).toEqual([]);
+    expect(served.length / received.length).toBeGreaterThan(MIN_SERVED_FRACTION);
+    const { valid, withdrawn } = fleet.keys;
+    const getStatuses = (keys: ReadonlySet<string>): Promise<number[]> =>
+      Promise.all([...keys].flatMap((key) => fleet.vms.map((vm) => getStatus(vm, key))));
+    expect(new Set(await getStatuses(valid))).toEqual(new Set([200]));
+    expect((await getStatuses(withdrawn)).filter((status) => status !== 401)).toEqual([]);
+  });
+});
--- /dev/null
+++ b/tests/soak/entryDisruptions.ts
@@ -0,0 +1,221 @@
+/**
+ * The disruptions of a soak of entry VMs: signals, restarts, faults and changes, which come in series and overlap.
+ */
+import { readFileSync } from 'node:fs';
+import { nextRandom, nextRandomInt, type RandomState } from '../../src/state/random.js';
+import { wait } from '../stand-ins/entryVms.js';
+import { isRunning, type StartedProcess } from '../stand-ins/processes.js';
+import type { EntryFleet, SoakServer, SoakService, SoakVm, VmLife } from './entryFleet.js';
+
+const MIN_GAP_MS = 100;
+const MAX_GAP_MS = 700;
+/** A server that leaves goes on serving for this time. */
+const LEAVING_MS = 2_800;
+
+type Disruption = (fleet: EntryFleet, random: RandomState) => Promise<void> | void;
+
+function pick<T>(random: RandomState, from: readonly T[]): T | undefined {
+  return from[nextRandomInt(random, Math.max(1, from.length))];
+}
+
+function isEnding({ endSignals, process }: VmLife): boolean {
+  return endSignals.length > 0 || !isRunning(process);
+}
+
+/** Returns whether a process has begun to catch SIGHUP, which ends it before its program runs. */
+function catchesReload({ child }: StartedProcess): boolean {
+  try {
+    const status = readFileSync(`/proc/${child.pid}/status`, 'utf8');
+    const caught = Number.parseInt(/^SigCgt:\s*(\w+)/m.exec(status)?.[1]?.at(-1) ?? '0', 16);
+    return caught % 2 === 1;
+  } catch {
+    return false;
+  }
+}
+
+function sendEndSignal(life: VmLife, signal: 'SIGTERM' | 'SIGKILL'): void {
+  life.endSignals.push({ signal, atMs: performance.now() });
+  life.process.child.kill(signal);
+}
+
+/** Returns a VM that may be ended: at least one other is not ending. */
+function pickVm({ vms }: EntryFleet, random: RandomState): SoakVm | undefined {
+  const sound = vms.filter(({ lives }) => !isEnding(lives.at(-1)!));
+  return sound.length > 1 ? pick(random, sound) : undefined;
+}
+
+function pickServer(
+  { servers }: EntryFleet,
+  random: RandomState,
+  service?: SoakService,
+): SoakServer | undefined {
+  return pick(
+    random,
+    servers.filter(
+      (server) =>
+        server.killedAtMs === Number.POSITIVE_INFINITY &&
+        server.state === 'ready' &&
+        (service === undefined || server.service === service),
+    ),
+  );
+}
+
+async function disruptStore(
+  { store, storeDisruptions }: EntryFleet,
+  fields: Partial<Pick<EntryFleet['store'], 'isDown' | 'losesAnswers' | 'delayMs'>>,
+  durationMs: number,
+): Promise<void> {
+  const span = { fromMs: performance.now(), untilMs: Number.POSITIVE_INFINITY };
+  storeDisruptions.push(span);
+  Object.assign(store, fields);
+  await wait(durationMs);
+  const sound = { isDown: false, losesAnswers: false, delayMs: 0 };
+  Object.keys(fields).forEach((name) =>
+    Object.assign(store, { [name]: sound[name as keyof typeof sound] }),
+  );
+  span.untilMs = performance.now();
+}
+
+const DISRUPTIONS: Readonly<Record<string, Disruption>> = {
+  /** The next process starts while the one before still drains. */
+  termVm: async (fleet, random) => {
+    const vm = pickVm(fleet, random);
+    if (vm !== undefined) {
+      sendEndSignal(vm.lives.at(-1)!, 'SIGTERM');
+      await wait(nextRandom(random) * 1_500);
+      fleet.startLife(vm);
+    }
+  },
+  termVmTwice: async (fleet, random) => {
+    const vm = pickVm(fleet, random);
+    if (vm !== undefined) {
+      const life = vm.lives.at(-1)!;
+      sendEndSignal(life, 'SIGTERM');
+      await wait(nextRandom(random) * 600);
+      life.process.child.kill('SIGHUP');
+      life.process.child.kill('SIGTERM');
+      fleet.startLife(vm);
+    }
+  },
+  termThenKillVm: async (fleet, random) => {
+    const vm = pickVm(fleet, random);
+    if (vm !== undefined) {
+      const life = vm.lives.at(-1)!;
+      sendEndSignal(life, 'SIGTERM');
+      await wait(nextRandom(random) * 3_000);
+      sendEndSignal(life, 'SIGKILL');
+      fleet.startLife(vm);
+    }
+  },
+  killVm: async (fleet, random) => {
+    const vm = pickVm(fleet, random);
+    if (vm !== undefined) {
+      sendEndSignal(vm.lives.at(-1)!, 'SIGKILL');
+      await wait(nextRandom(random) * 500);
+      fleet.startLife(vm);
+    }
+  },
+  reloadVm: async (fleet, random) => {
+    const vm = pick(random, fleet.vms)!;
+    for (let i = 0; i < 3; i += 1) {
+      const { process } = vm.lives.at(-1)!;
+      if (catchesReload(process)) {
+        process.child.kill('SIGHUP');
+      }
+      await wait(nextRandom(random) * 60);
+    }
+  },
+  suspendVm: async (fleet, random) => {
+    const vm = pick(random, fleet.vms)!;
+    const { child } = vm.lives.at(-1)!.process;
+    const span = { fromMs: performance.now(), untilMs: Number.POSITIVE_INFINITY };
+    vm.suspensions.push(span);
+    child.kill('SIGSTOP');
+    await wait(300 + nextRandom(random) * 3_500);
+    child.kill('SIGCONT');
+    span.untilMs = performance.now();
+  },
+  suspendController: async (fleet, random) => {
+    const holder = fleet.orders.at(-1)?.holder;
+    const vm = fleet.vms.find(({ name }) => name === holder);
+    if (vm !== undefined) {
+      const { child } = vm.lives.at(-1)!.process;
+      const span = { fromMs: performance.now(), untilMs: Number.POSITIVE_INFINITY };
+      vm.suspensions.push(span);
+      child.kill('SIGSTOP');
+      await wait(2_000 + nextRandom(random) * 2_500);
+      child.kill('SIGCONT');
+      span.untilMs = performance.now();
+    }
+  },
+  storeDown: (fleet, random) =>
+    disruptStore(fleet, { isDown: true }, 200 + nextRandom(random) * 2_500),
+  storeSlow: (fleet, random) =>
+    disruptStore(
+      fleet,
+      { delayMs: 50 + nextRandomInt(random, 450) },
+      300 + nextRandom(random) * 2_500,
+    ),
+  storeLosesAnswers: (fleet, random) =>
+    disruptStore(fleet, { losesAnswers: true }, 200 + nextRandom(random) * 1_500),
+  storeCompacts: ({ store }) => store.compact(),
+  configure: ({ configure }) => configure(),
+  shortenTimeouts: ({ configure }, random) => configure(5_000 + nextRandomInt(random, 2_000)),
+  addKey: ({ configure, keys }, random) => {
+    keys.valid.add(`key-${nextRandomInt(random, 1_000_000)}-added`);
+    configure();
+  },
+  withdrawKey: ({ configure, keys }) => {
+    const [key] = [...keys.valid].filter((valid) => valid.endsWith('-added'));
+    if (key !== undefined) {
+      keys.valid.delete(key);
+      keys.withdrawn.add(key);
+      configure();
+    }
+  },
+  /** A server restarts with its id. */
+  restartServer: async (fleet, random) => {
+    const server = pickServer(fleet, random);
+    if (server !== undefined) {
+      fleet.killServer(server);
+      await wait(100 + nextRandom(random) * 700);
+      await fleet.startServer(server.service, server.id);
+    }
+  },
+  replaceKilledServer: async (fleet, random) => {
+    const server = pickServer(fleet, random, 'flow');
+    if (server !== undefined) {
+      fleet.killServer(server);
+      await wait(nextRandom(random) * 1_000);
+      await fleet.startServer(server.service);
+    }
+  },
+  replaceServer: async (fleet, random) => {
+    const server = pickServer(fleet, random, 'flow');
+    if (server !== undefined) {
+      await fleet.startServer(server.service);
+      server.state = 'draining';
+      await wait(LEAVING_MS);
+      fleet.killServer(server);
+    }
+  },
+};
+
+/** Begins disruptions at random times until `isOver`, and waits until all have ended. Returns their names in order. */
+export async function disruptEntryFleet(
+  fleet: EntryFleet,
+  random: RandomState,
+  isOver: () => boolean,
+): Promise<string[]> {
+  const names = Object.keys(DISRUPTIONS);
+  const begun: string[] = [];
+  const running: (Promise<void> | void)[] = [];
+  while (!isOver()) {
+    const name = pick(random, names)!;
+    begun.push(name);
+    running.push(DISRUPTIONS[name]!(fleet, random));
+    await wait(MIN_GAP_MS + nextRandom(random) * (MAX_GAP_MS - MIN_GAP_MS));
+  }
+  await Promise.all(running);
+  return begun;
+}
--- /dev/null
+++ b/tests/soak/entryFleet.ts
@@ -0,0 +1,309 @@
+/**
+ * The processes of a soak of entry VMs: VMs whose ports stay the same over restarts, servers, and a store.
+ */
+import { once } from 'node:events';
+import { mkdtempSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { SETTINGS_VARIABLE } from '../../platform/names.js';
+import { createConfiguration } from '../stand-ins/entryVms.js';
+import { type PlatformStore, startPlatformStore } from '../stand-ins/platformStore.js';
+import {
+  endProcess,
+  findFreePort,
+  isRunning,
+  spawnProgram,
+  type StartedProcess,
+  waitFor,
+} from '../stand-ins/processes.js';
+
+const PROGRAM = 'src/bin/gentiandeckEntry.js';
+const SERVER_PROGRAM = 'tests/stand-ins/soakServerMain.js';
+const READY_TEXT = 'The VM is ready.';
+export const GRACE_MS = 4_000;
+const HEARTBEAT_MS = 500;
+const MS_PER_SECOND = 1000;
+/** The store drops the entry of a server that was killed after this time. */
+const ENTRY_LIFETIME_MS = 1_000;
+const SERVERS_BY_SERVICE = { flow: 4, llm: 2 } as const;
+
+/** A service of the soak. */
+export type SoakService = keyof typeof SERVERS_BY_SERVICE;
+
+/** One process of a VM. */
+export interface VmLife {
+  readonly vmName: string;
+  readonly process: StartedProcess;
+  readonly startedAtMs: number;
+  /** Signals that end the process, in their order. */
+  readonly endSignals: { readonly signal: 'SIGTERM' | 'SIGKILL'; readonly atMs: number }[];
+  endedAtMs: number;
+  /** When its log said that it is ready; infinite before. */
+  readyAtMs: number;
+}
+
+/** A VM, which keeps its ports over its lives. */
+export interface SoakVm {
+  readonly name: string;
+  readonly address: string;
+  readonly readyAddress: string;
+  readonly metricsAddress: string;
+  readonly settingsPath: string;
+  readonly lives: VmLife[];
+  /** Spans in which the VM was suspended; the end is infinite while it is. */
+  readonly suspensions: { readonly fromMs: number; untilMs: number }[];
+}
+
+/** A run of a request at a server. */
+export interface Run {
+  readonly attemptId: string;
+  readonly run: string;
+  readonly lastEventId: number;
+  readonly server: SoakServer;
+}
+
+/** An order of a controller, in the order of arrival. */
+export interface ReceivedOrder {
+  readonly atMs: number;
+  readonly serverId: string;
+  readonly holder: string;
+  readonly fence: number;
+}
+
+/** One process of a server. */
+export interface SoakServer {
+  readonly id: string;
+  readonly service: SoakService;
+  readonly process: StartedProcess;
+  readonly bornMs: number;
+  address: string;
+  models: unknown;
+  state: 'ready' | 'draining';
+  killedAtMs: number;
+}
+
+/** What runs in a soak, and what its servers have recorded. */
+export interface EntryFleet {
+  readonly store: PlatformStore;
+  readonly vms: readonly SoakVm[];
+  /** All servers, also those that have ended. */
+  readonly servers: SoakServer[];
+  readonly runs: Run[];
+  readonly orders: ReceivedOrder[];
+  readonly keys: { readonly valid: Set<string>; readonly withdrawn: Set<string> };
+  /** Spans in which the store was disrupted. */
+  readonly storeDisruptions: { readonly fromMs: number; untilMs: number }[];
+  readonly getVersion: () => number;
+  /** Writes a new version of the configuration, with the given time limit of the streams. */
+  readonly configure: (streamTimeoutMs?: number) => void;
+  readonly startServer: (service: SoakService, id?: string) => Promise<SoakServer>;
+  /** Kills a server; the store drops its entry a while later unless a server with the same id has started. */
+  readonly killServer: (server: SoakServer) => void;
+  readonly startLife: (vm: SoakVm) => VmLife;
+  /** Writes what the VMs have logged to files, and returns their folder. */
+  readonly saveLogs: () => string;
+  readonly close: () => Promise<void>;
+}
+
+/** A loopback network of this process, so that no process of another test gets an address while its owner restarts. */
+const NETWORK = `127.${1 + (process.pid % 250)}.${Math.floor(process.pid / 250) % 250}`;
+const SERVER_HOST = `${NETWORK}.250`;
+
+const folder = mkdtempSync(join(tmpdir(), 'entry-soak-'));
+
+async function createVm(name: string, index: number, storeAddress: string): Promise<SoakVm> {
+  const ports = await Promise.all([findFreePort(), findFreePort(), findFreePort(), findFreePort()]);
+  const host = `${NETWORK}.${index + 1}`;
+  const [address = '', readyAddress = '', , metricsAddress = ''] = ports.map(
+    (port) => `${host}:${port}`,
+  );
+  const settingsPath = join(folder, `${name}-${ports[0]}.json`);
+  const settings = {
+    node_name: name,
+    ip: host,
+    zone: `fd-${index % 2}`,
+    port_range: [ports[2], ports[2]],
+    listen: { frontend_addr: address, ready_addr: readyAddress },
+    platform: { address: storeAddress },
+    bounds: { grace_s: GRACE_MS / MS_PER_SECOND, retry_slack: 500, fencing: true },
+  };
+  writeFileSync(settingsPath, JSON.stringify(settings));
+  const addresses = { address, readyAddress, metricsAddress };
+  return { name, ...addresses, settingsPath, lives: [], suspensions: [] };
+}
+
+const STREAM = { host: 'h', goal_ms: 1_000, attempts: 3, public: false, service: 'flow' };
+
+function createSoakConfiguration(version: number, keys: string[], streamTimeoutMs: number) {
+  const configuration = createConfiguration(version, keys);
+  const streams = [
+    { name: 'once', prefix: '/once/', resumable: false },
+    { name: 'again', prefix: '/again/', resumable: true },
+  ].map((route) => ({
+    ...STREAM,
+    ...route,
+    route_kind: 'streaming',
+    timeout_ms: streamTimeoutMs,
+  }));
+  const plain = configuration.routes.map((route) =>
+    route.service === 'counter' ? { ...route, service: 'flow' } : route,
+  );
+  const passing = { ...plain[0], name: `passing-${version}`, prefix: `/passing-${version}/` };
+  return {
+    ...configuration,
+    routes: [...plain, ...streams, passing],
+    services: [...configuration.services, { name: 'flow', max_conns: 400 }],
+  };
+}
+
+/** Returns whether a VM answers that it is ready. */
+export async function isVmReady({ readyAddress }: SoakVm): Promise<boolean> {
+  try {
+    const signal = AbortSignal.timeout(500);
+    return (await fetch(`http://${readyAddress}/v1/readyz`, { signal })).status === 200;
+  } catch {
+    return false;
+  }
+}
+
+/** Starts a store, servers and VMs, and waits until the VMs are ready. */
+export async function startEntryFleet(vmCount: number): Promise<EntryFleet> {
+  const store = await startPlatformStore();
+  const servers: SoakServer[] = [];
+  const runs: Run[] = [];
+  const orders: ReceivedOrder[] = [];
+  const keys = { valid: new Set(['key-1']), withdrawn: new Set<string>() };
+  let version = 0;
+  let serverCount = 0;
+  let sequence = 0;
+
+  const register = (server: SoakServer): void => {
+    const { address, bornMs, id, models, service, state } = server;
+    sequence += 1;
+    const timing = { cold_left_ms: 0, born: bornMs, seq: sequence };
+    const entry = { service, address, state, zone: 'fd-0', version: 'v1', slots: 200, ...timing };
+    store.put(`servers/${id}`, service === 'llm' ? { ...entry, models } : entry);
+  };
+
+  const LINE_READERS: Readonly<Record<string, (server: SoakServer, words: string[]) => void>> = {
+    listens: (server, [address = '']) => {
+      server.address = address;
+    },
+    ran: (server, [attemptId = '', run = '', lastEventId]) =>
+      runs.push({ attemptId, run, lastEventId: Number(lastEventId), server }),
+    order: (server, [holder = '', fence, models = '[]']) => {
+      server.models = JSON.parse(models);
+      orders.push({
+        atMs: performance.now(),
+        serverId: server.id,
+        holder,
+        fence: Number(fence),
+      });
+    },
+  };
+
+  const startServer = async (service: SoakService, knownId?: string): Promise<SoakServer> => {
+    serverCount += 1;
+    const id = knownId ?? `s${serverCount}`;
+    const started = spawnProgram(id, SERVER_PROGRAM, ['--id', id, '--host', SERVER_HOST]);
+    const server: SoakServer = {
+      ...{ id, service, process: started, bornMs: Date.now(), address: '', state: 'ready' },
+      models: [{ name: 'm0', version: 1, adapters: [] }],
+      killedAtMs: Number.POSITIVE_INFINITY,
+    };
+    let rest = '';
+    started.child.stdout?.on('data', (chunk: Buffer) => {
+      const lines = (rest + chunk.toString()).split('\n');
+      rest = lines.pop() ?? '';
+      lines.forEach((line) => {
+        const [kind = '', ...words] = line.split(' ');
+        LINE_READERS[kind]?.(server, words);
+      });
+    });
+    await waitFor(`server ${id} listens: ${started.getOutput()}`, () => server.address !== '');
+    servers.push(server);
+    register(server);
+    return server;
+  };
+
+  const killServer = (server: SoakServer): void => {
+    server.killedAtMs = performance.now();
+    server.process.child.kill('SIGKILL');
+    setTimeout(() => {
+      const isReplaced = servers.some(
+        ({ id, killedAtMs }) => id === server.id && killedAtMs === Number.POSITIVE_INFINITY,
+      );
+      if (!isReplaced) {
+        store.remove(`servers/${server.id}`);
+      }
+    }, ENTRY_LIFETIME_MS);
+  };
+
+  const configure = (streamTimeoutMs = 6_000): void => {
+    version += 1;
+    store.put('op/config', createSoakConfiguration(version, [...keys.valid], streamTimeoutMs));
+  };
+
+  const startLife = (vm: SoakVm): VmLife => {
+    const { metricsAddress, name, settingsPath } = vm;
+    const args = ['--metrics-port', metricsAddress.split(':')[1]!];
+    const started = spawnProgram(name, PROGRAM, args, { [SETTINGS_VARIABLE]: settingsPath });
+    const life: VmLife = {
+      ...{ vmName: name, process: started, startedAtMs: performance.now(), endSignals: [] },
+      endedAtMs: Number.POSITIVE_INFINITY,
+      readyAtMs: Number.POSITIVE_INFINITY,
+    };
+    started.child.stdout?.on('data', () => {
+      if (life.readyAtMs === Number.POSITIVE_INFINITY && started.getOutput().includes(READY_TEXT)) {
+        life.readyAtMs = performance.now();
+      }
+    });
+    void once(started.child, 'exit').then(() => {
+      life.endedAtMs = performance.now();
+    });
+    vm.lives.push(life);
+    return life;
+  };
+
+  await Promise.all(
+    Object.entries(SERVERS_BY_SERVICE).flatMap(([service, count]) =>
+      Array.from({ length: count }, () => startServer(service as SoakService)),
+    ),
+  );
+  configure();
+  const heartbeat = setInterval(() => {
+    if (!store.isDown) {
+      servers.filter(({ killedAtMs }) => killedAtMs === Infinity).forEach(register);
+    }
+  }, HEARTBEAT_MS);
+  const vms = await Promise.all(
+    Array.from({ length: vmCount }, (_, i) => createVm(`vm-${i + 1}`, i, store.address)),
+  );
+  vms.forEach(startLife);
+  const fleet: EntryFleet = {
+    ...{ store, vms, servers, runs, orders, keys, storeDisruptions: [] },
+    ...{ configure, startServer, killServer, startLife, getVersion: () => version },
+    saveLogs: () => {
+      const logFolder = mkdtempSync(join(tmpdir(), 'entry-soak-logs-'));
+      vms
+        .flatMap(({ lives }) => lives)
+        .forEach(({ process, vmName }, i) =>
+          writeFileSync(join(logFolder, `${vmName}-${i}.log`), process.getOutput()),
+        );
+      return logFolder;
+    },
+    close: async () => {
+      clearInterval(heartbeat);
+      const processes = [
+        ...vms.flatMap(({ lives }) => lives.map((life) => life.process)),
+        ...servers.map((server) => server.process),
+      ];
+      await Promise.all(processes.filter(isRunning).map((started) => endProcess(started)));
+      await store.close();
+    },
+  };
+  await waitFor('all VMs are ready', async () =>
+    (await Promise.all(vms.map(isVmReady))).every(Boolean),
+  );
+  return fleet;
+}
