Hold whole answers within one account of the VM's memory

Cause: bytes were bounded for each answer, not for the VM, and were held twice while the chunks were joined.

Change: vmMemory.ts, in place of bodyMemory.ts, has a share of limits.memory_mb for each purpose and a table of what a holder does when it is used up: bodies of requests are rejected as before, whole answers are forwarded as they arrive at the pace of their callers, like those over 1 MB. What a caller has not read counts until its response has closed. turnPacer.ts spreads reading over turns, and keeps turns short while connections arrive. Streams take from the account too: they wait unread while their share is used up.

--- a/src/transport/entry/answers.ts
+++ b/src/transport/entry/answers.ts
@@ -14,6 +14,7 @@
 import { isAnswerHead } from '../../protocol/httpText.js';
 import { Diagnostics } from '../../state/diagnostics.js';
 import { DispatchSignal } from '../../state/runState.js';
+import { type HeldMemory, MemoryPurpose } from '../vmMemory.js';
 import {
   advanceAttempt,
   type Attempt,
@@ -34,6 +35,8 @@
 const EVENT_STREAM_PATTERN = /^text\/event-stream\b/i;
 /** Larger responses are forwarded as they arrive. If one is cut off, the caller's connection is closed. */
 const MAX_BUFFERED_BYTES = 1_048_576;
+/** Of an answer that brings this much at once, more is read in a later turn of the loop: Node.js would read up to 2 MB in this one. */
+const MAX_READ_BYTES = 32_768;
 /** Longest body of a response. */
 const MAX_ANSWER_BYTES = 67_108_864;
 /** Longest event of a stream. */
@@ -89,7 +92,12 @@
 }
 
 /** Why a response is not read for now. */
-const PauseReason = { SlowCaller: 'slowCaller', Pace: 'pace' } as const;
+const PauseReason = {
+  SlowCaller: 'slowCaller',
+  Pace: 'pace',
+  Turn: 'turn',
+  Memory: 'memory',
+} as const;
 type PauseReason = (typeof PauseReason)[keyof typeof PauseReason];
 
 /** Stops reading a response, and returns the function that ends this. It is read again once no reason is left. */
@@ -109,12 +117,54 @@
   };
 }
 
+/** Lets other connections have their turn after much of a response was read. */
+function leaveTurn(attempt: Attempt, response: IncomingMessage, chunk: Buffer): void {
+  if (chunk.length >= MAX_READ_BYTES && !attempt.pauseReasons.has(PauseReason.Turn)) {
+    attempt.context.turnPacer.schedule(pauseResponse(attempt, response, PauseReason.Turn));
+  }
+}
+
+/** Stops reading a stream while what all streams hold leaves no room for more. */
+function keepMemory(attempt: Attempt, response: IncomingMessage, held: HeldMemory): void {
+  let resume = (): void => {};
+  const isWaiting = held.mustWait(() => {
+    // The server was not read meanwhile, so its silence does not count.
+    recordProgress(attempt);
+    resume();
+  });
+  if (isWaiting) {
+    resume = pauseResponse(attempt, response, PauseReason.Memory);
+  }
+}
+
+/** Returns memory that is given back when the answer to the caller has ended, so that what a slow caller has not read counts. */
+function holdForCaller({ context, exchange }: Attempt, purpose: MemoryPurpose): HeldMemory {
+  const held = context.vmMemory.hold(purpose);
+  if (exchange.response.closed) {
+    held.release();
+  } else {
+    exchange.response.once('close', held.release);
+  }
+  return held;
+}
+
 /** Writes bytes to the caller, and pauses reading from the server while the caller reads too slowly. */
-function writeWithBackpressure(attempt: Attempt, response: IncomingMessage, bytes: Buffer): void {
+function writeWithBackpressure(
+  attempt: Attempt,
+  response: IncomingMessage,
+  bytes: Buffer,
+  onDrained: () => void = () => {},
+): void {
   const caller = attempt.exchange.response;
-  if (!caller.write(bytes)) {
-    caller.once('drain', pauseResponse(attempt, response, PauseReason.SlowCaller));
+  if (caller.write(bytes)) {
+    onDrained();
+    return;
   }
+  const resume = pauseResponse(attempt, response, PauseReason.SlowCaller);
+  caller.once('drain', () => {
+    onDrained();
+    attempt.context.turnPacer.schedule(resume);
+  });
 }
 
 /** Pauses a stream that has brought many events at once, if all such streams together have brought more than they may. */
@@ -198,6 +248,7 @@
   attempt: Attempt,
   response: IncomingMessage,
   frames: readonly EventFrame[],
+  onDrained: () => void,
 ): void {
   const unplacedIndex = frames.findIndex((frame) => isUnplaced(attempt, frame));
   const placed = unplacedIndex < 0 ? frames : frames.slice(0, unplacedIndex);
@@ -205,7 +256,8 @@
   if (taken.length > 0) {
     startAnswer(attempt, response);
     const bytes = taken.map((frame) => frame.bytes);
-    writeWithBackpressure(attempt, response, bytes.length === 1 ? bytes[0]! : Buffer.concat(bytes));
+    const joined = bytes.length === 1 ? bytes[0]! : Buffer.concat(bytes);
+    writeWithBackpressure(attempt, response, joined, onDrained);
   }
   if (placed !== frames) {
     rejectAnswer(attempt);
@@ -217,6 +269,10 @@
   let receivedBytes = 0;
   let idleBytes = 0;
   const isComplete = createCompletenessCheck(response);
+  const caller = attempt.exchange.response;
+  const held = holdForCaller(attempt, MemoryPurpose.Streams);
+  const countHeld = (): void => held.resize(reader.getIncompleteLength() + caller.writableLength);
+  keepMemory(attempt, response, held);
   response.on('data', (chunk: Buffer) => {
     if (attempt.isSettled) {
       return;
@@ -231,8 +287,11 @@
       idleBytes = 0;
     }
     idleBytes += idleFrames.reduce((sum, { bytes }) => sum + bytes.length, 0);
-    forwardEvents(attempt, response, frames);
+    forwardEvents(attempt, response, frames, countHeld);
     keepPace(attempt, response, frames.length);
+    leaveTurn(attempt, response, chunk);
+    countHeld();
+    keepMemory(attempt, response, held);
     if (reader.getIncompleteLength() > MAX_EVENT_BYTES) {
       rejectTooLarge(attempt, MAX_EVENT_BYTES);
     } else if (idleBytes > MAX_IDLE_BYTES) {
@@ -241,6 +300,8 @@
       rejectTooLarge(attempt, MAX_ANSWER_BYTES);
     }
   });
+  // What a slow caller has not read yet still counts.
+  response.once('close', () => held.resize(caller.writableLength));
   response.on('end', () => {
     if (attempt.isSettled) {
       return;
@@ -262,6 +323,7 @@
   const { context, exchange } = attempt;
   const chunks: Buffer[] = [];
   const isComplete = createCompletenessCheck(response);
+  const held = holdForCaller(attempt, MemoryPurpose.Answers);
   let receivedBytes = 0;
   let isForwarding = false;
   response.on('data', (chunk: Buffer) => {
@@ -279,10 +341,19 @@
       return;
     }
     chunks.push(chunk);
-    if (receivedBytes > MAX_BUFFERED_BYTES) {
+    leaveTurn(attempt, response, chunk);
+    if (receivedBytes > MAX_BUFFERED_BYTES || !held.add(chunk.length)) {
       isForwarding = true;
       startAnswer(attempt, response);
-      chunks.splice(0).forEach((buffered) => writeWithBackpressure(attempt, response, buffered));
+      writeWithBackpressure(attempt, response, Buffer.concat(chunks.splice(0)), () =>
+        held.resize(0),
+      );
+    }
+  });
+  response.once('close', () => {
+    if (exchange.bufferedAnswer?.attempt !== attempt.command.attempt && !attempt.isBodyRead) {
+      chunks.length = 0;
+      held.release();
     }
   });
   response.on('end', () => {
@@ -306,7 +377,7 @@
         attempt,
         status,
         headers,
-        Buffer.concat(chunks),
+        Buffer.concat(chunks.splice(0)),
         isFramed(exchange, response),
       );
     });
--- a/src/transport/entry/attempt.ts
+++ b/src/transport/entry/attempt.ts
@@ -16,11 +16,13 @@
 import { advanceRunState, DispatchSignal } from '../../state/runState.js';
 import { RunState } from '../../state/types.js';
 import { MAX_INFORMATIONAL_RESPONSES, splitAddress } from '../httpCall.js';
+import type { VmMemory } from '../vmMemory.js';
 import type { BackendAgents } from './backendAgent.js';
 import type { EventPacer } from './eventPacer.js';
 import { type ForwardExchange, isAnswerBegun } from './exchange.js';
 import { runAfterUnreadData } from './loopDelay.js';
 import { postStatement } from './serverStatements.js';
+import type { TurnPacer } from './turnPacer.js';
 import type { AnswerHead, EntryWire } from './wire.js';
 
 /** Longest head of a response. */
@@ -41,6 +43,9 @@
   readonly isBehind: () => boolean;
   /** Shared by the streams of all attempts. */
   readonly eventPacer: EventPacer;
+  readonly vmMemory: VmMemory;
+  /** Shared by the answers of all attempts. */
+  readonly turnPacer: TurnPacer;
 }
 
 /** An attempt in progress. */
--- a/src/transport/entry/entryDaemon.ts
+++ b/src/transport/entry/entryDaemon.ts
@@ -22,11 +22,11 @@
 import { RunStatus } from '../../state/types.js';
 import { createStoreMirror } from '../../state/entry/storeMirror.js';
 import { createRandom, nextRandom } from '../../state/random.js';
-import { createBodyMemory } from '../bodyMemory.js';
 import { createControllerLease } from '../controllerLease.js';
 import type { PrefixStore } from '../keyValueStore.js';
 import { listen } from '../listen.js';
 import { createMetrics } from '../metrics.js';
+import { createVmMemory } from '../vmMemory.js';
 import { createBackendAgents } from './backendAgent.js';
 import { createCallerConnections } from './callerConnections.js';
 import { createEntryCommandExecutor } from './commandTable.js';
@@ -49,6 +49,7 @@
   createWatchContext,
 } from './storeWatches.js';
 import { createSuspensionDetector } from './suspensionDetector.js';
+import { createTurnPacer } from './turnPacer.js';
 import { createVmRegistration } from './vmRegistration.js';
 import type { EntryWire } from './wire.js';
 
@@ -58,8 +59,6 @@
 /** Fraction of the remaining descriptors that may be used for connections of callers. */
 const CALLER_DESCRIPTOR_FRACTION = 0.7;
 const MIN_CALLER_CONNECTIONS = 256;
-/** Fraction of the VM's memory for the bodies of requests. */
-const BODY_MEMORY_FRACTION = 0.2;
 const BYTES_PER_MB = 1_048_576;
 /** Time limit for deleting this VM's registration when the process ends. */
 const DEREGISTRATION_TIMEOUT_MS = 300;
@@ -123,6 +122,8 @@
   const mirror = createStoreMirror(createConfigurationGuard(wire, decodeConfiguration));
   const metrics = createMetrics();
   const agents = createBackendAgents();
+  const turnPacer = createTurnPacer();
+  const vmMemory = createVmMemory(settings.memoryMb * BYTES_PER_MB);
   const peers = createEntryPeerClient();
   const current: { limits: CallerLimits | null; isReady: boolean } = {
     limits: null,
@@ -178,9 +179,10 @@
     getLimits: () => current.limits,
     isShuttingDown: () => isShuttingDown(state),
     maxConnections: getMaxCallerConnections(settings.maxDescriptors),
-    bodyMemory: createBodyMemory(settings.memoryMb * BODY_MEMORY_FRACTION * BYTES_PER_MB),
+    vmMemory,
     loopDelay,
   });
+  server.on('connection', turnPacer.recordConnection);
   const readyServer = createReadinessServer(wire.readyPath, () => current.isReady);
   const createReplyId = createIdGenerator('reply');
   const peerServer = createEntryPeerServer({
@@ -252,6 +254,8 @@
       wire,
       isBehind: loopDelay.isBehind,
       eventPacer: createEventPacer(getNowMs),
+      vmMemory,
+      turnPacer,
     },
     peers,
     peerCalls,
--- a/src/transport/entry/forwardServer.ts
+++ b/src/transport/entry/forwardServer.ts
@@ -18,8 +18,8 @@
 import { createDiagnostic, type Diagnostic, Diagnostics } from '../../state/diagnostics.js';
 import type { CallerLimits } from '../../state/entry/deployment.js';
 import { RunStatus } from '../../state/types.js';
-import type { BodyMemory } from '../bodyMemory.js';
 import { readBody } from '../requestBody.js';
+import { MemoryPurpose, type VmMemory } from '../vmMemory.js';
 import type { CallerConnections } from './callerConnections.js';
 import { closeIfIdle, handleConnectionError } from './connectionChecks.js';
 import type { EntryLogWriter } from './entryLog.js';
@@ -56,7 +56,7 @@
   /** Returns true during a graceful shutdown: every response then closes its connection. */
   readonly isShuttingDown: () => boolean;
   readonly maxConnections: number;
-  readonly bodyMemory: BodyMemory;
+  readonly vmMemory: VmMemory;
   readonly loopDelay: Pick<LoopDelayMonitor, 'getDelayMs' | 'isBehind'>;
 }
 
@@ -229,10 +229,10 @@
   context.wire.decodeRequestHead(request.url ?? '/', request.rawHeaders).caseOf({
     Left: (diagnostic) => sendRefusal(context, response, diagnostic),
     Right: (head) => {
-      const { bodyMemory } = context;
-      const held = bodyMemory.hold();
+      const maxHeldBytes = context.vmMemory.getMaxBytes(MemoryPurpose.RequestBodies);
+      const held = context.vmMemory.hold(MemoryPurpose.RequestBodies);
       response.once('close', held.release);
-      const body = readBody(request, limits.maxBodyBytes, held, bodyMemory.maxBytes);
+      const body = readBody(request, limits.maxBodyBytes, held, maxHeldBytes);
       void body.then((result) => {
         result.caseOf({
           Left: (diagnostic) => sendRefusal(context, response, diagnostic),
--- a/src/transport/requestBody.ts
+++ b/src/transport/requestBody.ts
@@ -4,10 +4,12 @@
 import type { IncomingMessage } from 'node:http';
 import { Either, Left, Right } from 'purify-ts';
 import { createDiagnostic, type Diagnostic, Diagnostics } from '../state/diagnostics.js';
-import type { HeldBody } from './bodyMemory.js';
+import type { HeldMemory } from './vmMemory.js';
+
+type BodyMemory = Pick<HeldMemory, 'add' | 'canAdd' | 'release'>;
 
 /** Memory without a limit. */
-const UNLIMITED: HeldBody = { add: () => true, canAdd: () => true, release: () => {} };
+const UNLIMITED: BodyMemory = { add: () => true, canAdd: () => true, release: () => {} };
 
 /**
  * Reads the body of a request. Left is `BodyTooLarge`, at once, or `MemoryExhausted`, once the rest of the body has been read and dropped, since
@@ -16,7 +18,7 @@
 export function readBody(
   request: IncomingMessage,
   maxBytes: number,
-  held: HeldBody = UNLIMITED,
+  held: BodyMemory = UNLIMITED,
   maxHeldBytes = Number.POSITIVE_INFINITY,
 ): Promise<Either<Diagnostic, Buffer>> {
   return new Promise((resolve) => {
--- a/tests/entry/answerEnds.test.ts
+++ b/tests/entry/answerEnds.test.ts
@@ -11,6 +11,8 @@
 import { type DispatchCommand, startAttempt } from '../../src/transport/entry/attempt.js';
 import { createBackendAgents } from '../../src/transport/entry/backendAgent.js';
 import { createForwardExchange } from '../../src/transport/entry/exchange.js';
+import { createTurnPacer } from '../../src/transport/entry/turnPacer.js';
+import { createVmMemory } from '../../src/transport/vmMemory.js';
 
 const CUT_OFF_MS = 5_000;
 /** The longest body, and what the buffers of the sockets hold beyond it. */
@@ -99,6 +101,8 @@
     wire: PLATFORM_WIRE,
     isBehind: () => false,
     eventPacer: { take: () => 0 },
+    turnPacer: createTurnPacer(),
+    vmMemory: createVmMemory(Number.POSITIVE_INFINITY),
   };
   const server = http.createServer((request, response) => {
     const body = Buffer.alloc(0);
--- a/tests/entry/brokenStreams.test.ts
+++ b/tests/entry/brokenStreams.test.ts
@@ -14,6 +14,8 @@
 import { type DispatchCommand, startAttempt } from '../../src/transport/entry/attempt.js';
 import { createBackendAgents } from '../../src/transport/entry/backendAgent.js';
 import { abortForwardAnswer, createForwardExchange } from '../../src/transport/entry/exchange.js';
+import { createTurnPacer } from '../../src/transport/entry/turnPacer.js';
+import { createVmMemory } from '../../src/transport/vmMemory.js';
 
 const ERROR_TEXT = 'an error of the server';
 const FIRST_EVENTS = 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n';
@@ -73,6 +75,8 @@
     getNowMs: () => performance.now(),
     isBehind: () => false,
     eventPacer: { take: () => 0 },
+    turnPacer: createTurnPacer(),
+    vmMemory: createVmMemory(Number.POSITIVE_INFINITY),
   };
   const context = { post, ...clocks, agents, wire: PLATFORM_WIRE };
   const server = http.createServer((request, response) => {
--- a/tests/entry/callerLeaves.test.ts
+++ b/tests/entry/callerLeaves.test.ts
@@ -18,10 +18,10 @@
 import { ForwardPhase } from '../../src/coordination/entry/state.js';
 import { createDiagnostic, Diagnostics } from '../../src/state/diagnostics.js';
 import { RunState } from '../../src/state/types.js';
-import { createBodyMemory } from '../../src/transport/bodyMemory.js';
 import { createCallerConnections } from '../../src/transport/entry/callerConnections.js';
 import { createForwardServer } from '../../src/transport/entry/forwardServer.js';
 import type { ForwardExchange } from '../../src/transport/entry/exchange.js';
+import { createVmMemory } from '../../src/transport/vmMemory.js';
 import { wait } from '../stand-ins/entryVms.js';
 import {
   createPeerMessage,
@@ -178,7 +178,7 @@
     getLimits: () => createTestDeployment().limits,
     isShuttingDown: () => false,
     maxConnections: 10,
-    bodyMemory: createBodyMemory(Number.POSITIVE_INFINITY),
+    vmMemory: createVmMemory(Number.POSITIVE_INFINITY),
     loopDelay: { getDelayMs: () => loopDelayMs, isBehind: () => loopDelayMs > 0 },
   });
   await new Promise<void>((resolve) => {
--- a/tests/entry/lateDispatch.test.ts
+++ b/tests/entry/lateDispatch.test.ts
@@ -7,7 +7,6 @@
 import { afterEach, describe, expect, it } from 'vitest';
 import { PLATFORM_WIRE } from '../../platform/wire.js';
 import { type EntryEvent, EntryEventKind } from '../../src/coordination/entry/events.js';
-import { createBodyMemory } from '../../src/transport/bodyMemory.js';
 import { handleAnswer } from '../../src/transport/entry/answers.js';
 import {
   type AttemptContext,
@@ -18,6 +17,8 @@
 import type { ForwardExchange } from '../../src/transport/entry/exchange.js';
 import { createCallerConnections } from '../../src/transport/entry/callerConnections.js';
 import { createForwardServer } from '../../src/transport/entry/forwardServer.js';
+import { createTurnPacer } from '../../src/transport/entry/turnPacer.js';
+import { createVmMemory } from '../../src/transport/vmMemory.js';
 import { wait, waitUntil } from '../stand-ins/entryVms.js';
 import { createTestDeployment } from './fixtures.js';
 
@@ -119,6 +120,8 @@
     wire: PLATFORM_WIRE,
     isBehind,
     eventPacer: { take: () => 0 },
+    turnPacer: createTurnPacer(),
+    vmMemory: createVmMemory(Number.POSITIVE_INFINITY),
   };
   const server = createForwardServer({
     writeLog: () => {},
@@ -130,7 +133,7 @@
     getLimits: () => createTestDeployment().limits,
     isShuttingDown: () => false,
     maxConnections: 10,
-    bodyMemory: createBodyMemory(Number.POSITIVE_INFINITY),
+    vmMemory: createVmMemory(Number.POSITIVE_INFINITY),
     loopDelay: { getDelayMs: () => 0, isBehind },
   });
   closers.push(() => server.closeAllConnections());
--- a/tests/entry/refusedCalls.test.ts
+++ b/tests/entry/refusedCalls.test.ts
@@ -20,7 +20,9 @@
 import { type BackendAgents, createBackendAgents } from '../../src/transport/entry/backendAgent.js';
 import { probeAddress } from '../../src/transport/entry/backendProbe.js';
 import { createForwardExchange, type ForwardExchange } from '../../src/transport/entry/exchange.js';
+import { createTurnPacer } from '../../src/transport/entry/turnPacer.js';
 import { callHttp, type HttpCall } from '../../src/transport/httpCall.js';
+import { createVmMemory } from '../../src/transport/vmMemory.js';
 
 const NOW_MS = 1_000;
 const PORT_OUT_OF_RANGE = '127.0.0.1:99999';
@@ -97,6 +99,8 @@
         wire: PLATFORM_WIRE,
         isBehind: () => false,
         eventPacer: { take: () => 0 },
+        turnPacer: createTurnPacer(),
+        vmMemory: createVmMemory(Number.POSITIVE_INFINITY),
       };
       startAttempt({ ...DISPATCH, ...command }, exchange, context, () => {});
       expect(events).toMatchObject([
@@ -194,6 +198,8 @@
           wire: PLATFORM_WIRE,
           isBehind: () => false,
           eventPacer: { take: () => 0 },
+          turnPacer: createTurnPacer(),
+          vmMemory: createVmMemory(Number.POSITIVE_INFINITY),
         };
         const address = `127.0.0.1:${port}`;
         startAttempt({ ...DISPATCH, address, isStream }, exchange, context, handleAnswer);
--- a/tests/entry/replayedAnswers.test.ts
+++ b/tests/entry/replayedAnswers.test.ts
@@ -14,6 +14,8 @@
 import { type DispatchCommand, startAttempt } from '../../src/transport/entry/attempt.js';
 import { createBackendAgents } from '../../src/transport/entry/backendAgent.js';
 import { createForwardExchange } from '../../src/transport/entry/exchange.js';
+import { createTurnPacer } from '../../src/transport/entry/turnPacer.js';
+import { createVmMemory } from '../../src/transport/vmMemory.js';
 
 const DEADLINE_MS = 5_000;
 const REPLAY_DELAY_MS = 40;
@@ -104,6 +106,8 @@
     getNowMs: () => performance.now(),
     isBehind: () => false,
     eventPacer: { take: () => 0 },
+    turnPacer: createTurnPacer(),
+    vmMemory: createVmMemory(Number.POSITIVE_INFINITY),
   };
   const context = { post, ...clocks, agents, wire: PLATFORM_WIRE };
   const server = http.createServer((request, response) => {
--- a/tests/entry/timerLimits.test.ts
+++ b/tests/entry/timerLimits.test.ts
@@ -12,6 +12,8 @@
 import { type DispatchCommand, startAttempt } from '../../src/transport/entry/attempt.js';
 import { createBackendAgents } from '../../src/transport/entry/backendAgent.js';
 import { createForwardExchange } from '../../src/transport/entry/exchange.js';
+import { createTurnPacer } from '../../src/transport/entry/turnPacer.js';
+import { createVmMemory } from '../../src/transport/vmMemory.js';
 
 const DAY_MS = 86_400_000;
 
@@ -98,6 +100,8 @@
         wire,
         isBehind: () => false,
         eventPacer: { take: () => 0 },
+        turnPacer: createTurnPacer(),
+        vmMemory: createVmMemory(Number.POSITIVE_INFINITY),
       };
       startAttempt(command, exchange, context, () => {});
       await vi.advanceTimersByTimeAsync(800);
--- a/tests/fakes/frontServer.ts
+++ b/tests/fakes/frontServer.ts
@@ -7,7 +7,6 @@
 import { PLATFORM_WIRE } from '../../platform/wire.js';
 import { type EntryEvent, EntryEventKind } from '../../src/coordination/entry/events.js';
 import type { CallerLimits } from '../../src/state/entry/deployment.js';
-import { createBodyMemory } from '../../src/transport/bodyMemory.js';
 import {
   type CallerConnections,
   createCallerConnections,
@@ -17,6 +16,7 @@
   applyCallerTimeouts,
   createForwardServer,
 } from '../../src/transport/entry/forwardServer.js';
+import { createVmMemory, MEMORY_SHARES, MemoryPurpose } from '../../src/transport/vmMemory.js';
 import { createTestDeployment } from '../entry/fixtures.js';
 
 /** A line of the log. */
@@ -71,7 +71,7 @@
     getLimits: () => current.limits,
     isShuttingDown: () => behaviour.isShuttingDown,
     maxConnections: 100,
-    bodyMemory: createBodyMemory(maxHeldBytes),
+    vmMemory: createVmMemory(maxHeldBytes / MEMORY_SHARES[MemoryPurpose.RequestBodies].fraction),
     loopDelay: { getDelayMs: () => 0, isBehind: () => false },
   });
   applyCallerTimeouts(server, current.limits);
