Take an answer without framing whose connection was reset for broken off

What callers saw: a server that lives resets the connection of an answer without a length while data of it lies unread at the VM (a VM that is late, or paused by a slow caller).

Cause: for a reset that finds unread data the poll reports POLLHUP, and libuv ends the stream in order after a partial read, so that Node.js emits 'end' and no error. The class is the one that the callers of our own stream tests showed: an end reported by the runtime taken for an end sent by the peer. The probe of the server does not tell them apart, since it lives.

Change: when such an answer ends, the peer of its connection is asked for; a connection that was reset has none. Nothing is done for answers with a length or in chunks, whose framing shows the cut.

--- a/src/transport/entry/answers.ts
+++ b/src/transport/entry/answers.ts
@@ -88,15 +88,6 @@
   }
 }
 
-/**
- * Creates a check, to be called at the end of the body, of whether the response is complete or its connection failed.
- * The socket is read in advance because Node.js detaches it from the response before the `end` event.
- */
-function createCompletenessCheck(response: IncomingMessage): () => boolean {
-  const { socket } = response;
-  return () => response.complete && socket.errored === null;
-}
-
 /** Why a response is not read for now. */
 const PauseReason = {
   SlowCaller: 'slowCaller',
@@ -192,6 +183,25 @@
   return hasNoBody || hasFraming;
 }
 
+/**
+ * Creates a check, to be called at the end of the body, of whether the response is complete or its connection failed.
+ * The socket is read in advance because Node.js detaches it from the response before the `end` event.
+ */
+function createCompletenessCheck(
+  exchange: ForwardExchange,
+  response: IncomingMessage,
+): () => boolean {
+  const { socket } = response;
+  let isReset = false;
+  if (!isFramed(exchange, response)) {
+    // For a reset that finds unread data, libuv reports an end in order. Only a connection that was reset has no peer then.
+    socket.prependOnceListener('end', () => {
+      isReset = socket.remoteAddress === undefined;
+    });
+  }
+  return () => response.complete && socket.errored === null && !isReset;
+}
+
 /**
  * Calls `complete` for an answer whose body has ended. One that ends with its connection was broken off if its server has ended too: the
  * kernel closes the connections of a process that was killed in the same way as the process itself.
@@ -274,7 +284,7 @@
   const reader = createEventFrameReader();
   let receivedBytes = 0;
   let idleBytes = 0;
-  const isComplete = createCompletenessCheck(response);
+  const isComplete = createCompletenessCheck(attempt.exchange, response);
   const caller = attempt.exchange.response;
   const held = holdForCaller(attempt, MemoryPurpose.Streams);
   const countHeld = (): void => held.resize(reader.getIncompleteLength() + caller.writableLength);
@@ -328,7 +338,7 @@
 function bufferAnswer(attempt: Attempt, response: IncomingMessage): void {
   const { context, exchange } = attempt;
   const chunks: Buffer[] = [];
-  const isComplete = createCompletenessCheck(response);
+  const isComplete = createCompletenessCheck(attempt.exchange, response);
   const held = holdForCaller(attempt, MemoryPurpose.Answers);
   let receivedBytes = 0;
   let isForwarding = false;
--- a/tests/processes/cutStreams.test.ts
+++ b/tests/processes/cutStreams.test.ts
@@ -19,6 +19,8 @@
 const RESUMED_EVENTS = 100;
 const HEARTBEAT_MS = 500;
 const CUT_AFTER_MS = 1_500;
+/** Time in which data and the reset after it wait unread. */
+const UNREAD_MS = 200;
 const LONG_DEADLINE_MS = 20_000;
 
 let store: PlatformStore;
@@ -107,7 +109,8 @@
   cut: string;
   deadlineMs: number;
   protocol?: string;
-  run: () => void;
+  eventBytes?: number;
+  run: () => void | Promise<void>;
 }[] = [
   {
     cut: 'the grace period of a stop',
@@ -128,6 +131,18 @@
     deadlineMs: LONG_DEADLINE_MS,
     run: () => servers.forEach(({ child }) => child.kill('SIGKILL')),
   },
+  {
+    cut: 'a reset by the servers that the VM reads late',
+    deadlineMs: LONG_DEADLINE_MS,
+    eventBytes: 500,
+    run: async () => {
+      entry.vm.child.kill('SIGSTOP');
+      await wait(UNREAD_MS);
+      servers.forEach(({ child }) => child.kill('SIGUSR2'));
+      await wait(UNREAD_MS);
+      entry.vm.child.kill('SIGCONT');
+    },
+  },
   {
     cut: 'the end of the VM',
     deadlineMs: LONG_DEADLINE_MS,
@@ -142,13 +157,13 @@
 describe('a stream that is cut', () => {
   it.each(CASES)(
     'does not look complete to any caller: $cut, framing $framing',
-    async ({ deadlineMs, framing, protocol, run }) => {
-      await startServer('s1', framing, 20_000);
-      await startServer('s2', framing, 20_000);
+    async ({ deadlineMs, eventBytes = 20_000, framing, protocol, run }) => {
+      await startServer('s1', framing, eventBytes);
+      await startServer('s2', framing, eventBytes);
       await waitForStream();
       const streams = openStreams(deadlineMs, '/flow/x', protocol);
       await wait(CUT_AFTER_MS);
-      run();
+      await run();
       const results = await streams;
       const begun = results.filter(({ status }) => status === 200);
       expect(begun.length).toBeGreaterThan(CALLERS / 2);
