Reset the incomplete answers without framing when the process exits

Callers would see: an answer without framing that is still being written when the process exits ends in order, as if it were complete. That holds for each exit: after a stop, for an uncaught error before the handlers are set, when the loop stops, and for a rejected start.

Cause: process exit leaves the connections to the kernel, which ends them with FIN.

Change: a response that ends with its connection is kept in a set until all of it has been passed to the operating system. A listener of the process's `exit` resets the rest; Node.js closes a socket within the call, so this works there. It runs for each end but that by a signal (SIGKILL, the abort at the heap limit).

--- a/src/transport/entry/exchange.ts
+++ b/src/transport/entry/exchange.ts
@@ -9,7 +9,7 @@
 } from '../../protocol/entry/refusals.js';
 import { encodeRefusal } from '../../protocol/statusCodes.js';
 import type { Refusal } from '../../state/types.js';
-import { resetAnswer } from '../unframedAnswers.js';
+import { resetAnswer, watchUnframedAnswer } from '../unframedAnswers.js';
 import type { EntryWire } from './wire.js';
 
 /** A complete response that is buffered until the event loop decides whether to deliver it. */
@@ -111,6 +111,7 @@
   exchange.endsWithConnection = true;
   response.shouldKeepAlive = false;
   response.useChunkedEncodingByDefault = false;
+  watchUnframedAnswer(response);
 }
 
 /** Sends a response whose end is marked only by closing the connection. Whether its body is complete is not known. */
--- a/src/transport/unframedAnswers.ts
+++ b/src/transport/unframedAnswers.ts
@@ -1,9 +1,12 @@
 /**
- * Answers without framing, which end with their connections: only a reset shows a caller that one is incomplete.
+ * Answers without framing, which end with their connections: only a reset shows a caller that one is incomplete. The kernel ends the
+ * connections of a process in order when the process exits, so those of incomplete answers are reset before that.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
+const incompleteAnswers = new Set<ServerResponse>();
+
 /** Returns whether a caller's version of HTTP has no chunks, so that an answer of unknown length ends with its connection. */
 export function lacksChunks({ httpVersionMajor, httpVersionMinor }: IncomingMessage): boolean {
   return httpVersionMajor === 1 && httpVersionMinor === 0;
@@ -32,3 +35,15 @@
     resetConnection(socket);
   }
 }
+
+/** Resets the connection of an answer without framing if the process exits before the whole answer has been written. */
+export function watchUnframedAnswer(response: ServerResponse): void {
+  const forget = (): void => {
+    incompleteAnswers.delete(response);
+  };
+  incompleteAnswers.add(response);
+  response.once('finish', forget);
+  response.once('close', forget);
+}
+
+process.on('exit', () => incompleteAnswers.forEach(resetAnswer));
