--- a/tests/processes/cutStreams.test.ts
+++ b/tests/processes/cutStreams.test.ts
@@ -17,6 +17,8 @@
 const CALLERS = 60;
 const EVENTS = 400;
 const RESUMED_EVENTS = 100;
+const LIMIT_CALLERS = 6;
+const LIMIT_DEADLINE_MS = 8_000;
 const HEARTBEAT_MS = 500;
 const CUT_AFTER_MS = 1_500;
 const LONG_DEADLINE_MS = 20_000;
@@ -75,8 +77,9 @@
   deadlineMs: number,
   path = '/flow/x',
   protocol = 'HTTP/1.1',
+  count = CALLERS,
 ): Promise<StreamResult[]> {
-  const streams = Array.from({ length: CALLERS }, (_, i) =>
+  const streams = Array.from({ length: count }, (_, i) =>
     readStream(
       entry.address,
       [
@@ -107,6 +110,8 @@
   cut: string;
   deadlineMs: number;
   protocol?: string;
+  eventBytes?: number;
+  callers?: number;
   run: () => void;
 }[] = [
   {
@@ -123,6 +128,13 @@
     protocol: 'HTTP/1.0',
     run: () => {},
   },
+  {
+    cut: 'the limit on the length of an answer',
+    deadlineMs: LIMIT_DEADLINE_MS,
+    eventBytes: 500_000,
+    callers: LIMIT_CALLERS,
+    run: () => {},
+  },
   {
     cut: 'the end of the servers',
     deadlineMs: LONG_DEADLINE_MS,
@@ -142,16 +154,16 @@
 describe('a stream that is cut', () => {
   it.each(CASES)(
     'does not look complete to any caller: $cut, framing $framing',
-    async ({ deadlineMs, framing, protocol, run }) => {
-      await startServer('s1', framing, 20_000);
-      await startServer('s2', framing, 20_000);
+    async ({ callers = CALLERS, deadlineMs, eventBytes = 20_000, framing, protocol, run }) => {
+      await startServer('s1', framing, eventBytes);
+      await startServer('s2', framing, eventBytes);
       await waitForStream();
-      const streams = openStreams(deadlineMs, '/flow/x', protocol);
+      const streams = openStreams(deadlineMs, '/flow/x', protocol, callers);
       await wait(CUT_AFTER_MS);
       run();
       const results = await streams;
       const begun = results.filter(({ status }) => status === 200);
-      expect(begun.length).toBeGreaterThan(CALLERS / 2);
+      expect(begun.length).toBeGreaterThan(callers / 2);
       expect(begun.filter(looksComplete).map(({ eventIds }) => eventIds.length)).toEqual([]);
     },
   );
