Reset cut answers of plain services to HTTP/1.0 callers of gentiandeckd

Callers would see: an answer of a plain service without a length that breaks off halfway ends in order for an HTTP/1.0 caller, so that it looks complete. Streams of models end with [DONE] or an error event, and HTTP/1.1 callers get chunks.

Cause: the answer is closed whatever its framing is; to HTTP/1.0 it has none.

Change: such an answer is noted when it begins, reset when it is broken off, and reset when the process exits, by the module that gentiandeck-entry uses (transport/unframedAnswers.ts).

The daemon as a whole was not played with it.

--- a/src/transport/exchange.ts
+++ b/src/transport/exchange.ts
@@ -12,6 +12,7 @@
 import { encodeSse, SSE_DONE } from '../protocol/sse.js';
 import { encodeRefusal, getRefusalHeaders, getStatus } from '../protocol/statusCodes.js';
 import type { Refusal, RequestInfo } from '../state/types.js';
+import { lacksChunks, resetAnswer, watchUnframedAnswer } from './unframedAnswers.js';
 
 const HTTP_OK = 200;
 const MS_PER_SECOND = 1000;
@@ -49,6 +50,8 @@
    * earlier request.
    */
   bufferedAnswer: BufferedAnswer | null;
+  /** True if the answer ends with its connection, so that only a reset shows that it is incomplete. */
+  endsWithConnection: boolean;
   isEnded: boolean;
 }
 
@@ -66,6 +69,7 @@
     sumGapsMs: 0,
     cancelDispatch: null,
     bufferedAnswer: null,
+    endsWithConnection: false,
     isEnded: false,
   };
 }
@@ -75,6 +79,20 @@
   return exchange.response.headersSent;
 }
 
+/** Sends the head of an answer whose body follows piece by piece. */
+export function beginAnswer(
+  exchange: Exchange,
+  status: number,
+  headers: OutgoingHttpHeaders,
+): void {
+  exchange.response.writeHead(status, headers);
+  exchange.endsWithConnection =
+    lacksChunks(exchange.request) && headers['content-length'] === undefined;
+  if (exchange.endsWithConnection) {
+    watchUnframedAnswer(exchange.response);
+  }
+}
+
 /** Sends a complete answer and ends the exchange. */
 export function sendCompleteAnswer(
   exchange: Exchange,
@@ -118,6 +136,8 @@
   }
   if (exchange.completion?.isStreamed === true) {
     response.write(encodeSse(encodeRefusal(refusal)), () => response.destroy());
+  } else if (exchange.endsWithConnection) {
+    resetAnswer(response);
   } else {
     response.destroy();
   }
@@ -164,7 +184,7 @@
     return true;
   }
   if (!exchange.response.headersSent) {
-    exchange.response.writeHead(HTTP_OK, SSE_HEADERS);
+    beginAnswer(exchange, HTTP_OK, SSE_HEADERS);
   }
   const answerId = getAnswerId(exchange);
   const text =
--- a/src/transport/routeDispatch.ts
+++ b/src/transport/routeDispatch.ts
@@ -18,7 +18,7 @@
   recordSignal,
   sendDispatch,
 } from './dispatch.js';
-import { type Exchange, sendCompleteAnswer } from './exchange.js';
+import { beginAnswer, type Exchange, sendCompleteAnswer } from './exchange.js';
 
 const MAX_BUFFERED_BYTES = 262_144;
 const HTTP_NO_CONTENT = 204;
@@ -85,7 +85,7 @@
   const length = response.headers['content-length'];
   const framing = length === undefined ? {} : { 'content-length': length };
   postAnswerStarted(dispatch);
-  callerResponse.writeHead(response.statusCode ?? 0, { ...headers, ...framing });
+  beginAnswer(dispatch.exchange, response.statusCode ?? 0, { ...headers, ...framing });
   bufferedChunks.forEach((chunk) => callerResponse.write(chunk));
 }
 
--- a/tests/processes/unframedAnswers.test.ts
+++ b/tests/processes/unframedAnswers.test.ts
@@ -1,8 +1,13 @@
 /**
  * Tests that answers without framing are reset when they are broken off, whatever is still unsent, and when their process exits.
  */
+import http from 'node:http';
 import net, { type AddressInfo, Socket } from 'node:net';
 import { afterEach, describe, expect, it } from 'vitest';
+import { createRefusal } from '../../src/coordination/requestCompletion.js';
+import { createDiagnostic, Diagnostics } from '../../src/state/diagnostics.js';
+import { RunStatus, TargetKind } from '../../src/state/types.js';
+import { abortAnswer, beginAnswer, createExchange } from '../../src/transport/exchange.js';
 import { resetConnection } from '../../src/transport/unframedAnswers.js';
 import {
   endProcess,
@@ -26,9 +31,9 @@
   await Promise.all(closers.splice(0).map((close) => close()));
 });
 
-function readStreams(address: string, count: number): Promise<StreamResult[]> {
+function readStreams(address: string, count: number, head = HEAD): Promise<StreamResult[]> {
   return Promise.all(
-    Array.from({ length: count }, (_, index) => readStream(address, HEAD, index % 2 === 0)),
+    Array.from({ length: count }, (_, index) => readStream(address, head, index % 2 === 0)),
   );
 }
 
@@ -81,3 +86,26 @@
     },
   );
 });
+
+describe('an answer of a plain service that is broken off', () => {
+  it('is reset at every HTTP/1.0 caller', async () => {
+    const refusal = createRefusal(createDiagnostic(Diagnostics.Stopping), RunStatus.Unknown);
+    const server = http.createServer((request, response) => {
+      const target = { kind: TargetKind.Route, method: 'GET', path: '/' } as const;
+      const ids = { requestId: 'r', keyDigest: null, idempotencyDigest: null };
+      const info = { ...ids, target, priority: 5, timeoutMs: 1_000 };
+      const message = { request, response, body: Buffer.alloc(0), completion: null };
+      const exchange = createExchange({ ...message, info, createdAtMs: 0 });
+      beginAnswer(exchange, 200, {});
+      response.write('x'.repeat(20_000));
+      setTimeout(() => abortAnswer(exchange, refusal), CUT_AFTER_MS);
+    });
+    closers.push(() => server.close());
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+    const results = await readStreams(address, CALLERS, ['GET / HTTP/1.0']);
+    expect(results.filter(({ end }) => end !== StreamEnd.Reset)).toEqual([]);
+  });
+});
