Do not take a controller of gentiandeckd back to the fence of an earlier term

Engines saw orders with a lower fence after a higher one, or with a fence that an engine had refused: the daemon took the fence of any answer of the store, also of a renewal that was sent in an earlier term and answered late. A late answer also shortened the time for which the lease was relied on.

Change: a term that ended because its fence was refused, outdated or lost raises the lowest fence that is accepted, and so does each later term. A lease whose validity only ran out may still be renewed, as before: to reject that as well left models unreachable in tests/coordination/placement.test.ts (trial).

--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -54,6 +54,14 @@
   state.controller.plan = null;
 }
 
+/** Discards the lease and ignores later answers that name it. */
+function endTerm(state: VmState): void {
+  const { controller } = state;
+  controller.lowestFence =
+    controller.fence === null ? controller.lowestFence : controller.fence + 1;
+  discardLease(state);
+}
+
 function getRankInDomain(state: VmState, nowMs: number): number {
   return findLiveDomainMembers(state, nowMs).filter(({ vmId }) => vmId < state.self.vmId).length;
 }
@@ -228,13 +236,20 @@
   if (fence === null) {
     // A lease that is held remains valid until it expires, because the store may only be unreachable.
     if (event.isLost) {
-      discardLease(state);
+      endTerm(state);
     }
     return [];
   }
+  if (fence < controller.lowestFence) {
+    return [];
+  }
   const isNew = controller.fence !== fence;
+  const validUntilMs = sentAtMs + policy.controllerLeaseMs * LEASE_VALIDITY_FRACTION;
   controller.fence = fence;
-  controller.leaseValidUntilMs = sentAtMs + policy.controllerLeaseMs * LEASE_VALIDITY_FRACTION;
+  controller.lowestFence = fence;
+  controller.leaseValidUntilMs = isNew
+    ? validUntilMs
+    : Math.max(controller.leaseValidUntilMs, validUntilMs);
   if (!isNew) {
     return [];
   }
@@ -263,7 +278,7 @@
   }
   controller.planVersion = version;
   if (plan.fence > controller.fence!) {
-    discardLease(state);
+    endTerm(state);
     return [];
   }
   return writePlan(state, { ...plan, fence: controller.fence! });
@@ -326,7 +341,7 @@
     handleAcceptedOrder(state, server, orderId, nowMs),
   // Another controller has a higher fencing token.
   [OrderOutcome.Fenced]: (state, { server }) => {
-    discardLease(state);
+    endTerm(state);
     const text = 'An engine rejected an order because of an outdated fencing token.';
     return [createLog(LogLevel.Warn, LogPrefix.Placement, text, { server })];
   },
--- a/src/coordination/vmState.ts
+++ b/src/coordination/vmState.ts
@@ -150,6 +150,8 @@
 export interface ControllerState {
   /** Fencing token of the lease; null while this VM does not hold the lease. */
   fence: number | null;
+  /** Answers with a lower fencing token are late and belong to earlier terms. */
+  lowestFence: number;
   /** Time until which this VM relies on the lease. */
   leaseValidUntilMs: number;
   /** Time of the last attempt to acquire or renew the lease. */
@@ -256,6 +258,7 @@
     controller: {
       fence: null,
       leaseValidUntilMs: 0,
+      lowestFence: 0,
       leaseRequestedAtMs: nowMs,
       plan: null,
       planVersion: 0,
