Count what streams hold without pausing them, and show held bytes in the metrics

The change before paused streams while their share of memory was used up.

The reader of events joined a long event again with each of its chunks and searched the whole text for its end; it now keeps the chunks and joins them once. gentiandeck_held_bytes{purpose} shows what is held, so that operators see what a VM's memory is used for. tests/entry/vmMemory.test.ts: what is given back, twice or late.

--- a/src/protocol/entry/eventFrames.ts
+++ b/src/protocol/entry/eventFrames.ts
@@ -68,8 +68,19 @@
 /** Creates a reader for one stream. */
 export function createEventFrameReader(): EventFrameReader {
   let incomplete: Buffer = Buffer.alloc(0);
+  /** Chunks after `incomplete` that complete no event. */
+  let laterChunks: Buffer[] = [];
+  let laterBytes = 0;
   let isFirst = true;
 
+  /** Returns whether a chunk completes no event, by what may be part of a blank line before it. */
+  const completesNone = (chunk: Buffer): boolean => {
+    const last = laterChunks.at(-1) ?? incomplete;
+    const canJudge = last.length >= MAX_PARTIAL_BLANK_LINE_LENGTH;
+    const end = last.subarray(-MAX_PARTIAL_BLANK_LINE_LENGTH).toString('latin1');
+    return canJudge && findFrameEnd(end + chunk.toString('latin1'), 0) < 0;
+  };
+
   const decodeFrame = (text: string, start: number, end: number): FrameRange => {
     const hasMark = isFirst && text.startsWith(BYTE_ORDER_MARK);
     isFirst = false;
@@ -79,6 +90,17 @@
 
   return {
     addChunk: (chunk) => {
+      // A long event is joined once, not with each of its chunks.
+      if (completesNone(chunk)) {
+        laterChunks.push(chunk);
+        laterBytes += chunk.length;
+        return [];
+      }
+      if (laterBytes > 0) {
+        incomplete = Buffer.concat([incomplete, ...laterChunks]);
+        laterChunks = [];
+        laterBytes = 0;
+      }
       // The bytes received before hold no blank line, so a long event is not searched again with each chunk.
       let fromIndex = Math.max(0, incomplete.length - MAX_PARTIAL_BLANK_LINE_LENGTH);
       const bytes = incomplete.length === 0 ? chunk : Buffer.concat([incomplete, chunk]);
@@ -99,10 +121,11 @@
     },
     // What is left of a blank line belongs to the event before it.
     getIncompleteLength: () =>
+      laterBytes === 0 &&
       incomplete.length <= MAX_PARTIAL_BLANK_LINE_LENGTH &&
       LINE_ENDS_PATTERN.test(incomplete.toString('latin1'))
         ? 0
-        : incomplete.length,
+        : incomplete.length + laterBytes,
   };
 }
 
--- a/src/transport/entry/answers.ts
+++ b/src/transport/entry/answers.ts
@@ -96,7 +96,6 @@
   SlowCaller: 'slowCaller',
   Pace: 'pace',
   Turn: 'turn',
-  Memory: 'memory',
 } as const;
 type PauseReason = (typeof PauseReason)[keyof typeof PauseReason];
 
@@ -124,19 +123,6 @@
   }
 }
 
-/** Stops reading a stream while what all streams hold leaves no room for more. */
-function keepMemory(attempt: Attempt, response: IncomingMessage, held: HeldMemory): void {
-  let resume = (): void => {};
-  const isWaiting = held.mustWait(() => {
-    // The server was not read meanwhile, so its silence does not count.
-    recordProgress(attempt);
-    resume();
-  });
-  if (isWaiting) {
-    resume = pauseResponse(attempt, response, PauseReason.Memory);
-  }
-}
-
 /** Returns memory that is given back when the answer to the caller has ended, so that what a slow caller has not read counts. */
 function holdForCaller({ context, exchange }: Attempt, purpose: MemoryPurpose): HeldMemory {
   const held = context.vmMemory.hold(purpose);
@@ -272,7 +258,6 @@
   const caller = attempt.exchange.response;
   const held = holdForCaller(attempt, MemoryPurpose.Streams);
   const countHeld = (): void => held.resize(reader.getIncompleteLength() + caller.writableLength);
-  keepMemory(attempt, response, held);
   response.on('data', (chunk: Buffer) => {
     if (attempt.isSettled) {
       return;
@@ -291,7 +276,6 @@
     keepPace(attempt, response, frames.length);
     leaveTurn(attempt, response, chunk);
     countHeld();
-    keepMemory(attempt, response, held);
     if (reader.getIncompleteLength() > MAX_EVENT_BYTES) {
       rejectTooLarge(attempt, MAX_EVENT_BYTES);
     } else if (idleBytes > MAX_IDLE_BYTES) {
--- a/src/transport/entry/entryDaemon.ts
+++ b/src/transport/entry/entryDaemon.ts
@@ -205,6 +205,7 @@
     callerConnections,
     storeAccess,
     malformedEntries,
+    vmMemory,
     getNowMs,
   });
 
--- a/src/transport/entry/metricsServer.ts
+++ b/src/transport/entry/metricsServer.ts
@@ -7,6 +7,7 @@
 import { countHeldQuarantines } from '../../state/entry/quarantineTable.js';
 import { getRevisionInEra, getStoreEra } from '../../state/storeRevision.js';
 import type { Metrics } from '../metrics.js';
+import { MemoryPurpose, type VmMemory } from '../vmMemory.js';
 import type { CallerConnections } from './callerConnections.js';
 import type { EntryLog } from './entryLog.js';
 import type { LoopDelayMonitor } from './loopDelay.js';
@@ -31,6 +32,7 @@
   readonly peerCalls: PeerCallCounter;
   readonly callerConnections: CallerConnections;
   readonly malformedEntries: MalformedEntries;
+  readonly vmMemory: VmMemory;
   readonly storeAccess: VmStatusSources['storeAccess'];
   readonly getNowMs: () => number;
 }
@@ -69,11 +71,19 @@
     .join('');
 }
 
+/** Formats what the VM holds for each purpose. */
+function formatHeldBytes({ vmMemory }: MetricsSources): string {
+  const lines = Object.values(MemoryPurpose).map(
+    (purpose) => `gentiandeck_held_bytes{purpose="${purpose}"} ${vmMemory.getUsedBytes(purpose)}\n`,
+  );
+  return ['# TYPE gentiandeck_held_bytes gauge\n', ...lines].join('');
+}
+
 function formatMetrics(sources: MetricsSources): string {
   const { callerConnections, loopWork, metrics, peerCalls } = sources;
   const counters = [metrics, loopWork, peerCalls, callerConnections];
   const texts = counters.map((counter) => counter.formatPrometheus());
-  return [...texts, formatGauges(sources)].join('');
+  return [...texts, formatGauges(sources), formatHeldBytes(sources)].join('');
 }
 
 interface Page {
--- /dev/null
+++ b/tests/entry/vmMemory.test.ts
@@ -0,0 +1,42 @@
+/**
+ * Tests the account of the bytes that a VM holds.
+ */
+import { describe, expect, it } from 'vitest';
+import {
+  createVmMemory,
+  type HeldMemory,
+  MEMORY_SHARES,
+  MemoryPurpose,
+} from '../../src/transport/vmMemory.js';
+
+const SHARE_BYTES = 100;
+const PURPOSE = MemoryPurpose.Streams;
+
+/** Creates a memory whose share for streams has the given size. */
+function createMemory() {
+  return createVmMemory(SHARE_BYTES / MEMORY_SHARES[PURPOSE].fraction);
+}
+
+const ENDS = [
+  { name: 'one release', end: (held: HeldMemory) => held.release() },
+  { name: 'two releases', end: (held: HeldMemory) => [held.release(), held.release()] },
+  { name: 'a late addition', end: (held: HeldMemory) => [held.release(), held.add(5)] },
+  { name: 'a late change', end: (held: HeldMemory) => [held.release(), held.resize(5)] },
+];
+
+describe('the memory of a VM', () => {
+  it.each(ENDS)('has nothing left of a holder after $name', ({ end }) => {
+    const memory = createMemory();
+    const held = memory.hold(PURPOSE);
+    held.add(60);
+    end(held);
+    expect(memory.getUsedBytes(PURPOSE)).toBe(0);
+  });
+
+  it('gives no more than the share of a purpose, and leaves those of others', () => {
+    const memory = createMemory();
+    const held = memory.hold(PURPOSE);
+    expect([held.add(60), held.add(41), held.add(40)]).toEqual([true, false, true]);
+    expect(memory.hold(MemoryPurpose.Answers).add(50)).toBe(true);
+  });
+});
