Bound what unfinished heads and pipelined requests of all callers hold

Callers saw: 2,500 unfinished heads of 110 KB or 500 connections with 300 pipelined requests ended the process at its heap limit; 2,500 headers of 130 KB took it to 420 MB. An over-long head without an end cut the answer of an earlier request that was still open on its connection, or was not answered before the header timeout. Cause: the parser keeps unfinished heads up to 128 KB for each connection, and parses whole chunks of pipelined requests, each of which becomes several objects at once. rejectConnection destroyed connections with an open request. Change: callerReader.ts passes data to the parser in pieces that end with a head. It parses at most four unanswered requests of a connection (64 over all connections beyond the first of each), and those of one connection in a turn of the loop. A head that exceeds the configured limit and 16 KB for its request line is rejected with 431 at that size (503 before a configuration); the limit is read each time, so a change holds for open connections. inputMemory.ts bounds what all unfinished heads and unparsed data hold at 15% of the VM's memory; the connection that has held some for longest is rejected first, with 503. 431, 408 and 503 wait for the answers of requests that were read whole before them. Requests that were parsed are never dropped. Other bytes behind an open request still close the connection at once. The backend server of manyAtOnce.test.ts is a process of its own: in the test's process it was the bottleneck (the VM was idle for 1.5 s of 11.7 s while calls waited). The checks and bounds are as they were.

--- /dev/null
+++ b/src/transport/entry/callerReader.ts
@@ -0,0 +1,283 @@
+/**
+ * Passes what callers send to the HTTP parser of the server, in pieces that end with a head. A connection on which several
+ * requests have no answer yet is not parsed further, so that a caller that sends many requests at once waits behind itself and
+ * not before the others. A head that is too long is rejected before all of it is parsed.
+ */
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import { createInputMemory } from './inputMemory.js';
+
+/** Ends each head, and each body that is sent in chunks. */
+const HEAD_END = '\r\n\r\n';
+/** Shortest piece of a body in chunks, which may contain many empty lines. */
+const MIN_CHUNKED_PIECE_BYTES = 64;
+/** Requests of one connection that are parsed and not answered. */
+const MAX_UNANSWERED_REQUESTS = 4;
+/** Requests of all connections that are parsed while an earlier one of their connection is not answered. */
+const MAX_PIPELINED_REQUESTS = 64;
+/** Bytes of one connection that are read and not parsed; beyond them the end of the connection is not noticed either. */
+const MAX_UNPARSED_BYTES = 65_536;
+/** Memory per byte of a head of short lines, each of which the parser keeps as two strings. */
+const HELD_BYTES_PER_HEAD_BYTE = 12;
+/** What the strings of a head hold besides their text; the parser keeps 1,000 lines at most. */
+const MAX_HEAD_OVERHEAD_BYTES = 96_000;
+
+/** Dependencies of a reader. */
+export interface CallerReaderContext {
+  /** Bound for the unfinished heads and the unparsed data of all connections together. */
+  readonly maxInputBytes: number;
+  /** Returns the longest head, in bytes from its request line to its empty line. */
+  readonly getMaxHeadBytes: () => number;
+  /** Called once with a connection whose head is longer, after its reading has stopped. */
+  readonly onOverlongHead: (socket: Socket) => void;
+  /** Called once with a connection whose data there is no memory for, after its reading has stopped. */
+  readonly onExhausted: (socket: Socket) => void;
+}
+
+/** Reads the connections of callers. */
+export interface CallerReader {
+  /** Records that the head of a request was parsed. */
+  readonly addRequest: (request: IncomingMessage, response: ServerResponse) => void;
+  /** Returns whether data has been read that belongs to a request whose head is not parsed yet. */
+  readonly hasUnparsedData: (socket: Socket) => boolean;
+  /** Drops all further data of a connection. */
+  readonly stop: (socket: Socket) => void;
+  /** Calls back once all requests that were parsed whole are answered, on a connection whose reading has stopped. */
+  readonly onAnswered: (socket: Socket, callback: () => void) => void;
+}
+
+interface Connection {
+  readonly socket: Socket;
+  /** Passes data to the parser. */
+  readonly parse: (data: Buffer) => void;
+  /** Data that was read and is not parsed yet. */
+  unparsed: Buffer | null;
+  /** Bytes of the unfinished head that were parsed. */
+  headBytes: number;
+  latest: IncomingMessage | null;
+  requestCount: number;
+  unansweredCount: number;
+  /** Bytes of the body of the latest request that are not parsed; null for a body in chunks. */
+  bodyBytesLeft: number | null;
+  isParsing: boolean;
+  isPaused: boolean;
+  isStopped: boolean;
+  onAnswered: (() => void) | null;
+}
+
+function isInBody({ latest }: Connection): boolean {
+  return latest !== null && !latest.complete;
+}
+
+/** Returns the end of the next piece of data. */
+function findPieceEnd(connection: Connection, data: Buffer, start: number): number {
+  const { bodyBytesLeft } = connection;
+  const isBody = isInBody(connection);
+  if (isBody && bodyBytesLeft !== null && bodyBytesLeft > 0) {
+    return Math.min(data.length, start + bodyBytesLeft);
+  }
+  const index = data.indexOf(HEAD_END, isBody ? start + MIN_CHUNKED_PIECE_BYTES : start, 'latin1');
+  return index < 0 ? data.length : index + HEAD_END.length;
+}
+
+function isHeadEnd(data: Buffer, end: number): boolean {
+  return data.toString('latin1', Math.max(0, end - HEAD_END.length), end) === HEAD_END;
+}
+
+function getHeldBytes({ headBytes, unparsed }: Connection): number {
+  const overheadBytes = headBytes * (HELD_BYTES_PER_HEAD_BYTE - 1);
+  const unparsedBytes = unparsed === null ? 0 : unparsed.buffer.byteLength;
+  return headBytes + Math.min(overheadBytes, MAX_HEAD_OVERHEAD_BYTES) + unparsedBytes;
+}
+
+/** Starts to read the connections of a server. */
+export function createCallerReader(context: CallerReaderContext, server: Server): CallerReader {
+  const { getMaxHeadBytes, maxInputBytes, onExhausted, onOverlongHead } = context;
+  const connections = new WeakMap<Socket, Connection>();
+  /** Connections whose kept data may be parsed, in the order in which their requests were answered. */
+  const waiting = new Set<Connection>();
+
+  let pipelinedCount = 0;
+  let isScheduled = false;
+
+  const isBusy = (connection: Connection): boolean => {
+    const { unansweredCount } = connection;
+    const mayPipeline = pipelinedCount < MAX_PIPELINED_REQUESTS;
+    return unansweredCount >= (mayPipeline ? MAX_UNANSWERED_REQUESTS : 1) && !isInBody(connection);
+  };
+
+  const drop = (socket: Socket): void => {
+    const connection = connections.get(socket);
+    if (connection === undefined) {
+      return;
+    }
+    connection.isStopped = true;
+    connection.unparsed = null;
+    connection.headBytes = 0;
+    if (connection.isPaused) {
+      connection.isPaused = false;
+      socket.resume();
+    }
+  };
+  const inputMemory = createInputMemory(maxInputBytes, (socket) => {
+    drop(socket);
+    onExhausted(socket);
+  });
+  const stop = (socket: Socket): void => {
+    drop(socket);
+    inputMemory.hold(socket, 0);
+  };
+
+  const parsePiece = (connection: Connection, data: Buffer, start: number, end: number): void => {
+    const { bodyBytesLeft, requestCount, socket } = connection;
+    const isBody = isInBody(connection);
+    const isEnd = isHeadEnd(data, end);
+    const sizeBytes = end - start;
+    if (!isBody && !isEnd && connection.headBytes + sizeBytes > getMaxHeadBytes()) {
+      stop(socket);
+      onOverlongHead(socket);
+      return;
+    }
+    if (isBody && bodyBytesLeft !== null) {
+      connection.bodyBytesLeft = bodyBytesLeft - sizeBytes;
+    }
+    connection.parse(sizeBytes === data.length ? data : data.subarray(start, end));
+    if (connection.requestCount > requestCount) {
+      connection.headBytes = 0;
+    }
+    const isHead = !isEnd && !isInBody(connection) && !(isBody && bodyBytesLeft !== null);
+    connection.headBytes += isHead && !connection.isStopped ? sizeBytes : 0;
+  };
+
+  /** Parses data until requests have to be answered first, and keeps the rest. */
+  const parseAll = (connection: Connection, data: Buffer): void => {
+    const { socket } = connection;
+    let start = 0;
+    connection.isParsing = true;
+    const mayGoOn = (): boolean => !connection.isStopped && !socket.destroyed;
+    while (start < data.length && mayGoOn() && !socket.isPaused() && !isBusy(connection)) {
+      const end = findPieceEnd(connection, data, start);
+      parsePiece(connection, data, start, end);
+      start = end;
+    }
+    connection.isParsing = false;
+    connection.unparsed = start < data.length && mayGoOn() ? data.subarray(start) : null;
+  };
+
+  const pauseIfFull = (connection: Connection): void => {
+    const { socket, unparsed } = connection;
+    if (unparsed !== null && unparsed.length >= MAX_UNPARSED_BYTES && !socket.isPaused()) {
+      connection.isPaused = true;
+      socket.pause();
+    }
+    inputMemory.hold(socket, socket.destroyed ? 0 : getHeldBytes(connection));
+  };
+
+  const parseRest = (connection: Connection): void => {
+    const { isParsing, socket, unparsed } = connection;
+    const isPausedByServer = socket.isPaused() && !connection.isPaused;
+    if (unparsed === null || isParsing || isPausedByServer || isBusy(connection)) {
+      return;
+    }
+    if (connection.isPaused) {
+      connection.isPaused = false;
+      socket.resume();
+    }
+    parseAll(connection, unparsed);
+    pauseIfFull(connection);
+  };
+
+  /**
+   * Parses kept data in later turns of the loop, that of one connection in each: a turn accepts one new connection only, so in
+   * long turns new callers would wait for seconds.
+   */
+  const schedule = (): void => {
+    if (isScheduled || waiting.size === 0) {
+      return;
+    }
+    isScheduled = true;
+    setImmediate(() => {
+      isScheduled = false;
+      const [connection] = waiting;
+      waiting.delete(connection!);
+      parseRest(connection!);
+      schedule();
+    });
+  };
+
+  const scheduleRest = (connection: Connection): void => {
+    if (connection.unparsed !== null) {
+      waiting.add(connection);
+      schedule();
+    }
+  };
+
+  const read = (connection: Connection, data: Buffer): void => {
+    const { isStopped, unparsed } = connection;
+    if (isStopped) {
+      return;
+    }
+    if (unparsed === null) {
+      parseAll(connection, data);
+    } else {
+      connection.unparsed = Buffer.concat([unparsed, data]);
+    }
+    pauseIfFull(connection);
+  };
+
+  const checkAnswered = (connection: Connection): void => {
+    const { onAnswered, unansweredCount } = connection;
+    if (onAnswered !== null && unansweredCount === Number(isInBody(connection))) {
+      connection.onAnswered = null;
+      onAnswered();
+    }
+  };
+
+  server.on('connection', (socket: Socket) => {
+    const [parse] = socket.listeners('data');
+    const connection: Connection = {
+      ...{ socket, parse: parse!.bind(socket), unparsed: null, headBytes: 0, latest: null },
+      ...{ requestCount: 0, unansweredCount: 0, bodyBytesLeft: 0, isParsing: false },
+      ...{ isPaused: false, isStopped: false, onAnswered: null },
+    };
+    connections.set(socket, connection);
+    // With a second listener, the parser no longer reads from the handle of the socket by itself.
+    socket.on('data', (data: Buffer) => read(connection, data));
+    socket.off('data', parse as (data: Buffer) => void);
+    socket.on('resume', () => scheduleRest(connection));
+    socket.once('close', () => inputMemory.hold(socket, 0));
+  });
+
+  return {
+    stop,
+    addRequest: (request, response) => {
+      const connection = connections.get(request.socket);
+      if (connection === undefined) {
+        return;
+      }
+      const { 'content-length': length = '0', 'transfer-encoding': encoding } = request.headers;
+      connection.latest = request;
+      const isPipelined = connection.unansweredCount > 0;
+      pipelinedCount += Number(isPipelined);
+      connection.requestCount += 1;
+      connection.unansweredCount += 1;
+      connection.bodyBytesLeft = encoding === undefined ? Number(length) : null;
+      response.once('close', () => {
+        connection.unansweredCount -= 1;
+        pipelinedCount -= Number(isPipelined);
+        checkAnswered(connection);
+        scheduleRest(connection);
+      });
+    },
+    hasUnparsedData: (socket) => inputMemory.isHeld(socket),
+    onAnswered: (socket, callback) => {
+      const connection = connections.get(socket);
+      if (connection === undefined) {
+        callback();
+      } else {
+        connection.onAnswered = callback;
+        checkAnswered(connection);
+      }
+    },
+  };
+}
--- a/src/transport/entry/connectionChecks.ts
+++ b/src/transport/entry/connectionChecks.ts
@@ -5,8 +5,8 @@
 import { STATUS_CODES } from 'node:http';
 import type { Socket } from 'node:net';
 import { CloseCause } from '../../coordination/entry/closeCause.js';
-
 import type { CallerConnections } from './callerConnections.js';
+import type { CallerReader } from './callerReader.js';
 import { runAfterUnreadData } from './loopDelay.js';
 
 const HTTP_BAD_REQUEST = 400;
@@ -18,6 +18,9 @@
   HPE_CHUNK_EXTENSIONS_OVERFLOW: 413,
   HPE_HEADER_OVERFLOW: 431,
 };
+const EXTRA_HEADERS_BY_STATUS: Readonly<Record<number, string>> = { 503: 'Retry-After: 0.3\r\n' };
+/** A caller that is still sending may not read a rejection if the connection is closed at once. */
+const REJECTION_READ_MS = 1_000;
 
 /** Closes a connection whose idle timer has expired, unless data lies unread on it. */
 export function closeIfIdle(connections: CallerConnections, socket: Socket): void {
@@ -30,30 +33,47 @@
   });
 }
 
-/** Closes a connection; rejects what came on it unless that could be taken for the answer to an earlier request. */
-function rejectConnection(
-  connections: CallerConnections,
-  socket: Socket,
-  error: NodeJS.ErrnoException,
-): void {
-  if (socket.writable && !connections.hasOpenRequest(socket)) {
-    const status = STATUSES_BY_ERROR_CODE[error.code ?? ''] ?? HTTP_BAD_REQUEST;
-    socket.write(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`);
-  }
-  socket.destroy(error);
+/** Closes a connection that has been rejected, once its caller has closed it or had time to read that. */
+function closeAfterRejection(socket: Socket): void {
+  const timer = setTimeout(() => socket.destroy(), REJECTION_READ_MS);
+  socket.once('close', () => clearTimeout(timer));
+}
+
+/** Answers what came on a connection after the requests that were read whole have been answered, and closes it. */
+export function rejectConnection(reader: CallerReader, socket: Socket, status: number): void {
+  reader.stop(socket);
+  reader.onAnswered(socket, () => {
+    if (socket.writable) {
+      const headers = EXTRA_HEADERS_BY_STATUS[status] ?? '';
+      const line = `HTTP/1.1 ${status} ${STATUS_CODES[status]}`;
+      socket.end(`${line}\r\n${headers}Content-Length: 0\r\nConnection: close\r\n\r\n`);
+      closeAfterRejection(socket);
+    }
+  });
 }
 
-/** Handles an error of a connection: a head that took too long, unless its rest lies unread; bytes that are no request. */
+/**
+ * Handles an error of a connection: a head that took too long, unless its rest lies unread; bytes that are no request. A
+ * connection that its caller has ended is closed at once, as is one on which other bytes follow a request.
+ */
 export function handleConnectionError(
   connections: CallerConnections,
+  reader: CallerReader,
   socket: Socket,
   error: NodeJS.ErrnoException,
 ): void {
   const requestCount = connections.getRequestCount(socket);
   const isLate = error.code === HEADER_TIMEOUT_CODE;
   runAfterUnreadData(isLate, () => {
-    if (!isLate || connections.getRequestCount(socket) === requestCount) {
-      rejectConnection(connections, socket, error);
+    if (isLate && connections.getRequestCount(socket) !== requestCount) {
+      return;
+    }
+    const status = STATUSES_BY_ERROR_CODE[error.code ?? ''] ?? HTTP_BAD_REQUEST;
+    const isCut = status === HTTP_BAD_REQUEST && connections.hasOpenRequest(socket);
+    if (socket.writable && !socket.readableEnded && !isCut) {
+      rejectConnection(reader, socket, status);
+    } else {
+      socket.destroy(error);
     }
   });
 }
--- a/src/transport/entry/entryDaemon.ts
+++ b/src/transport/entry/entryDaemon.ts
@@ -61,6 +61,8 @@
 /** Fraction of the VM's memory for the bodies of requests. */
 const BODY_MEMORY_FRACTION = 0.2;
 const BYTES_PER_MB = 1_048_576;
+/** Fraction of the VM's memory for requests whose heads are not complete or not parsed. */
+const INPUT_MEMORY_FRACTION = 0.15;
 /** Time limit for deleting this VM's registration when the process ends. */
 const DEREGISTRATION_TIMEOUT_MS = 300;
 
@@ -179,6 +181,7 @@
     isShuttingDown: () => isShuttingDown(state),
     maxConnections: getMaxCallerConnections(settings.maxDescriptors),
     bodyMemory: createBodyMemory(settings.memoryMb * BODY_MEMORY_FRACTION * BYTES_PER_MB),
+    maxInputBytes: settings.memoryMb * INPUT_MEMORY_FRACTION * BYTES_PER_MB,
     loopDelay,
   });
   const readyServer = createReadinessServer(wire.readyPath, () => current.isReady);
--- a/src/transport/entry/forwardServer.ts
+++ b/src/transport/entry/forwardServer.ts
@@ -21,7 +21,8 @@
 import type { BodyMemory } from '../bodyMemory.js';
 import { readBody } from '../requestBody.js';
 import type { CallerConnections } from './callerConnections.js';
-import { closeIfIdle, handleConnectionError } from './connectionChecks.js';
+import { type CallerReader, createCallerReader } from './callerReader.js';
+import { closeIfIdle, handleConnectionError, rejectConnection } from './connectionChecks.js';
 import type { EntryLogWriter } from './entryLog.js';
 import { createForwardExchange, type ForwardExchange } from './exchange.js';
 
@@ -32,8 +33,12 @@
 const HTTP_NOT_FOUND = 404;
 const HTTP_HEADERS_TOO_LARGE = 431;
 const HTTP_UNAVAILABLE = 503;
-/** Limit of the parser of Node.js. The configured limit is checked after parsing. */
-const MAX_HEADER_BYTES = 131_072;
+/** Least limit of the parser of Node.js. The configured limit is checked before and after parsing. */
+const MIN_PARSER_HEADER_BYTES = 131_072;
+/** Limit for the headers of requests while no configuration is in force. */
+const DEFAULT_MAX_HEADER_BYTES = 16_384;
+/** Bytes of a head besides its headers: the request line, and spaces around values, which the limit does not count. */
+const MAX_REQUEST_LINE_BYTES = 16_384;
 /** Added to the idle timeout before it is announced, and to the announced time before a connection is closed. */
 const IDLE_TIMEOUT_MARGIN_MS = 1_000;
 /** Interval at which Node.js checks for connections that have exceeded the header timeout. */
@@ -57,6 +62,8 @@
   readonly isShuttingDown: () => boolean;
   readonly maxConnections: number;
   readonly bodyMemory: BodyMemory;
+  /** Bound for what is held of requests whose heads are not complete or not parsed, over all connections. */
+  readonly maxInputBytes: number;
   readonly loopDelay: Pick<LoopDelayMonitor, 'getDelayMs' | 'isBehind'>;
 }
 
@@ -210,11 +217,13 @@
 
 function handleRequest(
   context: ForwardServerContext,
+  reader: CallerReader,
   request: IncomingMessage,
   response: ServerResponse,
 ): void {
   const limits = context.getLimits();
   context.connections.addRequest(request.socket);
+  reader.addRequest(request, response);
   response.once('close', () => context.connections.removeRequest(request.socket));
   if (limits === null) {
     sendRefusal(context, response, createDiagnostic(Diagnostics.NotConfigured));
@@ -253,7 +262,11 @@
  * Replaces how a server closes idle connections, which it does also when it is closed: Node.js counts a connection as idle
  * while the end of an answer is still to be written to it.
  */
-function keepUnsentAnswers({ connections }: ForwardServerContext, server: Server): void {
+function keepUnsentAnswers(
+  { connections }: ForwardServerContext,
+  reader: CallerReader,
+  server: Server,
+): void {
   const sockets = new Set<Socket>();
   server.on('connection', (socket) => {
     sockets.add(socket);
@@ -262,7 +275,7 @@
   Object.assign(server, {
     closeIdleConnections: () => {
       sockets.forEach((socket) => {
-        if (connections.isIdle(socket)) {
+        if (connections.isIdle(socket) && !reader.hasUnparsedData(socket)) {
           socket.destroy();
         }
       });
@@ -270,30 +283,51 @@
   });
 }
 
-/** Creates the server for callers, without starting to listen. */
-export function createForwardServer(context: ForwardServerContext): Server {
-  const { connections } = context;
-  const server = http.createServer(
+/** Starts to read the connections of the server, and rejects those whose heads take too much memory. */
+function startReader(context: ForwardServerContext, server: Server): CallerReader {
+  const { getLimits, maxInputBytes } = context;
+  const reader = createCallerReader(
     {
-      maxHeaderSize: MAX_HEADER_BYTES,
-      requestTimeout: 0,
-      connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
-      noDelay: true,
-      keepAlive: true,
+      maxInputBytes,
+      getMaxHeadBytes: () =>
+        (getLimits()?.maxHeaderBytes ?? DEFAULT_MAX_HEADER_BYTES) + MAX_REQUEST_LINE_BYTES,
+      onOverlongHead: (socket) => {
+        const status = getLimits() === null ? HTTP_UNAVAILABLE : HTTP_HEADERS_TOO_LARGE;
+        rejectConnection(reader, socket, status);
+      },
+      onExhausted: (socket) => rejectConnection(reader, socket, HTTP_UNAVAILABLE),
     },
-    (request, response) => handleRequest(context, request, response),
+    server,
   );
+  return reader;
+}
+
+/** Creates the server for callers, without starting to listen. */
+export function createForwardServer(context: ForwardServerContext): Server {
+  const { connections } = context;
+  const server = http.createServer({
+    maxHeaderSize: MIN_PARSER_HEADER_BYTES,
+    requestTimeout: 0,
+    connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
+    noDelay: true,
+    keepAlive: true,
+  });
   server.maxConnections = context.maxConnections;
-  keepUnsentAnswers(context, server);
+  const reader = startReader(context, server);
+  server.on('request', (request, response) => handleRequest(context, reader, request, response));
+  keepUnsentAnswers(context, reader, server);
   server.on('timeout', (socket) => closeIfIdle(connections, socket));
   server.on('clientError', (error, socket) =>
-    handleConnectionError(connections, socket as Socket, error),
+    handleConnectionError(connections, reader, socket as Socket, error),
   );
   return server;
 }
 
-/** Sets the header timeout and the idle timeout of the server for callers. */
+/** Sets the header timeout, the idle timeout and the parser's limit of the server for callers. */
 export function applyCallerTimeouts(server: Server, limits: CallerLimits): void {
+  const parsedBytes = limits.maxHeaderBytes + MAX_REQUEST_LINE_BYTES;
+  // Not part of the types; it is read for each new connection.
+  Object.assign(server, { maxHeaderSize: Math.max(MIN_PARSER_HEADER_BYTES, parsedBytes) });
   server.headersTimeout = limits.headerTimeoutMs;
   server.keepAliveTimeout = getAnnouncedIdleMs(limits);
 }
--- /dev/null
+++ b/src/transport/entry/inputMemory.ts
@@ -0,0 +1,48 @@
+/**
+ * Counts what a VM holds of requests whose heads are not complete or not parsed yet, over all its callers: the bound for one
+ * connection does not bound what thousands hold together.
+ */
+import type { Socket } from 'node:net';
+
+/** The memory for such data. */
+export interface InputMemory {
+  /** Sets what a connection holds; 0 gives it back. */
+  readonly hold: (socket: Socket, bytes: number) => void;
+  /** Returns whether a connection holds anything. */
+  readonly isHeld: (socket: Socket) => boolean;
+}
+
+/**
+ * Creates the memory for such data of a VM.
+ *
+ * @param onExhausted Called with the connection that has held data for longest when there is not enough memory; what it held
+ * counts no more.
+ */
+export function createInputMemory(
+  maxBytes: number,
+  onExhausted: (socket: Socket) => void,
+): InputMemory {
+  /** In the order in which the connections began to hold data. */
+  const heldBytes = new Map<Socket, number>();
+  let usedBytes = 0;
+  const release = (socket: Socket): void => {
+    usedBytes -= heldBytes.get(socket) ?? 0;
+    heldBytes.delete(socket);
+  };
+  return {
+    isHeld: (socket) => heldBytes.has(socket),
+    hold: (socket, bytes) => {
+      if (bytes === 0) {
+        release(socket);
+        return;
+      }
+      usedBytes += bytes - (heldBytes.get(socket) ?? 0);
+      heldBytes.set(socket, bytes);
+      while (usedBytes > maxBytes) {
+        const [oldest] = heldBytes.keys();
+        release(oldest!);
+        onExhausted(oldest!);
+      }
+    },
+  };
+}
--- a/tests/entry/callerLeaves.test.ts
+++ b/tests/entry/callerLeaves.test.ts
@@ -179,6 +179,7 @@
     isShuttingDown: () => false,
     maxConnections: 10,
     bodyMemory: createBodyMemory(Number.POSITIVE_INFINITY),
+    maxInputBytes: Number.POSITIVE_INFINITY,
     loopDelay: { getDelayMs: () => loopDelayMs, isBehind: () => loopDelayMs > 0 },
   });
   await new Promise<void>((resolve) => {
--- a/tests/entry/lateDispatch.test.ts
+++ b/tests/entry/lateDispatch.test.ts
@@ -131,6 +131,7 @@
     isShuttingDown: () => false,
     maxConnections: 10,
     bodyMemory: createBodyMemory(Number.POSITIVE_INFINITY),
+    maxInputBytes: Number.POSITIVE_INFINITY,
     loopDelay: { getDelayMs: () => 0, isBehind },
   });
   closers.push(() => server.closeAllConnections());
--- a/tests/fakes/frontServer.ts
+++ b/tests/fakes/frontServer.ts
@@ -72,6 +72,7 @@
     isShuttingDown: () => behaviour.isShuttingDown,
     maxConnections: 100,
     bodyMemory: createBodyMemory(maxHeldBytes),
+    maxInputBytes: Number.POSITIVE_INFINITY,
     loopDelay: { getDelayMs: () => 0, isBehind: () => false },
   });
   applyCallerTimeouts(server, current.limits);
--- a/tests/processes/manyAtOnce.test.ts
+++ b/tests/processes/manyAtOnce.test.ts
@@ -2,8 +2,6 @@
  * Tests that the process of an entry VM lives within its memory and serves its other callers while many callers at once do what
  * is allowed to each of them.
  */
-import http from 'node:http';
-import type { AddressInfo } from 'node:net';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import {
   callEntry,
@@ -16,6 +14,7 @@
 import { type PlatformStore, startPlatformStore } from '../stand-ins/platformStore.js';
 import {
   endProcess,
+  findFreePort,
   isRunning,
   type StartedProcess,
   startProgram,
@@ -29,43 +28,22 @@
 const OTHER_CALLS = 30;
 const OTHER_INTERVAL_MS = 100;
 const HEARTBEAT_MS = 500;
-const LARGE_ANSWER_BYTES = 1_000_000;
-const SLOW_ANSWER_BYTES = 4_000_000;
 
 let store: PlatformStore;
 let entry: EntryProcess;
-let server: http.Server;
+let server: StartedProcess;
 let heartbeat: NodeJS.Timeout;
 let flood: StartedProcess | null = null;
 
-/** Sizes and times of the answers by the first segment of their paths. */
-const ANSWERS: Readonly<Record<string, { sizeBytes: number; workMs: number }>> = {
-  look: { sizeBytes: 5, workMs: 0 },
-  book: { sizeBytes: 5, workMs: 0 },
-  large: { sizeBytes: LARGE_ANSWER_BYTES, workMs: 3_000 },
-  unread: { sizeBytes: SLOW_ANSWER_BYTES, workMs: 0 },
-};
 const LARGE_ROUTES = ['large', 'unread'].map((name) => ({
   ...{ name, prefix: `/${name}/`, route_kind: 'idempotent', service: 'counter', host: 'h' },
   ...{ timeout_ms: 20_000, goal_ms: 1_000, attempts: 2, public: true },
 }));
 
 beforeEach(async () => {
-  server = http.createServer((request, response) => {
-    const { sizeBytes, workMs } = ANSWERS[(request.url ?? '').split('/')[1]!]!;
-    const headers = {
-      ...{ 'x-attempt-id': String(request.headers['x-attempt-id']), 'x-server-seal': 's' },
-      'content-length': sizeBytes,
-    };
-    setTimeout(() => {
-      response.writeHead(200, headers);
-      response.end(Buffer.alloc(sizeBytes, 'x'));
-    }, workMs);
-  });
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  const { port } = server.address() as AddressInfo;
+  const port = await findFreePort();
+  const serverArgs = ['--port', String(port)];
+  server = await startProgram('c1', 'tests/stand-ins/sizedServerMain.js', serverArgs, 'ready');
   store = await startPlatformStore();
   const configuration = createConfiguration(1, ['key-1']);
   store.put('op/config', {
@@ -92,10 +70,8 @@
 
 afterEach(async () => {
   clearInterval(heartbeat);
-  await Promise.all([flood, entry.vm].map((started) => started && endProcess(started)));
+  await Promise.all([flood, entry.vm, server].map((started) => started && endProcess(started)));
   await store.close();
-  server.closeAllConnections();
-  server.close();
 });
 
 const CASES = [
