--- a/src/transport/vmMemory.ts
+++ b/src/transport/vmMemory.ts
@@ -6,6 +6,8 @@
 
 /** What bytes are held for. */
 export const MemoryPurpose = {
+  /** Heads of requests that are not complete, and data of callers that is not parsed yet. */
+  RequestHeads: 'requestHeads',
   /** Bodies of requests, until their responses have ended. */
   RequestBodies: 'requestBodies',
   /** Whole answers of servers, until their callers have read them. */
@@ -19,6 +21,8 @@
 export const MemoryShortage = {
   /** The request is rejected as not run. */
   Reject: 'reject',
+  /** The request that has been incomplete for longest is rejected as not run. */
+  RejectOldest: 'rejectOldest',
   /** The answer is forwarded as it arrives, at the pace of its caller, and no longer held whole. */
   Forward: 'forward',
   /** Nothing; what is held is only counted. */
@@ -34,6 +38,7 @@
 
 /** The rest of the memory is for the program itself and for what the sockets hold. */
 export const MEMORY_SHARES: Readonly<Record<MemoryPurpose, MemoryShare>> = {
+  [MemoryPurpose.RequestHeads]: { fraction: 0.15, onShortage: MemoryShortage.RejectOldest },
   [MemoryPurpose.RequestBodies]: { fraction: 0.2, onShortage: MemoryShortage.Reject },
   [MemoryPurpose.Answers]: { fraction: 0.12, onShortage: MemoryShortage.Forward },
   [MemoryPurpose.Streams]: { fraction: 0.12, onShortage: MemoryShortage.None },
@@ -99,6 +104,7 @@
     usedBytes: 0,
   });
   const shares: Readonly<Record<MemoryPurpose, Share>> = {
+    [MemoryPurpose.RequestHeads]: createShare(MemoryPurpose.RequestHeads),
     [MemoryPurpose.RequestBodies]: createShare(MemoryPurpose.RequestBodies),
     [MemoryPurpose.Answers]: createShare(MemoryPurpose.Answers),
     [MemoryPurpose.Streams]: createShare(MemoryPurpose.Streams),
