Let a new controller keep the models that the earlier one has ordered

Cause: the controller is cut off from the store at 19.2 s, its successor begins at 21.0 to 21.2 s. Change: the board that the controller sends to all VMs names for each engine the model that is being loaded or that freed memory is reserved for. A new controller reserves the memory for it; the reservation counts as a replica, ends when a report has the model, expires as before, and does not apply to an engine that has started again. Tests: placement.test.ts, 'a new controller ...', plays the takeover against the decision code; two of its four cases failed before ('unload m0 e2' was ordered for a model that e1 was loading, or had memory free for). The boards in malformedMessages.test.ts and relays.test.ts have the new member.

--- a/src/coordination/entry/placement/adapterPlacement.ts
+++ b/src/coordination/entry/placement/adapterPlacement.ts
@@ -8,7 +8,7 @@
 import { sendEngineOrder } from './engineOrders.js';
 import { type EntryCommand, EntryCommandKind } from '../commands.js';
 import { type EntryEventKind, type EntryEventOf, OrderAction } from '../events.js';
-import type { EngineControl } from './placementState.js';
+import { type EngineControl, getIncomingModel } from './placementState.js';
 import { isAcceptingRequests } from '../requests/backendSelection.js';
 import { isPaused } from '../servers/serverPauses.js';
 import type { EntryState } from '../state.js';
@@ -161,14 +161,18 @@
   return [...commands, ...sendEngineOrder(state, control, OrderAction.Unload, target, nowMs)];
 }
 
-/** Returns the adapters on each engine, for the placement board. */
-export function listEngineAdapters(state: EntryState): Omit<EngineAdapters, 'sequence'>[] {
+/** Returns what each engine holds and loads, for the placement board. */
+export function listEngineAdapters(
+  state: EntryState,
+  nowMs: number,
+): Omit<EngineAdapters, 'sequence'>[] {
   return [...state.placement.engines.values()].map((control) => ({
     backendId: control.backendId,
     bornAtWallMs: control.bornAtWallMs,
     variants: [...control.models.entries()].flatMap(([model, adapters]) =>
       [...adapters].map((adapter) => getVariantKey(model, adapter)),
     ),
+    incomingModel: getIncomingModel(control, nowMs),
   }));
 }
 
--- a/src/coordination/entry/placement/controller.ts
+++ b/src/coordination/entry/placement/controller.ts
@@ -180,16 +180,17 @@
   ];
 }
 
-function updateBoard(state: EntryState): void {
+function updateBoard(state: EntryState, nowMs: number): void {
   const { boardSequence, fence } = state.placement;
   if (fence === null) {
     return;
   }
   const known = state.board?.fence === fence ? state.board.engines : [];
-  const engines = listEngineAdapters(state).map((engine): EngineAdapters => {
+  const engines = listEngineAdapters(state, nowMs).map((engine): EngineAdapters => {
     const previous = known.find(({ backendId }) => backendId === engine.backendId);
     const isUnchanged =
       previous?.bornAtWallMs === engine.bornAtWallMs &&
+      previous.incomingModel === engine.incomingModel &&
       previous.variants.join(' ') === engine.variants.join(' ');
     return { ...engine, sequence: isUnchanged ? previous.sequence : boardSequence + 1 };
   });
@@ -213,7 +214,7 @@
       .filter(({ engine }) => engine !== null)
       .flatMap((service) => placeModels(state, service, nowMs)),
   ];
-  updateBoard(state);
+  updateBoard(state, nowMs);
   return commands;
 }
 
--- a/src/coordination/entry/placement/engineOrders.ts
+++ b/src/coordination/entry/placement/engineOrders.ts
@@ -23,6 +23,7 @@
   type EngineControl,
   mergeReport,
   reconcileEntry,
+  reserveMemory,
   type PendingOrder,
 } from './placementState.js';
 import { isPaused } from '../servers/serverPauses.js';
@@ -46,6 +47,19 @@
   );
 }
 
+/**
+ * Reserves memory for the model that an earlier controller ordered or was about to order: the engine reports only that
+ * it is busy, and the model would be loaded on another one as well.
+ */
+function inheritReservation(state: EntryState, control: EngineControl, nowMs: number): void {
+  const { backendId, bornAtWallMs, models } = control;
+  const inherited = state.board?.engines.find((engine) => engine.backendId === backendId);
+  const model = inherited?.incomingModel ?? null;
+  if (model !== null && inherited?.bornAtWallMs === bornAtWallMs && !models.has(model)) {
+    reserveMemory(control, model, nowMs);
+  }
+}
+
 /** Updates the tracked state of all engines from their entries in the store, and returns it. */
 export function syncEngines(state: EntryState, nowMs: number): EngineControl[] {
   const { engines } = state.placement;
@@ -57,7 +71,9 @@
   backends.forEach(({ entry, revision }) => {
     const existing = engines.get(entry.id);
     if (existing?.bornAtWallMs !== entry.bornAtWallMs) {
-      engines.set(entry.id, createEngineControl(entry));
+      const control = createEngineControl(entry);
+      inheritReservation(state, control, nowMs);
+      engines.set(entry.id, control);
     } else {
       reconcileEntry(existing, entry, revision, nowMs);
     }
--- a/src/coordination/entry/placement/placementState.ts
+++ b/src/coordination/entry/placement/placementState.ts
@@ -132,6 +132,15 @@
     isLoad || reservation === null ? null : { ...reservation, untilMs: nowMs + RESERVATION_MS };
 }
 
+/** Returns the model that an engine is loading or that freed memory is reserved for; null if there is none. */
+export function getIncomingModel(control: EngineControl, nowMs: number): string | null {
+  const { change, reservation } = control;
+  if (change?.isLoad === true) {
+    return change.model;
+  }
+  return reservation !== null && reservation.untilMs > nowMs ? reservation.model : null;
+}
+
 function copyModels(models: BackendEntry['models']): Map<string, Set<string>> {
   return new Map(models.map(({ adapters, name }) => [name, new Set(adapters)]));
 }
@@ -245,6 +254,9 @@
     models.get(model)?.add(adapter);
   });
   control.models = models;
+  if (control.reservation !== null && models.has(control.reservation.model)) {
+    control.reservation = null;
+  }
   control.orderCount = report.orderCount;
   control.unconfirmedOrders = control.unconfirmedOrders.filter(
     (order) => order.expectedOrderCount >= report.orderCount,
--- a/src/protocol/entry/peerMessages.ts
+++ b/src/protocol/entry/peerMessages.ts
@@ -103,7 +103,11 @@
 function encodeBoard({ engines, ...board }: PlacementBoard) {
   return {
     ...board,
-    engines: engines.map((engine) => ({ ...engine, variants: [...engine.variants] })),
+    engines: engines.map(({ incomingModel, variants, ...engine }) => ({
+      ...engine,
+      variants: [...variants],
+      incomingModel: incomingModel ?? undefined,
+    })),
   };
 }
 
@@ -237,10 +241,11 @@
     fence: wire.fence,
     sequence: wire.sequence,
     baseSequence: wire.baseSequence,
-    engines: wire.engines.map(({ backendId, bornAtWallMs, sequence, variants }) => ({
+    engines: wire.engines.map(({ backendId, bornAtWallMs, incomingModel, sequence, variants }) => ({
       backendId,
       bornAtWallMs,
       variants,
+      incomingModel: incomingModel ?? null,
       sequence,
     })),
   };
--- a/src/state/entry/reports.ts
+++ b/src/state/entry/reports.ts
@@ -55,12 +55,15 @@
   readonly vmCount: number;
 }
 
-/** Adapters that an engine holds according to the controller's orders, each as `model/adapter`. */
+/** What an engine holds and loads according to the controller's orders. */
 export interface EngineAdapters {
   readonly backendId: string;
   readonly bornAtWallMs: number;
+  /** The adapters that it holds, each as `model/adapter`. */
   readonly variants: readonly string[];
-  /** Sequence number of the board at which the variants last changed. */
+  /** The model that it is loading or that freed memory is reserved for; null if there is none. */
+  readonly incomingModel: string | null;
+  /** Sequence number of the board at which the engine's placement last changed. */
   readonly sequence: number;
 }
 
--- a/tests/entry/malformedMessages.test.ts
+++ b/tests/entry/malformedMessages.test.ts
@@ -148,7 +148,9 @@
       fence: 3,
       sequence: 2,
       baseSequence: 0,
-      engines: [{ backendId: 'e1', bornAtWallMs: 1, variants: ['m0/a'], sequence: 2 }],
+      engines: [
+        { backendId: 'e1', bornAtWallMs: 1, variants: ['m0/a'], incomingModel: 'm1', sequence: 2 },
+      ],
     },
     knownBoard: { fence: 3, sequence: 1 },
     evidence: {
--- a/tests/entry/placement.test.ts
+++ b/tests/entry/placement.test.ts
@@ -426,6 +426,79 @@
   });
 });
 
+interface TakeoverCase {
+  readonly name: string;
+  /** Start of the engine process that the board of the earlier controller names. */
+  readonly bornAtWallMs: number;
+  readonly isBusy: boolean;
+  readonly models: string[];
+  /** The orders to the engines, until the first is answered. */
+  readonly orders: readonly string[];
+}
+
+const ENGINE_BORN_AT_WALL_MS = createTestEntry('e1', 'llm').bornAtWallMs;
+
+const TAKEOVER_CASES: readonly TakeoverCase[] = [
+  {
+    name: 'the engine is loading it',
+    bornAtWallMs: ENGINE_BORN_AT_WALL_MS,
+    isBusy: true,
+    models: ['m0', 'm1'],
+    orders: [],
+  },
+  {
+    name: 'the engine has freed memory for it',
+    bornAtWallMs: ENGINE_BORN_AT_WALL_MS,
+    isBusy: false,
+    models: ['m0'],
+    orders: ['load m3 e1'],
+  },
+  {
+    name: 'the engine has loaded it',
+    bornAtWallMs: ENGINE_BORN_AT_WALL_MS,
+    isBusy: false,
+    models: ['m0', 'm3'],
+    orders: [],
+  },
+  {
+    name: 'the engine has started again meanwhile, without it',
+    bornAtWallMs: ENGINE_BORN_AT_WALL_MS - 1,
+    isBusy: true,
+    models: ['m0', 'm1'],
+    orders: ['unload m0 e2'],
+  },
+];
+
+describe('a new controller', () => {
+  it.each(TAKEOVER_CASES)(
+    'orders no second load of a model that the earlier one has ordered: $name',
+    ({ bornAtWallMs, isBusy, models, orders }) => {
+      const vm = createTestVm();
+      const incoming = { backendId: 'e1', bornAtWallMs, variants: [], incomingModel: 'm3' };
+      const engines = [{ ...incoming, sequence: 1 }];
+      vm.state.board = { fence: FENCE - 1, sequence: 1, baseSequence: 0, engines };
+      vm.receiveRequest(createTestRequest('r', '/draft/x', { model: 'm3', deadlineMs: 100_000 }));
+      const kind = EntryEventKind.ControllerLeaseAnswered;
+      vm.step({ kind, fence: FENCE, isLost: false, sentAtMs: START_MS }, START_MS);
+      vm.state.placement.leaseValidUntilMs = Number.POSITIVE_INFINITY;
+      const commands: EntryCommand[] = [];
+      for (let nowMs = START_MS; nowMs < START_MS + 3_000; nowMs += TICK_MS) {
+        const ticked = vm.step({ kind: EntryEventKind.ControllerTick }, nowMs);
+        findCommands(ticked, EntryCommandKind.ReadEngineReport).forEach(({ backendId }) => {
+          const isFirst = backendId === 'e1';
+          const report = createReport(4, isFirst ? models : ['m0', 'm1'], isFirst && isBusy);
+          vm.step({ kind: EntryEventKind.EngineReported, backendId, report }, nowMs + TICK_MS / 2);
+        });
+        commands.push(...ticked);
+      }
+      const sent = findCommands(commands, EntryCommandKind.SendOrder);
+      expect(
+        sent.map(({ backendId, order }) => `${order.action} ${order.model} ${backendId}`),
+      ).toEqual(orders);
+    },
+  );
+});
+
 describe('a model that a request waits for', () => {
   it.each(ANSWER_CASES)('is loaded: $name', ({ getOutcome }) => {
     expect(countAcceptedOrders(getOutcome)).toBeGreaterThan(0);
--- a/tests/entry/relays.test.ts
+++ b/tests/entry/relays.test.ts
@@ -339,6 +339,7 @@
       backendId: `e${i}`,
       bornAtWallMs: 1,
       variants: [variant],
+      incomingModel: null,
       sequence: i + 1,
     })),
   });
