Close idle connections for new callers when all connections are in use

Change: idleConnections.ts closes, for a new connection, the oldest one on which nothing was ever sent, else the one that has been idle for longest since its answers, else one that was rejected and whose rejection has been written; else the new one. One with an open request or part of a head is never closed. The sets are kept in order, so that a request costs four set operations.

--- a/src/transport/entry/forwardServer.ts
+++ b/src/transport/entry/forwardServer.ts
@@ -25,7 +25,7 @@
 import { closeIfIdle, handleConnectionError, rejectConnection } from './connectionChecks.js';
 import type { EntryLogWriter } from './entryLog.js';
 import { createForwardExchange, type ForwardExchange } from './exchange.js';
-
+import { closeIdleForNew } from './idleConnections.js';
 import { type LoopDelayMonitor, runAfterUnreadData } from './loopDelay.js';
 import type { EntryWire, RequestHead } from './wire.js';
 
@@ -312,8 +312,14 @@
     noDelay: true,
     keepAlive: true,
   });
-  server.maxConnections = context.maxConnections;
   const reader = startReader(context, server);
+  const recordRequest = closeIdleForNew(
+    server,
+    context.maxConnections,
+    (socket) => connections.isIdle(socket) && !reader.hasUnparsedData(socket),
+    (socket) => connections.recordCause(socket, CloseCause.IdleTimer),
+  );
+  server.on('request', recordRequest);
   server.on('request', (request, response) => handleRequest(context, reader, request, response));
   keepUnsentAnswers(context, reader, server);
   server.on('timeout', (socket) => closeIfIdle(connections, socket));
