--- a/tests/processes/manyAtOnce.test.ts
+++ b/tests/processes/manyAtOnce.test.ts
@@ -88,7 +88,7 @@
 const SERVED_CASES = [
   { name: '400 answers of 1 MB', pattern: 'large', count: 400 },
   { name: '400 slow readers of 4 MB', pattern: 'slow', count: 400 },
-  { name: '400 streams with an unfinished event of 900 KB', pattern: 'event', count: 400 },
+  { name: '400 unfinished events of 900 KB', pattern: 'event', count: 400 },
 ];
 
 /** Starts a crowd, and returns what the calls of others and the memory of the VM came to beside it. */
