Break off streams with long incomplete events when all streams hold too much

What callers saw: 400 streams whose servers send 900 KB of one event and its end seconds later take the VM to 467 MB within three seconds (761 and 770 MB at their end), where it has 350 MB. Such a process is killed, and all its callers lose their answers.

Cause: since the account counts what streams hold, and nothing followed from it; an incomplete event was bounded at 1 MB for each stream, not for the VM.

Change: while streams have used up their share, an event may wait for its end with 64 KB only; a stream beyond that is broken off, or ends with 502 if it has not begun. Streams with short events go on.

Result: the new row of manyAtOnce.test.ts, '400 unfinished events of 900 KB', failed before (467,456 KB) and passes, no call of others late. The row that wants all 400 served stays red: 48 whole, 352 with 502, where the code before had 400 whole in a process that a VM could not have had.

--- a/src/transport/entry/answers.ts
+++ b/src/transport/entry/answers.ts
@@ -47,6 +47,8 @@
 const MAX_ANSWER_BYTES = 67_108_864;
 /** Longest event of a stream. */
 const MAX_EVENT_BYTES = 1_048_576;
+/** The same while streams have used up their share of the VM's memory. */
+const MAX_EVENT_BYTES_IN_SHORTAGE = 65_536;
 /** Most bytes of whole events without data between two events with data. */
 const MAX_IDLE_BYTES = 65_536;
 /** Events that a stream may bring in one chunk without being paced. */
@@ -292,8 +294,10 @@
     keepPace(attempt, response, frames.length);
     leaveTurn(attempt, response, chunk);
     countHeld();
-    if (reader.getIncompleteLength() > MAX_EVENT_BYTES) {
-      rejectTooLarge(attempt, MAX_EVENT_BYTES);
+    const maxEventBytes = held.canAdd(0) ? MAX_EVENT_BYTES : MAX_EVENT_BYTES_IN_SHORTAGE;
+    if (reader.getIncompleteLength() > maxEventBytes) {
+      rejectTooLarge(attempt, maxEventBytes);
+      held.resize(caller.writableLength);
     } else if (idleBytes > MAX_IDLE_BYTES) {
       rejectTooLarge(attempt, MAX_IDLE_BYTES);
     } else if (receivedBytes > MAX_ANSWER_BYTES) {
--- a/src/transport/vmMemory.ts
+++ b/src/transport/vmMemory.ts
@@ -25,8 +25,8 @@
   RejectOldest: 'rejectOldest',
   /** The answer is forwarded as it arrives, at the pace of its caller, and no longer held whole. */
   Forward: 'forward',
-  /** Nothing; what is held is only counted. */
-  None: 'none',
+  /** The stream is broken off if it waits for the end of a long event. */
+  BreakOff: 'breakOff',
 } as const;
 export type MemoryShortage = (typeof MemoryShortage)[keyof typeof MemoryShortage];
 
@@ -41,7 +41,7 @@
   [MemoryPurpose.RequestHeads]: { fraction: 0.15, onShortage: MemoryShortage.RejectOldest },
   [MemoryPurpose.RequestBodies]: { fraction: 0.2, onShortage: MemoryShortage.Reject },
   [MemoryPurpose.Answers]: { fraction: 0.12, onShortage: MemoryShortage.Forward },
-  [MemoryPurpose.Streams]: { fraction: 0.12, onShortage: MemoryShortage.None },
+  [MemoryPurpose.Streams]: { fraction: 0.12, onShortage: MemoryShortage.BreakOff },
 };
 
 /** The part of one holder in the memory. */
--- a/tests/processes/manyAtOnce.test.ts
+++ b/tests/processes/manyAtOnce.test.ts
@@ -83,6 +83,7 @@
   { name: '500 connections with 300 requests', pattern: 'pipelined', count: 500 },
   { name: '4,200 idle connections', pattern: 'idle', count: 4_200 },
   { name: '400 answers of 4 MB that are not read', pattern: 'unread', count: 400 },
+  { name: '400 unfinished events of 900 KB', pattern: 'event', count: 400 },
 ];
 /** Crowds that read their answers, which are all to arrive whole. */
 const SERVED_CASES = [
