Do not let a late answer to a renewal end a later term of the controller

Engines had no controller for up to a lease: a renewal that the store answered late, after the VM had acquired the lease anew, told that the present term was lost, or had its key removed while the VM went on sending orders until it read the removal; another VM could then order within the same lease.

Change: the answer names its term, a loss ends only that term, and a release names the fence that it gives up.

--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -233,11 +233,11 @@
 ): Command[] {
   const { fence, sentAtMs } = event;
   const { controller, policy } = state;
-  if (fence === null) {
-    // A lease that is held remains valid until it expires, because the store may only be unreachable.
-    if (event.isLost) {
-      endTerm(state);
-    }
+  if (event.isLost && (fence === null || fence === controller.fence)) {
+    endTerm(state);
+  }
+  // A lease that is held remains valid until it expires, because the store may only be unreachable.
+  if (fence === null || event.isLost) {
     return [];
   }
   if (fence < controller.lowestFence) {
--- a/src/coordination/entry/placement/controller.ts
+++ b/src/coordination/entry/placement/controller.ts
@@ -293,7 +293,8 @@
   const { fence, isLost, isRenewal = false, sentAtMs } = event;
   const { placement, policy, self } = state;
   if (isLost) {
-    return stopController(state, 'the lease has ended');
+    const isEarlierTerm = fence !== null && fence !== placement.fence;
+    return isEarlierTerm ? [] : stopController(state, 'the lease has ended');
   }
   if (fence === null) {
     return [];
--- a/src/coordination/events.ts
+++ b/src/coordination/events.ts
@@ -159,7 +159,7 @@
   [EventKind.ControllerLeaseAnswered]: {
     /** The fencing token; null if the lease was not acquired or renewed. */
     readonly fence: number | null;
-    /** True if this VM certainly does not hold the lease. */
+    /** True if this VM certainly does not hold the lease, or not that of the named term. */
     readonly isLost: boolean;
     readonly sentAtMs: number;
   };
--- a/src/transport/controllerLease.ts
+++ b/src/transport/controllerLease.ts
@@ -12,9 +12,9 @@
 
 /** The result of an attempt to acquire or renew the lease. */
 export interface LeaseResult {
-  /** The fencing token; null if the lease was not acquired or renewed. */
+  /** The fencing token of the term; null if the lease was not acquired or renewed, or if its term is not known. */
   readonly fence: number | null;
-  /** True if the store reported that the lease of this process has expired. */
+  /** True if the store reported that the lease of the term has expired. */
   readonly isLost: boolean;
 }
 
@@ -26,8 +26,8 @@
     ttlMs: number,
     isHeld: boolean,
   ) => Effect.Effect<LeaseResult>;
-  /** Releases the lease if it is held. It expires after its TTL if the store does not respond. */
-  readonly release: Effect.Effect<void>;
+  /** Releases the lease if it is held with a fencing token. It expires after its TTL if the store does not respond. */
+  readonly release: (fence: number) => Effect.Effect<void>;
 }
 
 interface HeldLease {
@@ -38,7 +38,6 @@
 
 /** The result without a lease, of which nothing is known to be lost. */
 export const NOT_ACQUIRED: LeaseResult = { fence: null, isLost: false };
-const LOST: LeaseResult = { fence: null, isLost: true };
 
 /**
  * Creates the controller lease of a process. It is not held at first.
@@ -56,8 +55,8 @@
   const renew = (current: HeldLease): Effect.Effect<LeaseResult, Diagnostic> =>
     Effect.map(store.renewLease(current.leaseId), (isAlive) => {
       if (!isAlive) {
-        heldLease = null;
-        return LOST;
+        heldLease = heldLease === current ? null : heldLease;
+        return { fence: current.fence, isLost: true };
       }
       return { fence: current.fence, isLost: false };
     });
@@ -95,10 +94,14 @@
         // If the response was lost, the lease may exist in the store; it expires there after its TTL.
         return Effect.orElseSucceed(attempt, () => NOT_ACQUIRED);
       }),
-    release: Effect.suspend(() => {
-      const current = heldLease;
-      heldLease = null;
-      return current === null ? Effect.void : removeKey(current);
-    }),
+    release: (fence) =>
+      Effect.suspend(() => {
+        const current = heldLease;
+        if (current?.fence !== fence) {
+          return Effect.void;
+        }
+        heldLease = null;
+        return removeKey(current);
+      }),
   };
 }
--- a/src/transport/entry/placementExecutors.ts
+++ b/src/transport/entry/placementExecutors.ts
@@ -53,8 +53,8 @@
   return {
     [EntryCommandKind.AcquireControllerLease]: () => acquireOrRenew(false),
     [EntryCommandKind.RenewControllerLease]: () => acquireOrRenew(true),
-    [EntryCommandKind.ReleaseControllerLease]: () =>
-      runDetached(controllerLease.release, writeLog, () => {}),
+    [EntryCommandKind.ReleaseControllerLease]: ({ fence }) =>
+      runDetached(controllerLease.release(fence), writeLog, () => {}),
     [EntryCommandKind.SendOrder]: (command) => {
       const { address, backendId, bornAtWallMs, fence, order, validUntilMs } = command;
       const kind = EntryEventKind.OrderAnswered;
--- a/tests/entry/thrownErrors.test.ts
+++ b/tests/entry/thrownErrors.test.ts
@@ -149,7 +149,7 @@
       watches: createWatches({}, post),
       storeAccess: { recordRelayed: () => {} } as never,
       registration: { renew: () => {} } as never,
-      controllerLease: { acquireOrRenew: () => FAULT, release: FAULT },
+      controllerLease: { acquireOrRenew: () => FAULT, release: () => FAULT },
       controllerLeaseMs: 2_000,
       suspension: { startStopwatch: () => () => 0, check: () => 0 } as never,
       getNowMs: () => 0,
