--- a/tests/processes/entrySoak.test.ts
+++ b/tests/processes/entrySoak.test.ts
@@ -91,6 +91,7 @@
     );
     if (faults.length > 0) {
       process.stdout.write(`entry soak ${seed}: logs of the VMs in ${fleet.saveLogs()}\n`);
+      process.stdout.write(`${faults.join('\n')}\n`);
     }
     expect(faults).toEqual([]);
     expect(served.length / received.length).toBeGreaterThan(MIN_SERVED_FRACTION);
