--- a/tests/soak/entryWatch.ts
+++ b/tests/soak/entryWatch.ts
@@ -43,19 +43,22 @@
   const watchStatus = async (
     vm: SoakVm,
     known: ReadonlyMap<string, string> = new Map(),
+    knownStartMs = Number.NEGATIVE_INFINITY,
   ): Promise<void> => {
     if (isOver) {
       return;
     }
     const read = await readStatus(vm);
-    const isSameLife = Number(read?.get('up_ms')) >= Number(known.get('up_ms') ?? Infinity);
+    // A process may be up for as long as the one before was, so that lives are told apart by when they began.
+    const startedAtMs = performance.now() - Number(read?.get('up_ms'));
+    const isSameLife = Math.abs(startedAtMs - knownStartMs) < STATUS_TIMEOUT_MS;
     if (read !== null && isSameLife) {
       RISING_FACTS.filter((name) => isLess(read.get(name)!, known.get(name)!)).forEach((name) =>
         fallen.push(`${vm.name}: ${name} fell from ${known.get(name)} to ${read.get(name)}`),
       );
     }
     await wait(STATUS_POLL_MS);
-    await watchStatus(vm, read ?? known);
+    await watchStatus(vm, read ?? known, read === null ? knownStartMs : startedAtMs);
   };
   const watches = vms.map((vm) => watchStatus(vm));
   return {
