Search the output of a started program only until it is ready

Each search copies the whole output, which is tens of megabytes beside a crowd of callers, in the process that also measures the calls of others. The check is the same.

--- a/tests/stand-ins/processes.ts
+++ b/tests/stand-ins/processes.ts
@@ -84,8 +84,11 @@
   const started = spawnProgram(name, program, args, environment);
   const { child, getOutput } = started;
   await new Promise<void>((resolve, reject) => {
+    // Each search copies the whole output, so that later output is not searched.
     const checkOutput = (): void => {
       if (getOutput().includes(readyText)) {
+        child.stdout?.off('data', checkOutput);
+        child.stderr?.off('data', checkOutput);
         resolve();
       }
     };
