Find the end of a head that arrives in two parts

Callers saw: a proper request was answered 431 when the first one to three bytes of the empty line after its head were read apart from the last, and over 32 KB of its body with that. With a shorter body it was served, but its connection counted as one with an unfinished head, so that a stop did not close it and it gave no room to new callers. Cause: the reader looked for the whole empty line in the data of one read. Change: the reader remembers the last three bytes of an unfinished head.

--- a/src/transport/entry/callerReader.ts
+++ b/src/transport/entry/callerReader.ts
@@ -10,6 +10,8 @@
 
 /** Ends each head, and each body that is sent in chunks. */
 const HEAD_END = '\r\n\r\n';
+/** Bytes of it that may have arrived before the rest. */
+const MAX_TAIL_BYTES = HEAD_END.length - 1;
 /** Shortest piece of a body in chunks, which may contain many empty lines. */
 const MIN_CHUNKED_PIECE_BYTES = 64;
 /** Requests of one connection that are parsed and not answered. */
@@ -55,6 +57,8 @@
   unparsed: Buffer | null;
   /** Bytes of the unfinished head that were parsed. */
   headBytes: number;
+  /** The last of these bytes, with which the end of the head may begin. */
+  headTail: string;
   latest: IncomingMessage | null;
   requestCount: number;
   unansweredCount: number;
@@ -70,19 +74,27 @@
   return latest !== null && !latest.complete;
 }
 
-/** Returns the end of the next piece of data. */
-function findPieceEnd(connection: Connection, data: Buffer, start: number): number {
-  const { bodyBytesLeft } = connection;
+interface Piece {
+  readonly end: number;
+  /** True for a piece that ends with a head, or with a body in chunks. */
+  readonly endsHead: boolean;
+}
+
+/** Returns the next piece of data. */
+function findPiece(connection: Connection, data: Buffer, start: number): Piece {
+  const { bodyBytesLeft, headTail } = connection;
   const isBody = isInBody(connection);
   if (isBody && bodyBytesLeft !== null && bodyBytesLeft > 0) {
-    return Math.min(data.length, start + bodyBytesLeft);
+    return { end: Math.min(data.length, start + bodyBytesLeft), endsHead: false };
+  }
+  const joined = headTail + data.toString('latin1', start, start + MAX_TAIL_BYTES);
+  const splitIndex = joined.indexOf(HEAD_END);
+  if (!isBody && splitIndex >= 0) {
+    return { end: start + splitIndex + HEAD_END.length - headTail.length, endsHead: true };
   }
   const index = data.indexOf(HEAD_END, isBody ? start + MIN_CHUNKED_PIECE_BYTES : start, 'latin1');
-  return index < 0 ? data.length : index + HEAD_END.length;
-}
-
-function isHeadEnd(data: Buffer, end: number): boolean {
-  return data.toString('latin1', Math.max(0, end - HEAD_END.length), end) === HEAD_END;
+  const endsHead = index >= 0;
+  return { end: endsHead ? index + HEAD_END.length : data.length, endsHead };
 }
 
 function getHeldBytes({ headBytes, unparsed }: Connection): number {
@@ -129,12 +141,16 @@
     inputMemory.hold(socket, 0);
   };
 
-  const parsePiece = (connection: Connection, data: Buffer, start: number, end: number): void => {
+  const parsePiece = (
+    connection: Connection,
+    data: Buffer,
+    start: number,
+    { end, endsHead }: Piece,
+  ): void => {
     const { bodyBytesLeft, requestCount, socket } = connection;
     const isBody = isInBody(connection);
-    const isEnd = isHeadEnd(data, end);
     const sizeBytes = end - start;
-    if (!isBody && !isEnd && connection.headBytes + sizeBytes > getMaxHeadBytes()) {
+    if (!isBody && !endsHead && connection.headBytes + sizeBytes > getMaxHeadBytes()) {
       stop(socket);
       onOverlongHead(socket);
       return;
@@ -146,8 +162,12 @@
     if (connection.requestCount > requestCount) {
       connection.headBytes = 0;
     }
-    const isHead = !isEnd && !isInBody(connection) && !(isBody && bodyBytesLeft !== null);
+    const isUnfinished = !endsHead && !isInBody(connection);
+    const isHead = isUnfinished && !(isBody && bodyBytesLeft !== null);
     connection.headBytes += isHead && !connection.isStopped ? sizeBytes : 0;
+    const pieceTail = data.toString('latin1', Math.max(start, end - MAX_TAIL_BYTES), end);
+    const headTail = isBody ? pieceTail : connection.headTail + pieceTail;
+    connection.headTail = isUnfinished ? headTail.slice(-MAX_TAIL_BYTES) : '';
   };
 
   /** Parses data until requests have to be answered first, and keeps the rest. */
@@ -157,9 +177,9 @@
     connection.isParsing = true;
     const mayGoOn = (): boolean => !connection.isStopped && !socket.destroyed;
     while (start < data.length && mayGoOn() && !socket.isPaused() && !isBusy(connection)) {
-      const end = findPieceEnd(connection, data, start);
-      parsePiece(connection, data, start, end);
-      start = end;
+      const piece = findPiece(connection, data, start);
+      parsePiece(connection, data, start, piece);
+      start = piece.end;
     }
     connection.isParsing = false;
     connection.unparsed = start < data.length && mayGoOn() ? data.subarray(start) : null;
@@ -237,7 +257,14 @@
   server.on('connection', (socket: Socket) => {
     const [parse] = socket.listeners('data');
     const connection: Connection = {
-      ...{ socket, parse: parse!.bind(socket), unparsed: null, headBytes: 0, latest: null },
+      ...{
+        socket,
+        parse: parse!.bind(socket),
+        unparsed: null,
+        headBytes: 0,
+        headTail: '',
+        latest: null,
+      },
       ...{ requestCount: 0, unansweredCount: 0, bodyBytesLeft: 0, isParsing: false },
       ...{ isPaused: false, isStopped: false, onAnswered: null },
     };
