Give back what requests hold whose answers wait for earlier ones when their caller leaves

Callers saw: after callers that sent several requests at once had left before their answers, requests with a body were answered 503 for as long as the process ran; the places for pipelined requests and the memory for answers ran out in the same way. Cause: memory and places are given back when a response closes. When a connection closes, Node.js closes the response that is being sent on it and not those that wait for it. Change: the reader closes the waiting responses of a connection that has closed.

--- a/src/transport/entry/callerReader.ts
+++ b/src/transport/entry/callerReader.ts
@@ -60,6 +60,8 @@
   /** The last of these bytes, with which the end of the head may begin. */
   headTail: string;
   latest: IncomingMessage | null;
+  /** Those that are not closed. */
+  readonly responses: Set<ServerResponse>;
   requestCount: number;
   unansweredCount: number;
   /** Bytes of the body of the latest request that are not parsed; null for a body in chunks. */
@@ -97,6 +99,22 @@
   return { end: endsHead ? index + HEAD_END.length : data.length, endsHead };
 }
 
+/**
+ * Closes the responses that wait for earlier ones on a connection that has closed. Node.js closes only the one that is being sent, and
+ * what a request holds is given back when its response closes.
+ */
+function closeWaitingResponses({ responses }: Connection): void {
+  [...responses]
+    .filter(
+      ({ closed, socket, writableFinished }) => !closed && !writableFinished && socket === null,
+    )
+    .forEach((response) => {
+      response.destroy();
+      Object.assign(response, { _closed: true });
+      response.emit('close');
+    });
+}
+
 function getHeldBytes({ headBytes, unparsed }: Connection): number {
   const overheadBytes = headBytes * (HELD_BYTES_PER_HEAD_BYTE - 1);
   const unparsedBytes = unparsed === null ? 0 : unparsed.buffer.byteLength;
@@ -257,15 +275,9 @@
   server.on('connection', (socket: Socket) => {
     const [parse] = socket.listeners('data');
     const connection: Connection = {
-      ...{
-        socket,
-        parse: parse!.bind(socket),
-        unparsed: null,
-        headBytes: 0,
-        headTail: '',
-        latest: null,
-      },
-      ...{ requestCount: 0, unansweredCount: 0, bodyBytesLeft: 0, isParsing: false },
+      ...{ socket, parse: parse!.bind(socket), unparsed: null, headBytes: 0, headTail: '' },
+      ...{ latest: null, responses: new Set<ServerResponse>(), requestCount: 0 },
+      ...{ unansweredCount: 0, bodyBytesLeft: 0, isParsing: false },
       ...{ isPaused: false, isStopped: false, onAnswered: null },
     };
     connections.set(socket, connection);
@@ -273,7 +285,10 @@
     socket.on('data', (data: Buffer) => read(connection, data));
     socket.off('data', parse as (data: Buffer) => void);
     socket.on('resume', () => scheduleRest(connection));
-    socket.once('close', () => inputMemory.hold(socket, 0));
+    socket.once('close', () => {
+      inputMemory.hold(socket, 0);
+      closeWaitingResponses(connection);
+    });
   });
 
   return {
@@ -285,12 +300,14 @@
       }
       const { 'content-length': length = '0', 'transfer-encoding': encoding } = request.headers;
       connection.latest = request;
+      connection.responses.add(response);
       const isPipelined = connection.unansweredCount > 0;
       pipelinedCount += Number(isPipelined);
       connection.requestCount += 1;
       connection.unansweredCount += 1;
       connection.bodyBytesLeft = encoding === undefined ? Number(length) : null;
       response.once('close', () => {
+        connection.responses.delete(response);
         connection.unansweredCount -= 1;
         pipelinedCount -= Number(isPipelined);
         checkAnswered(connection);
