Close connections at a stop only behind the last request that was read

Callers saw: of 8 requests sent at once before a stop, the last 3 got no answer, and of 4 or 8 sent at once after it, all but the first got none, although up to 3 of these had been passed on. Cause: the answer to the first request that was admitted after the stop closed its connection, whatever had been read behind it. Change: only the answer to the last request that was read closes the connection.

--- a/src/transport/entry/callerReader.ts
+++ b/src/transport/entry/callerReader.ts
@@ -43,6 +43,8 @@
   readonly addRequest: (request: IncomingMessage, response: ServerResponse) => void;
   /** Returns whether data has been read that belongs to a request whose head is not parsed yet. */
   readonly hasUnparsedData: (socket: Socket) => boolean;
+  /** Returns whether nothing has been read on the connection of a request after it. */
+  readonly isLast: (request: IncomingMessage) => boolean;
   /** Drops all further data of a connection. */
   readonly stop: (socket: Socket) => void;
   /** Calls back once all requests that were parsed whole are answered, on a connection whose reading has stopped. */
@@ -315,6 +317,8 @@
       });
     },
     hasUnparsedData: (socket) => inputMemory.isHeld(socket),
+    isLast: (request) =>
+      connections.get(request.socket)?.latest === request && !inputMemory.isHeld(request.socket),
     onAnswered: (socket, callback) => {
       const connection = connections.get(socket);
       if (connection === undefined) {
--- a/src/transport/entry/forwardServer.ts
+++ b/src/transport/entry/forwardServer.ts
@@ -58,7 +58,7 @@
   readonly createRequestId: () => string;
   /** Returns null until a configuration is in force. */
   readonly getLimits: () => CallerLimits | null;
-  /** Returns true during a graceful shutdown: every response then closes its connection. */
+  /** Returns true during a graceful shutdown: the response to the last request that was read closes its connection. */
   readonly isShuttingDown: () => boolean;
   readonly maxConnections: number;
   readonly vmMemory: VmMemory;
@@ -170,6 +170,7 @@
 
 function startExchange(
   context: ForwardServerContext,
+  reader: CallerReader,
   request: IncomingMessage,
   response: ServerResponse,
   body: Buffer,
@@ -180,7 +181,7 @@
   const contentDigest = createContentDigest(request.method ?? '', request.url ?? '', body);
   const exchange = createForwardExchange({ requestId, callerRequestId, request, response, body });
   context.exchanges.set(requestId, exchange);
-  response.shouldKeepAlive &&= !context.isShuttingDown();
+  response.shouldKeepAlive &&= !context.isShuttingDown() || !reader.isLast(request);
   let isAdmitted = false;
   let isGone = false;
   const leave = (): void => {
@@ -247,7 +248,7 @@
             if (response.destroyed) {
               reportCut(context, request, head.callerRequestId, false);
             } else {
-              startExchange(context, request, response, bytes, head);
+              startExchange(context, reader, request, response, bytes, head);
             }
           },
         });
