Keep the inherited reservation of an engine while it is busy

Cause: the reservation that a new controller inherits expired 8 s after the takeover, while the engine still reported that it was busy. Change: a report that an engine is busy with an order of an earlier controller prolongs the reservation; such an engine takes no orders meanwhile. Measured: tests/entry/placement.test.ts, the new row 'the engine is loading it for long' failed before ('unload m0 e2'), 35 of 35 pass.

--- a/src/coordination/entry/placement/placementState.ts
+++ b/src/coordination/entry/placement/placementState.ts
@@ -266,4 +266,8 @@
   }
   // An order of an earlier controller is in progress; its effect is visible only once it has ended.
   control.needsReport = report.isBusy && control.change === null;
+  const { needsReport, reservation } = control;
+  if (needsReport && reservation !== null && reservation.untilMs > nowMs) {
+    control.reservation = { ...reservation, untilMs: nowMs + RESERVATION_MS };
+  }
 }
--- a/tests/entry/placement.test.ts
+++ b/tests/entry/placement.test.ts
@@ -432,6 +432,7 @@
   readonly bornAtWallMs: number;
   readonly isBusy: boolean;
   readonly models: string[];
+  readonly durationMs: number;
   /** The orders to the engines, until the first is answered. */
   readonly orders: readonly string[];
 }
@@ -444,6 +445,15 @@
     bornAtWallMs: ENGINE_BORN_AT_WALL_MS,
     isBusy: true,
     models: ['m0', 'm1'],
+    durationMs: 3_000,
+    orders: [],
+  },
+  {
+    name: 'the engine is loading it for long',
+    bornAtWallMs: ENGINE_BORN_AT_WALL_MS,
+    isBusy: true,
+    models: ['m0', 'm1'],
+    durationMs: 20_000,
     orders: [],
   },
   {
@@ -451,6 +461,7 @@
     bornAtWallMs: ENGINE_BORN_AT_WALL_MS,
     isBusy: false,
     models: ['m0'],
+    durationMs: 3_000,
     orders: ['load m3 e1'],
   },
   {
@@ -458,6 +469,7 @@
     bornAtWallMs: ENGINE_BORN_AT_WALL_MS,
     isBusy: false,
     models: ['m0', 'm3'],
+    durationMs: 3_000,
     orders: [],
   },
   {
@@ -465,6 +477,7 @@
     bornAtWallMs: ENGINE_BORN_AT_WALL_MS - 1,
     isBusy: true,
     models: ['m0', 'm1'],
+    durationMs: 3_000,
     orders: ['unload m0 e2'],
   },
 ];
@@ -472,7 +485,7 @@
 describe('a new controller', () => {
   it.each(TAKEOVER_CASES)(
     'orders no second load of a model that the earlier one has ordered: $name',
-    ({ bornAtWallMs, isBusy, models, orders }) => {
+    ({ bornAtWallMs, durationMs, isBusy, models, orders }) => {
       const vm = createTestVm();
       const incoming = { backendId: 'e1', bornAtWallMs, variants: [], incomingModel: 'm3' };
       const engines = [{ ...incoming, sequence: 1 }];
@@ -482,7 +495,7 @@
       vm.step({ kind, fence: FENCE, isLost: false, sentAtMs: START_MS }, START_MS);
       vm.state.placement.leaseValidUntilMs = Number.POSITIVE_INFINITY;
       const commands: EntryCommand[] = [];
-      for (let nowMs = START_MS; nowMs < START_MS + 3_000; nowMs += TICK_MS) {
+      for (let nowMs = START_MS; nowMs < START_MS + durationMs; nowMs += TICK_MS) {
         const ticked = vm.step({ kind: EntryEventKind.ControllerTick }, nowMs);
         findCommands(ticked, EntryCommandKind.ReadEngineReport).forEach(({ backendId }) => {
           const isFirst = backendId === 'e1';
