--- a/src/transport/entry/answers.ts
+++ b/src/transport/entry/answers.ts
@@ -14,7 +14,8 @@
 import { isAnswerHead } from '../../protocol/httpText.js';
 import { Diagnostics } from '../../state/diagnostics.js';
 import { DispatchSignal } from '../../state/runState.js';
-import { type HeldMemory, MemoryPurpose } from '../vmMemory.js';
+import { lacksChunks } from '../unframedAnswers.js';
+import { MemoryPurpose } from '../vmMemory.js';
 import {
   advanceAttempt,
   type Attempt,
@@ -25,7 +26,7 @@
   recordProgress,
   recordSignal,
 } from './attempt.js';
-import { lacksChunks } from '../unframedAnswers.js';
+import { holdForCaller, keepPace, leaveTurn, writeWithBackpressure } from './answerPacing.js';
 import { probeAddress } from './backendProbe.js';
 import {
   endWithConnection,
@@ -41,8 +42,6 @@
 const EVENT_STREAM_PATTERN = /^text\/event-stream\b/i;
 /** Larger responses are forwarded as they arrive. If one is cut off, the caller's connection is closed. */
 const MAX_BUFFERED_BYTES = 1_048_576;
-/** Of an answer that brings this much at once, more is read in a later turn of the loop: Node.js would read up to 2 MB in this one. */
-const MAX_READ_BYTES = 32_768;
 /** Longest body of a response. */
 const MAX_ANSWER_BYTES = 67_108_864;
 /** Longest event of a stream. */
@@ -51,8 +50,6 @@
 const MAX_EVENT_BYTES_IN_SHORTAGE = 65_536;
 /** Most bytes of whole events without data between two events with data. */
 const MAX_IDLE_BYTES = 65_536;
-/** Events that a stream may bring in one chunk without being paced. */
-const MAX_UNPACED_EVENTS = 64;
 /** Limits on the body of a rejection, which is read only so that its connection can be used again. */
 const MAX_REJECTION_BYTES = 65_536;
 const MAX_REJECTION_MS = 1_000;
@@ -90,76 +87,6 @@
   }
 }
 
-/** Why a response is not read for now. */
-const PauseReason = {
-  SlowCaller: 'slowCaller',
-  Pace: 'pace',
-  Turn: 'turn',
-} as const;
-type PauseReason = (typeof PauseReason)[keyof typeof PauseReason];
-
-/** Stops reading a response, and returns the function that ends this. It is read again once no reason is left. */
-function pauseResponse(
-  attempt: Attempt,
-  response: IncomingMessage,
-  reason: PauseReason,
-): () => void {
-  const { pauseReasons } = attempt;
-  pauseReasons.add(reason);
-  response.pause();
-  return () => {
-    pauseReasons.delete(reason);
-    if (pauseReasons.size === 0) {
-      response.resume();
-    }
-  };
-}
-
-/** Lets other connections have their turn after much of a response was read. */
-function leaveTurn(attempt: Attempt, response: IncomingMessage, chunk: Buffer): void {
-  if (chunk.length >= MAX_READ_BYTES && !attempt.pauseReasons.has(PauseReason.Turn)) {
-    attempt.context.turnPacer.schedule(pauseResponse(attempt, response, PauseReason.Turn));
-  }
-}
-
-/** Returns memory that is given back when the answer to the caller has ended, so that what a slow caller has not read counts. */
-function holdForCaller({ context, exchange }: Attempt, purpose: MemoryPurpose): HeldMemory {
-  const held = context.vmMemory.hold(purpose);
-  if (exchange.response.closed) {
-    held.release();
-  } else {
-    exchange.response.once('close', held.release);
-  }
-  return held;
-}
-
-/** Writes bytes to the caller, and pauses reading from the server while the caller reads too slowly. */
-function writeWithBackpressure(
-  attempt: Attempt,
-  response: IncomingMessage,
-  bytes: Buffer,
-  onDrained: () => void = () => {},
-): void {
-  const caller = attempt.exchange.response;
-  if (caller.write(bytes)) {
-    onDrained();
-    return;
-  }
-  const resume = pauseResponse(attempt, response, PauseReason.SlowCaller);
-  caller.once('drain', () => {
-    onDrained();
-    attempt.context.turnPacer.schedule(resume);
-  });
-}
-
-/** Pauses a stream that has brought many events at once, if all such streams together have brought more than they may. */
-function keepPace(attempt: Attempt, response: IncomingMessage, eventCount: number): void {
-  const delayMs = eventCount > MAX_UNPACED_EVENTS ? attempt.context.eventPacer.take(eventCount) : 0;
-  if (delayMs > 0) {
-    setTimeout(pauseResponse(attempt, response, PauseReason.Pace), delayMs);
-  }
-}
-
 /** Returns whether the response marks its own end, rather than ending with its connection. */
 function isFramed(
   { request }: ForwardExchange,
--- a/tests/stand-ins/streamCaller.ts
+++ b/tests/stand-ins/streamCaller.ts
@@ -25,7 +25,7 @@
 /** Error of a connection that was reset. After an end in order, it is EPIPE. */
 const RESET_CODE = 'ECONNRESET';
 
-/** Opens a stream and reads it until its connection ends. `onEvent` is called with the number of whole events so far. */
+/** Opens a stream and reads it until its connection ends. */
 export function readStream(
   address: string,
   head: readonly string[],
