--- a/tests/soak/entryCallers.ts
+++ b/tests/soak/entryCallers.ts
@@ -141,6 +141,14 @@
     request.on('response', (response) => {
       hasBegun = true;
       const chunks: string[] = [];
+      let isReset = false;
+      // For a reset that finds unread data, libuv reports an end in order; a connection that was reset has no peer then.
+      const recordReset = (): void => {
+        isReset = response.socket.remoteAddress === undefined;
+      };
+      if (!isFramed) {
+        response.socket.prependOnceListener('end', recordReset);
+      }
       response.on('data', (chunk: Buffer) => {
         chunks.push(chunk.toString('latin1'));
         if (isSlow) {
@@ -156,7 +164,7 @@
           statusCode,
           String(answered['x-attempt-id']),
           chunks.join(''),
-          complete && errorCode === '' && !hasLeft,
+          complete && errorCode === '' && !hasLeft && !isReset,
         );
       });
     });
