--- a/src/coordination/entry/events.ts
+++ b/src/coordination/entry/events.ts
@@ -5,6 +5,7 @@
 import type { BackendEntry } from '../../state/entry/backends.js';
 import type { Deployment } from '../../state/entry/deployment.js';
 import type { Quarantine } from '../../state/entry/crashEvidence.js';
+import type { SpoilReason } from '../../state/entry/spoiledStreams.js';
 import type { Diagnostic } from '../../state/diagnostics.js';
 import type { RunState } from '../../state/types.js';
 import type { CloseCause } from './closeCause.js';
@@ -126,6 +127,7 @@
   AnswerReady: 'answerReady',
   AnswerCompleted: 'answerCompleted',
   AttemptFailed: 'attemptFailed',
+  StreamSpoiled: 'streamSpoiled',
   AttemptStalled: 'attemptStalled',
   LimitReported: 'limitReported',
   ServerStated: 'serverStated',
@@ -211,6 +213,14 @@
     /** True if the caller has events whose place in the stream is not known; absent if it has none. */
     readonly hasUnnumberedEvents?: boolean;
   };
+  /** An event of a stream does not belong to it. */
+  [EntryEventKind.StreamSpoiled]: {
+    readonly requestId: string;
+    readonly attempt: number;
+    readonly reason: SpoilReason;
+    /** Number of the last event before it; null if there was none. */
+    readonly afterId: string | null;
+  };
   [EntryEventKind.AttemptStalled]: {
     readonly requestId: string;
     readonly attempt: number;
--- a/src/coordination/entry/handlers.ts
+++ b/src/coordination/entry/handlers.ts
@@ -32,6 +32,7 @@
   handleAttemptFailed,
   handleAttemptStalled,
 } from './requests/attempts.js';
+import { handleStreamSpoiled } from './requests/spoiledStreams.js';
 import { handleWaitTimedOut } from './requests/forwarding.js';
 import { handleServerStated } from './servers/serverStatements.js';
 import {
@@ -72,6 +73,7 @@
   [EntryEventKind.AnswerReady]: handleAnswerReady,
   [EntryEventKind.AnswerCompleted]: handleAnswerCompleted,
   [EntryEventKind.AttemptFailed]: handleAttemptFailed,
+  [EntryEventKind.StreamSpoiled]: handleStreamSpoiled,
   [EntryEventKind.AttemptStalled]: handleAttemptStalled,
   [EntryEventKind.LimitReported]: handleLimitReported,
   [EntryEventKind.ServerStated]: handleServerStated,
--- a/src/coordination/entry/state.ts
+++ b/src/coordination/entry/state.ts
@@ -2,6 +2,7 @@
  * Defines the state of one entry VM. The event loop owns it: only event handlers change it, one event at a time.
  */
 import type { Diagnostic } from '../../state/diagnostics.js';
+import type { SpoilReason } from '../../state/entry/spoiledStreams.js';
 import type { BackendLists } from '../../state/entry/backendLists.js';
 import type { Backend, BackendEntry, StatedFacts } from '../../state/entry/backends.js';
 import type {
@@ -274,6 +275,8 @@
   >;
   /** Earliest time of the next trial of each quarantine, by its key. */
   readonly nextTrialAtMs: Map<string, number>;
+  /** Number of streams that their servers have spoiled, by reason. */
+  readonly spoiledStreams: Map<SpoilReason, number>;
 }
 
 /** Creates the state of a process that has just started. */
@@ -338,6 +341,7 @@
     permitShareVmIds: [],
     rateHolders: new Map(),
     nextTrialAtMs: new Map(),
+    spoiledStreams: new Map(),
   };
 }
 
--- a/src/protocol/entry/eventFrames.ts
+++ b/src/protocol/entry/eventFrames.ts
@@ -7,18 +7,24 @@
 /** Length of the longest blank line with the line end before it, without its last byte: what may have been received of it. */
 const MAX_PARTIAL_BLANK_LINE_LENGTH = 3;
 const LINE_ENDS_PATTERN = /^[\r\n]*$/;
-const ID_PATTERN = /^id:[ ]?(.*)$/m;
+const ID_PATTERN = /^id(?::[ ]?(.*))?$/gm;
 const DATA_PATTERN = /^data(?::|$)/m;
+/** A line that is neither a comment, nor a field of an event without a value, nor a name and a value. */
+const FOREIGN_LINE_PATTERN = /^(?!:|(?:data|event|id|retry)$|[A-Za-z][\w.-]*:)[^\r\n]/m;
+/** The longest number that is compared. */
+const MAX_NUMBER_DIGITS = 40;
 /** The mark with which a text in UTF-8 may begin, as Latin-1. */
 const BYTE_ORDER_MARK = '\u00ef\u00bb\u00bf';
 
 /** One complete event with the blank line that ends it, or several together that have neither data nor an id. */
 export interface EventFrame {
   readonly bytes: Buffer;
-  /** The id of the event; null if it has none. */
+  /** The id of the event, the last one of several; null if it has none. */
   readonly id: string | null;
   /** False for comments, which servers send to keep a connection open. */
   readonly hasData: boolean;
+  /** True if some line is not one of an event stream. */
+  readonly isForeign: boolean;
 }
 
 /** Collects the chunks of one stream in order. */
@@ -44,7 +50,8 @@
 }
 
 function decodeId(text: string): string | null {
-  return ID_PATTERN.exec(text)?.[1]?.trim() ?? null;
+  const last = [...text.matchAll(ID_PATTERN)].at(-1);
+  return last === undefined ? null : (last[1] ?? '').trim();
 }
 
 interface FrameRange {
@@ -52,12 +59,14 @@
   end: number;
   readonly id: string | null;
   readonly hasData: boolean;
+  readonly isForeign: boolean;
 }
 
 /** Adds a frame to those of the same chunk. Frames without data and id are put together, since a chunk may have thousands. */
 function addFrame(frames: FrameRange[], frame: FrameRange): void {
   const last = frames.at(-1);
-  const isEmpty = ({ hasData, id }: FrameRange): boolean => !hasData && id === null;
+  const isEmpty = ({ hasData, id, isForeign }: FrameRange): boolean =>
+    !hasData && id === null && !isForeign;
   if (last !== undefined && isEmpty(last) && isEmpty(frame)) {
     last.end = frame.end;
   } else {
@@ -85,7 +94,13 @@
     const hasMark = isFirst && text.startsWith(BYTE_ORDER_MARK);
     isFirst = false;
     const frameText = text.slice(hasMark ? BYTE_ORDER_MARK.length : start, end);
-    return { start, end, id: decodeId(frameText), hasData: DATA_PATTERN.test(frameText) };
+    return {
+      start,
+      end,
+      id: decodeId(frameText),
+      hasData: DATA_PATTERN.test(frameText),
+      isForeign: FOREIGN_LINE_PATTERN.test(frameText),
+    };
   };
 
   return {
@@ -113,10 +128,9 @@
         fromIndex = end;
       }
       incomplete = bytes.subarray(start);
-      return frames.map(({ hasData, id, ...range }) => ({
-        bytes: bytes.subarray(range.start, range.end),
-        id,
-        hasData,
+      return frames.map(({ start: from, end: to, ...fields }) => ({
+        bytes: bytes.subarray(from, to),
+        ...fields,
       }));
     },
     // What is left of a blank line belongs to the event before it.
@@ -129,7 +143,7 @@
   };
 }
 
-const NUMBER_PATTERN = /^\d+$/;
+const NUMBER_PATTERN = new RegExp(`^\\d{1,${MAX_NUMBER_DIGITS}}$`);
 
 /** Returns whether the id of an event gives its place in the stream: ids are increasing numbers. */
 export function isEventNumber(id: string | null): id is string {
--- /dev/null
+++ b/src/protocol/entry/streamJudge.ts
@@ -0,0 +1,135 @@
+/**
+ * Judges the events of a run of a stream before they go to the caller. Events of a stream have increasing numbers, over all runs of the
+ * request, so an event belongs to it only at the place that its number gives.
+ */
+import { SpoilReason } from '../../state/entry/spoiledStreams.js';
+import { type EventFrame, isEventNumber } from './eventFrames.js';
+
+/** What becomes of an event. */
+export const EventVerdict = {
+  /** The next event for the caller. */
+  Sound: 'sound',
+  /** A comment or a field without data, which has no place in the order. */
+  Idle: 'idle',
+  /** The caller has it already. */
+  Repeated: 'repeated',
+  /** It does not belong to the stream, and nothing after it is trusted. */
+  Spoiled: 'spoiled',
+} as const;
+export type EventVerdict = (typeof EventVerdict)[keyof typeof EventVerdict];
+
+/** The verdict on an event; the reason is null unless it is spoiled. */
+export interface Judgement {
+  readonly verdict: EventVerdict;
+  readonly reason: SpoilReason | null;
+}
+
+/** Up to where a caller has a stream, over all runs. Updated by the judge of the run in progress. */
+export interface StreamPlace {
+  /** Number of the last event that the caller has from this VM; null if it has none. */
+  lastId: string | null;
+  /** Whether the numbers rise by one; null until two are known. */
+  isConsecutive: boolean | null;
+  /** Number after which the caller asked the stream to begin; null if it did not. */
+  readonly startsAfterId: string | null;
+}
+
+/** Judges one run of a stream. */
+export interface StreamJudge {
+  /** Judges the next event of the run, and moves the caller's place if it is sound. */
+  readonly judge: (event: EventFrame) => Judgement;
+  /** Returns why the run is spoiled although it has ended in order; null if it is not. */
+  readonly judgeEnd: () => SpoilReason | null;
+}
+
+/** Creates the place of a caller that has no event yet. */
+export function createStreamPlace(startsAfterId: string | null): StreamPlace {
+  return {
+    lastId: null,
+    isConsecutive: null,
+    startsAfterId: isEventNumber(startsAfterId) ? startsAfterId : null,
+  };
+}
+
+const SOUND: Judgement = { verdict: EventVerdict.Sound, reason: null };
+const IDLE: Judgement = { verdict: EventVerdict.Idle, reason: null };
+const REPEATED: Judgement = { verdict: EventVerdict.Repeated, reason: null };
+
+function spoiled(reason: SpoilReason): Judgement {
+  return { verdict: EventVerdict.Spoiled, reason };
+}
+
+function toNumber(id: string | null): bigint | null {
+  return id === null ? null : BigInt(id);
+}
+
+function isSameNumber(id: string, otherId: string | null): boolean {
+  return isEventNumber(id) && otherId !== null && BigInt(id) === BigInt(otherId);
+}
+
+/** Creates the judge of a run that is to go on at the place of the caller, or to begin anew. */
+export function createStreamJudge(place: StreamPlace): StreamJudge {
+  let lastOfRun: bigint | null = null;
+  let last = IDLE;
+
+  /** Returns whether the numbers rise by one, as far as a number and the one before it show. */
+  const learnStep = (number: bigint): boolean | null => {
+    if (place.isConsecutive !== null) {
+      return place.isConsecutive;
+    }
+    if (lastOfRun !== null) {
+      return number === lastOfRun + 1n;
+    }
+    // Most streams begin with 1. Others show their step with the second event.
+    const before = toNumber(place.lastId ?? place.startsAfterId) ?? 0n;
+    return number === before + 1n ? true : null;
+  };
+
+  const judgeNumber = (id: string): Judgement => {
+    const number = BigInt(id);
+    const before = lastOfRun;
+    if (before !== null && number <= before) {
+      return number === before || place.isConsecutive === true
+        ? REPEATED
+        : spoiled(SpoilReason.FellBack);
+    }
+    const lastOfCaller = toNumber(place.lastId);
+    const isRepeated = lastOfCaller !== null && number <= lastOfCaller;
+    // A run that begins anew is compared with itself, one that goes on with what the caller has.
+    const due = before ?? (isRepeated ? null : lastOfCaller) ?? null;
+    if (place.isConsecutive === true && due !== null && number !== due + 1n) {
+      return spoiled(SpoilReason.Skipped);
+    }
+    place.isConsecutive = learnStep(number);
+    lastOfRun = number;
+    if (isRepeated) {
+      return REPEATED;
+    }
+    place.lastId = id;
+    return SOUND;
+  };
+
+  const judgeEvent = ({ hasData, id, isForeign }: EventFrame): Judgement => {
+    if (isForeign) {
+      return spoiled(SpoilReason.ForeignText);
+    }
+    if (!hasData) {
+      return id === null || isSameNumber(id, place.lastId) ? IDLE : spoiled(SpoilReason.NoData);
+    }
+    return isEventNumber(id) ? judgeNumber(id) : spoiled(SpoilReason.NoNumber);
+  };
+
+  return {
+    judge: (event) => {
+      if (last.verdict !== EventVerdict.Spoiled) {
+        last = judgeEvent(event);
+      }
+      return last;
+    },
+    judgeEnd: () => {
+      const lastOfCaller = toNumber(place.lastId);
+      const isShort = lastOfRun !== null && lastOfCaller !== null && lastOfRun < lastOfCaller;
+      return isShort ? SpoilReason.EndedEarly : null;
+    },
+  };
+}
--- a/src/transport/entry/answers.ts
+++ b/src/transport/entry/answers.ts
@@ -11,6 +11,7 @@
   isEventNumber,
   isLaterEvent,
 } from '../../protocol/entry/eventFrames.js';
+import { createStreamJudge, type StreamJudge } from '../../protocol/entry/streamJudge.js';
 import { isAnswerHead } from '../../protocol/httpText.js';
 import { Diagnostics } from '../../state/diagnostics.js';
 import { DispatchSignal } from '../../state/runState.js';
@@ -163,6 +164,24 @@
   return resumedAfterId !== null && hasData && !isEventNumber(id);
 }
 
+/** Tells the event loop of the first event of a run that does not belong to the stream. */
+function createSpoilReport(attempt: Attempt, judge: StreamJudge): (frame: EventFrame) => void {
+  let isReported = false;
+  return (frame) => {
+    if (isReported) {
+      return;
+    }
+    const afterId = attempt.exchange.place.lastId;
+    const { reason } = judge.judge(frame);
+    if (reason !== null) {
+      isReported = true;
+      const { attempt: number, requestId } = attempt.command;
+      const kind = EntryEventKind.StreamSpoiled;
+      attempt.context.post({ kind, requestId, attempt: number, reason, afterId });
+    }
+  };
+}
+
 /** Records an event that goes to the caller. Returns false for one that the caller has already. */
 function takeEvent({ context, exchange }: Attempt, frame: EventFrame): boolean {
   const { lastEventId } = exchange;
@@ -197,6 +216,7 @@
 
 function forwardEventStream(attempt: Attempt, response: IncomingMessage): void {
   const reader = createEventFrameReader();
+  const reportIfSpoiled = createSpoilReport(attempt, createStreamJudge(attempt.exchange.place));
   let receivedBytes = 0;
   let idleBytes = 0;
   const isComplete = createCompletenessCheck(attempt.exchange, response);
@@ -210,6 +230,7 @@
     advanceAttempt(attempt, DispatchSignal.BodyReceived);
     receivedBytes += chunk.length;
     const frames = reader.addChunk(chunk);
+    frames.forEach(reportIfSpoiled);
     const lastDataIndex = frames.findLastIndex(({ hasData }) => hasData);
     const idleFrames = frames.slice(lastDataIndex + 1);
     if (lastDataIndex >= 0) {
--- a/src/transport/entry/exchange.ts
+++ b/src/transport/entry/exchange.ts
@@ -3,6 +3,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { type EventFrame, isEventNumber } from '../../protocol/entry/eventFrames.js';
+import { createStreamPlace, type StreamPlace } from '../../protocol/entry/streamJudge.js';
 import {
   getForwardRefusalHeaders,
   getForwardRefusalStatus,
@@ -12,6 +13,9 @@
 import { resetAnswer, watchUnframedAnswer } from '../unframedAnswers.js';
 import type { EntryWire } from './wire.js';
 
+/** The header of event streams with which a caller asks for the events after one that it has. */
+const LAST_EVENT_ID_HEADER = 'last-event-id';
+
 /** A complete response that is buffered until the event loop decides whether to deliver it. */
 export interface BufferedAnswer {
   readonly attempt: number;
@@ -33,6 +37,8 @@
   readonly body: Buffer;
   /** Addresses of the servers that have rejected the request. */
   readonly rejectedAddresses: Set<string>;
+  /** Up to where the caller has the stream, over all attempts, as the judge of its events sees it. */
+  readonly place: StreamPlace;
   /** Id of the last event that was sent to the caller, over all attempts. */
   lastEventId: string | null;
   /** True once the caller has data whose place in the stream is not known, so that no other server can go on after it. */
@@ -67,6 +73,7 @@
   return {
     ...fields,
     rejectedAddresses: new Set(),
+    place: createStreamPlace(fields.request.headers[LAST_EVENT_ID_HEADER]?.toString() ?? null),
     lastEventId: null,
     hasUnnumberedEvents: false,
     lastEventAtMs: null,
--- a/src/transport/entry/metricsServer.ts
+++ b/src/transport/entry/metricsServer.ts
@@ -5,6 +5,7 @@
 import { countLiveVms, type EntryState, RelayRole } from '../../coordination/entry/state.js';
 import { isPaused } from '../../coordination/entry/servers/serverPauses.js';
 import { countHeldQuarantines } from '../../state/entry/quarantineTable.js';
+import { SpoilReason } from '../../state/entry/spoiledStreams.js';
 import { getRevisionInEra, getStoreEra } from '../../state/storeRevision.js';
 import type { Metrics } from '../metrics.js';
 import { MemoryPurpose, type VmMemory } from '../vmMemory.js';
@@ -79,11 +80,21 @@
   return ['# TYPE gentiandeck_held_bytes gauge\n', ...lines].join('');
 }
 
+/** Formats the number of streams that servers have spoiled, by reason. */
+function formatSpoiledStreams({ state }: MetricsSources): string {
+  const name = 'gentiandeck_spoiled_streams_total';
+  const lines = Object.values(SpoilReason).map(
+    (reason) => `${name}{reason="${reason}"} ${state.spoiledStreams.get(reason) ?? 0}\n`,
+  );
+  return [`# TYPE ${name} counter\n`, ...lines].join('');
+}
+
 function formatMetrics(sources: MetricsSources): string {
   const { callerConnections, loopWork, metrics, peerCalls } = sources;
   const counters = [metrics, loopWork, peerCalls, callerConnections];
   const texts = counters.map((counter) => counter.formatPrometheus());
-  return [...texts, formatGauges(sources), formatHeldBytes(sources)].join('');
+  const formats = [formatGauges, formatHeldBytes, formatSpoiledStreams];
+  return [...texts, ...formats.map((format) => format(sources))].join('');
 }
 
 interface Page {
