Pass on only the events of a stream that belong to it

Cause: only a resumed run was judged. The first run was passed on as it came, and any number was believed. Class: what one server says is trusted until there is a second witness. Change: the judge of a run decides on each event before it is passed on. A spoiled stream fails its attempt: it is resumed after its last sound event, retried whole, or cut visibly. hasUnnumberedEvents becomes isPlaceDoubtful, since data without a number no longer reaches a caller; a number that falls back in a stream with gaps sets it. The two rows of resumedStreams.test.ts on it stand under the new name. An id of the event before, sent again without data, is passed on now; it was dropped.

--- a/src/coordination/entry/events.ts
+++ b/src/coordination/entry/events.ts
@@ -210,8 +210,8 @@
     readonly isAnswerBegun: boolean;
     /** Time of the last stream event that was sent to the caller; absent or null if none was. */
     readonly lastEventAtMs?: number | null;
-    /** True if the caller has events whose place in the stream is not known; absent if it has none. */
-    readonly hasUnnumberedEvents?: boolean;
+    /** True if events that the caller has are in doubt; absent if none are. */
+    readonly isPlaceDoubtful?: boolean;
   };
   /** An event of a stream does not belong to it. */
   [EntryEventKind.StreamSpoiled]: {
@@ -226,8 +226,8 @@
     readonly attempt: number;
     readonly silentMs: number;
     readonly isAnswerBegun: boolean;
-    /** True if the caller has events whose place in the stream is not known; absent if it has none. */
-    readonly hasUnnumberedEvents?: boolean;
+    /** True if events that the caller has are in doubt; absent if none are. */
+    readonly isPlaceDoubtful?: boolean;
   };
   /** The head of a response states the requests that its server takes from all VMs together. */
   [EntryEventKind.LimitReported]: {
--- a/src/coordination/entry/requests/admission.ts
+++ b/src/coordination/entry/requests/admission.ts
@@ -197,7 +197,7 @@
     notRunAttempts: 0,
     runStatus: RunStatus.NotRun,
     firstEventAtMs: null,
-    hasUnnumberedEvents: false,
+    isPlaceDoubtful: false,
     lastEventAtMs: null,
     attemptAnsweredAtMs: null,
     dispatchedAtMs: nowMs,
--- a/src/coordination/entry/requests/attempts.ts
+++ b/src/coordination/entry/requests/attempts.ts
@@ -176,7 +176,7 @@
   const { diagnostic, isMisdirected, isRefusedByServer } = failure;
   const isConnectionLost = !isRefusedByServer && LOST_CONNECTION_CODES.has(diagnostic.code);
   recordFailure(state, record, failure, nowMs);
-  record.hasUnnumberedEvents ||= event.hasUnnumberedEvents ?? false;
+  record.isPlaceDoubtful ||= event.isPlaceDoubtful ?? false;
   if (isAnswerBegun) {
     recordBegunAnswer(record, event.lastEventAtMs ?? null, nowMs);
   }
@@ -249,7 +249,7 @@
 ): EntryCommand[] {
   const record = findAttempt(state, event.requestId, event.attempt);
   if (record !== undefined) {
-    record.hasUnnumberedEvents ||= event.hasUnnumberedEvents ?? false;
+    record.isPlaceDoubtful ||= event.isPlaceDoubtful ?? false;
   }
   // A server that sends no data may still have run the request.
   const shouldRetry =
--- a/src/coordination/entry/requests/retries.ts
+++ b/src/coordination/entry/requests/retries.ts
@@ -46,7 +46,7 @@
 export function isRetrySafe(record: ForwardRecord, isAnswerBegun: boolean): boolean {
   if (isAnswerBegun) {
     const { isResumable, kind } = record.route;
-    return kind === RouteKind.Stream && isResumable && !record.hasUnnumberedEvents;
+    return kind === RouteKind.Stream && isResumable && !record.isPlaceDoubtful;
   }
   return mayRunTwice(record) || record.runStatus === RunStatus.NotRun;
 }
--- a/src/coordination/entry/state.ts
+++ b/src/coordination/entry/state.ts
@@ -85,8 +85,8 @@
   firstEventAtMs: number | null;
   /** Time of the last event that was sent to the caller, as of the end of the last failed attempt. */
   lastEventAtMs: number | null;
-  /** True once the caller has events whose place in the stream is not known, so that no other server can go on after them. */
-  hasUnnumberedEvents: boolean;
+  /** True once events that the caller has are in doubt, so that no other server can go on after them. */
+  isPlaceDoubtful: boolean;
   /** Time of the first event or answer of the current attempt; null before it. */
   attemptAnsweredAtMs: number | null;
   /** Time of the last dispatch. */
--- a/src/protocol/entry/eventFrames.ts
+++ b/src/protocol/entry/eventFrames.ts
@@ -149,8 +149,3 @@
 export function isEventNumber(id: string | null): id is string {
   return id !== null && NUMBER_PATTERN.test(id);
 }
-
-/** Returns whether an event comes after another in the same stream. Numbers may be larger than the safe integers. */
-export function isLaterEvent(id: string, lastId: string): boolean {
-  return BigInt(id) > BigInt(lastId);
-}
--- a/src/state/diagnostics.ts
+++ b/src/state/diagnostics.ts
@@ -199,6 +199,12 @@
     Failure,
     'The request to backend server "{0}" could not be started: {1}',
   ),
+  StreamSpoiled: define(
+    1211,
+    'stream_spoiled',
+    Failure,
+    'Backend server "{0}" sent after event "{1}" what does not belong to the stream: {2}',
+  ),
   ClaimUnavailable: define(
     1206,
     'claim_unavailable',
--- a/src/transport/entry/answers.ts
+++ b/src/transport/entry/answers.ts
@@ -5,15 +5,15 @@
 import type { IncomingMessage } from 'node:http';
 import { Effect } from 'effect';
 import { EntryEventKind, ProbeOutcome } from '../../coordination/entry/events.js';
+import { createEventFrameReader, type EventFrame } from '../../protocol/entry/eventFrames.js';
 import {
-  createEventFrameReader,
-  type EventFrame,
-  isEventNumber,
-  isLaterEvent,
-} from '../../protocol/entry/eventFrames.js';
-import { createStreamJudge, type StreamJudge } from '../../protocol/entry/streamJudge.js';
+  createStreamJudge,
+  EventVerdict,
+  type StreamJudge,
+} from '../../protocol/entry/streamJudge.js';
 import { isAnswerHead } from '../../protocol/httpText.js';
 import { Diagnostics } from '../../state/diagnostics.js';
+import { DOUBTS, type SpoilReason } from '../../state/entry/spoiledStreams.js';
 import { DispatchSignal } from '../../state/runState.js';
 import { lacksChunks } from '../unframedAnswers.js';
 import { MemoryPurpose } from '../vmMemory.js';
@@ -55,6 +55,8 @@
 const MAX_REJECTION_BYTES = 65_536;
 const MAX_REJECTION_MS = 1_000;
 
+const PASSED_ON: ReadonlySet<EventVerdict> = new Set([EventVerdict.Sound, EventVerdict.Idle]);
+
 /** Fails an attempt whose response cannot be delivered to the caller. Its connection is closed, not reused. */
 function rejectAnswer(attempt: Attempt): void {
   failAttempt(attempt, Diagnostics.AnswerMismatched);
@@ -159,64 +161,46 @@
   reportAnswerStarted(attempt);
 }
 
-/** Returns whether an event of a second run cannot be placed among those that the caller has. */
-function isUnplaced({ resumedAfterId }: Attempt, { hasData, id }: EventFrame): boolean {
-  return resumedAfterId !== null && hasData && !isEventNumber(id);
-}
-
-/** Tells the event loop of the first event of a run that does not belong to the stream. */
-function createSpoilReport(attempt: Attempt, judge: StreamJudge): (frame: EventFrame) => void {
-  let isReported = false;
-  return (frame) => {
-    if (isReported) {
-      return;
-    }
-    const afterId = attempt.exchange.place.lastId;
-    const { reason } = judge.judge(frame);
-    if (reason !== null) {
-      isReported = true;
-      const { attempt: number, requestId } = attempt.command;
-      const kind = EntryEventKind.StreamSpoiled;
-      attempt.context.post({ kind, requestId, attempt: number, reason, afterId });
-    }
-  };
-}
-
-/** Records an event that goes to the caller. Returns false for one that the caller has already. */
-function takeEvent({ context, exchange }: Attempt, frame: EventFrame): boolean {
-  const { lastEventId } = exchange;
-  const isAlreadySent =
-    isEventNumber(frame.id) && lastEventId !== null && !isLaterEvent(frame.id, lastEventId);
-  if (!isAlreadySent) {
-    recordStreamEvent(exchange, frame, context.getNowMs());
-  }
-  return !isAlreadySent;
+/** Ends an attempt whose server has spoiled its stream. What the caller has is left as it is. */
+function failSpoiled(attempt: Attempt, reason: SpoilReason): void {
+  const { command, context, exchange } = attempt;
+  const { attempt: number, requestId } = command;
+  const afterId = exchange.place.lastId;
+  exchange.isPlaceDoubtful ||= DOUBTS.has(reason);
+  context.post({ kind: EntryEventKind.StreamSpoiled, requestId, attempt: number, reason, afterId });
+  failAttempt(attempt, Diagnostics.StreamSpoiled, null, afterId ?? '', reason);
 }
 
-/** Sends events that have arrived together in one write: each write has a cost that a short event does not bear. */
+/**
+ * Sends the sound events of those that have arrived together in one write: each write has a cost that a short event does not
+ * bear. Fails the attempt at the first that spoils the stream.
+ */
 function forwardEvents(
   attempt: Attempt,
   response: IncomingMessage,
+  judge: StreamJudge,
   frames: readonly EventFrame[],
   onDrained: () => void,
 ): void {
-  const unplacedIndex = frames.findIndex((frame) => isUnplaced(attempt, frame));
-  const placed = unplacedIndex < 0 ? frames : frames.slice(0, unplacedIndex);
-  const taken = placed.filter((frame) => takeEvent(attempt, frame));
+  const { context, exchange } = attempt;
+  const judged = frames.map((frame) => ({ frame, ...judge.judge(frame) }));
+  const taken = judged.flatMap(({ frame, verdict }) => (PASSED_ON.has(verdict) ? [frame] : []));
   if (taken.length > 0) {
     startAnswer(attempt, response);
+    taken.forEach(() => recordStreamEvent(exchange, context.getNowMs()));
     const bytes = taken.map((frame) => frame.bytes);
     const joined = bytes.length === 1 ? bytes[0]! : Buffer.concat(bytes);
     writeWithBackpressure(attempt, response, joined, onDrained);
   }
-  if (placed !== frames) {
-    rejectAnswer(attempt);
+  const reason = judged.at(-1)?.reason ?? null;
+  if (reason !== null) {
+    failSpoiled(attempt, reason);
   }
 }
 
 function forwardEventStream(attempt: Attempt, response: IncomingMessage): void {
   const reader = createEventFrameReader();
-  const reportIfSpoiled = createSpoilReport(attempt, createStreamJudge(attempt.exchange.place));
+  const judge = createStreamJudge(attempt.exchange.place);
   let receivedBytes = 0;
   let idleBytes = 0;
   const isComplete = createCompletenessCheck(attempt.exchange, response);
@@ -230,7 +214,6 @@
     advanceAttempt(attempt, DispatchSignal.BodyReceived);
     receivedBytes += chunk.length;
     const frames = reader.addChunk(chunk);
-    frames.forEach(reportIfSpoiled);
     const lastDataIndex = frames.findLastIndex(({ hasData }) => hasData);
     const idleFrames = frames.slice(lastDataIndex + 1);
     if (lastDataIndex >= 0) {
@@ -238,7 +221,7 @@
       idleBytes = 0;
     }
     idleBytes += idleFrames.reduce((sum, { bytes }) => sum + bytes.length, 0);
-    forwardEvents(attempt, response, frames, countHeld);
+    forwardEvents(attempt, response, judge, frames, countHeld);
     keepPace(attempt, response, frames.length);
     leaveTurn(attempt, response, chunk);
     countHeld();
@@ -262,6 +245,11 @@
       failForLostConnection(attempt);
       return;
     }
+    const reason = judge.judgeEnd();
+    if (reason !== null) {
+      failSpoiled(attempt, reason);
+      return;
+    }
     completeUnlessServerEnded(attempt, response, () => {
       startAnswer(attempt, response);
       attempt.exchange.isEnded = true;
--- a/src/transport/entry/attempt.ts
+++ b/src/transport/entry/attempt.ts
@@ -57,8 +57,6 @@
   runState: RunState;
   load: BackendLoad | null;
   isSettled: boolean;
-  /** Id of the event after which this attempt goes on with a stream; null if the caller has no event yet. */
-  readonly resumedAfterId: string | null;
   /** True once the event loop has been told that the server has begun to answer. */
   isAnswerReported: boolean;
   /** True once the body has ended in order, after which its connection may close. */
@@ -133,7 +131,7 @@
     load,
     isAnswerBegun: isAnswerBegun(exchange),
     lastEventAtMs: exchange.lastEventAtMs,
-    hasUnnumberedEvents: exchange.hasUnnumberedEvents,
+    isPlaceDoubtful: exchange.isPlaceDoubtful,
   });
 }
 
@@ -208,7 +206,7 @@
         attempt: attemptNumber,
         silentMs,
         isAnswerBegun: isAnswerBegun(exchange),
-        hasUnnumberedEvents: exchange.hasUnnumberedEvents,
+        isPlaceDoubtful: exchange.isPlaceDoubtful,
       });
     }
     const delayMs = silentMs >= timeoutMs ? timeoutMs : timeoutMs - silentMs;
@@ -238,7 +236,7 @@
     expectedServer: command.backendId,
     remainingMs: command.remainingMs,
     urgency: command.urgency,
-    resumeAfter: exchange.lastEventId,
+    resumeAfter: exchange.place.lastId,
   });
   const hasBody = body.length > 0 || incoming.headers['content-length'] !== undefined;
   const framing = hasBody ? ['Content-Length', String(body.length)] : [];
@@ -333,7 +331,6 @@
     runState: RunState.NotSent,
     load: null,
     isSettled: false,
-    resumedAfterId: exchange.lastEventId,
     isAnswerReported: false,
     isBodyRead: false,
     startedAtMs: context.getNowMs(),
--- a/src/transport/entry/exchange.ts
+++ b/src/transport/entry/exchange.ts
@@ -2,7 +2,6 @@
  * Holds a forwarded request and sends the response to its caller. Response bodies are streamed outside the event loop.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { type EventFrame, isEventNumber } from '../../protocol/entry/eventFrames.js';
 import { createStreamPlace, type StreamPlace } from '../../protocol/entry/streamJudge.js';
 import {
   getForwardRefusalHeaders,
@@ -37,12 +36,10 @@
   readonly body: Buffer;
   /** Addresses of the servers that have rejected the request. */
   readonly rejectedAddresses: Set<string>;
-  /** Up to where the caller has the stream, over all attempts, as the judge of its events sees it. */
+  /** Up to where the caller has the stream, over all attempts. */
   readonly place: StreamPlace;
-  /** Id of the last event that was sent to the caller, over all attempts. */
-  lastEventId: string | null;
-  /** True once the caller has data whose place in the stream is not known, so that no other server can go on after it. */
-  hasUnnumberedEvents: boolean;
+  /** True once events that the caller has are in doubt, so that no other server can go on after them. */
+  isPlaceDoubtful: boolean;
   lastEventAtMs: number | null;
   /** The longest time between two events that were sent to the caller. */
   maxGapMs: number;
@@ -74,8 +71,7 @@
     ...fields,
     rejectedAddresses: new Set(),
     place: createStreamPlace(fields.request.headers[LAST_EVENT_ID_HEADER]?.toString() ?? null),
-    lastEventId: null,
-    hasUnnumberedEvents: false,
+    isPlaceDoubtful: false,
     lastEventAtMs: null,
     maxGapMs: 0,
     sumGapsMs: 0,
@@ -191,12 +187,8 @@
   }
 }
 
-/** Records the id and the time of a stream event that is sent to the caller. */
-export function recordStreamEvent(
-  exchange: ForwardExchange,
-  { hasData, id }: Pick<EventFrame, 'hasData' | 'id'>,
-  nowMs: number,
-): void {
+/** Records the time of a stream event that is sent to the caller. */
+export function recordStreamEvent(exchange: ForwardExchange, nowMs: number): void {
   if (exchange.lastEventAtMs !== null) {
     const gapMs = nowMs - exchange.lastEventAtMs;
     exchange.maxGapMs = Math.max(exchange.maxGapMs, gapMs);
@@ -204,9 +196,4 @@
   }
   exchange.eventCount += 1;
   exchange.lastEventAtMs = nowMs;
-  if (isEventNumber(id)) {
-    exchange.lastEventId = id;
-  } else if (hasData) {
-    exchange.hasUnnumberedEvents = true;
-  }
 }
--- a/tests/entry/resumedStreams.test.ts
+++ b/tests/entry/resumedStreams.test.ts
@@ -61,7 +61,7 @@
   vm: TestVm,
   failure: AttemptFailure,
   nowMs = FAILED_AT_MS,
-  hasUnnumberedEvents = false,
+  isPlaceDoubtful = false,
 ): EntryCommand[] {
   const attempt = vm.state.requests.get('r')?.attempt ?? 0;
   return vm.step(
@@ -73,7 +73,7 @@
       load: null,
       isAnswerBegun: true,
       lastEventAtMs: LAST_EVENT_AT_MS,
-      hasUnnumberedEvents,
+      isPlaceDoubtful,
     },
     nowMs,
   );
@@ -338,7 +338,7 @@
       end: (vm: TestVm) => {
         const stalled = { requestId: 'r', attempt: 1, silentMs: SILENT_MS, isAnswerBegun: true };
         const kind = EntryEventKind.AttemptStalled;
-        return vm.step({ kind, ...stalled, hasUnnumberedEvents: true }, STALLED_AT_MS);
+        return vm.step({ kind, ...stalled, isPlaceDoubtful: true }, STALLED_AT_MS);
       },
     },
   ])(
--- a/tests/stand-ins/streamCaller.ts
+++ b/tests/stand-ins/streamCaller.ts
@@ -15,6 +15,8 @@
   /** Whether the answer's own framing marks its end; false for one without framing. */
   readonly hasEndMark: boolean;
   readonly isFramed: boolean;
+  /** What was read after the head, without the marks of its chunks. */
+  readonly body: string;
   /** Ids of the whole events, in the order in which they came. */
   readonly eventIds: readonly number[];
 }
@@ -25,6 +27,18 @@
 /** Error of a connection that was reset. After an end in order, it is EPIPE. */
 const RESET_CODE = 'ECONNRESET';
 
+/** Joins the chunks of a body, as far as it was read. */
+function joinChunks(text: string): string {
+  const parts: string[] = [];
+  let index = 0;
+  for (let end = text.indexOf('\r\n'); end >= 0; end = text.indexOf('\r\n', index)) {
+    const length = Number.parseInt(text.slice(index, end), 16);
+    parts.push(text.slice(end + 2, end + 2 + length));
+    index = end + 2 + length + 2;
+  }
+  return parts.join('');
+}
+
 /** Opens a stream and reads it until its connection ends. */
 export function readStream(
   address: string,
@@ -61,6 +75,7 @@
     socket.on('close', () => {
       const text = chunks.join('');
       const bodyIndex = text.indexOf('\r\n\r\n') + 4;
+      const rawBody = text.slice(bodyIndex);
       const isFramed = /^transfer-encoding: chunked/im.test(text.slice(0, bodyIndex));
       resolve({
         end: isReset ? StreamEnd.Reset : StreamEnd.InOrder,
@@ -68,9 +83,8 @@
         status: Number(/^HTTP\/1.1 (\d+)/.exec(text)?.[1] ?? 0),
         hasEndMark: text.endsWith('0\r\n\r\n'),
         isFramed,
-        eventIds: [...text.slice(bodyIndex).matchAll(/id: (\d+)\ndata: x+\n\n/g)].map(([, id]) =>
-          Number(id),
-        ),
+        body: isFramed ? joinChunks(rawBody) : rawBody,
+        eventIds: [...rawBody.matchAll(/id: (\d+)\ndata: x+\n\n/g)].map(([, id]) => Number(id)),
       });
     });
     socket.write(`${head.join('\r\n')}\r\n\r\n`);
