Read large bodies of requests over several turns of the loop

Cause: of each connection Node.js reads up to 2 MB in one turn. What does not fit is dropped, but it is garbage until it is collected, and a process without enough processor time collects late. Answers were spread over turns before, bodies were not: the same class. Change: after a chunk of 32 KB or more, a body is read on in a later turn, by the pacer that answers use.

--- a/src/transport/entry/answerPacing.ts
+++ b/src/transport/entry/answerPacing.ts
@@ -5,11 +5,10 @@
 import type { IncomingMessage } from 'node:http';
 import type { HeldMemory, MemoryPurpose } from '../vmMemory.js';
 import type { Attempt } from './attempt.js';
+import { MAX_READ_BYTES } from './turnPacer.js';
 
 /** Events that a stream may bring in one chunk without being paced. */
 const MAX_UNPACED_EVENTS = 64;
-/** Of an answer that brings this much at once, more is read in a later turn of the loop: Node.js would read up to 2 MB in this one. */
-const MAX_READ_BYTES = 32_768;
 
 /** Why a response is not read for now. */
 const PauseReason = {
--- a/src/transport/entry/entryDaemon.ts
+++ b/src/transport/entry/entryDaemon.ts
@@ -180,6 +180,7 @@
     isShuttingDown: () => isShuttingDown(state),
     maxConnections: getMaxCallerConnections(settings.maxDescriptors),
     vmMemory,
+    turnPacer,
     loopDelay,
   });
   server.on('connection', turnPacer.recordConnection);
--- a/src/transport/entry/forwardServer.ts
+++ b/src/transport/entry/forwardServer.ts
@@ -27,6 +27,7 @@
 import { createForwardExchange, type ForwardExchange } from './exchange.js';
 import { closeIdleForNew } from './idleConnections.js';
 import { type LoopDelayMonitor, runAfterUnreadData } from './loopDelay.js';
+import { leaveTurnOfBody, type TurnPacer } from './turnPacer.js';
 import type { EntryWire, RequestHead } from './wire.js';
 
 const HTTP_OK = 200;
@@ -62,6 +63,7 @@
   readonly isShuttingDown: () => boolean;
   readonly maxConnections: number;
   readonly vmMemory: VmMemory;
+  readonly turnPacer: TurnPacer;
   readonly loopDelay: Pick<LoopDelayMonitor, 'getDelayMs' | 'isBehind'>;
 }
 
@@ -240,7 +242,9 @@
       const maxHeldBytes = context.vmMemory.getMaxBytes(MemoryPurpose.RequestBodies);
       const held = context.vmMemory.hold(MemoryPurpose.RequestBodies);
       response.once('close', held.release);
-      const body = readBody(request, limits.maxBodyBytes, held, maxHeldBytes);
+      const body = readBody(request, limits.maxBodyBytes, held, maxHeldBytes, (paced, chunk) =>
+        leaveTurnOfBody(context.turnPacer, paced, chunk),
+      );
       void body.then((result) => {
         result.caseOf({
           Left: (diagnostic) => sendRefusal(context, response, diagnostic),
--- a/src/transport/requestBody.ts
+++ b/src/transport/requestBody.ts
@@ -6,6 +6,9 @@
 import { createDiagnostic, type Diagnostic, Diagnostics } from '../state/diagnostics.js';
 import type { HeldMemory } from './vmMemory.js';
 
+/** Called with each chunk of a body; may pause the request for some time. */
+type ChunkPacer = (request: IncomingMessage, chunk: Buffer) => void;
+
 type BodyMemory = Pick<HeldMemory, 'add' | 'canAdd' | 'release'>;
 
 /** Memory without a limit. */
@@ -20,6 +23,7 @@
   maxBytes: number,
   held: BodyMemory = UNLIMITED,
   maxHeldBytes = Number.POSITIVE_INFINITY,
+  pace: ChunkPacer = () => {},
 ): Promise<Either<Diagnostic, Buffer>> {
   return new Promise((resolve) => {
     let chunks: Buffer[] = [];
@@ -31,6 +35,7 @@
       held.release();
     };
     request.on('data', (chunk: Buffer) => {
+      pace(request, chunk);
       sizeBytes += chunk.length;
       if (sizeBytes > maxBytes) {
         drop();
--- a/tests/entry/callerLeaves.test.ts
+++ b/tests/entry/callerLeaves.test.ts
@@ -21,6 +21,7 @@
 import { createCallerConnections } from '../../src/transport/entry/callerConnections.js';
 import { createForwardServer } from '../../src/transport/entry/forwardServer.js';
 import type { ForwardExchange } from '../../src/transport/entry/exchange.js';
+import { createTurnPacer } from '../../src/transport/entry/turnPacer.js';
 import { createVmMemory } from '../../src/transport/vmMemory.js';
 import { wait } from '../stand-ins/entryVms.js';
 import {
@@ -179,6 +180,7 @@
     isShuttingDown: () => false,
     maxConnections: 10,
     vmMemory: createVmMemory(Number.POSITIVE_INFINITY),
+    turnPacer: createTurnPacer(),
     loopDelay: { getDelayMs: () => loopDelayMs, isBehind: () => loopDelayMs > 0 },
   });
   await new Promise<void>((resolve) => {
--- a/tests/entry/lateDispatch.test.ts
+++ b/tests/entry/lateDispatch.test.ts
@@ -120,8 +120,8 @@
     wire: PLATFORM_WIRE,
     isBehind,
     eventPacer: { take: () => 0 },
-    turnPacer: createTurnPacer(),
     vmMemory: createVmMemory(Number.POSITIVE_INFINITY),
+    turnPacer: createTurnPacer(),
   };
   const server = createForwardServer({
     writeLog: () => {},
@@ -133,6 +133,7 @@
     getLimits: () => createTestDeployment().limits,
     isShuttingDown: () => false,
     maxConnections: 10,
+    turnPacer: createTurnPacer(),
     vmMemory: createVmMemory(Number.POSITIVE_INFINITY),
     loopDelay: { getDelayMs: () => 0, isBehind },
   });
--- a/tests/fakes/frontServer.ts
+++ b/tests/fakes/frontServer.ts
@@ -16,6 +16,7 @@
   applyCallerTimeouts,
   createForwardServer,
 } from '../../src/transport/entry/forwardServer.js';
+import { createTurnPacer } from '../../src/transport/entry/turnPacer.js';
 import { createVmMemory, MEMORY_SHARES, MemoryPurpose } from '../../src/transport/vmMemory.js';
 import { createTestDeployment } from '../entry/fixtures.js';
 
@@ -72,6 +73,7 @@
     isShuttingDown: () => behaviour.isShuttingDown,
     maxConnections: 100,
     vmMemory: createVmMemory(maxHeldBytes / MEMORY_SHARES[MemoryPurpose.RequestBodies].fraction),
+    turnPacer: createTurnPacer(),
     loopDelay: { getDelayMs: () => 0, isBehind: () => false },
   });
   applyCallerTimeouts(server, current.limits);
