Read on what callers send behind unanswered requests, so that their leaving is noticed

Callers that had sent 64 KB or more behind four requests without an answer were not read further, so the end of their connection, which comes after that data, was noticed only after an answer; until then servers worked for nobody.

Cause: the reader paused the connection at 64 KB of data that is not parsed. Now the connection is read on. 64 KB of it are kept, 1 MB while less than half of the share for heads is in use; the rest is dropped, and after the requests that were kept the connection gets 503 with Retry-After, not run.

--- a/src/transport/entry/callerReader.ts
+++ b/src/transport/entry/callerReader.ts
@@ -1,7 +1,8 @@
 /**
  * Passes what callers send to the HTTP parser of the server, in pieces that end with a head. A connection on which several
  * requests have no answer yet is not parsed further, so that a caller that sends many requests at once waits behind itself and
- * not before the others. A head that is too long is rejected before all of it is parsed.
+ * not before the others. What such a caller sends is read all the same, since the end of its connection comes after it: a part is
+ * kept, the rest is dropped and rejected. A head that is too long is rejected before all of it is parsed.
  */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
@@ -18,8 +19,10 @@
 const MAX_UNANSWERED_REQUESTS = 4;
 /** Requests of all connections that are parsed while an earlier one of their connection is not answered. */
 const MAX_PIPELINED_REQUESTS = 64;
-/** Bytes of one connection that are read and not parsed; beyond them the end of the connection is not noticed either. */
+/** Bytes of one connection that are kept without being parsed, whatever the other connections hold. */
 const MAX_UNPARSED_BYTES = 65_536;
+/** The same while the memory for such data is hardly in use. */
+const MAX_SPARE_UNPARSED_BYTES = 1_048_576;
 /** Memory per byte of a head of short lines, each of which the parser keeps as two strings. */
 const HELD_BYTES_PER_HEAD_BYTE = 12;
 /** What the strings of a head hold besides their text; the parser keeps 1,000 lines at most. */
@@ -69,7 +72,8 @@
   /** Bytes of the body of the latest request that are not parsed; null for a body in chunks. */
   bodyBytesLeft: number | null;
   isParsing: boolean;
-  isPaused: boolean;
+  /** True once data has been dropped because too much was kept. What is kept is still parsed. */
+  isFull: boolean;
   isStopped: boolean;
   onAnswered: (() => void) | null;
 }
@@ -147,10 +151,6 @@
     connection.isStopped = true;
     connection.unparsed = null;
     connection.headBytes = 0;
-    if (connection.isPaused) {
-      connection.isPaused = false;
-      socket.resume();
-    }
   };
   const inputMemory = createInputMemory(vmMemory, (socket) => {
     drop(socket);
@@ -205,27 +205,30 @@
     connection.unparsed = start < data.length && mayGoOn() ? data.subarray(start) : null;
   };
 
-  const pauseIfFull = (connection: Connection): void => {
-    const { socket, unparsed } = connection;
-    if (unparsed !== null && unparsed.length >= MAX_UNPARSED_BYTES && !socket.isPaused()) {
-      connection.isPaused = true;
-      socket.pause();
-    }
+  const recordHeld = (connection: Connection): void => {
+    const { socket } = connection;
     inputMemory.hold(socket, socket.destroyed ? 0 : getHeldBytes(connection));
   };
 
   const parseRest = (connection: Connection): void => {
-    const { isParsing, socket, unparsed } = connection;
-    const isPausedByServer = socket.isPaused() && !connection.isPaused;
-    if (unparsed === null || isParsing || isPausedByServer || isBusy(connection)) {
+    const { isFull, isParsing, socket, unparsed } = connection;
+    if (unparsed === null || isParsing || socket.isPaused() || isBusy(connection)) {
       return;
     }
-    if (connection.isPaused) {
-      connection.isPaused = false;
-      socket.resume();
-    }
     parseAll(connection, unparsed);
-    pauseIfFull(connection);
+    recordHeld(connection);
+    if (isFull && connection.unparsed === null && !connection.isStopped && !socket.destroyed) {
+      onExhausted(socket);
+    }
+  };
+
+  /** Keeps data that is not parsed yet, unless the connection has too much of it already. */
+  const keep = (connection: Connection, unparsed: Buffer, data: Buffer): void => {
+    const maxBytes = inputMemory.isHalfFree() ? MAX_SPARE_UNPARSED_BYTES : MAX_UNPARSED_BYTES;
+    connection.isFull ||= unparsed.length >= maxBytes;
+    if (!connection.isFull) {
+      connection.unparsed = Buffer.concat([unparsed, data]);
+    }
   };
 
   /**
@@ -261,9 +264,9 @@
     if (unparsed === null) {
       parseAll(connection, data);
     } else {
-      connection.unparsed = Buffer.concat([unparsed, data]);
+      keep(connection, unparsed, data);
     }
-    pauseIfFull(connection);
+    recordHeld(connection);
   };
 
   const checkAnswered = (connection: Connection): void => {
@@ -280,7 +283,7 @@
       ...{ socket, parse: parse!.bind(socket), unparsed: null, headBytes: 0, headTail: '' },
       ...{ latest: null, responses: new Set<ServerResponse>(), requestCount: 0 },
       ...{ unansweredCount: 0, bodyBytesLeft: 0, isParsing: false },
-      ...{ isPaused: false, isStopped: false, onAnswered: null },
+      ...{ isFull: false, isStopped: false, onAnswered: null },
     };
     connections.set(socket, connection);
     // With a second listener, the parser no longer reads from the handle of the socket by itself.
--- a/src/transport/entry/inputMemory.ts
+++ b/src/transport/entry/inputMemory.ts
@@ -11,6 +11,8 @@
   readonly hold: (socket: Socket, bytes: number) => void;
   /** Returns whether a connection holds anything. */
   readonly isHeld: (socket: Socket) => boolean;
+  /** Returns whether all connections together hold less than half of the memory. */
+  readonly isHalfFree: () => boolean;
 }
 
 /**
@@ -35,6 +37,7 @@
   };
   return {
     isHeld: (socket) => heldBytes.has(socket),
+    isHalfFree: () => usedBytes < maxBytes / 2,
     hold: (socket, bytes) => {
       if (bytes === 0) {
         release(socket);
