Let a request that may have run wait for a server after the next one did not run it

Callers of streams and of idempotent requests got 502 with 12 to 13 s left: their server was silent for 1.5 times the objective, the request was moved, and the next server rejected it. A rejection as not run would be untrue, so it ended.

Cause: before an answer had begun only a request that provably never ran could wait. Now one that cannot be rejected as not run (it may have run, or its answer has begun) waits after each attempt that did not run, if a second run is safe; the retry budget, the attempts of the route and the limit of rejected attempts hold as before.

--- a/src/coordination/entry/requests/retries.ts
+++ b/src/coordination/entry/requests/retries.ts
@@ -109,16 +109,16 @@
 }
 
 /**
- * Returns whether a request may wait for a server after its last attempt failed. Before its answer has begun, it may if
- * only the model was missing: an engine rejects requests while it unloads or loads the model, and another engine may
- * soon have it loaded. An answer that has begun and can be resumed may wait after each attempt that did not run.
+ * Returns whether a request may wait for a server after its last attempt failed. One that can be rejected as not run may if
+ * only the model was missing: an engine rejects requests while it unloads or loads the model, and another engine may soon
+ * have it loaded. One that cannot, since it may have run or its answer has begun, may wait after each attempt that did not
+ * run, if a second run is safe.
  */
 function mayWait(record: ForwardRecord, failed: FailedAttempt, nowMs: number): boolean {
-  return failed.isAnswerBegun
-    ? failed.isNotRun && isRetrySafe(record, true) && hasAttemptLeft(record, nowMs)
-    : failed.isModelMissing &&
-        record.runStatus === RunStatus.NotRun &&
-        record.notRunAttempts <= MAX_NOT_RUN_RETRIES;
+  const { isAnswerBegun, isModelMissing, isNotRun } = failed;
+  return !isAnswerBegun && record.runStatus === RunStatus.NotRun
+    ? isModelMissing && record.notRunAttempts <= MAX_NOT_RUN_RETRIES
+    : isNotRun && isRetrySafe(record, isAnswerBegun) && hasAttemptLeft(record, nowMs);
 }
 
 /** Retries a request if that is safe, lets it wait if a server may soon run it, and else ends it. */
