Reset cut answers with a length to HTTP/1.0 callers too

What callers saw: a stream or a large answer whose server sent a Content-Length, cut in its middle (spoiled, reset), ended in order for a caller of HTTP/1.0, so that it looked complete (ORDER, MIXED). Cause: reset only answers of unknown length. The length of the server is never passed on with an answer that is sent as it arrives (it is a hop-by-hop header here), so to such a caller each of them ends with its connection. Change: the version of the caller decides alone. Test: tests/entry/spoiledAttempts.test.ts, new; both rows of HTTP/1.0 failed before (expected true to be false: complete after 3 events of 900 bytes, and after a part of 9 MB), those of HTTP/1.1 did not; 4 pass now. cutStreams.test.ts has chunks and no framing, never a length.

--- a/src/transport/entry/answers.ts
+++ b/src/transport/entry/answers.ts
@@ -151,9 +151,8 @@
   const { context, exchange } = attempt;
   if (!isAnswerBegun(exchange) && !exchange.response.destroyed) {
     const headers = context.wire.encodeAnswerHead(response.rawHeaders);
-    const hasLength = response.headers['content-length'] !== undefined;
-    const isLengthUnknown = !hasLength && lacksChunks(exchange.request);
-    if (!isFramed(exchange, response) || isLengthUnknown) {
+    // The server's length is not passed on, since what follows may come from another run.
+    if (!isFramed(exchange, response) || lacksChunks(exchange.request)) {
       endWithConnection(exchange);
     }
     exchange.response.writeHead(response.statusCode ?? HTTP_OK, [...headers]);
--- /dev/null
+++ b/tests/entry/spoiledAttempts.test.ts
@@ -0,0 +1,148 @@
+/**
+ * Tests what a run of a stream that its server spoils leaves to its caller and to the event loop, over plain sockets.
+ */
+import http from 'node:http';
+import net, { type AddressInfo, type Socket } from 'node:net';
+import { afterEach, describe, expect, it } from 'vitest';
+import { PLATFORM_WIRE } from '../../platform/wire.js';
+import { type EntryEvent, EntryEventKind } from '../../src/coordination/entry/events.js';
+import { createRefusal } from '../../src/coordination/requestCompletion.js';
+import { createDiagnostic, Diagnostics } from '../../src/state/diagnostics.js';
+import { RunStatus } from '../../src/state/types.js';
+import { handleAnswer } from '../../src/transport/entry/answers.js';
+import { type DispatchCommand, startAttempt } from '../../src/transport/entry/attempt.js';
+import { createBackendAgents } from '../../src/transport/entry/backendAgent.js';
+import { abortForwardAnswer, createForwardExchange } from '../../src/transport/entry/exchange.js';
+import { createTurnPacer } from '../../src/transport/entry/turnPacer.js';
+import { createVmMemory } from '../../src/transport/vmMemory.js';
+import { looksComplete, readStream, type StreamResult } from '../stand-ins/streamCaller.js';
+import { formatEvents } from '../stand-ins/streamForms.js';
+
+const GAP_TIMEOUT_MS = 300;
+const SPOIL_AFTER_MS = 30;
+const LARGE_BYTES = 2_000_000;
+const HEAD = 'HTTP/1.1 200 OK\r\nX-Attempt-Id: id\r\nContent-Type: text/event-stream\r\n';
+
+const closers: (() => void)[] = [];
+
+afterEach(() => closers.splice(0).forEach((close) => close()));
+
+async function listen(server: net.Server): Promise<string> {
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  closers.push(() => server.close());
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+type Answer = (socket: Socket) => void;
+
+function startServer(answer: Answer): Promise<string> {
+  return listen(
+    net.createServer((socket) => {
+      socket.on('error', () => {});
+      socket.once('data', () => answer(socket));
+      closers.push(() => socket.destroy());
+    }),
+  );
+}
+
+const COMMAND: Omit<DispatchCommand, 'address' | 'attempt'> = {
+  kind: 'dispatch',
+  requestId: 'r',
+  backendId: 'e1',
+  bornAtWallMs: 1,
+  maxConnections: 2,
+  workspace: null,
+  remainingMs: 10_000,
+  urgency: 1,
+  startTimeoutMs: GAP_TIMEOUT_MS,
+  eventGapTimeoutMs: GAP_TIMEOUT_MS,
+  isStream: true,
+  isServerLimited: false,
+};
+
+interface Outcome {
+  readonly result: StreamResult;
+  readonly kinds: readonly string[];
+}
+
+/** Sends a request to each server after the one before has failed it or stalled, and breaks off the answer after the last. */
+async function callServers(answers: readonly Answer[], version = '1.1'): Promise<Outcome> {
+  const addresses = await Promise.all(answers.map(startServer));
+  const agents = createBackendAgents();
+  closers.push(agents.close);
+  const kinds: string[] = [];
+  let goOn = (): void => {};
+  const post = ({ kind }: EntryEvent): void => {
+    kinds.push(kind);
+    if (kind === EntryEventKind.AttemptFailed || kind === EntryEventKind.AttemptStalled) {
+      goOn();
+    }
+  };
+  const context = {
+    post,
+    getNowMs: () => performance.now(),
+    isBehind: () => false,
+    eventPacer: { take: () => 0 },
+    turnPacer: createTurnPacer(),
+    vmMemory: createVmMemory(Number.POSITIVE_INFINITY),
+    agents,
+    wire: PLATFORM_WIRE,
+  };
+  const server = http.createServer((request, response) => {
+    const fields = { requestId: 'r', callerRequestId: 'id', request, response };
+    const exchange = createForwardExchange({ ...fields, body: Buffer.alloc(0) });
+    let attempt = 0;
+    goOn = (): void => {
+      exchange.cancel?.run();
+      const address = addresses[attempt];
+      attempt += 1;
+      if (address === undefined) {
+        const diagnostic = createDiagnostic(Diagnostics.AnswerTruncated, 'e1');
+        abortForwardAnswer(exchange, createRefusal(diagnostic, RunStatus.Unknown), PLATFORM_WIRE);
+        return;
+      }
+      startAttempt({ ...COMMAND, attempt, address }, exchange, context, handleAnswer);
+    };
+    goOn();
+  });
+  const forwarder = await listen(server);
+  closers.push(() => server.closeAllConnections());
+  const head = [`GET /x HTTP/${version}`, 'Host: h', 'Connection: close'];
+  return { result: await readStream(forwarder, head, false), kinds };
+}
+
+const THREE = formatEvents(1, 2, 3);
+
+/** Sends three events of an answer that has a length, and then garbage. */
+function sendSpoiled(garbage: string): Answer {
+  return (socket) => {
+    socket.write(`${HEAD}Content-Length: 900\r\n\r\n${THREE}`);
+    setTimeout(() => socket.write(garbage), SPOIL_AFTER_MS);
+  };
+}
+
+/** Sends more of an answer with a length than is buffered, and then a reset. */
+const sendLargePart: Answer = (socket) => {
+  const head = 'HTTP/1.1 200 OK\r\nX-Attempt-Id: id\r\nContent-Type: text/plain\r\n';
+  socket.write(`${head}Content-Length: 9000000\r\n\r\n${'x'.repeat(LARGE_BYTES)}`);
+  setTimeout(() => socket.resetAndDestroy(), 10 * SPOIL_AFTER_MS);
+};
+
+const CUT_ANSWERS: readonly { readonly name: string; readonly answer: Answer }[] = [
+  { name: 'a spoiled stream', answer: sendSpoiled('garbage\n\n') },
+  { name: 'a large answer that is reset', answer: sendLargePart },
+];
+
+describe('an answer with a length that is cut', () => {
+  it.each(CUT_ANSWERS.flatMap((row) => ['1.0', '1.1'].map((version) => ({ ...row, version }))))(
+    'does not look complete to a caller of HTTP/$version: $name',
+    async ({ answer, version }) => {
+      const { result } = await callServers([answer], version);
+      expect(result.status).toBe(200);
+      expect(result.body.length).toBeGreaterThan(0);
+      expect(looksComplete(result)).toBe(false);
+    },
+  );
+});
