Keep the byte order mark of a later run out of the stream

What callers saw: where the server at which a stream goes on begins its body with a byte order mark, the mark stood in front of the next event. By the standard a mark counts only at the start, so the line was an unknown field, and the event a piece with id "" after a number. Cause: the reader of events looks past the mark for the id, and the judge calls the event sound, but its bytes were passed on with it. Change: the reader of a run that begins after the caller has a part leaves the mark out. That of a first run is passed on as before.

--- a/src/protocol/entry/eventFrames.ts
+++ b/src/protocol/entry/eventFrames.ts
@@ -74,8 +74,12 @@
   }
 }
 
-/** Creates a reader for one stream. */
-export function createEventFrameReader(): EventFrameReader {
+/**
+ * Creates a reader for one run of a stream.
+ *
+ * @param isLaterRun True if the caller has received a part of the stream, into the middle of which no byte order mark belongs.
+ */
+export function createEventFrameReader(isLaterRun = false): EventFrameReader {
   let incomplete: Buffer = Buffer.alloc(0);
   /** Chunks after `incomplete` that complete no event. */
   let laterChunks: Buffer[] = [];
@@ -93,9 +97,10 @@
   const decodeFrame = (text: string, start: number, end: number): FrameRange => {
     const hasMark = isFirst && text.startsWith(BYTE_ORDER_MARK);
     isFirst = false;
-    const frameText = text.slice(hasMark ? BYTE_ORDER_MARK.length : start, end);
+    const textStart = hasMark ? BYTE_ORDER_MARK.length : start;
+    const frameText = text.slice(textStart, end);
     return {
-      start,
+      start: isLaterRun ? textStart : start,
       end,
       id: decodeId(frameText),
       hasData: DATA_PATTERN.test(frameText),
--- a/src/transport/entry/answers.ts
+++ b/src/transport/entry/answers.ts
@@ -198,7 +198,7 @@
 }
 
 function forwardEventStream(attempt: Attempt, response: IncomingMessage): void {
-  const reader = createEventFrameReader();
+  const reader = createEventFrameReader(isAnswerBegun(attempt.exchange));
   const judge = createStreamJudge(attempt.exchange.place);
   let receivedBytes = 0;
   let idleBytes = 0;
--- a/tests/entry/spoiledAttempts.test.ts
+++ b/tests/entry/spoiledAttempts.test.ts
@@ -22,6 +22,7 @@
 const SPOIL_AFTER_MS = 30;
 const LARGE_BYTES = 2_000_000;
 const HEAD = 'HTTP/1.1 200 OK\r\nX-Attempt-Id: id\r\nContent-Type: text/event-stream\r\n';
+const BYTE_ORDER_MARK = '\u00ef\u00bb\u00bf';
 
 const closers: (() => void)[] = [];
 
@@ -113,7 +114,15 @@
   return { result: await readStream(forwarder, head, false), kinds };
 }
 
+/** Sends a whole answer with its length. */
+function sendFramed(body: string): Answer {
+  return (socket) => {
+    socket.write(`${HEAD}Content-Length: ${body.length}\r\n\r\n${body}`, 'latin1');
+  };
+}
+
 const THREE = formatEvents(1, 2, 3);
+const WHOLE = formatEvents(1, 2, 3, 4, 5);
 
 /** Sends three events of an answer that has a length, and then garbage. */
 function sendSpoiled(garbage: string): Answer {
@@ -146,3 +155,22 @@
     },
   );
 });
+
+const MARKED: readonly { readonly name: string; readonly run: string }[] = [
+  { name: 'before the next event', run: BYTE_ORDER_MARK + formatEvents(4, 5) },
+  { name: 'before the events that the caller has', run: BYTE_ORDER_MARK + WHOLE },
+  { name: 'before a comment', run: `${BYTE_ORDER_MARK}: c\n\n${formatEvents(4, 5)}` },
+];
+
+describe('a byte order mark', () => {
+  it.each(MARKED)('of a run that goes on does not reach the caller: $name', async ({ run }) => {
+    const { result } = await callServers([sendSpoiled('garbage\n\n'), sendFramed(run)]);
+    expect(result.body.replace(': c\n\n', '')).toBe(WHOLE);
+    expect(looksComplete(result)).toBe(true);
+  });
+
+  it('of the first run is passed on', async () => {
+    const { result } = await callServers([sendFramed(BYTE_ORDER_MARK + WHOLE)]);
+    expect(result.body).toBe(BYTE_ORDER_MARK + WHOLE);
+  });
+});
