Count a run that sends its events again as silent

What callers saw: nothing, for as long as they waited. A server that sent the last event, or all of them, again and again held a stream that could have gone on elsewhere: the events were dropped, but each counted as progress of the attempt. Cause: any event with data was progress, also one that the run itself had sent before. Change: the judge tells whether a run goes on by an event; events of earlier runs that a later run goes through still count.

--- a/src/protocol/entry/streamJudge.ts
+++ b/src/protocol/entry/streamJudge.ts
@@ -22,6 +22,8 @@
 export interface Judgement {
   readonly verdict: EventVerdict;
   readonly reason: SpoilReason | null;
+  /** Whether the run has gone on by it: false for an event that the run itself has sent before. */
+  readonly isAdvance: boolean;
 }
 
 /** Up to where a caller has a stream, over all runs. Updated by the judge of the run in progress. */
@@ -51,12 +53,13 @@
   };
 }
 
-const SOUND: Judgement = { verdict: EventVerdict.Sound, reason: null };
-const IDLE: Judgement = { verdict: EventVerdict.Idle, reason: null };
-const REPEATED: Judgement = { verdict: EventVerdict.Repeated, reason: null };
+const SOUND: Judgement = { verdict: EventVerdict.Sound, reason: null, isAdvance: true };
+const IDLE: Judgement = { verdict: EventVerdict.Idle, reason: null, isAdvance: false };
+const REPEATED: Judgement = { verdict: EventVerdict.Repeated, reason: null, isAdvance: true };
+const REPEATED_BY_RUN: Judgement = { ...REPEATED, isAdvance: false };
 
 function spoiled(reason: SpoilReason): Judgement {
-  return { verdict: EventVerdict.Spoiled, reason };
+  return { verdict: EventVerdict.Spoiled, reason, isAdvance: false };
 }
 
 function toNumber(id: string | null): bigint | null {
@@ -90,7 +93,7 @@
     const before = lastOfRun;
     if (before !== null && number <= before) {
       return number === before || place.isConsecutive === true
-        ? REPEATED
+        ? REPEATED_BY_RUN
         : spoiled(SpoilReason.FellBack);
     }
     const lastOfCaller = toNumber(place.lastId);
--- a/src/transport/entry/answers.ts
+++ b/src/transport/entry/answers.ts
@@ -183,6 +183,9 @@
 ): void {
   const { context, exchange } = attempt;
   const judged = frames.map((frame) => ({ frame, ...judge.judge(frame) }));
+  if (judged.some(({ isAdvance }) => isAdvance)) {
+    recordProgress(attempt);
+  }
   const taken = judged.flatMap(({ frame, verdict }) => (PASSED_ON.has(verdict) ? [frame] : []));
   if (taken.length > 0) {
     startAnswer(attempt, response);
@@ -215,10 +218,7 @@
     const frames = reader.addChunk(chunk);
     const lastDataIndex = frames.findLastIndex(({ hasData }) => hasData);
     const idleFrames = frames.slice(lastDataIndex + 1);
-    if (lastDataIndex >= 0) {
-      recordProgress(attempt);
-      idleBytes = 0;
-    }
+    idleBytes = lastDataIndex >= 0 ? 0 : idleBytes;
     idleBytes += idleFrames.reduce((sum, { bytes }) => sum + bytes.length, 0);
     forwardEvents(attempt, response, judge, frames, countHeld);
     keepPace(attempt, response, frames.length);
--- a/tests/entry/spoiledAttempts.test.ts
+++ b/tests/entry/spoiledAttempts.test.ts
@@ -174,3 +174,24 @@
     expect(result.body).toBe(BYTE_ORDER_MARK + WHOLE);
   });
 });
+
+describe('a server that sends events again without end', () => {
+  it.each([
+    { name: 'the last one', again: formatEvents(3) },
+    { name: 'all of them', again: THREE },
+  ])('counts as silent: $name', async ({ again }) => {
+    const repeat: Answer = (socket) => {
+      socket.write(`${HEAD}\r\n${THREE}`);
+      const timer = setInterval(() => socket.write(again), 20);
+      const giveUp = setTimeout(() => socket.destroy(), 5 * GAP_TIMEOUT_MS);
+      closers.push(
+        () => clearInterval(timer),
+        () => clearTimeout(giveUp),
+      );
+      socket.on('close', () => clearInterval(timer));
+    };
+    const { kinds, result } = await callServers([repeat, sendFramed(formatEvents(4, 5))]);
+    expect(kinds).toContain(EntryEventKind.AttemptStalled);
+    expect(result.body).toBe(WHOLE);
+  });
+});
