--- a/src/transport/entry/answers.ts
+++ b/src/transport/entry/answers.ts
@@ -151,9 +151,8 @@
   const { context, exchange } = attempt;
   if (!isAnswerBegun(exchange) && !exchange.response.destroyed) {
     const headers = context.wire.encodeAnswerHead(response.rawHeaders);
-    const hasLength = response.headers['content-length'] !== undefined;
-    const isLengthUnknown = !hasLength && lacksChunks(exchange.request);
-    if (!isFramed(exchange, response) || isLengthUnknown) {
+    // The server's length is not passed on, since what follows may come from another run.
+    if (!isFramed(exchange, response) || lacksChunks(exchange.request)) {
       endWithConnection(exchange);
     }
     exchange.response.writeHead(response.statusCode ?? HTTP_OK, [...headers]);
@@ -184,6 +183,9 @@
 ): void {
   const { context, exchange } = attempt;
   const judged = frames.map((frame) => ({ frame, ...judge.judge(frame) }));
+  if (judged.some(({ isAdvance }) => isAdvance)) {
+    recordProgress(attempt);
+  }
   const taken = judged.flatMap(({ frame, verdict }) => (PASSED_ON.has(verdict) ? [frame] : []));
   if (taken.length > 0) {
     startAnswer(attempt, response);
@@ -199,7 +201,7 @@
 }
 
 function forwardEventStream(attempt: Attempt, response: IncomingMessage): void {
-  const reader = createEventFrameReader();
+  const reader = createEventFrameReader(isAnswerBegun(attempt.exchange));
   const judge = createStreamJudge(attempt.exchange.place);
   let receivedBytes = 0;
   let idleBytes = 0;
@@ -216,10 +218,7 @@
     const frames = reader.addChunk(chunk);
     const lastDataIndex = frames.findLastIndex(({ hasData }) => hasData);
     const idleFrames = frames.slice(lastDataIndex + 1);
-    if (lastDataIndex >= 0) {
-      recordProgress(attempt);
-      idleBytes = 0;
-    }
+    idleBytes = lastDataIndex >= 0 ? 0 : idleBytes;
     idleBytes += idleFrames.reduce((sum, { bytes }) => sum + bytes.length, 0);
     forwardEvents(attempt, response, judge, frames, countHeld);
     keepPace(attempt, response, frames.length);
