Keep the socket of a soak's answer, and fail a seed at an error that nothing caught

The callers of the soak read response.socket when the connection ended; an answer gives it back before if its connection stays open, so that a TypeError was thrown where no check saw it: seeds 101 to 103 played without a finding while vitest counted errors outside the tests. The socket is kept, and its listener goes with the answer. Errors that nothing caught are now findings of their seed: with the callers as they were, seeds 102 and 103 fail with 'uncaught: TypeError: Cannot read properties of null (reading remoteAddress)' and nothing else.

--- a/tests/processes/entrySoak.test.ts
+++ b/tests/processes/entrySoak.test.ts
@@ -3,7 +3,7 @@
  * come in series and overlap. `SOAK_SEEDS=50 SOAK_FIRST_SEED=1 SOAK_VMS=6` plays more of them by hand.
  */
 import http from 'node:http';
-import { afterEach, describe, expect, it } from 'vitest';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { createRandom } from '../../src/state/random.js';
 import { runEntryCallers } from '../soak/entryCallers.js';
 import {
@@ -37,6 +37,16 @@
 let fleet: EntryFleet;
 const closers: (() => Promise<void>)[] = [];
 let checkCount = 0;
+/** Errors that nothing caught, which may have ended a caller or a check. */
+let uncaught: unknown[] = [];
+const recordUncaught = (error: unknown): void => {
+  uncaught.push(error);
+};
+const UNCAUGHT_EVENTS = ['uncaughtException', 'unhandledRejection'] as const;
+
+function listUncaughtErrors(): string[] {
+  return uncaught.map((error) => `uncaught: ${error instanceof Error ? error.stack : error}`);
+}
 
 /** Returns the status that a VM gives to a proper request with a key. */
 function getStatus({ address }: SoakVm, key: string): Promise<number> {
@@ -53,8 +63,14 @@
   });
 }
 
+beforeEach(() => {
+  uncaught = [];
+  UNCAUGHT_EVENTS.forEach((name) => process.on(name, recordUncaught));
+});
+
 afterEach(async () => {
   await Promise.all(closers.splice(0).map((close) => close()));
+  UNCAUGHT_EVENTS.forEach((name) => process.off(name, recordUncaught));
 });
 
 describe('a soak of entry VMs', () => {
@@ -80,6 +96,7 @@
       ...listProcessFaults(fleet),
       ...listOrderFaults(fleet),
       ...watch.fallen,
+      ...listUncaughtErrors(),
     ];
     // A VM that is down refuses connections at once; its callers try again many times.
     const received = outcomes.filter(({ errorCode }) => errorCode !== 'ECONNREFUSED');
@@ -100,5 +117,6 @@
       Promise.all([...keys].flatMap((key) => fleet.vms.map((vm) => getStatus(vm, key))));
     expect(new Set(await getStatuses(valid))).toEqual(new Set([200]));
     expect((await getStatuses(withdrawn)).filter((status) => status !== 401)).toEqual([]);
+    expect(listUncaughtErrors()).toEqual([]);
   });
 });
--- a/tests/soak/entryCallers.ts
+++ b/tests/soak/entryCallers.ts
@@ -141,13 +141,15 @@
     request.on('response', (response) => {
       hasBegun = true;
       const chunks: string[] = [];
+      // A response gives its socket back when it is whole and the connection stays open.
+      const { socket } = response;
       let isReset = false;
       // For a reset that finds unread data, libuv reports an end in order; a connection that was reset has no peer then.
       const recordReset = (): void => {
-        isReset = response.socket.remoteAddress === undefined;
+        isReset = socket.remoteAddress === undefined;
       };
       if (!isFramed) {
-        response.socket.prependOnceListener('end', recordReset);
+        socket.prependOnceListener('end', recordReset);
       }
       response.on('data', (chunk: Buffer) => {
         chunks.push(chunk.toString('latin1'));
@@ -159,6 +161,7 @@
       response.on('error', () => {});
       response.on('close', () => {
         clearTimeout(leave);
+        socket.off('end', recordReset);
         const { complete, headers: answered, statusCode = 0 } = response;
         finish(
           statusCode,
