Let the soak send SIGHUP at any moment of a life, and restart VMs that end by themselves

The soak sent SIGHUP only to processes that catch it already, so that it could not find what SIGHUP ends: a check that was narrowed to the fault it found. The signal now goes to the newest process of a VM at any moment, in its start as well. The soak starts the next process after 200 ms, as the platform restarts one that exits (DEPLOY.md, Ends).

--- a/tests/soak/entryChecks.ts
+++ b/tests/soak/entryChecks.ts
@@ -194,7 +194,7 @@
       const [end] = life.endSignals;
       const previousEndMs = lives[i - 1]?.endedAtMs ?? 0;
       let fromMs = Math.max(life.startedAtMs, previousEndMs);
-      const readyMs = Math.min(nowMs, life.readyAtMs);
+      const readyMs = Math.min(nowMs, life.readyAtMs, life.endedAtMs);
       [...suspensions, ...fleet.storeDisruptions]
         .sort((left, right) => left.fromMs - right.fromMs)
         .forEach((span) => {
--- a/tests/soak/entryDisruptions.ts
+++ b/tests/soak/entryDisruptions.ts
@@ -1,10 +1,9 @@
 /**
  * The disruptions of a soak of entry VMs: signals, restarts, faults and changes, which come in series and overlap.
  */
-import { readFileSync } from 'node:fs';
 import { nextRandom, nextRandomInt, type RandomState } from '../../src/state/random.js';
 import { wait } from '../stand-ins/entryVms.js';
-import { isRunning, type StartedProcess } from '../stand-ins/processes.js';
+import { isRunning } from '../stand-ins/processes.js';
 import type { EntryFleet, SoakServer, SoakService, SoakVm, VmLife } from './entryFleet.js';
 
 const MIN_GAP_MS = 100;
@@ -22,17 +21,6 @@
   return endSignals.length > 0 || !isRunning(process);
 }
 
-/** Returns whether a process has begun to catch SIGHUP, which ends it before its program runs. */
-function catchesReload({ child }: StartedProcess): boolean {
-  try {
-    const status = readFileSync(`/proc/${child.pid}/status`, 'utf8');
-    const caught = Number.parseInt(/^SigCgt:\s*(\w+)/m.exec(status)?.[1]?.at(-1) ?? '0', 16);
-    return caught % 2 === 1;
-  } catch {
-    return false;
-  }
-}
-
 function sendEndSignal(life: VmLife, signal: 'SIGTERM' | 'SIGKILL'): void {
   life.endSignals.push({ signal, atMs: performance.now() });
   life.process.child.kill(signal);
@@ -115,13 +103,11 @@
       fleet.startLife(vm);
     }
   },
+  /** The signals come at any moment of a life, in its start as well. */
   reloadVm: async (fleet, random) => {
     const vm = pick(random, fleet.vms)!;
     for (let i = 0; i < 3; i += 1) {
-      const { process } = vm.lives.at(-1)!;
-      if (catchesReload(process)) {
-        process.child.kill('SIGHUP');
-      }
+      vm.lives.at(-1)!.process.child.kill('SIGHUP');
       await wait(nextRandom(random) * 60);
     }
   },
--- a/tests/soak/entryFleet.ts
+++ b/tests/soak/entryFleet.ts
@@ -6,7 +6,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { SETTINGS_VARIABLE } from '../../platform/names.js';
-import { createConfiguration } from '../stand-ins/entryVms.js';
+import { createConfiguration, wait } from '../stand-ins/entryVms.js';
 import { type PlatformStore, startPlatformStore } from '../stand-ins/platformStore.js';
 import {
   endProcess,
@@ -23,6 +23,8 @@
 export const GRACE_MS = 4_000;
 const HEARTBEAT_MS = 500;
 const MS_PER_SECOND = 1000;
+/** The platform restarts a process that ends by itself after this time. */
+const RESTART_MS = 200;
 /** The store drops the entry of a server that was killed after this time. */
 const ENTRY_LIFETIME_MS = 1_000;
 const SERVERS_BY_SERVICE = { flow: 4, llm: 2 } as const;
@@ -176,6 +178,7 @@
   let version = 0;
   let serverCount = 0;
   let sequence = 0;
+  let isClosing = false;
 
   const register = (server: SoakServer): void => {
     const { address, bornMs, id, models, service, state } = server;
@@ -258,8 +261,15 @@
         life.readyAtMs = performance.now();
       }
     });
-    void once(started.child, 'exit').then(() => {
+    void once(started.child, 'exit').then(async () => {
       life.endedAtMs = performance.now();
+      // Who ends a process starts the next one. The platform restarts one that ends by itself.
+      if (life.endSignals.length === 0) {
+        await wait(RESTART_MS);
+        if (!isClosing) {
+          startLife(vm);
+        }
+      }
     });
     vm.lives.push(life);
     return life;
@@ -293,6 +303,7 @@
       return logFolder;
     },
     close: async () => {
+      isClosing = true;
       clearInterval(heartbeat);
       const processes = [
         ...vms.flatMap(({ lives }) => lives.map((life) => life.process)),
