Let the servers of the soak spoil some streams in their middle

No stand-in of the soak ever spoiled a stream in its middle, so that the soak could not find pieces that no run made. While the new disruption spoilStreams is on, half of the streams name in their query one or two events at which their server sends a spoiled form instead (streamForms.ts) and then goes on, ends in order or resets. The checks are the same: no foreign text, no stream that looks whole before its last event, events of resumed runs go on by one. A request whose server spoiled its stream may be cut, and counts neither as received nor as served.

--- a/tests/processes/entrySoak.test.ts
+++ b/tests/processes/entrySoak.test.ts
@@ -10,6 +10,7 @@
   listBrokenPromises,
   listOrderFaults,
   listProcessFaults,
+  listUnspoiled,
   READY_MS,
 } from '../soak/entryChecks.js';
 import { disruptEntryFleet } from '../soak/entryDisruptions.js';
@@ -99,11 +100,13 @@
       ...listUncaughtErrors(),
     ];
     // A VM that is down refuses connections at once; its callers try again many times.
-    const received = outcomes.filter(({ errorCode }) => errorCode !== 'ECONNREFUSED');
-    const served = outcomes.filter(({ isComplete, status }) => status === 200 && isComplete);
+    const arrived = outcomes.filter(({ errorCode }) => errorCode !== 'ECONNREFUSED');
+    const received = listUnspoiled(fleet, arrived);
+    const served = received.filter(({ isComplete, status }) => status === 200 && isComplete);
     const lives = fleet.vms.reduce((sum, vm) => sum + vm.lives.length, 0);
     process.stdout.write(
-      `entry soak ${seed}: ${received.length} requests, ${served.length} served, ${fleet.orders.length} orders of ` +
+      `entry soak ${seed}: ${received.length} requests, ${served.length} served, ` +
+        `${arrived.length - received.length} spoiled, ${fleet.orders.length} orders of ` +
         `${new Set(fleet.orders.map(({ fence }) => fence)).size} fences, ${lives} lives; ${begun.join(' ')}\n`,
     );
     if (faults.length > 0) {
--- a/tests/soak/entryCallers.ts
+++ b/tests/soak/entryCallers.ts
@@ -5,6 +5,7 @@
 import http from 'node:http';
 import { nextRandom, nextRandomInt, type RandomState } from '../../src/state/random.js';
 import { wait } from '../stand-ins/entryVms.js';
+import { listSpoiledForms, SpoiledTail } from '../stand-ins/streamForms.js';
 import type { EntryFleet, SoakVm, VmLife } from './entryFleet.js';
 import { EVENT_COUNT, parseEvents } from './numberedEvents.js';
 
@@ -17,6 +18,10 @@
 const LEAVING_FRACTION = 0.1;
 const MAX_RESUMPTIONS = 3;
 const EVENT_BYTES = [200, 20_000] as const;
+/** Share of the streams that their servers spoil while a disruption has them do so, and share of these that are spoiled twice. */
+const SPOILED_FRACTION = 0.5;
+const TWICE_SPOILED_FRACTION = 0.3;
+const TAILS = Object.values(SpoiledTail);
 const MODELS = ['m0', 'm0', 'm0/a1', 'm0/a2', 'm0/a3', 'm1', 'm1/a1', 'm1/a2', 'm2', 'm2/a1'];
 
 /** The kinds of requests. */
@@ -100,6 +105,8 @@
   readonly eventBytes: number;
   readonly model: string;
   readonly lastEventId: number;
+  /** Parts of the query with which servers spoil the stream. */
+  readonly spoils: readonly string[];
   /** The caller closes its connection after this time. */
   readonly leavesAfterMs: number;
 }
@@ -114,12 +121,19 @@
   };
 }
 
-function callVm(attempt: Attempt): Promise<EntryOutcome> {
-  const { agent, eventBytes, id, isFramed, isSlow, kind, lastEventId, leavesAfterMs, vm } = attempt;
+function createPath({ eventBytes, isFramed, kind, spoils }: Attempt): string {
   const { isStream, prefix } = ENTRY_KINDS[kind];
+  const query = [
+    `framing=${isFramed ? 'chunks' : 'none'}`,
+    ...(isStream ? [`events=${eventBytes}`, ...spoils] : []),
+  ];
+  return `${prefix}x?${query.join('&')}`;
+}
+
+function callVm(attempt: Attempt): Promise<EntryOutcome> {
+  const { agent, id, isFramed, isSlow, kind, lastEventId, leavesAfterMs, vm } = attempt;
   const [host = '', port = ''] = vm.address.split(':');
-  const query = [`framing=${isFramed ? 'chunks' : 'none'}`];
-  const path = `${prefix}x?${query.concat(isStream ? [`events=${eventBytes}`] : []).join('&')}`;
+  const path = createPath(attempt);
   const sentAtMs = performance.now();
   const life = vm.lives.at(-1)!;
   return new Promise((resolve) => {
@@ -184,7 +198,7 @@
 
 /** Runs callers until `isOver`, and returns what they got. */
 export async function runEntryCallers(
-  { vms }: EntryFleet,
+  { spoilSpans, vms }: EntryFleet,
   random: RandomState,
   count: number,
   isOver: () => boolean,
@@ -192,8 +206,23 @@
   const outcomes: EntryOutcome[] = [];
   const kinds = Object.keys(ENTRY_KINDS) as EntryKind[];
   const pick = <T>(from: readonly T[]): T => from[nextRandomInt(random, from.length)]!;
+  const formCount = listSpoiledForms(1).length;
   let sent = 0;
 
+  /** Draws where and how servers spoil a stream, in the order of the events. */
+  const drawSpoils = (): string[] => {
+    const places = nextRandom(random) < TWICE_SPOILED_FRACTION ? 2 : 1;
+    const eventIds = Array.from(
+      { length: places },
+      () => 2 + nextRandomInt(random, EVENT_COUNT - 1),
+    );
+    return eventIds
+      .sort((left, right) => left - right)
+      .map((eventId) => `spoil=${eventId}.${nextRandomInt(random, formCount)}.${pick(TAILS)}`);
+  };
+  const areSpoiled = (): boolean =>
+    nextRandom(random) < SPOILED_FRACTION &&
+    spoilSpans.some(({ untilMs }) => untilMs === Number.POSITIVE_INFINITY);
   const call = async (attempt: Omit<Attempt, 'id'>): Promise<EntryOutcome> => {
     sent += 1;
     const outcome = await callVm({ ...attempt, id: `request-${sent}` });
@@ -224,6 +253,7 @@
         ...{ isFramed: nextRandom(random) < 0.6, isSlow: nextRandom(random) < SLOW_FRACTION },
         eventBytes: pick(EVENT_BYTES),
         leavesAfterMs: isLeaving ? 20 + nextRandom(random) * 900 : SILENCE_MS,
+        spoils: areSpoiled() ? drawSpoils() : [],
       };
       const outcome = await call(attempt);
       if (ENTRY_KINDS[attempt.kind].isStream && ENTRY_KINDS[attempt.kind].mayRunTwice) {
--- a/tests/soak/entryChecks.ts
+++ b/tests/soak/entryChecks.ts
@@ -42,6 +42,10 @@
   );
 }
 
+function isSpoiled(runs: readonly Run[]): boolean {
+  return runs.some(({ spoiledBy }) => spoiledBy !== null);
+}
+
 function isCutByGrace({ endedAtMs, vm }: EntryOutcome): boolean {
   return vm.lives.some(({ endSignals, endedAtMs: lifeEndedAtMs }) =>
     endSignals.some(
@@ -120,18 +124,31 @@
       hasLeft ||
       isVmHarmed(outcome) ||
       isServerKilled(outcome, runs) ||
+      isSpoiled(runs) ||
       isCutByGrace(outcome) ||
       hasUsedItsTime(outcome);
     return isCut && wasRead && !isExcused;
   },
 };
 
+function groupRuns({ runs }: EntryFleet): ReadonlyMap<string, readonly Run[]> {
+  const runsById = new Map<string, Run[]>();
+  runs.forEach((run) => runsById.set(run.attemptId, [...(runsById.get(run.attemptId) ?? []), run]));
+  return runsById;
+}
+
+/** Returns the outcomes of the requests whose streams no server spoiled. */
+export function listUnspoiled(
+  fleet: EntryFleet,
+  outcomes: readonly EntryOutcome[],
+): readonly EntryOutcome[] {
+  const runsById = groupRuns(fleet);
+  return outcomes.filter(({ id }) => !isSpoiled(runsById.get(id) ?? []));
+}
+
 /** Returns the promises that were broken to callers. */
 export function listBrokenPromises(fleet: EntryFleet, outcomes: readonly EntryOutcome[]): string[] {
-  const runsById = new Map<string, Run[]>();
-  fleet.runs.forEach((run) =>
-    runsById.set(run.attemptId, [...(runsById.get(run.attemptId) ?? []), run]),
-  );
+  const runsById = groupRuns(fleet);
   return outcomes.flatMap((outcome) =>
     Object.entries(BROKEN_PROMISES).flatMap(([name, check]) => {
       const { endedAtMs, errorCode, id, isComplete, isFramed, kind, sentAtMs, status, vm } =
@@ -144,7 +161,8 @@
         .map(({ server }) => Math.round(server.killedAtMs))
         .filter(Number.isFinite)
         .join(' ');
-      const facts = { kind, isFramed, status, isComplete, found, ran, killed, errorCode };
+      const spoiled = runs.flatMap(({ spoiledBy }) => spoiledBy ?? []).join(', ');
+      const facts = { kind, isFramed, status, isComplete, found, ran, killed, spoiled, errorCode };
       return found === true || typeof found === 'string'
         ? [`${name}: ${id} at ${vm.name}, ${times}, ${JSON.stringify(facts)}`]
         : [];
--- a/tests/soak/entryDisruptions.ts
+++ b/tests/soak/entryDisruptions.ts
@@ -185,6 +185,12 @@
       fleet.killServer(server);
     }
   },
+  spoilStreams: async ({ spoilSpans }, random) => {
+    const span = { fromMs: performance.now(), untilMs: Number.POSITIVE_INFINITY };
+    spoilSpans.push(span);
+    await wait(500 + nextRandom(random) * 2_500);
+    span.untilMs = performance.now();
+  },
 };
 
 /** Begins disruptions at random times until `isOver`, and waits until all have ended. Returns their names in order. */
--- a/tests/soak/entryFleet.ts
+++ b/tests/soak/entryFleet.ts
@@ -62,6 +62,8 @@
   readonly run: string;
   readonly lastEventId: number;
   readonly server: SoakServer;
+  /** How the server spoiled its stream; null as long as it has not. */
+  spoiledBy: string | null;
 }
 
 /** An order of a controller, in the order of arrival. */
@@ -95,6 +97,8 @@
   readonly keys: { readonly valid: Set<string>; readonly withdrawn: Set<string> };
   /** Spans in which the store was disrupted. */
   readonly storeDisruptions: { readonly fromMs: number; untilMs: number }[];
+  /** Spans in which callers have servers spoil some of their streams; the end is infinite while they do. */
+  readonly spoilSpans: { readonly fromMs: number; untilMs: number }[];
   readonly getVersion: () => number;
   /** Writes a new version of the configuration, with the given time limit of the streams. */
   readonly configure: (streamTimeoutMs?: number) => void;
@@ -193,7 +197,13 @@
       server.address = address;
     },
     ran: (server, [attemptId = '', run = '', lastEventId]) =>
-      runs.push({ attemptId, run, lastEventId: Number(lastEventId), server }),
+      runs.push({ attemptId, run, lastEventId: Number(lastEventId), server, spoiledBy: null }),
+    spoiled: (_server, [name, ...how]) => {
+      const spoiled = runs.find(({ run }) => run === name);
+      if (spoiled !== undefined) {
+        spoiled.spoiledBy = how.join(' ');
+      }
+    },
     order: (server, [holder = '', fence, models = '[]']) => {
       server.models = JSON.parse(models);
       orders.push({
@@ -291,7 +301,7 @@
   );
   vms.forEach(startLife);
   const fleet: EntryFleet = {
-    ...{ store, vms, servers, runs, orders, keys, storeDisruptions: [] },
+    ...{ store, vms, servers, runs, orders, keys, storeDisruptions: [], spoilSpans: [] },
     ...{ configure, startServer, killServer, startLife, getVersion: () => version },
     saveLogs: () => {
       const logFolder = mkdtempSync(join(tmpdir(), 'entry-soak-logs-'));
--- a/tests/stand-ins/soakServerMain.ts
+++ b/tests/stand-ins/soakServerMain.ts
@@ -2,13 +2,15 @@
  * Runs a simulated server of a soak as a process: plain answers, event streams and engine orders. Flags: `--id ID`, `--host IP`. Prints its
  * address once it listens, then one line for each request that it runs and each order that it takes, before it answers:
  * `ran ATTEMPT RUN LAST_EVENT_ID` and `order HOLDER FENCE MODELS_AS_JSON`. Events name their run; a query of the path sets
- * how the answer is framed and how long its events are.
+ * how the answer is framed, how long its events are, and where it is spoiled: `spoil=EVENT_ID.FORM_NUMBER.TAIL`, any number of them. A
+ * run that begins before that event sends the form in its place, prints `spoiled RUN EVENT_ID TAIL FORM`, and goes on as the tail says.
  */
 import { once } from 'node:events';
 import http, { type IncomingMessage, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { EVENT_COUNT, formatEvent, formatPlainAnswer } from '../soak/numberedEvents.js';
 import { readFlags } from './http.js';
+import { listSpoiledForms, SpoiledTail } from './streamForms.js';
 
 const EVENT_INTERVAL_MS = 17;
 /** Time within which an event is written in two parts, so that a kill falls between them as well. */
@@ -68,18 +70,58 @@
   response.end('{}');
 }
 
-function sendEvents(
-  response: ServerResponse,
-  attemptId: string,
-  run: string,
-  firstId: number,
-  eventBytes: number,
-): void {
+/** The answer to a run whose events are sent. */
+interface EventRun {
+  readonly response: ServerResponse;
+  readonly attemptId: string;
+  readonly run: string;
+  readonly eventBytes: number;
+}
+
+/** The place in a run at which a spoiled form is sent. */
+interface Spoil {
+  readonly eventId: number;
+  readonly formNumber: number;
+  readonly tail: string;
+}
+
+const TAIL_EFFECTS: Readonly<Record<string, (response: ServerResponse) => void>> = {
+  [SpoiledTail.Ends]: (response) => response.end(),
+  // The form is written at the end of this turn of the loop.
+  [SpoiledTail.Resets]: ({ socket }) => setTimeout(() => socket?.resetAndDestroy(), HALF_EVENT_MS),
+};
+
+/** Returns the first place at which a run is spoiled that begins with an event. */
+function findSpoil(url: URL, firstId: number): Spoil | undefined {
+  return url.searchParams
+    .getAll('spoil')
+    .map((text) => text.split('.'))
+    .map(([eventId, formNumber, tail = '']) => ({
+      ...{ eventId: Number(eventId), formNumber: Number(formNumber), tail },
+    }))
+    .find(({ eventId }) => eventId > firstId);
+}
+
+/** Sends a spoiled form. Returns whether the run goes on. */
+function spoilRun({ response, run }: EventRun, { eventId, formNumber, tail }: Spoil): boolean {
+  const forms = listSpoiledForms(eventId);
+  const { name, text } = forms[formNumber % forms.length]!;
+  report('spoiled', run, eventId, tail, name);
+  response.write(text, 'latin1');
+  TAIL_EFFECTS[tail]?.(response);
+  return tail === SpoiledTail.GoesOn;
+}
+
+function sendEvents(eventRun: EventRun, firstId: number, spoil: Spoil | undefined): void {
+  const { attemptId, eventBytes, response, run } = eventRun;
   const sendEvent = (eventId: number): void => {
     if (eventId > EVENT_COUNT) {
       response.end();
       return;
     }
+    if (spoil?.eventId === eventId && !spoilRun(eventRun, spoil)) {
+      return;
+    }
     const text = formatEvent({ eventId, run, attemptId, fill: 'x'.repeat(eventBytes) });
     response.write(text.slice(0, text.length / 2));
     setTimeout(() => {
@@ -110,7 +152,9 @@
   response.writeHead(200, headers);
   if (isStream) {
     const eventBytes = Number(url.searchParams.get('events'));
-    sendEvents(response, attemptId, runName, lastEventId + 1, eventBytes);
+    const firstId = lastEventId + 1;
+    const eventRun = { response, attemptId, run: runName, eventBytes };
+    sendEvents(eventRun, firstId, findSpoil(url, firstId));
   } else {
     response.end(formatPlainAnswer(attemptId));
   }
--- a/tests/stand-ins/streamForms.ts
+++ b/tests/stand-ins/streamForms.ts
@@ -189,3 +189,11 @@
     },
   ];
 }
+
+/** Returns the forms that spoil a stream. */
+export function listSpoiledForms(due: number): readonly StreamForm[] {
+  return listStreamForms(due).filter(({ verdict }) => verdict === Spoiled);
+}
+
+/** What a server does after it has spoiled a stream. */
+export const SpoiledTail = { GoesOn: 'goesOn', Ends: 'ends', Resets: 'resets' } as const;
