--- a/tests/processes/entrySoak.test.ts
+++ b/tests/processes/entrySoak.test.ts
@@ -5,7 +5,7 @@
 import http from 'node:http';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { createRandom } from '../../src/state/random.js';
-import { runEntryCallers } from '../soak/entryCallers.js';
+import { type EntryOutcome, runEntryCallers } from '../soak/entryCallers.js';
 import {
   listBrokenPromises,
   listOrderFaults,
@@ -49,6 +49,17 @@
   return uncaught.map((error) => `uncaught: ${error instanceof Error ? error.stack : error}`);
 }
 
+/** Formats how many answers of each status there were, and how many of them looked whole. */
+function formatStatuses(outcomes: readonly EntryOutcome[]): string {
+  const statuses = [...new Set(outcomes.map(({ status }) => status))].sort();
+  return statuses
+    .map((status) => {
+      const answers = outcomes.filter((outcome) => outcome.status === status);
+      return `${status}: ${answers.length} (${answers.filter(({ isComplete }) => isComplete).length})`;
+    })
+    .join(', ');
+}
+
 /** Returns the status that a VM gives to a proper request with a key. */
 function getStatus({ address }: SoakVm, key: string): Promise<number> {
   checkCount += 1;
@@ -107,7 +118,8 @@
     process.stdout.write(
       `entry soak ${seed}: ${received.length} requests, ${served.length} served, ` +
         `${arrived.length - received.length} spoiled, ${fleet.orders.length} orders of ` +
-        `${new Set(fleet.orders.map(({ fence }) => fence)).size} fences, ${lives} lives; ${begun.join(' ')}\n`,
+        `${new Set(fleet.orders.map(({ fence }) => fence)).size} fences, ${lives} lives; ` +
+        `${formatStatuses(received)}; ${begun.join(' ')}\n`,
     );
     if (faults.length > 0) {
       process.stdout.write(`entry soak ${seed}: logs of the VMs in ${fleet.saveLogs()}\n`);
