Let an answer without a length count as whole only if its process has outlived it

Cause: one bare connect after the end counted as proof of life. A process that dies closes its sockets one by one, and whatever listens at the address next accepts the connect as well.

Change: the VM opens a connection to a server while that answers without a length, and asks on it after the end, an engine for its load report, any other server for its health. Only that process can answer there, and the kernel closes the connection with the others of a killed process. An answer too short for such a connection is asked for on a new one, which names the id; no answer there counts as broken off. A counter and a log line tell what was found.

--- a/src/coordination/entry/commands.ts
+++ b/src/coordination/entry/commands.ts
@@ -60,6 +60,12 @@
 
 export type LogFields = Readonly<Record<string, string | number | boolean>>;
 
+/** A question that a server answers without running a request. */
+export interface LifeCheck {
+  /** Null for an engine, which is asked for its load report: that waits for no slot. */
+  readonly healthPath: string | null;
+}
+
 /** The payload of each command, by kind. */
 export interface EntryCommandPayloads {
   [EntryCommandKind.Dispatch]: {
@@ -82,6 +88,8 @@
     readonly isStream: boolean;
     /** True if the server had a request limit, so that an answer without one shows that the limit has ended. */
     readonly isServerLimited: boolean;
+    /** How the server can be asked whether it lives; null if it cannot. */
+    readonly lifeCheck: LifeCheck | null;
   };
   /** Fails an attempt whose request has not been sent to its server. */
   [EntryCommandKind.RecallAttempt]: { readonly requestId: string; readonly attempt: number };
--- a/src/coordination/entry/events.ts
+++ b/src/coordination/entry/events.ts
@@ -5,6 +5,7 @@
 import type { BackendEntry } from '../../state/entry/backends.js';
 import type { Deployment } from '../../state/entry/deployment.js';
 import type { Quarantine } from '../../state/entry/crashEvidence.js';
+import type { LifeEvidence } from '../../state/entry/serverLife.js';
 import type { SpoilReason } from '../../state/entry/spoiledStreams.js';
 import type { Diagnostic } from '../../state/diagnostics.js';
 import type { RunState } from '../../state/types.js';
@@ -128,6 +129,7 @@
   AnswerCompleted: 'answerCompleted',
   AttemptFailed: 'attemptFailed',
   StreamSpoiled: 'streamSpoiled',
+  UnframedAnswerEnded: 'unframedAnswerEnded',
   AttemptStalled: 'attemptStalled',
   LimitReported: 'limitReported',
   ServerStated: 'serverStated',
@@ -221,6 +223,12 @@
     /** Number of the last event before it; null if there was none. */
     readonly afterId: string | null;
   };
+  /** The connection of an answer without a length has ended in order. */
+  [EntryEventKind.UnframedAnswerEnded]: {
+    readonly requestId: string;
+    readonly attempt: number;
+    readonly evidence: LifeEvidence;
+  };
   [EntryEventKind.AttemptStalled]: {
     readonly requestId: string;
     readonly attempt: number;
--- a/src/coordination/entry/handlers.ts
+++ b/src/coordination/entry/handlers.ts
@@ -33,6 +33,7 @@
   handleAttemptStalled,
 } from './requests/attempts.js';
 import { handleStreamSpoiled } from './requests/spoiledStreams.js';
+import { handleUnframedAnswerEnded } from './requests/unframedEnds.js';
 import { handleWaitTimedOut } from './requests/forwarding.js';
 import { handleServerStated } from './servers/serverStatements.js';
 import {
@@ -74,6 +75,7 @@
   [EntryEventKind.AnswerCompleted]: handleAnswerCompleted,
   [EntryEventKind.AttemptFailed]: handleAttemptFailed,
   [EntryEventKind.StreamSpoiled]: handleStreamSpoiled,
+  [EntryEventKind.UnframedAnswerEnded]: handleUnframedAnswerEnded,
   [EntryEventKind.AttemptStalled]: handleAttemptStalled,
   [EntryEventKind.LimitReported]: handleLimitReported,
   [EntryEventKind.ServerStated]: handleServerStated,
--- a/src/coordination/entry/requests/forwarding.ts
+++ b/src/coordination/entry/requests/forwarding.ts
@@ -2,7 +2,7 @@
  * Dispatches forwarded requests to backend servers, and lets them wait for a server that can run them.
  */
 import { type Backend, getVariantKey } from '../../../state/entry/backends.js';
-import { RouteKind } from '../../../state/entry/deployment.js';
+import { type ForwardService, RouteKind } from '../../../state/entry/deployment.js';
 import { createDiagnostic, Diagnostics } from '../../../state/diagnostics.js';
 import { formatStoreRevision } from '../../../state/storeRevision.js';
 import { nextRandom } from '../../../state/random.js';
@@ -13,6 +13,7 @@
   type EntryCommand,
   EntryCommandKind,
   EntryLogPrefix,
+  type LifeCheck,
 } from '../commands.js';
 import { EntryEventKind, type EntryEventOf } from '../events.js';
 import {
@@ -116,6 +117,13 @@
   return Math.max(MIN_CONNECTIONS, Math.floor(share * SHARED_CONNECTION_FRACTION));
 }
 
+function getLifeCheck({ engine, healthPath }: ForwardService): LifeCheck | null {
+  if (engine !== null) {
+    return { healthPath: null };
+  }
+  return healthPath === null ? null : { healthPath };
+}
+
 /** Starts an attempt of a request at a backend server. */
 function dispatchTo(
   state: EntryState,
@@ -150,6 +158,7 @@
       eventGapTimeoutMs: getEventGapTimeoutMs(record),
       isStream: record.route.kind === RouteKind.Stream,
       isServerLimited: backend.limit !== null,
+      lifeCheck: getLifeCheck(record.service),
     },
     createEntryLog(LogLevel.Debug, EntryLogPrefix.Request, 'The request was dispatched.', {
       ...getRequestLogFields(record, nowMs),
--- a/src/coordination/entry/state.ts
+++ b/src/coordination/entry/state.ts
@@ -2,6 +2,7 @@
  * Defines the state of one entry VM. The event loop owns it: only event handlers change it, one event at a time.
  */
 import type { Diagnostic } from '../../state/diagnostics.js';
+import type { LifeEvidence } from '../../state/entry/serverLife.js';
 import type { SpoilReason } from '../../state/entry/spoiledStreams.js';
 import type { BackendLists } from '../../state/entry/backendLists.js';
 import type { Backend, BackendEntry, StatedFacts } from '../../state/entry/backends.js';
@@ -277,6 +278,8 @@
   readonly nextTrialAtMs: Map<string, number>;
   /** Number of streams that their servers have spoiled, by reason. */
   readonly spoiledStreams: Map<SpoilReason, number>;
+  /** Number of answers without a length that ended in order, by what was found of their servers. */
+  readonly unframedEnds: Map<LifeEvidence, number>;
 }
 
 /** Creates the state of a process that has just started. */
@@ -342,6 +345,7 @@
     rateHolders: new Map(),
     nextTrialAtMs: new Map(),
     spoiledStreams: new Map(),
+    unframedEnds: new Map(),
   };
 }
 
--- a/src/state/entry/deployment.ts
+++ b/src/state/entry/deployment.ts
@@ -69,6 +69,8 @@
   readonly name: string;
   /** Number of connections that one backend server accepts from all VMs combined. */
   readonly maxConnections: number;
+  /** Path of the servers' own health check; null if they have none. */
+  readonly healthPath: string | null;
   /** Null for a service that does not run models. */
   readonly engine: EngineProfile | null;
 }
--- a/src/transport/entry/answers.ts
+++ b/src/transport/entry/answers.ts
@@ -3,8 +3,7 @@
  * are buffered until the event loop decides whether to deliver them; large ones are forwarded as they arrive.
  */
 import type { IncomingMessage } from 'node:http';
-import { Effect } from 'effect';
-import { EntryEventKind, ProbeOutcome } from '../../coordination/entry/events.js';
+import { EntryEventKind } from '../../coordination/entry/events.js';
 import {
   createEventFrameReader,
   type EventFrame,
@@ -27,19 +26,17 @@
   recordProgress,
   recordSignal,
 } from './attempt.js';
-import { holdForCaller, keepPace, leaveTurn, writeWithBackpressure } from './answerPacing.js';
-import { probeAddress } from './backendProbe.js';
 import {
-  endWithConnection,
-  type ForwardExchange,
-  isAnswerBegun,
-  recordStreamEvent,
-} from './exchange.js';
+  completeUnlessServerEnded,
+  createCompletenessCheck,
+  isFramed,
+  watchServer,
+} from './answerEnds.js';
+import { holdForCaller, keepPace, leaveTurn, writeWithBackpressure } from './answerPacing.js';
+import { endWithConnection, isAnswerBegun, recordStreamEvent } from './exchange.js';
 import type { AnswerHead } from './wire.js';
 
 const HTTP_OK = 200;
-/** 204 No Content and 304 Not Modified. */
-const NO_BODY_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 const EVENT_STREAM_PATTERN = /^text\/event-stream\b/i;
 /** Larger responses are forwarded as they arrive. If one is cut off, the caller's connection is closed. */
 const MAX_BUFFERED_BYTES = 1_048_576;
@@ -88,63 +85,6 @@
   }
 }
 
-/** Returns whether the response marks its own end, rather than ending with its connection. */
-function isFramed(
-  { request }: ForwardExchange,
-  { headers, statusCode = 0 }: IncomingMessage,
-): boolean {
-  const hasNoBody = request.method === 'HEAD' || NO_BODY_STATUSES.has(statusCode);
-  const hasFraming =
-    headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-  return hasNoBody || hasFraming;
-}
-
-/**
- * Creates a check, to be called at the end of the body, of whether the response is complete or its connection failed.
- * The socket is read in advance because Node.js detaches it from the response before the `end` event.
- */
-function createCompletenessCheck(
-  exchange: ForwardExchange,
-  response: IncomingMessage,
-): () => boolean {
-  const { socket } = response;
-  let isReset = false;
-  if (!isFramed(exchange, response)) {
-    // For a reset that finds unread data, libuv reports an end in order. Only a connection that was reset has no peer then.
-    socket.prependOnceListener('end', () => {
-      isReset = socket.remoteAddress === undefined;
-    });
-  }
-  return () => response.complete && socket.errored === null && !isReset;
-}
-
-/**
- * Calls `complete` for an answer whose body has ended. One that ends with its connection was broken off if its server has ended too: the
- * kernel closes the connections of a process that was killed in the same way as the process itself.
- */
-function completeUnlessServerEnded(
-  attempt: Attempt,
-  response: IncomingMessage,
-  complete: () => void,
-): void {
-  if (isFramed(attempt.exchange, response)) {
-    complete();
-    return;
-  }
-  attempt.isBodyRead = true;
-  const decide = (outcome: ProbeOutcome): void => {
-    if (attempt.isSettled) {
-      return;
-    }
-    if (outcome === ProbeOutcome.Gone) {
-      failForLostConnection(attempt);
-    } else {
-      complete();
-    }
-  };
-  Effect.runFork(Effect.map(probeAddress(attempt.command.address), decide));
-}
-
 function startAnswer(attempt: Attempt, response: IncomingMessage): void {
   const { context, exchange } = attempt;
   if (!isAnswerBegun(exchange) && !exchange.response.destroyed) {
@@ -359,6 +299,7 @@
     rejectAnswer(attempt);
     return;
   }
+  watchServer(attempt, response);
   const isOk = response.statusCode === HTTP_OK;
   const isEventStream = EVENT_STREAM_PATTERN.test(response.headers['content-type'] ?? '');
   if (command.isStream && isOk && isEventStream) {
--- a/src/transport/entry/attempt.ts
+++ b/src/transport/entry/attempt.ts
@@ -22,6 +22,7 @@
 import { type ForwardExchange, isAnswerBegun } from './exchange.js';
 import { runAfterUnreadData } from './loopDelay.js';
 import { postStatement } from './serverStatements.js';
+import type { ServerWitness } from './serverWitness.js';
 import type { TurnPacer } from './turnPacer.js';
 import type { AnswerHead, EntryWire } from './wire.js';
 
@@ -66,6 +67,8 @@
   readonly startedAtMs: number;
   progressAtMs: number;
   stallTimer: NodeJS.Timeout | null;
+  /** Shows whether the server outlives an answer without a length; null for any other answer. */
+  witness: ServerWitness | null;
   /** Why the response is not read for now; empty while it is. */
   readonly pauseReasons: Set<string>;
 }
@@ -339,6 +342,7 @@
     startedAtMs: context.getNowMs(),
     progressAtMs: context.getNowMs(),
     stallTimer: null,
+    witness: null,
     pauseReasons: new Set(),
   };
   Either.encase(() => createRequest(attempt)).caseOf({
--- a/src/transport/entry/metricsServer.ts
+++ b/src/transport/entry/metricsServer.ts
@@ -5,6 +5,7 @@
 import { countLiveVms, type EntryState, RelayRole } from '../../coordination/entry/state.js';
 import { isPaused } from '../../coordination/entry/servers/serverPauses.js';
 import { countHeldQuarantines } from '../../state/entry/quarantineTable.js';
+import { LifeEvidence } from '../../state/entry/serverLife.js';
 import { SpoilReason } from '../../state/entry/spoiledStreams.js';
 import { getRevisionInEra, getStoreEra } from '../../state/storeRevision.js';
 import type { Metrics } from '../metrics.js';
@@ -89,11 +90,20 @@
   return [`# TYPE ${name} counter\n`, ...lines].join('');
 }
 
+/** Formats the number of answers without a length that ended in order, by what was found of their servers. */
+function formatUnframedEnds({ state }: MetricsSources): string {
+  const name = 'gentiandeck_unframed_ends_total';
+  const lines = Object.values(LifeEvidence).map(
+    (evidence) => `${name}{evidence="${evidence}"} ${state.unframedEnds.get(evidence) ?? 0}\n`,
+  );
+  return [`# TYPE ${name} counter\n`, ...lines].join('');
+}
+
 function formatMetrics(sources: MetricsSources): string {
   const { callerConnections, loopWork, metrics, peerCalls } = sources;
   const counters = [metrics, loopWork, peerCalls, callerConnections];
   const texts = counters.map((counter) => counter.formatPrometheus());
-  const formats = [formatGauges, formatHeldBytes, formatSpoiledStreams];
+  const formats = [formatGauges, formatHeldBytes, formatSpoiledStreams, formatUnframedEnds];
   return [...texts, ...formats.map((format) => format(sources))].join('');
 }
 
--- a/src/transport/entry/wire.ts
+++ b/src/transport/entry/wire.ts
@@ -90,6 +90,8 @@
   readonly encodeForwardHead: (rawHeaders: readonly string[], head: ForwardHead) => string[];
   readonly decodeServerStatement: (status: number, headers: IncomingHttpHeaders) => ServerStatement;
   readonly decodeAnswerHead: (status: number, headers: IncomingHttpHeaders) => AnswerHead;
+  /** Decodes the id that a backend server states in its answer to a health check; null if it states none. */
+  readonly decodeServerId: (headers: IncomingHttpHeaders) => string | null;
   /** Encodes the headers of a backend server's response for the caller. */
   readonly encodeAnswerHead: (rawHeaders: readonly string[]) => OutgoingHead;
   /** Encodes the headers of a response that the VM itself generates. */
--- a/tests/entry/answerEnds.test.ts
+++ b/tests/entry/answerEnds.test.ts
@@ -86,6 +86,7 @@
   eventGapTimeoutMs: 60_000,
   isStream: true,
   isServerLimited: false,
+  lifeCheck: null,
 };
 
 /** Starts a server for callers that forwards each request to the address in its path. */
--- a/tests/entry/brokenStreams.test.ts
+++ b/tests/entry/brokenStreams.test.ts
@@ -54,6 +54,7 @@
   eventGapTimeoutMs: 5_000,
   isStream: true,
   isServerLimited: false,
+  lifeCheck: null,
 };
 
 interface Received {
--- a/tests/entry/fixtures.ts
+++ b/tests/entry/fixtures.ts
@@ -131,8 +131,8 @@
     version,
     routesByHost: indexRoutes(TEST_ROUTES),
     servicesByName: new Map([
-      ['counter', { name: 'counter', maxConnections: 110, engine: null }],
-      ['llm', { name: 'llm', maxConnections: 370, engine }],
+      ['counter', { name: 'counter', maxConnections: 110, healthPath: null, engine: null }],
+      ['llm', { name: 'llm', maxConnections: 370, healthPath: null, engine }],
     ]),
     hasWorkspaces: true,
     workspacesByKeyDigest: new Map([['digest', TEST_WORKSPACE]]),
--- a/tests/entry/lateDispatch.test.ts
+++ b/tests/entry/lateDispatch.test.ts
@@ -39,6 +39,7 @@
   eventGapTimeoutMs: DEADLINE_MS,
   isStream: false,
   isServerLimited: false,
+  lifeCheck: null,
 };
 
 interface Case {
--- a/tests/entry/refusedCalls.test.ts
+++ b/tests/entry/refusedCalls.test.ts
@@ -50,6 +50,7 @@
   startTimeoutMs: 900,
   eventGapTimeoutMs: 900,
   isServerLimited: false,
+  lifeCheck: null,
   isStream: false,
 };
 
