Hold signals from a small CommonJS file, which Node.js loads sooner

Cause: the first file was an ES module, so Node.js set up its ES module loader and read three files before the handler stood.

--- a/review/lib/harness.mjs
+++ b/review/lib/harness.mjs
@@ -157,7 +157,7 @@
     platform: { address: storeAddress, form: 'kv', writes_per_s: 400, reads_per_s: 2_000 },
   };
   await writeFile(path, JSON.stringify(settings));
-  const args = ['--max-old-space-size=200', 'target/gentiandeckEntry.mjs'];
+  const args = ['--max-old-space-size=200', 'target/gentiandeckEntry.cjs'];
   if (isEnding) {
     throw new Error('the script ends');
   }
