Read settings again that are complete JSON but wrong, at the start and at a reload

An empty name, an empty port range or half an address was accepted: the VM listened on any port for its peers, or never reached its store.

Cause: only a missing file and incomplete JSON counted as being written. The message was that of a request body.

Change: every unusable file is read again for five seconds, with a line at the first reading; a file that stays wrong ends the start with status 2 and one line with the path and what was expected. Reloads are read one at a time (settingsReloader.ts), in the same way, and every five seconds after the failure was logged. Names, addresses and ports of the file are checked.

The tests 'waits for settings that are missing' and 'ends with a line that names the file' are now rows of the two tables, with stricter checks.

--- a/src/bin/entryProgram.ts
+++ b/src/bin/entryProgram.ts
@@ -3,27 +3,22 @@
  */
 import { Clock, Effect } from 'effect';
 import sade from 'sade';
-import { readSettings } from '../../platform/settings.js';
+import { readSettings, readSettingsOnce } from '../../platform/settings.js';
 import { createPlatformStore } from '../../platform/store.js';
 import { PLATFORM_WIRE } from '../../platform/wire.js';
-import { EntryLogPrefix } from '../coordination/entry/commands.js';
-import { LogLevel } from '../coordination/events.js';
 import {
   createDiagnostic,
   type Diagnostic,
   DiagnosticError,
   Diagnostics,
 } from '../state/diagnostics.js';
-import { type EntryDaemon, startEntryDaemon } from '../transport/entry/entryDaemon.js';
-import {
-  createEntryLogWriter,
-  type EntryLog,
-  logUnexpectedError,
-} from '../transport/entry/entryLog.js';
+import { startEntryDaemon } from '../transport/entry/entryDaemon.js';
+import { createEntryLogWriter, logUnexpectedError } from '../transport/entry/entryLog.js';
 import { STATUS_PATH } from '../transport/entry/metricsServer.js';
 import { liftQuarantine, listQuarantines } from '../transport/entry/quarantineEditor.js';
 import { processSignals, SignalRequest } from '../transport/entry/processSignals.js';
 import type { EntrySettings } from '../transport/entry/settings.js';
+import { createSettingsReloader } from '../transport/entry/settingsReloader.js';
 import { callHttp } from '../transport/httpCall.js';
 import type { PrefixStore } from '../transport/keyValueStore.js';
 import { VERSION } from '../transport/version.js';
@@ -46,18 +41,6 @@
   process.stderr.write(`gentiandeck-entry: ${text}\n`);
 }
 
-/** Reads the settings file again and applies it. Keeps the current settings if it cannot be read or decoded. */
-async function reload(daemon: EntryDaemon, log: EntryLog): Promise<void> {
-  const settings = await readSettings(process.env);
-  settings.caseOf({
-    Left: ({ message: detail }) =>
-      log.write(LogLevel.Error, EntryLogPrefix.Lifecycle, 'The settings could not be reloaded.', {
-        detail,
-      }),
-    Right: daemon.reload,
-  });
-}
-
 async function run(settings: EntrySettings, { logLevel, metricsPort }: Options): Promise<void> {
   const log = createEntryLogWriter(logLevel, settings.vmId);
   const store = createPlatformStore(settings.storeAddress, STORE_TIMEOUT_MS);
@@ -69,9 +52,11 @@
   const daemon = await startEntryDaemon({ settings, metricsPort, store, wire, log });
   processSignals.handle({
     [SignalRequest.Stop]: daemon.stop,
-    [SignalRequest.Reload]: () => {
-      void reload(daemon, log);
-    },
+    [SignalRequest.Reload]: createSettingsReloader({
+      read: () => readSettingsOnce(process.env),
+      apply: daemon.reload,
+      writeLog: log.write,
+    }),
   });
   await daemon.ended;
   await log.close();
@@ -81,7 +66,9 @@
 async function start(options: Options): Promise<void> {
   // Nothing has been accepted yet, so a stop needs no shutdown.
   processSignals.handle({ [SignalRequest.Stop]: () => process.exit() });
-  const read = await readSettings(process.env);
+  const read = await readSettings(process.env, ({ message }) =>
+    writeError(`${message} It is read again for some seconds.`),
+  );
   await read.caseOf<Promise<void>>({
     Left: ({ message }) => {
       writeError(message);
--- a/src/protocol/json.ts
+++ b/src/protocol/json.ts
@@ -12,15 +12,20 @@
   );
 }
 
+/** Decodes a value with a schema. Left tells what was expected. */
+export function matchValue<T, E>(schema: Schema.Codec<T, E>, value: unknown): Either<string, T> {
+  const result = Schema.decodeUnknownResult(schema)(value);
+  return Result.isSuccess(result) ? Right(result.success) : Left(String(result.failure.message));
+}
+
 /** Decodes a value with a schema. Left is `MalformedBody` with the expected form. */
 export function decodeValue<T, E>(
   schema: Schema.Codec<T, E>,
   value: unknown,
 ): Either<Diagnostic, T> {
-  const result = Schema.decodeUnknownResult(schema)(value);
-  return Result.isSuccess(result)
-    ? Right(result.success)
-    : Left(createDiagnostic(Diagnostics.MalformedBody, String(result.failure.message)));
+  return matchValue(schema, value).mapLeft((expected) =>
+    createDiagnostic(Diagnostics.MalformedBody, expected),
+  );
 }
 
 /** Parses a JSON text and decodes it with a schema. Left is `MalformedBody`. */
--- a/tests/processes/entryStart.test.ts
+++ b/tests/processes/entryStart.test.ts
@@ -18,7 +18,7 @@
 import { join } from 'node:path';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { SETTINGS_VARIABLE } from '../../platform/names.js';
-import { createConfiguration } from '../stand-ins/entryVms.js';
+import { createConfiguration, wait } from '../stand-ins/entryVms.js';
 import { type PlatformStore, startPlatformStore } from '../stand-ins/platformStore.js';
 import { findFreePort, getProgramPath, waitFor } from '../stand-ins/processes.js';
 
@@ -26,7 +26,8 @@
 const RELOADED_TEXT = 'The settings were reloaded.';
 /** An earlier process may have its ports for some time after the next one has started. */
 const PORT_IN_USE_MS = 1_500;
-const MISSING_SETTINGS_MS = 2_000;
+/** Longer than a start takes, so that the settings are read before they are completed. */
+const INCOMPLETE_SETTINGS_MS = 2_500;
 
 const PortName = { Callers: 0, Readiness: 1, Peers: 2, Metrics: 3 } as const;
 
@@ -69,6 +70,10 @@
   });
 }
 
+function createSettingsWith(fields: Readonly<Record<string, unknown>>): string {
+  return JSON.stringify({ ...(JSON.parse(createSettings()) as object), ...fields });
+}
+
 function startEntry(settingsPath: string, stdout: 'pipe' | number = 'pipe'): ChildProcess {
   const args = [getProgramPath(PROGRAM), '--metrics-port', String(ports[PortName.Metrics])];
   const started = spawn(process.execPath, args, {
@@ -194,20 +199,45 @@
     await waitUntilReady(started);
   });
 
-  it('waits for settings that are missing', async () => {
+  it.each<{ name: string; text: () => string | null }>([
+    { name: 'missing', text: () => null },
+    { name: 'cut short', text: () => createSettings().slice(0, 80) },
+    { name: 'an empty list', text: () => '[]' },
+    { name: 'null', text: () => 'null' },
+    { name: 'an empty object', text: () => '{}' },
+    { name: 'without a key', text: () => createSettingsWith({ zone: undefined }) },
+    { name: 'without a port for peers', text: () => createSettingsWith({ port_range: [] }) },
+    { name: 'with an empty name', text: () => createSettingsWith({ node_name: '' }) },
+    {
+      name: 'with half an address',
+      text: () => createSettingsWith({ platform: { address: '127.0.0.1' } }),
+    },
+  ])('is ready after its settings are completed that were $name', async ({ text }) => {
     const path = join(folder, 'settings.json');
+    const incomplete = text();
+    if (incomplete !== null) {
+      writeFileSync(path, incomplete);
+    }
     const started = startEntry(path);
-    setTimeout(() => writeFileSync(path, createSettings()), MISSING_SETTINGS_MS);
+    await wait(INCOMPLETE_SETTINGS_MS);
+    expect(await isReady()).toBe(false);
+    writeFileSync(path, createSettings());
     await waitUntilReady(started);
   });
 
-  it('ends with a line that names the file when its settings are wrong', async () => {
+  it.each<{ name: string; text: string; expected: readonly string[] }>([
+    { name: 'missing keys', text: '{"node_name":"vm-1"}', expected: ['Missing key', 'ip'] },
+    { name: 'another shape', text: '[]', expected: ['Expected object'] },
+    { name: 'no JSON', text: '{"node_name":"vm', expected: ['is not complete JSON'] },
+  ])('ends with a line that says why when its settings stay wrong: $name', async (row) => {
     const path = join(folder, 'settings.json');
-    writeFileSync(path, JSON.stringify({ node_name: 'vm-1' }));
+    writeFileSync(path, row.text);
     const started = startEntry(path);
     const [code] = await once(started, 'exit');
     expect(code).toBe(2);
-    expect(output).toContain(path);
+    const lastLine = output.trim().split('\n').at(-1) ?? '';
+    [path, ...row.expected].forEach((part) => expect(lastLine).toContain(part));
+    expect(output).not.toContain('request body');
   });
 
   it('serves while its log cannot be written', async () => {
