Judge the streams of engines, and log and count what does not belong

Callers saw: a piece twice (text without an index), one too few (an index without text), an end that looked whole after 3 of 8 tokens (the mark of the end, or a reason to finish and the mark, in the middle), a reason to finish in the middle, replacement characters for bytes that are no UTF-8. No line of the log and no metric told of any of it.

Cause: a chunk without an index was passed on unjudged, the mark of the end was believed by itself, at once, and what the parser of events calls an error was ignored.

Now a token needs its index, the end needs a reason to finish (or the last token that the request allows) before its mark, the end is held until the stream ends (at most 250 ms after the mark), and foreign bytes end the trust in a stream. The rest comes from another engine, or the answer ends visibly. The log and gentiandeck_spoiled_answers_total name the server and the reason.

--- a/demo/main.ts
+++ b/demo/main.ts
@@ -3,7 +3,7 @@
  * of two workspaces for different models, and makes a booking. With `--once` it then stops; otherwise it runs
  * until it is interrupted.
  */
-import { createSseReader, SSE_DONE } from '../src/protocol/sse.js';
+import { createSseReader, SSE_DONE, SseItemKind } from '../src/protocol/sse.js';
 import { getExpectedText } from '../tests/stand-ins/engine.js';
 import { type Fleet, type FleetPlan, getJson, startFleet } from '../tests/stand-ins/fleet.js';
 import type { ServiceStats } from '../tests/stand-ins/service.js';
@@ -97,14 +97,14 @@
 /** Reads a stream of completion events and joins their texts. */
 async function readStream(response: Response, startMs: number): Promise<StreamedText> {
   const readEvents = createSseReader();
-  const decoder = new TextDecoder();
   const data: string[] = [];
   let firstTokenMs = 0;
   for await (const bytes of response.body!) {
     if (data.length === 0) {
       firstTokenMs = performance.now() - startMs;
     }
-    data.push(...readEvents(decoder.decode(bytes as Uint8Array, { stream: true })));
+    const items = readEvents(bytes as Uint8Array);
+    data.push(...items.flatMap((item) => (item.kind === SseItemKind.Event ? [item.data] : [])));
   }
   const isComplete = data.at(-1) === SSE_DONE;
   const chunks = isComplete ? data.slice(0, -1) : data;
--- a/src/coordination/dispatching.ts
+++ b/src/coordination/dispatching.ts
@@ -14,8 +14,11 @@
   ClaimOutcome,
   type Command,
   CommandKind,
+  createLog,
   type EventKind,
   type EventOf,
+  LogLevel,
+  LogPrefix,
   RequestOutcome,
 } from './events.js';
 import { type VmState, RequestPhase, type RequestRecord } from './vmState.js';
@@ -168,6 +171,22 @@
   return finishRequest(state, record, end, nowMs);
 }
 
+/** Logs and counts an answer that does not belong to its request. Its dispatch fails after that. */
+export function handleAnswerSpoiled(
+  state: VmState,
+  { attempt, reason, requestId }: EventOf<typeof EventKind.AnswerSpoiled>,
+): Command[] {
+  const server = findDispatchedRequest(state, requestId, attempt)?.server ?? null;
+  if (server === null) {
+    return [];
+  }
+  const fields = { server, reason, requestId, attempt };
+  return [
+    { kind: CommandKind.RecordSpoiledAnswer, server, reason },
+    createLog(LogLevel.Warn, LogPrefix.Server, 'A backend server has spoiled an answer.', fields),
+  ];
+}
+
 /** Withdraws a retry from the budget if it has one; an attempt proven not to have run needs none. */
 function withdrawRetry(state: VmState, isProvenNotRun: boolean): boolean {
   if (isProvenNotRun) {
--- a/src/coordination/events.ts
+++ b/src/coordination/events.ts
@@ -5,6 +5,7 @@
 import type { Diagnostic } from '../state/diagnostics.js';
 import type { Order, PlacementPlan } from '../state/placementPlan.js';
 import type { ShareTable } from '../state/shareTable.js';
+import type { AnswerSpoilReason } from '../state/spoiledAnswers.js';
 import type {
   Document,
   GossipMessage,
@@ -25,6 +26,7 @@
   AnswerStarted: 'answerStarted',
   AnswerCompleted: 'answerCompleted',
   DispatchFailed: 'dispatchFailed',
+  AnswerSpoiled: 'answerSpoiled',
   CallerDisconnected: 'callerDisconnected',
   RequestTimedOut: 'requestTimedOut',
   LoanRequested: 'loanRequested',
@@ -122,6 +124,12 @@
     /** True once any byte of an answer has been sent to the caller. */
     readonly isAnswerBegun: boolean;
   };
+  /** The answer of a dispatch does not belong to the request. Posted before the failure of the dispatch. */
+  [EventKind.AnswerSpoiled]: {
+    readonly requestId: string;
+    readonly attempt: number;
+    readonly reason: AnswerSpoilReason;
+  };
   [EventKind.CallerDisconnected]: { readonly requestId: string; readonly deliveredTokens: number };
   [EventKind.RequestTimedOut]: { readonly requestId: string };
   [EventKind.LoanRequested]: {
@@ -208,6 +216,7 @@
   Exit: 'exit',
   Log: 'log',
   RecordRequest: 'recordRequest',
+  RecordSpoiledAnswer: 'recordSpoiledAnswer',
 } as const;
 export type CommandKind = (typeof CommandKind)[keyof typeof CommandKind];
 
@@ -337,6 +346,10 @@
   };
   /** The last command of every request: records its metrics and releases everything else. */
   [CommandKind.RecordRequest]: { readonly requestId: string; readonly measure: RequestMetrics };
+  [CommandKind.RecordSpoiledAnswer]: {
+    readonly server: string;
+    readonly reason: AnswerSpoilReason;
+  };
 }
 
 export type CommandOf<K extends CommandKind> = { readonly kind: K } & CommandPayloads[K];
--- a/src/coordination/handlers.ts
+++ b/src/coordination/handlers.ts
@@ -15,6 +15,7 @@
 } from './controller.js';
 import {
   handleAnswerCompleted,
+  handleAnswerSpoiled,
   handleAnswerStarted,
   handleClaimAnswered,
   handleDispatchFailed,
@@ -57,6 +58,7 @@
   [EventKind.AnswerStarted]: handleAnswerStarted,
   [EventKind.AnswerCompleted]: handleAnswerCompleted,
   [EventKind.DispatchFailed]: handleDispatchFailed,
+  [EventKind.AnswerSpoiled]: handleAnswerSpoiled,
   [EventKind.CallerDisconnected]: handleCallerDisconnected,
   [EventKind.RequestTimedOut]: handleRequestTimedOut,
   [EventKind.LoanRequested]: handleLoanRequested,
--- a/src/protocol/openai.ts
+++ b/src/protocol/openai.ts
@@ -131,23 +131,40 @@
   readonly id: string;
   /** Index of the token in the response, from zero; null for a chunk without one. */
   readonly tokenIndex: number | null;
-  readonly text: string;
+  /** Null for a chunk without text. */
+  readonly text: string | null;
   readonly finishReason: string | null;
+  readonly choiceCount: number;
+  /** The complete chunk, for forwarding: as it was received and decoded. */
+  readonly data: string;
+  readonly body: Readonly<Record<string, unknown>>;
 }
 
 /** Decodes one chunk of a streamed response. Left is `MalformedBody`. */
 export function decodeChunk(data: string): Either<Diagnostic, CompletionChunk> {
-  return parseJson(data)
-    .chain((value) => decodeValue(ChunkSchema, value))
-    .map((chunk) => {
+  return parseJson(data).chain((value) =>
+    decodeValue(ChunkSchema, value).map((chunk) => {
       const choice = chunk.choices[0];
       return {
         id: chunk.id,
         tokenIndex: chunk.token_index ?? null,
-        text: choice?.text ?? choice?.delta?.content ?? '',
+        text: choice?.text ?? choice?.delta?.content ?? null,
         finishReason: choice?.finish_reason ?? null,
+        choiceCount: chunk.choices.length,
+        data,
+        body: value as Readonly<Record<string, unknown>>,
       };
-    });
+    }),
+  );
+}
+
+const LINE_END_PATTERN = /[\r\n]/;
+
+/** Encodes a chunk with an id in one line. */
+export function encodeChunk(chunk: CompletionChunk, id: string): string {
+  const { body, data } = chunk;
+  const isUnchanged = chunk.id === id && !LINE_END_PATTERN.test(data);
+  return isUnchanged ? data : JSON.stringify({ ...body, id });
 }
 
 const RESPONSE_OBJECTS: Readonly<Record<CompletionKind, string>> = {
--- a/src/transport/commandTable.ts
+++ b/src/transport/commandTable.ts
@@ -344,6 +344,8 @@
     [CommandKind.SetReady]: ({ isReady }) => setReady(isReady),
     [CommandKind.Exit]: exit,
     [CommandKind.Log]: ({ fields, level, part, text }) => writeLog(level, part, text, fields),
+    [CommandKind.RecordSpoiledAnswer]: ({ reason, server }) =>
+      metrics.recordSpoiledAnswer(server, reason),
     [CommandKind.RecordRequest]: ({ measure, requestId }) => {
       metrics.record(measure, context.getObjective(measure.workspace), context.dispatch.getNowMs());
       exchanges.delete(requestId);
--- a/src/transport/dispatch.ts
+++ b/src/transport/dispatch.ts
@@ -11,6 +11,7 @@
 } from '../coordination/events.js';
 import { createDiagnostic, type Diagnostic, Diagnostics } from '../state/diagnostics.js';
 import { advanceRunState, DispatchSignal } from '../state/runState.js';
+import type { AnswerSpoilReason } from '../state/spoiledAnswers.js';
 import { RunState } from '../state/types.js';
 import { type Exchange, getMeanGapMs, isAnswerBegun } from './exchange.js';
 import { splitAddress } from './httpCall.js';
@@ -95,6 +96,15 @@
   });
 }
 
+/** Fails a dispatch whose answer does not belong to the request, and posts the reason. */
+export function failForSpoiledAnswer(dispatch: Dispatch, reason: AnswerSpoilReason): void {
+  const { attempt, requestId, server } = dispatch.command;
+  if (!dispatch.isSettled) {
+    dispatch.context.post({ kind: EventKind.AnswerSpoiled, requestId, attempt, reason });
+  }
+  failDispatch(dispatch, createDiagnostic(Diagnostics.AnswerMismatched, server));
+}
+
 /** Fails a dispatch after its connection was lost. The diagnostic depends on the run state. */
 export function failForLostConnection(dispatch: Dispatch): void {
   const { server } = dispatch.command;
@@ -154,9 +164,9 @@
   request.on('close', handleConnectionLoss);
   request.on('response', (response) => {
     recordSignal(dispatch, DispatchSignal.HeadersReceived);
-    response.on('error', handleConnectionLoss);
-    response.on('aborted', handleConnectionLoss);
+    // An answer that is whole settles the dispatch first.
     onResponse(response);
+    response.on('error', handleConnectionLoss);
   });
 }
 
--- a/src/transport/exchange.ts
+++ b/src/transport/exchange.ts
@@ -7,6 +7,7 @@
 import {
   type CompletionChunk,
   type CompletionRequest,
+  encodeChunk,
   encodeCompletionResponse,
 } from '../protocol/openai.js';
 import { encodeSse, SSE_DONE } from '../protocol/sse.js';
@@ -168,30 +169,20 @@
  *
  * @returns false if the write buffer to the caller is full.
  */
-export function deliverChunk(
-  exchange: Exchange,
-  chunk: CompletionChunk,
-  data: string,
-  nowMs: number,
-): boolean {
+export function deliverChunk(exchange: Exchange, chunk: CompletionChunk, nowMs: number): boolean {
   if (chunk.tokenIndex !== null) {
     exchange.deliveredTokens += 1;
     recordTokenTime(exchange, nowMs);
   }
   exchange.finishReason = chunk.finishReason ?? exchange.finishReason;
   if (exchange.completion?.isStreamed !== true) {
-    exchange.answerText += chunk.text;
+    exchange.answerText += chunk.text ?? '';
     return true;
   }
   if (!exchange.response.headersSent) {
     beginAnswer(exchange, HTTP_OK, SSE_HEADERS);
   }
-  const answerId = getAnswerId(exchange);
-  const text =
-    chunk.id === answerId
-      ? data
-      : data.replace(JSON.stringify(chunk.id), () => JSON.stringify(answerId));
-  return exchange.response.write(encodeSse(text));
+  return exchange.response.write(encodeSse(encodeChunk(chunk, getAnswerId(exchange))));
 }
 
 /**
--- a/src/transport/metrics.ts
+++ b/src/transport/metrics.ts
@@ -18,6 +18,7 @@
   getWindowCounts,
   MissReason,
 } from '../state/burn.js';
+import type { AnswerSpoilReason } from '../state/spoiledAnswers.js';
 import type { Objective } from '../state/types.js';
 
 const HIGHEST_TRACKABLE_MS = 3_600_000;
@@ -42,6 +43,8 @@
 export interface Metrics {
   /** Records an ended request. */
   readonly record: (request: RequestMetrics, objective: Objective, nowMs: number) => void;
+  /** Counts an answer that did not belong to its request. */
+  readonly recordSpoiledAnswer: (server: string, reason: AnswerSpoilReason) => void;
   /** Returns the counts and latencies of this VM for the burn rate report over all VMs. */
   readonly getMeasures: (nowMs: number) => Measures;
   /** Returns all metrics in the Prometheus text format. */
@@ -120,6 +123,7 @@
 const TYPE_LINES = [
   '# TYPE gentiandeck_requests_total counter',
   '# TYPE gentiandeck_refusals_total counter',
+  '# TYPE gentiandeck_spoiled_answers_total counter',
   '# TYPE gentiandeck_tokens_total counter',
   '# TYPE gentiandeck_first_token_seconds summary',
   '# TYPE gentiandeck_token_gap_seconds summary',
@@ -187,6 +191,14 @@
 /** Creates the request metrics of a VM, initially empty. */
 export function createMetrics(): Metrics {
   const seriesByKey = new Map<string, Series>();
+  const spoiledAnswers = new Map<string, Map<AnswerSpoilReason, number>>();
+
+  const formatSpoiledAnswers = (): string[] =>
+    [...spoiledAnswers].flatMap(([server, counts]) =>
+      [...counts].map(([reason, count]) =>
+        formatLine('gentiandeck_spoiled_answers_total', { server, reason }, count),
+      ),
+    );
 
   const getSeries = ({ target, workspace }: RequestMetrics): Series => {
     const key = JSON.stringify([workspace, target]);
@@ -216,10 +228,19 @@
         countRequest(series.burn, findMissReason(request, objective), nowMs);
       }
     },
+    recordSpoiledAnswer: (server, reason) => {
+      const counts = spoiledAnswers.get(server) ?? new Map<AnswerSpoilReason, number>();
+      spoiledAnswers.set(server, counts);
+      increment(counts, reason);
+    },
     getMeasures: (nowMs) => ({
       series: [...seriesByKey.values()].map((series) => encodeSeries(series, nowMs)),
     }),
     formatPrometheus: () =>
-      `${[...TYPE_LINES, ...[...seriesByKey.values()].flatMap(formatSeries)].join('\n')}\n`,
+      `${[
+        ...TYPE_LINES,
+        ...[...seriesByKey.values()].flatMap(formatSeries),
+        ...formatSpoiledAnswers(),
+      ].join('\n')}\n`,
   };
 }
--- a/src/transport/modelDispatch.ts
+++ b/src/transport/modelDispatch.ts
@@ -1,9 +1,14 @@
 /**
- * Dispatch to a model engine. Each chunk of the answer must carry the id of this dispatch and the next
- * token index, and the answer must end with the `[DONE]` event. The dispatch fails otherwise.
+ * Dispatch to a model engine. What the engine sends is judged before it goes to the caller. The end of the answer is held
+ * back until the whole stream has been seen, since what comes after it shows that it was none.
  */
 import type { IncomingMessage } from 'node:http';
 import { EventKind } from '../coordination/events.js';
+import {
+  createCompletionJudge,
+  type ItemJudgement,
+  ItemVerdict,
+} from '../protocol/completionJudge.js';
 import {
   createDispatchId,
   encodeEngineBody,
@@ -12,8 +17,8 @@
   REQUEST_ID_HEADER,
   RESUME_HEADER,
 } from '../protocol/engine.js';
-import { type CompletionChunk, type CompletionRequest, decodeChunk } from '../protocol/openai.js';
-import { createSseReader, SSE_DONE } from '../protocol/sse.js';
+import type { CompletionChunk, CompletionRequest } from '../protocol/openai.js';
+import { createSseReader } from '../protocol/sse.js';
 import { createDiagnostic, Diagnostics } from '../state/diagnostics.js';
 import { DispatchSignal } from '../state/runState.js';
 import {
@@ -24,28 +29,38 @@
   type DispatchContext,
   failDispatch,
   failForLostConnection,
+  failForSpoiledAnswer,
   recordSignal,
   sendDispatch,
 } from './dispatch.js';
-import { finishModelAnswer, deliverChunk, type Exchange } from './exchange.js';
+import { deliverChunk, type Exchange, finishModelAnswer, isAnswerBegun } from './exchange.js';
 
 const HTTP_OK = 200;
+/** Longest wait for the end of a response after the mark of the end. */
+const MAX_END_WAIT_MS = 250;
 
-function isExpectedChunk(dispatch: Dispatch, chunk: CompletionChunk): boolean {
-  const { command, exchange } = dispatch;
-  const isOfThisDispatch = chunk.id === createDispatchId(command.requestId, command.attempt);
-  const isNextToken = chunk.tokenIndex === null || chunk.tokenIndex === exchange.deliveredTokens;
-  return isOfThisDispatch && isNextToken;
+/** State of the answer to one dispatch. */
+interface ModelAnswer {
+  readonly dispatch: Dispatch;
+  readonly judge: ReturnType<typeof createCompletionJudge>;
+  /** True if the caller has a part of the answer from an earlier dispatch. */
+  readonly isContinued: boolean;
+  /** Chunks of the end. */
+  readonly held: CompletionChunk[];
+  /** Fires if the response does not end after the mark of the end; null before the mark. */
+  endTimer: NodeJS.Timeout | null;
 }
 
-function handleChunk(dispatch: Dispatch, chunk: CompletionChunk, data: string): boolean {
+/** Sends a chunk to the caller and returns false if the write buffer to the caller is full. */
+function forwardChunk({ dispatch, isContinued }: ModelAnswer, chunk: CompletionChunk): boolean {
   const { command, context, exchange } = dispatch;
-  if (!isExpectedChunk(dispatch, chunk)) {
-    failDispatch(dispatch, createDiagnostic(Diagnostics.AnswerMismatched, command.server));
+  const isToken = chunk.tokenIndex !== null;
+  // The caller has the chunks without text that an answer begins with.
+  if (!isToken && chunk.finishReason === null && isContinued) {
     return true;
   }
-  const isFirst = exchange.deliveredTokens === 0 && chunk.tokenIndex !== null;
-  const isWritable = deliverChunk(exchange, chunk, data, context.getNowMs());
+  const isFirst = exchange.deliveredTokens === 0 && isToken;
+  const isWritable = deliverChunk(exchange, chunk, context.getNowMs());
   if (isFirst) {
     const { attempt, requestId } = command;
     context.post({ kind: EventKind.AnswerStarted, requestId, attempt });
@@ -53,23 +68,54 @@
   return isWritable;
 }
 
-function handleSseData(dispatch: Dispatch, data: string): boolean {
+/** Sends the end of an answer whose stream has been seen up to its end. */
+function finishAnswer(answer: ModelAnswer): void {
+  const { dispatch, endTimer, held } = answer;
+  clearTimeout(endTimer ?? undefined);
   if (dispatch.isSettled) {
-    return true;
+    return;
   }
-  if (data === SSE_DONE) {
-    finishModelAnswer(dispatch.exchange);
-    completeDispatch(dispatch);
+  held.forEach((chunk) => forwardChunk(answer, chunk));
+  finishModelAnswer(dispatch.exchange);
+  completeDispatch(dispatch);
+}
+
+type JudgementHandlers = {
+  readonly [V in ItemVerdict]: (
+    answer: ModelAnswer,
+    judgement: Extract<ItemJudgement, { verdict: V }>,
+    response: IncomingMessage,
+  ) => boolean;
+};
+
+/** What follows a verdict. Each returns false if the write buffer to the caller is full. */
+const JUDGEMENT_HANDLERS: JudgementHandlers = {
+  [ItemVerdict.Sound]: (answer, { chunk }) => forwardChunk(answer, chunk),
+  [ItemVerdict.Held]: (answer, { chunk }) => {
+    answer.held.push(chunk);
     return true;
-  }
-  return decodeChunk(data).caseOf({
-    Left: () => {
-      const { server } = dispatch.command;
-      failDispatch(dispatch, createDiagnostic(Diagnostics.AnswerMismatched, server));
-      return true;
-    },
-    Right: (chunk) => handleChunk(dispatch, chunk, data),
-  });
+  },
+  [ItemVerdict.End]: (answer, _judgement, response) => {
+    answer.endTimer = setTimeout(() => {
+      finishAnswer(answer);
+      response.destroy();
+    }, MAX_END_WAIT_MS);
+    return true;
+  },
+  [ItemVerdict.Spoiled]: ({ dispatch, endTimer }, { reason }) => {
+    clearTimeout(endTimer ?? undefined);
+    failForSpoiledAnswer(dispatch, reason);
+    return true;
+  },
+};
+
+function handleJudgement(
+  answer: ModelAnswer,
+  judgement: ItemJudgement,
+  response: IncomingMessage,
+): boolean {
+  const handle: JudgementHandlers[ItemVerdict] = JUDGEMENT_HANDLERS[judgement.verdict];
+  return handle(answer, judgement as never, response);
 }
 
 function handleServerRefusal(dispatch: Dispatch, response: IncomingMessage): void {
@@ -83,25 +129,50 @@
   );
 }
 
-function handleResponse(dispatch: Dispatch, response: IncomingMessage): void {
+function createAnswer(dispatch: Dispatch, completion: CompletionRequest): ModelAnswer {
+  const { command, exchange } = dispatch;
+  const judge = createCompletionJudge({
+    dispatchId: createDispatchId(command.requestId, command.attempt),
+    resumeFromToken: command.resumeFromToken,
+    maxTokens: completion.target.maxTokens,
+  });
+  return { dispatch, judge, isContinued: isAnswerBegun(exchange), held: [], endTimer: null };
+}
+
+function handleResponse(
+  dispatch: Dispatch,
+  completion: CompletionRequest,
+  response: IncomingMessage,
+): void {
   if (response.statusCode !== HTTP_OK) {
     handleServerRefusal(dispatch, response);
     return;
   }
+  const answer = createAnswer(dispatch, completion);
   const read = createSseReader();
-  response.setEncoding('utf8');
-  response.on('data', (text: string) => {
+  response.on('data', (bytes: Buffer) => {
+    if (dispatch.isSettled) {
+      return;
+    }
     recordSignal(dispatch, DispatchSignal.BodyReceived);
-    const isWritable = read(text).reduce(
-      (areAllWritable, data) => handleSseData(dispatch, data) && areAllWritable,
-      true,
+    const areWritable = read(bytes).map(
+      (item) => dispatch.isSettled || handleJudgement(answer, answer.judge(item), response),
     );
-    if (!isWritable && !dispatch.isSettled) {
+    if (areWritable.includes(false) && !dispatch.isSettled) {
       response.pause();
       dispatch.exchange.response.once('drain', () => response.resume());
     }
   });
-  response.on('end', () => failForLostConnection(dispatch));
+  /** An answer whose end has been seen is whole, however its connection ends. */
+  const handleEnd = (): void => {
+    if (answer.endTimer === null) {
+      failForLostConnection(dispatch);
+    } else {
+      finishAnswer(answer);
+    }
+  };
+  response.on('end', handleEnd);
+  response.on('error', handleEnd);
 }
 
 /** Sends a request to a model engine and forwards its answer to the exchange. */
@@ -122,5 +193,5 @@
     },
     body: encodeEngineBody(completion),
   };
-  sendDispatch(dispatch, message, (response) => handleResponse(dispatch, response));
+  sendDispatch(dispatch, message, (response) => handleResponse(dispatch, completion, response));
 }
--- a/tests/stand-ins/caller.ts
+++ b/tests/stand-ins/caller.ts
@@ -1,7 +1,7 @@
 /**
  * Sends HTTP requests to a daemon as an API client does, and decodes plain and streamed answers.
  */
-import { createSseReader, SSE_DONE } from '../../src/protocol/sse.js';
+import { createSseReader, SSE_DONE, SseItemKind } from '../../src/protocol/sse.js';
 
 /** An answer as the caller receives it. */
 export interface CallerAnswer {
@@ -60,12 +60,14 @@
   const firstByteMs = performance.now() - startMs;
   const { isWhole, text } = await readBody(response);
   const isStream = response.headers.get('content-type') === 'text/event-stream';
-  const events = isStream ? createSseReader()(text) : [];
+  const items = isStream ? createSseReader()(Buffer.from(text)) : [];
+  const events = items.flatMap((item) => (item.kind === SseItemKind.Event ? [item.data] : []));
+  const isForeign = items.length > events.length;
   const error = parseJson<ErrorBody>(isStream ? (events.at(-1) ?? '') : text)?.error;
   return {
     status: response.status,
     text: isStream ? events.map(getChunkText).join('') : text,
-    isWhole: isWhole && (!isStream || events.at(-1) === SSE_DONE),
+    isWhole: isWhole && !isForeign && (!isStream || events.at(-1) === SSE_DONE),
     run: error?.run ?? null,
     code: error?.code ?? null,
     retryAfter: response.headers.get('retry-after'),
