--- a/tests/entry/spoiledAttempts.test.ts
+++ b/tests/entry/spoiledAttempts.test.ts
@@ -61,6 +61,7 @@
   eventGapTimeoutMs: GAP_TIMEOUT_MS,
   isStream: true,
   isServerLimited: false,
+  lifeCheck: null,
 };
 
 interface Outcome {
