Check the store's replies against the key, the revision and the order that they are for

Seen before: a read took the item of another key, a value that was cut short or was no UTF-8 (replacement characters) and a version that is no number (NaN, or 0 without one). Within one reply, an older copy of a key replaced the later one. The watch of the etcd service dropped lines that it could not decode and went on without them, took events of other keys and versions that fell back, and stayed open after the service had cancelled it.

Cause: each reply was decoded by itself; nothing compared it with the call.

Eleven files of the stores, relays and the entry daemon: 201 pass.

--- a/src/protocol/storeMessages.ts
+++ b/src/protocol/storeMessages.ts
@@ -3,7 +3,7 @@
  * Only single keys, compare-and-swap, leases and watches are used. Keys and values are base64 on the wire.
  */
 import { Schema } from 'effect';
-import type { Either } from 'purify-ts';
+import { Either, Left, Right } from 'purify-ts';
 import { createDiagnostic, type Diagnostic, Diagnostics } from '../state/diagnostics.js';
 import { decodeJson } from './json.js';
 
@@ -39,20 +39,31 @@
   return Buffer.from(text).toString('base64');
 }
 
-/** Decodes a key or value from the wire. */
-export function fromBase64(text: string): string {
-  return Buffer.from(text, 'base64').toString();
+/** Whole groups of four characters, the last one with padding. */
+const BASE64_PATTERN = /^(?:[A-Za-z0-9+/]{4})*(?:[A-Za-z0-9+/]{2}==|[A-Za-z0-9+/]{3}=)?$/;
+const UTF8_DECODER = new TextDecoder('utf-8', { fatal: true, ignoreBOM: true });
+
+/** Decodes a key or value from the wire. Left is `MalformedBody` for a text that is cut short or that does not stand for text. */
+export function fromBase64(text: string): Either<Diagnostic, string> {
+  const decoded = Either.encase(() => UTF8_DECODER.decode(Buffer.from(text, 'base64')));
+  return BASE64_PATTERN.test(text)
+    ? decoded.mapLeft(() => createDiagnostic(Diagnostics.MalformedBody, 'expected UTF-8'))
+    : Left(createDiagnostic(Diagnostics.MalformedBody, 'expected base64'));
 }
 
+/** Up to 15 digits, so that the number is a safe integer. */
+const RevisionSchema = Schema.String.check(Schema.isPattern(/^\d{1,15}$/));
 const KeyValueSchema = Schema.Struct({
   key: Schema.String,
   value: Schema.optionalKey(Schema.String),
-  mod_revision: Schema.optionalKey(Schema.String),
+  mod_revision: RevisionSchema,
 });
-const HeaderSchema = Schema.Struct({ revision: Schema.String });
+const HeaderSchema = Schema.Struct({ revision: RevisionSchema });
 
 const RangeResponseSchema = Schema.Struct({
   kvs: Schema.optionalKey(Schema.Array(KeyValueSchema)),
+  /** Left out if it is zero. */
+  count: Schema.optionalKey(Schema.String),
 });
 const TxnResponseSchema = Schema.Struct({
   header: HeaderSchema,
@@ -64,6 +75,7 @@
 });
 const WatchResponseSchema = Schema.Struct({
   result: Schema.Struct({
+    canceled: Schema.optionalKey(Schema.Boolean),
     events: Schema.optionalKey(
       Schema.Array(Schema.Struct({ type: Schema.optionalKey(Schema.String), kv: KeyValueSchema })),
     ),
@@ -72,8 +84,11 @@
 
 type KeyValue = typeof KeyValueSchema.Type;
 
-function decodeKeyValue(kv: KeyValue): StoredValue {
-  return { value: fromBase64(kv.value ?? ''), version: Number(kv.mod_revision ?? '0') };
+/** Decodes an item of the key that was asked for. */
+function decodeKeyValue(kv: KeyValue, key: string): Either<Diagnostic, StoredValue> {
+  return kv.key === toBase64(key)
+    ? fromBase64(kv.value ?? '').map((value) => ({ value, version: Number(kv.mod_revision) }))
+    : Left(createDiagnostic(Diagnostics.MalformedBody, `expected the key ${key}`));
 }
 
 /** Encodes a read of one key. */
@@ -81,12 +96,17 @@
   return JSON.stringify({ key: toBase64(key) });
 }
 
-/** Decodes the answer to a read: the value, or null if the key is absent. */
-export function decodeRange(text: string): Either<Diagnostic, StoredValue | null> {
-  return decodeJson(RangeResponseSchema, text).map((response) => {
-    const [kv] = response.kvs ?? [];
-    return kv === undefined ? null : decodeKeyValue(kv);
-  });
+/** Decodes the answer to a read of a key: the value, or null if the key is absent. */
+export function decodeRange(text: string, key: string): Either<Diagnostic, StoredValue | null> {
+  return decodeJson(RangeResponseSchema, text).chain<Diagnostic, StoredValue | null>(
+    ({ count, kvs = [] }) => {
+      const [kv] = kvs;
+      if (kvs.length > 1 || Number(count ?? kvs.length) !== kvs.length) {
+        return Left(createDiagnostic(Diagnostics.MalformedBody, 'expected one item at most'));
+      }
+      return kv === undefined ? Right(null) : decodeKeyValue(kv, key);
+    },
+  );
 }
 
 /** Encodes a compare-and-swap of one key. */
@@ -146,12 +166,16 @@
   return JSON.stringify({ create_request: { key: toBase64(key), start_revision: start } });
 }
 
-/** Decodes one message of a watch: the values that were written to the key, in order. Deletions are left out. */
-export function decodeWatch(text: string): Either<Diagnostic, readonly StoredValue[]> {
-  return decodeJson(WatchResponseSchema, text).map((response) =>
-    (response.result.events ?? [])
-      .filter((event) => event.type !== 'DELETE')
-      .map((event) => decodeKeyValue(event.kv)),
+/** Decodes one message of a watch of a key: the values that were written to it, in order. Deletions are left out. */
+export function decodeWatch(text: string, key: string): Either<Diagnostic, readonly StoredValue[]> {
+  return decodeJson(WatchResponseSchema, text).chain(({ result }) =>
+    result.canceled === true
+      ? Left(createDiagnostic(Diagnostics.StoreUnavailable))
+      : Either.sequence(
+          (result.events ?? [])
+            .filter((event) => event.type !== 'DELETE')
+            .map((event) => decodeKeyValue(event.kv, key)),
+        ),
   );
 }
 
--- a/src/state/entry/storeMirror.ts
+++ b/src/state/entry/storeMirror.ts
@@ -31,6 +31,19 @@
   return { items: new Map(), isRegression, revision: 0, changes: [], changesAfterRevision: 0 };
 }
 
+/** Returns an update without the items that are older than one before them of the same key. */
+export function dropOutdatedItems(update: StoreUpdate): StoreUpdate {
+  const latest = new Map<string, number>();
+  const items = update.items.filter(({ key, version }) => {
+    const isLatest = version >= (latest.get(key) ?? version);
+    if (isLatest) {
+      latest.set(key, version);
+    }
+    return isLatest;
+  });
+  return { ...update, items };
+}
+
 /** Returns what a snapshot changes, including the removal of the keys that it lacks. */
 function diffSnapshot(mirror: StoreMirror, { items, revision }: StoreUpdate): StoredItem[] {
   const keys = new Set(items.map(({ key }) => key));
@@ -60,7 +73,8 @@
  * Applies an update. Returns false and changes nothing if the update is older than the mirror, or has the changes of a
  * later era without the contents that they change.
  */
-export function updateStoreMirror(mirror: StoreMirror, update: StoreUpdate): boolean {
+export function updateStoreMirror(mirror: StoreMirror, received: StoreUpdate): boolean {
+  const update = dropOutdatedItems(received);
   const { isSnapshot, items, revision } = update;
   const isFirst = mirror.revision === 0;
   const isNewEra = !isFirst && getStoreEra(revision) > getStoreEra(mirror.revision);
--- a/src/state/storeRevision.ts
+++ b/src/state/storeRevision.ts
@@ -17,6 +17,11 @@
   return Number.isInteger(era) && era >= 0 && era <= MAX_ERA;
 }
 
+/** Returns whether a number can be a revision that a store has given out in an era. */
+export function isRevisionInEra(revision: number): boolean {
+  return Number.isInteger(revision) && revision >= 0 && revision < REVISIONS_PER_ERA;
+}
+
 /** Creates the store revision of a revision that was given out in an era. */
 export function createStoreRevision(era: number, revision: number): number {
   return era * REVISIONS_PER_ERA + revision;
--- a/src/transport/entry/storeWatches.ts
+++ b/src/transport/entry/storeWatches.ts
@@ -14,6 +14,7 @@
 import type { Diagnostic } from '../../state/diagnostics.js';
 import type { Deployment } from '../../state/entry/deployment.js';
 import {
+  dropOutdatedItems,
   type IsRegression,
   type StoreMirror,
   updateStoreMirror,
@@ -164,10 +165,11 @@
  */
 export function applyStoreUpdate(
   context: WatchContext,
-  update: StoreUpdate,
+  received: StoreUpdate,
   source: string,
 ): boolean {
   const { applyEntryKeys, malformedEntries, mirror, post, wire, writeLog } = context;
+  const update = dropOutdatedItems(received);
   const { isSnapshot, items, revision } = update;
   const knownRevision = mirror.revision;
   const isApplied = updateStoreMirror(mirror, update);
--- a/src/transport/etcdStore.ts
+++ b/src/transport/etcdStore.ts
@@ -67,16 +67,41 @@
   onValue: (value: StoredValue) => void,
 ): Effect.Effect<never, Diagnostic> {
   return Effect.callback<never, Diagnostic>((resume) => {
-    const fail = (): void => {
-      resume(Effect.fail(createDiagnostic(Diagnostics.StoreUnavailable)));
+    const failWith = (diagnostic: Diagnostic): void => {
+      resume(Effect.fail(diagnostic));
     };
+    const fail = (): void => failWith(createDiagnostic(Diagnostics.StoreUnavailable));
     let incompleteLine = '';
+    let latestVersion = fromVersion - 1;
+    let isTrusted = true;
+    const receiveValues = (values: readonly StoredValue[]): void =>
+      values.forEach((value) => {
+        isTrusted &&= value.version >= latestVersion;
+        if (isTrusted && value.version > latestVersion) {
+          latestVersion = value.version;
+          onValue(value);
+        }
+      });
+    /** After one line that cannot be right, what is missing shows only in a new read. */
+    const receiveLine = (line: string): void => {
+      if (!isTrusted || line.trim() === '') {
+        return;
+      }
+      decodeWatch(line, key).caseOf({
+        Left: (diagnostic) => {
+          isTrusted = false;
+          failWith(diagnostic);
+        },
+        Right: receiveValues,
+      });
+      if (!isTrusted) {
+        fail();
+      }
+    };
     const receiveText = (text: string): void => {
       const lines = (incompleteLine + text).split('\n');
       incompleteLine = lines.pop() ?? '';
-      lines
-        .filter((line) => line.trim() !== '')
-        .forEach((line) => decodeWatch(line).ifRight((values) => values.forEach(onValue)));
+      lines.forEach(receiveLine);
     };
     const request = http.request(
       { ...splitAddress(address), method: 'POST', path: STORE_PATHS.Watch, timeout: WATCH_IDLE_MS },
@@ -141,7 +166,8 @@
     );
 
   return {
-    get: (key) => call(STORE_PATHS.Range, encodeRange(key), decodeRange, mapReadFailure),
+    get: (key) =>
+      call(STORE_PATHS.Range, encodeRange(key), (text) => decodeRange(text, key), mapReadFailure),
     compareAndSwap: (swap) => call(STORE_PATHS.Txn, encodeSwap(swap), decodeSwap, mapWriteFailure),
     grantLease: (ttlSeconds) =>
       call(STORE_PATHS.LeaseGrant, encodeLeaseGrant(ttlSeconds), decodeLeaseGrant, mapWriteFailure),
