Do not take an unreadable share table or plan for an empty one

Seen before: a stored share table or placement plan that was cut short, empty or of another shape was posted as an empty one with the version of the real one, so that the next write by swap would have replaced it: shares that other VMs hold would be given out once more, and orders that may still take effect forgotten.

Now the read counts as failed (StoreFailed, logged) and is made again. A value that stays unreadable has to be removed by an operator.

--- a/src/transport/commandTable.ts
+++ b/src/transport/commandTable.ts
@@ -2,7 +2,8 @@
  * The table of handlers that execute the commands of the event loop. A command's result is posted back
  * to the loop as an event.
  */
-import { Effect } from 'effect';
+import { Effect, type Schema } from 'effect';
+import { type Either, Right } from 'purify-ts';
 import { CommandKind, EventKind, type VmEvent, OrderOutcome } from '../coordination/events.js';
 import type { CommandTable } from '../coordination/loop.js';
 import type { VmIdentity } from '../coordination/vmState.js';
@@ -15,7 +16,7 @@
 import { decodeJson } from '../protocol/json.js';
 import type { StoredValue } from '../protocol/storeMessages.js';
 import type { Diagnostic } from '../state/diagnostics.js';
-import { EMPTY_PLAN, PlacementPlanSchema } from '../state/placementPlan.js';
+import { EMPTY_PLAN, type PlacementPlan, PlacementPlanSchema } from '../state/placementPlan.js';
 import { EMPTY_SHARE_TABLE, type ShareTable, ShareTableSchema } from '../state/shareTable.js';
 import { type Objective, TargetKind } from '../state/types.js';
 import type { Claims } from './claims.js';
@@ -64,10 +65,13 @@
   Effect.runFork(effect);
 }
 
-function decodeShareTable(stored: StoredValue | null): ShareTable {
-  return stored === null
-    ? EMPTY_SHARE_TABLE
-    : decodeJson(ShareTableSchema, stored.value).orDefault(EMPTY_SHARE_TABLE);
+/** Decodes a stored value. One that cannot be read is not taken for an absent one, which would free what it holds. */
+function decodeStored<T, E>(
+  schema: Schema.Codec<T, E>,
+  stored: StoredValue | null,
+  absentValue: T,
+): Either<Diagnostic, T> {
+  return stored === null ? Right(absentValue) : decodeJson(schema, stored.value);
 }
 
 function createShareExecutors({
@@ -82,10 +86,12 @@
   };
   const readShareTable = Effect.match(store.get(SHARES_KEY), {
     onFailure: postFailure,
-    onSuccess: (stored) => {
-      const version = stored?.version ?? 0;
-      post({ kind: EventKind.ShareTableRead, table: decodeShareTable(stored), version });
-    },
+    onSuccess: (stored) =>
+      decodeStored<ShareTable, unknown>(ShareTableSchema, stored, EMPTY_SHARE_TABLE).caseOf({
+        Left: postFailure,
+        Right: (table) =>
+          post({ kind: EventKind.ShareTableRead, table, version: stored?.version ?? 0 }),
+      }),
   });
   const readVmList = Effect.match(store.listVms, {
     onFailure: () => {},
@@ -274,6 +280,9 @@
   store,
 }: CommandContext): Pick<CommandTable, PlacementCommandKind> {
   const getPlanKey = (failureDomain: string): string => `plans/${failureDomain}`;
+  const postFailure = (diagnostic: Diagnostic): void => {
+    post({ kind: EventKind.StoreFailed, diagnostic });
+  };
   return {
     [CommandKind.AcquireOrRenewControllerLease]: ({ failureDomain, isHeld, sentAtMs, ttlMs }) => {
       runDetached(
@@ -285,14 +294,13 @@
     [CommandKind.ReadPlan]: ({ failureDomain }) => {
       runDetached(
         Effect.match(store.get(getPlanKey(failureDomain)), {
-          onFailure: (diagnostic) => post({ kind: EventKind.StoreFailed, diagnostic }),
-          onSuccess: (stored) => {
-            const plan =
-              stored === null
-                ? EMPTY_PLAN
-                : decodeJson(PlacementPlanSchema, stored.value).orDefault(EMPTY_PLAN);
-            post({ kind: EventKind.PlanRead, plan, version: stored?.version ?? 0 });
-          },
+          onFailure: postFailure,
+          onSuccess: (stored) =>
+            decodeStored<PlacementPlan, unknown>(PlacementPlanSchema, stored, EMPTY_PLAN).caseOf({
+              Left: postFailure,
+              Right: (plan) =>
+                post({ kind: EventKind.PlanRead, plan, version: stored?.version ?? 0 }),
+            }),
         }),
       );
     },
