Judge spoiled forms cut at each byte, with lines that end with LF, CR LF or CR

The property's last assertion was true of any index; it asks now that nothing after a spoiled event is trusted again.

--- a/tests/entry/streamJudge.test.ts
+++ b/tests/entry/streamJudge.test.ts
@@ -44,11 +44,27 @@
     expect(judged.verdicts[0]).toBe(form.verdict);
   });
 
-  it.each(FORMS)('is judged alike with lines that end with CR LF: $name', (form) => {
-    const place = createStreamPlace(null);
-    const text = (NINE + form.text).replaceAll('\r\n', '\n').replaceAll('\n', '\r\n');
-    expect(judgeRun(place, text).verdicts[9]).toBe(form.verdict);
-  });
+  const LINE_ENDS = [
+    { name: 'LF', lineEnd: '\n' },
+    { name: 'CR LF', lineEnd: '\r\n' },
+    { name: 'CR', lineEnd: '\r' },
+  ];
+
+  it.each(FORMS.flatMap((form) => LINE_ENDS.map((lines) => ({ form, ...lines }))))(
+    'is judged alike with lines that end with $name, cut at each byte: $form.name',
+    ({ form, lineEnd }) => {
+      const lines = (NINE + form.text + formatEvents(10)).replaceAll('\r\n', '\n');
+      const text = lines.replaceAll('\n', lineEnd);
+      const verdicts = Array.from(text, (_, cut) => {
+        const judge = createStreamJudge(createStreamPlace(null));
+        const reader = createEventFrameReader();
+        const chunks = [text.slice(0, cut), text.slice(cut)];
+        const frames = chunks.flatMap((chunk) => reader.addChunk(Buffer.from(chunk, 'latin1')));
+        return frames.map((frame) => judge.judge(frame).verdict)[9];
+      });
+      expect(new Set(verdicts)).toEqual(new Set([form.verdict]));
+    },
+  );
 });
 
 const LARGE = 9_007_199_254_740_992n;
@@ -161,7 +177,10 @@
             }
             return verdict === Spoiled;
           });
-          expect(end).toBeGreaterThanOrEqual(-1);
+          const untrusted = end < 0 ? [] : frames.slice(end);
+          expect(untrusted.map((frame) => judge.judge(frame).verdict)).toEqual(
+            untrusted.map(() => Spoiled),
+          );
         });
         expect(passed).toEqual(passed.map((_, index) => BigInt(index + 1)));
       }),
