Test the server, the place and the count that tell of a spoiled stream

The test 'the log and the metrics name the server and the reason' looked only for a line with the reason.

--- a/tests/processes/spoiledStreams.test.ts
+++ b/tests/processes/spoiledStreams.test.ts
@@ -157,22 +157,29 @@
   );
 });
 
+async function countSpoiledStreams(): Promise<number> {
+  const text = await (await fetch(`http://${entry.metricsAddress}/metrics`)).text();
+  return Number(/^gentiandeck_spoiled_streams_total\{reason="no_number"\} (\d+)$/m.exec(text)?.[1]);
+}
+
 describe('the log and the metrics', () => {
-  it('name the server and the reason of a spoiled stream', async () => {
+  it('name the server and the reason of a spoiled stream, and count it once', async () => {
+    const countBefore = await countSpoiledStreams();
     await call('flow', {
       form: 'data without an id',
       after: AFTER,
-      tail: Tail.Ends,
+      tail: Tail.GoesOn,
       isFramed: true,
     });
     const request = `"request":"c${callCount}"`;
-    await waitFor('the line is written', () =>
-      Promise.resolve(
-        entry.vm
-          .getOutput()
-          .split('\n')
-          .some((line) => line.includes(request) && line.includes('"reason":"no_number"')),
-      ),
-    );
+    const listLines = (): string[] =>
+      entry.vm
+        .getOutput()
+        .split('\n')
+        .filter((line) => line.includes(request) && line.includes('"reason":"no_number"'));
+    await waitFor('the line is written', () => Promise.resolve(listLines().length > 0));
+    expect(listLines()).toEqual([expect.stringMatching(/"server":"s[12]"/)]);
+    expect(listLines()[0]).toContain(`"afterEvent":"${AFTER}"`);
+    expect(await countSpoiledStreams()).toBe(countBefore + 1);
   });
 });
--- a/tests/stand-ins/entryProcess.ts
+++ b/tests/stand-ins/entryProcess.ts
@@ -17,6 +17,7 @@
 export interface EntryProcess {
   readonly vm: StartedProcess;
   readonly address: string;
+  readonly metricsAddress: string;
 }
 
 /** The end of a call: its status, or 0 without an answer. */
@@ -69,9 +70,10 @@
   limits: Readonly<Record<string, number>> = {},
   bounds: Readonly<Record<string, number>> = {},
 ): Promise<EntryProcess> {
-  const { address, args, environment } = await prepareEntry(storeAddress, limits, bounds);
+  const prepared = await prepareEntry(storeAddress, limits, bounds);
+  const { address, args, environment, metricsAddress } = prepared;
   const vm = await startProgram('vm-1', ENTRY_PROGRAM, args, 'The VM is ready.', environment);
-  return { vm, address };
+  return { vm, address, metricsAddress };
 }
 
 /** The header that tells how a body is framed. */
