Open the connection that proves a server's life again at once when it closes

A server may close an idle connection while it answers. The proof was then missing for 0.1 s, and a connection that was opened since could be one to a successor. It is opened again at once, and does not count until 0.1 s after the earlier one closed; a server that closes it at once gets another one only after 0.5 s.

--- a/src/transport/entry/serverWitness.ts
+++ b/src/transport/entry/serverWitness.ts
@@ -15,6 +15,8 @@
 const ANSWER_TIMEOUT_MS = 300;
 /** Time within which all connections of a killed process have ended. */
 const CLOSING_MS = 100;
+/** Shortest time between two connections to a server that closes them at once. */
+const RECONNECT_MS = 500;
 const MAX_HEAD_BYTES = 16_384;
 
 /** A request that any life sign of a server answers. */
@@ -113,8 +115,8 @@
   const { address } = command;
   const question = createQuestion(command, wire);
   let socket: Socket | null = null;
-  let isConnected = false;
-  let closedAtMs = Number.NEGATIVE_INFINITY;
+  let connectedAtMs: number | null = null;
+  let lostAtMs = Number.NEGATIVE_INFINITY;
   let isReleased = false;
   let timer: NodeJS.Timeout | null = null;
 
@@ -123,16 +125,18 @@
     socket = opened;
     opened.setNoDelay(true);
     opened.once('connect', () => {
-      isConnected = true;
+      connectedAtMs = performance.now();
     });
     opened.on('error', () => {});
     // Without a reader, the end of the connection would stay unnoticed.
     opened.resume();
     opened.once('close', () => {
-      closedAtMs = isConnected ? performance.now() : closedAtMs;
-      isConnected = false;
+      const nowMs = performance.now();
+      const openMs = connectedAtMs === null ? 0 : nowMs - connectedAtMs;
+      lostAtMs = connectedAtMs === null ? lostAtMs : nowMs;
+      connectedAtMs = null;
       if (!isReleased) {
-        timer = setTimeout(connect, CLOSING_MS);
+        timer = setTimeout(connect, Math.max(0, RECONNECT_MS - openMs));
       }
     });
   };
@@ -148,13 +152,14 @@
     if (timer !== null) {
       clearTimeout(timer);
     }
-    if (socket !== null && isConnected) {
-      return askOnWitness(socket, question, report);
-    }
-    if (performance.now() - closedAtMs < CLOSING_MS) {
+    // A connection that was opened since may be one to a successor.
+    if (performance.now() - lostAtMs < CLOSING_MS) {
       report(LifeEvidence.Closed);
       return () => {};
     }
+    if (socket !== null && connectedAtMs !== null) {
+      return askOnWitness(socket, question, report);
+    }
     return askOnNewConnection(address, question, report);
   };
 
