Stop also when nobody reads the log, and log why a process starts and ends

What callers saw: a VM whose standard output had lost its reader ran on after SIGTERM until it was killed. What signal had stopped a process, and with which version and settings it had started, was nowhere to be read.

Cause: pino replaces `end` and `destroy` of a destination by functions that do nothing once its reader has gone, so closing the log waited for ever. An error of process.stderr without a listener is thrown.

New lines: `The daemon is starting.` (version, settings), `A stop was requested.` (signal), and one on standard error when a stop ends a process before its daemon has started.

--- a/src/bin/entryProgram.ts
+++ b/src/bin/entryProgram.ts
@@ -6,6 +6,8 @@
 import { readSettings, readSettingsOnce } from '../../platform/settings.js';
 import { createPlatformStore } from '../../platform/store.js';
 import { PLATFORM_WIRE } from '../../platform/wire.js';
+import { EntryLogPrefix, type LogFields } from '../coordination/entry/commands.js';
+import { LogLevel } from '../coordination/events.js';
 import {
   createDiagnostic,
   type Diagnostic,
@@ -37,21 +39,37 @@
   readonly logLevel: string;
 }
 
+// A line that nobody can read is no reason to end.
+process.stderr.on('error', () => {});
+
 function writeError(text: string): void {
   process.stderr.write(`gentiandeck-entry: ${text}\n`);
 }
 
 async function run(settings: EntrySettings, { logLevel, metricsPort }: Options): Promise<void> {
-  const log = createEntryLogWriter(logLevel, settings.vmId);
+  const { bounds, vmId, ...others } = settings;
+  const log = createEntryLogWriter(logLevel, vmId);
   const store = createPlatformStore(settings.storeAddress, STORE_TIMEOUT_MS);
   const wire = PLATFORM_WIRE;
+  const writeInfo = (text: string, fields: LogFields): void =>
+    log.write(LogLevel.Info, EntryLogPrefix.Lifecycle, text, fields);
   const logUnexpected = (error: unknown): void => logUnexpectedError(log.write, error);
   // One failed socket or promise is not allowed to end the process and all other requests. The daemon may wait long for its ports.
   process.on('uncaughtException', logUnexpected);
   process.on('unhandledRejection', logUnexpected);
+  writeInfo('The daemon is starting.', {
+    version: VERSION,
+    nodeVersion: process.version,
+    metricsPort,
+    ...others,
+    ...bounds,
+  });
   const daemon = await startEntryDaemon({ settings, metricsPort, store, wire, log });
   processSignals.handle({
-    [SignalRequest.Stop]: daemon.stop,
+    [SignalRequest.Stop]: (signal) => {
+      writeInfo('A stop was requested.', { signal });
+      daemon.stop();
+    },
     [SignalRequest.Reload]: createSettingsReloader({
       read: () => readSettingsOnce(process.env),
       apply: daemon.reload,
@@ -65,7 +83,12 @@
 
 async function start(options: Options): Promise<void> {
   // Nothing has been accepted yet, so a stop needs no shutdown.
-  processSignals.handle({ [SignalRequest.Stop]: () => process.exit() });
+  processSignals.handle({
+    [SignalRequest.Stop]: (signal) => {
+      writeError(`It ends, since ${signal} requested a stop before the daemon had started.`);
+      process.exit();
+    },
+  });
   const read = await readSettings(process.env, ({ message }) =>
     writeError(`${message} It is read again for some seconds.`),
   );
--- a/src/transport/entry/entryLog.ts
+++ b/src/transport/entry/entryLog.ts
@@ -65,6 +65,10 @@
   destination.on('drop', () => {
     droppedCount += 1;
   });
+  // Without a listener, an error would be thrown, and logged, at each write to a log that cannot be written.
+  destination.on('error', () => {
+    droppedCount += 1;
+  });
   const logger = pino({ level, base: { vmId } }, destination);
   const timer = setInterval(() => {
     if (droppedCount > reportedCount) {
@@ -86,8 +90,12 @@
         isClosed = true;
         clearInterval(timer);
         destination.once('close', resolve);
-        // A destination that is not destroyed is flushed synchronously at the exit.
-        setTimeout(() => destination.destroy(), CLOSE_TIMEOUT_MS);
+        setTimeout(() => {
+          // A destination that is not destroyed is flushed synchronously at the exit.
+          destination.destroy();
+          // A destination whose reader has gone is never closed.
+          resolve();
+        }, CLOSE_TIMEOUT_MS);
         destination.end();
       }),
   };
--- a/src/transport/entry/processSignals.ts
+++ b/src/transport/entry/processSignals.ts
@@ -19,8 +19,8 @@
 
 function ignoreSignal(): void {}
 
-/** What carries out each request. A request without a handler is held. */
-export type SignalHandlers = Readonly<Partial<Record<SignalRequest, () => void>>>;
+/** What carries out each request, with the signal that requested it. A request without a handler is held. */
+export type SignalHandlers = Readonly<Partial<Record<SignalRequest, (signal: string) => void>>>;
 
 /** The signals of a process. */
 export interface ProcessSignals {
@@ -34,19 +34,19 @@
 
 /** Starts to hold the signals of a process. */
 export function holdSignals(source: SignalSource): ProcessSignals {
-  const held = new Set<SignalRequest>();
+  const held = new Map<SignalRequest, string>();
   let handlers: SignalHandlers = {};
-  const passOn = (request: SignalRequest): void => {
+  const passOn = (request: SignalRequest, signal: string): void => {
     const handler = handlers[request];
     if (handler === undefined) {
-      held.add(request);
+      held.set(request, signal);
     } else {
       held.delete(request);
-      handler();
+      handler(signal);
     }
   };
   const listeners = Object.entries(REQUESTS).map(([signal, request]) => {
-    const listener = (): void => passOn(request);
+    const listener = (): void => passOn(request, signal);
     source.on(signal, listener);
     return { signal, listener };
   });
@@ -54,7 +54,7 @@
   return {
     handle: (newHandlers) => {
       handlers = newHandlers;
-      [...held].forEach(passOn);
+      [...held].forEach(([request, signal]) => passOn(request, signal));
     },
     release: () => {
       listeners.forEach(({ listener, signal }) => source.off(signal, listener));
--- a/tests/processes/entryStart.test.ts
+++ b/tests/processes/entryStart.test.ts
@@ -18,6 +18,7 @@
 import { join } from 'node:path';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { SETTINGS_VARIABLE } from '../../platform/names.js';
+import { VERSION } from '../../src/transport/version.js';
 import { createConfiguration, wait } from '../stand-ins/entryVms.js';
 import { type PlatformStore, startPlatformStore } from '../stand-ins/platformStore.js';
 import { findFreePort, getProgramPath, waitFor } from '../stand-ins/processes.js';
@@ -29,6 +30,10 @@
 /** Longer than a start takes, so that the settings are read before they are completed. */
 const INCOMPLETE_SETTINGS_MS = 2_500;
 
+/** `grace_s` of the settings, and the time that a loaded machine takes. */
+const STOP_MS = 8_000;
+const FULL_DEVICE = openSync('/dev/full', 'w');
+
 const PortName = { Callers: 0, Readiness: 1, Peers: 2, Metrics: 3 } as const;
 
 let store: PlatformStore;
@@ -153,10 +158,11 @@
     'ends with success when %s comes while it reads its settings',
     async (signal) => {
       const { pipe, started } = await startReading();
-      const exited = once(started, 'exit');
+      const exited = once(started, 'close');
       started.kill(signal);
       supplySettings(pipe, createSettings());
       expect(await exited).toEqual([0, null]);
+      expect(output).toContain(signal);
     },
   );
 
@@ -240,11 +246,48 @@
     expect(output).not.toContain('request body');
   });
 
-  it('serves while its log cannot be written', async () => {
+  it.each<{ name: string; stdout: 'pipe' | number; closed: readonly ('stdout' | 'stderr')[] }>([
+    { name: 'its log cannot be written', stdout: FULL_DEVICE, closed: [] },
+    { name: 'the reader of its log has gone', stdout: 'pipe', closed: ['stdout'] },
+    { name: 'nobody reads its errors', stdout: 'pipe', closed: ['stderr'] },
+    { name: 'nobody reads anything', stdout: 'pipe', closed: ['stdout', 'stderr'] },
+  ])('waits for settings, serves and stops with success while $name', async (row) => {
+    const path = join(folder, 'settings.json');
+    const started = startEntry(path, row.stdout);
+    row.closed.forEach((name) => started[name]?.destroy());
+    await wait(INCOMPLETE_SETTINGS_MS);
+    writeFileSync(path, createSettings());
+    await waitUntilReady(started);
+    const exited = once(started, 'exit');
+    started.kill('SIGTERM');
+    expect(await Promise.race([exited, wait(STOP_MS).then(() => 'still running')])).toEqual([
+      0,
+      null,
+    ]);
+  });
+
+  it('logs its version, its settings, and the signal that stops it', async () => {
     const path = join(folder, 'settings.json');
     writeFileSync(path, createSettings());
-    const full = openSync('/dev/full', 'w');
-    await waitUntilReady(startEntry(path, full));
-    closeSync(full);
+    const started = startEntry(path);
+    await waitUntilReady(started);
+    const exited = once(started, 'close');
+    started.kill('SIGINT');
+    await exited;
+    const lines = output
+      .trim()
+      .split('\n')
+      .map((line) => JSON.parse(line) as object);
+    expect(lines[0]).toMatchObject({
+      msg: '[lifecycle] The daemon is starting.',
+      version: VERSION,
+      nodeVersion: process.version,
+      failureDomain: 'fd-a',
+      storeAddress: store.address,
+      stopGraceMs: 1_000,
+    });
+    expect(lines).toContainEqual(
+      expect.objectContaining({ msg: '[lifecycle] A stop was requested.', signal: 'SIGINT' }),
+    );
   });
 });
