--- a/tests/platform/decoding.test.ts
+++ b/tests/platform/decoding.test.ts
@@ -538,6 +538,12 @@
   { status: 409, outcome: 'conflict' },
   { status: 412, outcome: 'fenced' },
   { status: 421, outcome: 'rejected' },
+  ...[403, 404, 413, 429, 503].map((status) => ({ status, outcome: 'rejected' })),
+  // Nothing else states that the order will not be carried out.
+  ...[0, 204, 206, 302, 408, 500, 501, 502, 504, 599].map((status) => ({
+    status,
+    outcome: 'unknown',
+  })),
 ];
 
 describe('an engine order', () => {
