Refuse answers of plain services whose outermost encoding is not chunks

Callers saw: an answer with transfer-encoding gzip, identity, "chunked, gzip", "xchunked" or an empty one, which ends with its connection, as a complete 200 when the connection ended in order, whatever was missing. No line told of an answer that was refused for its framing or its id.

Cause: any transfer-encoding counted as framing. Now only chunks as the last one named do, and a refused answer is logged and counted (no_framing, other_request).

--- a/src/transport/routeDispatch.ts
+++ b/src/transport/routeDispatch.ts
@@ -6,15 +6,15 @@
 import type { IncomingHttpHeaders, IncomingMessage, OutgoingHttpHeaders } from 'node:http';
 import { EventKind } from '../coordination/events.js';
 import { REQUEST_ID_HEADER, WORKSPACE_HEADER } from '../protocol/engine.js';
-import { createDiagnostic, Diagnostics } from '../state/diagnostics.js';
 import { DispatchSignal } from '../state/runState.js';
+import { AnswerSpoilReason } from '../state/spoiledAnswers.js';
 import {
   completeDispatch,
   createDispatch,
   type Dispatch,
   type DispatchCommand,
   type DispatchContext,
-  failDispatch,
+  failForSpoiledAnswer,
   recordSignal,
   sendDispatch,
 } from './dispatch.js';
@@ -52,6 +52,9 @@
   return Object.fromEntries(Object.entries(headers).filter(([name]) => !DROPPED_HEADERS.has(name)));
 }
 
+/** Chunks show the end of a body only as the outermost encoding, which is named last. */
+const CHUNKED_PATTERN = /(?:^|,)[ \t]*chunked[ \t]*$/i;
+
 /**
  * Returns whether the end of the response can be detected. Without a content length or chunked
  * encoding, it looks the same as a broken connection.
@@ -60,8 +63,11 @@
   const { headers, statusCode = 0 } = response;
   const hasNoBody =
     method === 'HEAD' || statusCode === HTTP_NO_CONTENT || statusCode === HTTP_NOT_MODIFIED;
+  const encoding = headers['transfer-encoding'];
   const isFramed =
-    headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+    encoding === undefined
+      ? headers['content-length'] !== undefined
+      : CHUNKED_PATTERN.test(encoding);
   return hasNoBody || isFramed;
 }
 
@@ -70,6 +76,17 @@
   return echoedRequestId !== undefined && echoedRequestId !== requestId;
 }
 
+function findSpoilReason(
+  response: IncomingMessage,
+  requestId: string,
+  method: string,
+): AnswerSpoilReason | null {
+  if (isForOtherRequest(response, requestId)) {
+    return AnswerSpoilReason.OtherRequest;
+  }
+  return hasFraming(response, method) ? null : AnswerSpoilReason.NoFraming;
+}
+
 function postAnswerStarted({ command, context }: Dispatch): void {
   const { attempt, requestId } = command;
   context.post({ kind: EventKind.AnswerStarted, requestId, attempt });
@@ -92,9 +109,10 @@
 function handleResponse(dispatch: Dispatch, response: IncomingMessage): void {
   const { command, exchange } = dispatch;
   const method = exchange.request.method ?? 'GET';
-  if (isForOtherRequest(response, command.requestId) || !hasFraming(response, method)) {
+  const spoilReason = findSpoilReason(response, command.requestId, method);
+  if (spoilReason !== null) {
     response.resume();
-    failDispatch(dispatch, createDiagnostic(Diagnostics.AnswerMismatched, command.server));
+    failForSpoiledAnswer(dispatch, spoilReason);
     return;
   }
   const headers = filterHeaders(response.headers);
--- a/tests/fakes/dispatchVm.ts
+++ b/tests/fakes/dispatchVm.ts
@@ -56,6 +56,7 @@
 /** One server for each attempt of a request. */
 const SERVER_NUMBERS = [1, 2, 3];
 const HEAD_END = '\r\n\r\n';
+const PROBE = '\r\n';
 const LENGTH_PATTERN = /content-length: (\d+)/i;
 
 /** A request as a backend server has read it. */
@@ -231,13 +232,21 @@
       new Promise((resolve) => {
         current = request;
         const { body, httpVersion = '1.1', path } = request;
-        const socket = net.connect((front.address() as AddressInfo).port, '127.0.0.1');
+        const { port } = front.address() as AddressInfo;
+        const socket = net.connect({ port, host: '127.0.0.1', allowHalfOpen: true });
         const chunks: Buffer[] = [];
         let isReset = false;
         socket.on('data', (chunk) => chunks.push(chunk));
         socket.on('error', () => {
           isReset = true;
         });
+        // A reset behind unread data may be reported as an end. Only a connection that was ended in order takes more.
+        socket.on('end', () =>
+          socket.write(PROBE, (error) => {
+            isReset ||= error != null;
+            socket.destroy();
+          }),
+        );
         socket.on('close', () => resolve({ bytes: Buffer.concat(chunks).toString(), isReset }));
         socket.write(
           `POST ${path} HTTP/${httpVersion}\r\nhost: x\r\nconnection: close\r\ncontent-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`,
