Accept the connections of a crowd before its pipelined requests are parsed

Beside 500 callers that pipeline 300 requests each, the calls of others took 5 to 8 s (27 to 29 of 30 over 3 s). Traced with counters in the process: Node.js accepts one connection in a turn of the loop, and each turn parsed 8 requests, 4 of the new connection and 4 of one that waited, so a turn took 17 to 20 ms and the 500 connections 6 to 8 s.

Once connections have arrived in four turns in a row, a connection now parses one request of what it sent, and what waits is parsed in one of eight turns.

--- a/src/transport/entry/callerReader.ts
+++ b/src/transport/entry/callerReader.ts
@@ -7,6 +7,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { VmMemory } from '../vmMemory.js';
+import { watchArrivals } from './connectionArrivals.js';
 import { createInputMemory } from './inputMemory.js';
 
 /** Ends each head, and each body that is sent in chunks. */
@@ -19,6 +20,8 @@
 const MAX_UNANSWERED_REQUESTS = 4;
 /** Requests of all connections that are parsed while an earlier one of their connection is not answered. */
 const MAX_PIPELINED_REQUESTS = 64;
+/** While many connections arrive, kept data is parsed in one of this many turns of the loop. */
+const PARSING_TURNS = 8;
 /** Bytes of one connection that are kept without being parsed, whatever the other connections hold. */
 const MAX_UNPARSED_BYTES = 65_536;
 /** The same while the memory for such data is hardly in use. */
@@ -134,8 +137,11 @@
   /** Connections whose kept data may be parsed, in the order in which their requests were answered. */
   const waiting = new Set<Connection>();
 
+  const isArriving = watchArrivals(server);
+
   let pipelinedCount = 0;
   let isScheduled = false;
+  let turnsWaited = 0;
 
   const isBusy = (connection: Connection): boolean => {
     const { unansweredCount } = connection;
@@ -190,13 +196,16 @@
     connection.headTail = isUnfinished ? headTail.slice(-MAX_TAIL_BYTES) : '';
   };
 
-  /** Parses data until requests have to be answered first, and keeps the rest. */
+  /** Parses data until requests have to be answered first, one request only while many connections arrive, and keeps the rest. */
   const parseAll = (connection: Connection, data: Buffer): void => {
-    const { socket } = connection;
+    const { requestCount, socket } = connection;
     let start = 0;
     connection.isParsing = true;
     const mayGoOn = (): boolean => !connection.isStopped && !socket.destroyed;
-    while (start < data.length && mayGoOn() && !socket.isPaused() && !isBusy(connection)) {
+    const mustLeave = (): boolean =>
+      isBusy(connection) ||
+      (isArriving() && connection.requestCount > requestCount && !isInBody(connection));
+    while (start < data.length && mayGoOn() && !socket.isPaused() && !mustLeave()) {
       const piece = findPiece(connection, data, start);
       parsePiece(connection, data, start, piece);
       start = piece.end;
@@ -210,27 +219,35 @@
     inputMemory.hold(socket, socket.destroyed ? 0 : getHeldBytes(connection));
   };
 
+  /** Keeps data that is not parsed yet, unless the connection has too much of it already. */
+  const keep = (connection: Connection, unparsed: Buffer, data: Buffer): void => {
+    const maxBytes = inputMemory.isHalfFree() ? MAX_SPARE_UNPARSED_BYTES : MAX_UNPARSED_BYTES;
+    connection.isFull ||= unparsed.length >= maxBytes;
+    if (!connection.isFull) {
+      connection.unparsed = Buffer.concat([unparsed, data]);
+    }
+  };
+
+  /** Parses new or kept data as far as it may be now, and records what is left. */
+  const parseNow = (connection: Connection, data: Buffer): void => {
+    parseAll(connection, data);
+    recordHeld(connection);
+    if (connection.unparsed !== null && !isBusy(connection)) {
+      waiting.add(connection);
+    }
+  };
+
   const parseRest = (connection: Connection): void => {
     const { isFull, isParsing, socket, unparsed } = connection;
     if (unparsed === null || isParsing || socket.isPaused() || isBusy(connection)) {
       return;
     }
-    parseAll(connection, unparsed);
-    recordHeld(connection);
+    parseNow(connection, unparsed);
     if (isFull && connection.unparsed === null && !connection.isStopped && !socket.destroyed) {
       onExhausted(socket);
     }
   };
 
-  /** Keeps data that is not parsed yet, unless the connection has too much of it already. */
-  const keep = (connection: Connection, unparsed: Buffer, data: Buffer): void => {
-    const maxBytes = inputMemory.isHalfFree() ? MAX_SPARE_UNPARSED_BYTES : MAX_UNPARSED_BYTES;
-    connection.isFull ||= unparsed.length >= maxBytes;
-    if (!connection.isFull) {
-      connection.unparsed = Buffer.concat([unparsed, data]);
-    }
-  };
-
   /**
    * Parses kept data in later turns of the loop, that of one connection in each: a turn accepts one new connection only, so in
    * long turns new callers would wait for seconds.
@@ -242,9 +259,13 @@
     isScheduled = true;
     setImmediate(() => {
       isScheduled = false;
-      const [connection] = waiting;
-      waiting.delete(connection!);
-      parseRest(connection!);
+      turnsWaited += 1;
+      if (!isArriving() || turnsWaited >= PARSING_TURNS) {
+        turnsWaited = 0;
+        const [connection] = waiting;
+        waiting.delete(connection!);
+        parseRest(connection!);
+      }
       schedule();
     });
   };
@@ -262,11 +283,12 @@
       return;
     }
     if (unparsed === null) {
-      parseAll(connection, data);
+      parseNow(connection, data);
+      schedule();
     } else {
       keep(connection, unparsed, data);
+      recordHeld(connection);
     }
-    recordHeld(connection);
   };
 
   const checkAnswered = (connection: Connection): void => {
