Keep the first time at which a server of the soak was killed, and name more of a finding

Traced: two VMs lost the server at once, one logged its crash, and its successor registered at another address a second later, so restartServer had killed it; replaceServer, which had chosen the same server before, killed it again after its 2.8 s of leaving and overwrote the time. The first kill counts now. A FAULT names its times and, by /proc/PID/schedstat, how long the main thread waited for a processor, which the log of a process that has not begun cannot tell; a broken promise names the last event that the caller got.

--- a/tests/soak/entryChecks.ts
+++ b/tests/soak/entryChecks.ts
@@ -161,8 +161,12 @@
         .map(({ server }) => Math.round(server.killedAtMs))
         .filter(Number.isFinite)
         .join(' ');
+      const lastEvent = parseEvents(outcome.body).events.at(-1)?.eventId;
       const spoiled = runs.flatMap(({ spoiledBy }) => spoiledBy ?? []).join(', ');
-      const facts = { kind, isFramed, status, isComplete, found, ran, killed, spoiled, errorCode };
+      const facts = {
+        ...{ kind, isFramed, status, isComplete, found, lastEvent },
+        ...{ ran, killed, spoiled, errorCode },
+      };
       return found === true || typeof found === 'string'
         ? [`${name}: ${id} at ${vm.name}, ${times}, ${JSON.stringify(facts)}`]
         : [];
@@ -195,6 +199,12 @@
     .reduce((sum, [, , delayMs]) => sum + Number(delayMs), 0);
 }
 
+/** Returns for how long, as samples show, the main thread of a process waited for a processor after a time. */
+function getProcessorWaitMs({ processorWaits }: VmLife, fromMs: number): number {
+  const before = processorWaits.findLast(({ atMs }) => atMs <= fromMs)?.waitedMs ?? 0;
+  return Math.round((processorWaits.at(-1)?.waitedMs ?? before) - before);
+}
+
 function overlap(
   spans: readonly { fromMs: number; untilMs: number }[],
   fromMs: number,
@@ -226,7 +236,11 @@
         0,
       );
       const endedMs = Math.min(nowMs, life.endedAtMs) - (end?.atMs ?? nowMs) - suspendedMs;
-      const facts = `${name}, life ${i + 1}, ${child.exitCode ?? child.signalCode}`;
+      const facts =
+        `${name}, life ${i + 1}, ${child.exitCode ?? child.signalCode}, started ${Math.round(life.startedAtMs)}, ` +
+        `${life.endSignals.map(({ atMs, signal }) => `${signal} ${Math.round(atMs)}`).join(', ')}, ended ` +
+        `${Math.round(life.endedAtMs)} ms, waited for a processor ${getProcessorWaitMs(life, life.startedAtMs)} ms, ` +
+        `${getProcessorWaitMs(life, end?.atMs ?? nowMs)} ms of it after its signal`;
       const tail = getOutput().slice(-600);
       return [
         ...(hasExpectedEnd(life) ? [] : [`FAULT, ended by itself: ${facts}: ${tail}`]),
--- a/tests/soak/entryFleet.ts
+++ b/tests/soak/entryFleet.ts
@@ -2,7 +2,7 @@
  * The processes of a soak of entry VMs: VMs whose ports stay the same over restarts, servers, and a store.
  */
 import { once } from 'node:events';
-import { mkdtempSync, writeFileSync } from 'node:fs';
+import { mkdtempSync, readFileSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { SETTINGS_VARIABLE } from '../../platform/names.js';
@@ -23,6 +23,8 @@
 export const GRACE_MS = 4_000;
 const HEARTBEAT_MS = 500;
 const MS_PER_SECOND = 1000;
+const NS_PER_MS = 1_000_000;
+const PROCESSOR_SAMPLE_MS = 250;
 /** The platform restarts a process that ends by itself after this time. */
 const RESTART_MS = 200;
 /** The store drops the entry of a server that was killed after this time. */
@@ -40,6 +42,8 @@
   /** Signals that end the process, in their order. */
   readonly endSignals: { readonly signal: 'SIGTERM' | 'SIGKILL'; readonly atMs: number }[];
   endedAtMs: number;
+  /** How long its main thread had waited for a processor since its start, at some times. */
+  readonly processorWaits: { readonly atMs: number; readonly waitedMs: number }[];
   /** When its log said that it is ready; infinite before. */
   readyAtMs: number;
 }
@@ -115,6 +119,16 @@
 const NETWORK = `127.${1 + (process.pid % 250)}.${Math.floor(process.pid / 250) % 250}`;
 const SERVER_HOST = `${NETWORK}.250`;
 
+/** Records how long the main thread of a process has waited for a processor, which its own log cannot tell before it runs. */
+function recordProcessorWait({ process: { child }, processorWaits }: VmLife): void {
+  try {
+    const [, waitedNs] = readFileSync(`/proc/${child.pid}/schedstat`, 'utf8').split(' ');
+    processorWaits.push({ atMs: performance.now(), waitedMs: Number(waitedNs) / NS_PER_MS });
+  } catch {
+    // The process has ended, or the system keeps no such figures.
+  }
+}
+
 const folder = mkdtempSync(join(tmpdir(), 'entry-soak-'));
 
 async function createVm(name: string, index: number, storeAddress: string): Promise<SoakVm> {
@@ -240,7 +254,8 @@
   };
 
   const killServer = (server: SoakServer): void => {
-    server.killedAtMs = performance.now();
+    // Disruptions overlap: a server that another one has killed already ended then.
+    server.killedAtMs = Math.min(server.killedAtMs, performance.now());
     server.process.child.kill('SIGKILL');
     setTimeout(() => {
       const isReplaced = servers.some(
@@ -263,7 +278,7 @@
     const started = spawnProgram(name, PROGRAM, args, { [SETTINGS_VARIABLE]: settingsPath });
     const life: VmLife = {
       ...{ vmName: name, process: started, startedAtMs: performance.now(), endSignals: [] },
-      endedAtMs: Number.POSITIVE_INFINITY,
+      ...{ endedAtMs: Number.POSITIVE_INFINITY, processorWaits: [] },
       readyAtMs: Number.POSITIVE_INFINITY,
     };
     started.child.stdout?.on('data', () => {
@@ -271,7 +286,9 @@
         life.readyAtMs = performance.now();
       }
     });
+    const sampling = setInterval(() => recordProcessorWait(life), PROCESSOR_SAMPLE_MS);
     void once(started.child, 'exit').then(async () => {
+      clearInterval(sampling);
       life.endedAtMs = performance.now();
       // Who ends a process starts the next one. The platform restarts one that ends by itself.
       if (life.endSignals.length === 0) {
