Show with a test that SIGHUP ends a process while Node.js itself starts

Cause: by default SIGHUP ends a process, and no file of the program is read before Node.js has started.

--- a/tests/processes/entryBundle.test.ts
+++ b/tests/processes/entryBundle.test.ts
@@ -10,13 +10,17 @@
 import { fileURLToPath } from 'node:url';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
 import { prepareEntry } from '../stand-ins/entryProcess.js';
-import { createConfiguration } from '../stand-ins/entryVms.js';
+import { createConfiguration, wait } from '../stand-ins/entryVms.js';
 import { startPlatformStore } from '../stand-ins/platformStore.js';
 import { waitFor } from '../stand-ins/processes.js';
 
 const ROOT = join(dirname(fileURLToPath(import.meta.url)), '../..');
 /** More than the first file needs, and little enough to be read and compiled at once. */
 const MAX_FIRST_FILE_BYTES = 4_096;
+/** Within the start of Node.js, before any file of the program is read. */
+const START_OF_NODE_MS = 50;
+/** Longer than a signal takes to end a process. */
+const LIVES_ON_MS = 400;
 const RUN_PATTERN = /^run = "(.+)"$/m;
 /** What the first file loads next. */
 const PROGRAM_FILE = 'entryProgram.cjs';
@@ -77,4 +81,19 @@
     expect(await exited).toEqual([0, null]);
     await store.close();
   });
+
+  it('lives on when SIGHUP comes while Node.js itself starts', async () => {
+    const { environment } = await prepareEntry('127.0.0.1:9');
+    const child = spawn(process.execPath, words.slice(1), {
+      cwd: ROOT,
+      stdio: 'ignore',
+      env: { ...process.env, ...environment, NODE_OPTIONS: '' },
+    });
+    const exited = once(child, 'exit');
+    await wait(START_OF_NODE_MS);
+    child.kill('SIGHUP');
+    const end = await Promise.race([exited, wait(LIVES_ON_MS).then(() => 'running')]);
+    child.kill('SIGKILL');
+    expect(end).toBe('running');
+  });
 });
