Take no load report with counts that an engine cannot have

Seen before: a report with -5 running requests, half a request, 1e300 or infinite requests, or negative or infinite memory was taken; a negative count makes an engine look idle (by reading, routing compares it). Reports that are cut short, come twice or have text around them were refused before and are.

tests/dispatch/loadReports.test.ts: 6 of 12 failed, pass now.

--- a/src/protocol/engine.ts
+++ b/src/protocol/engine.ts
@@ -7,6 +7,7 @@
 import type { Diagnostic } from '../state/diagnostics.js';
 import type { Order } from '../state/placementPlan.js';
 import type { LoadReport } from '../state/types.js';
+import { AmountSchema, CountSchema } from './fieldSchemas.js';
 import { decodeJson } from './json.js';
 import { CompletionKind, type CompletionRequest } from './openai.js';
 
@@ -46,9 +47,9 @@
 }
 
 const LoadReportSchema = Schema.Struct({
-  running_requests: Schema.Number,
-  queued_requests: Schema.Number,
-  used_memory_mb: Schema.Number,
+  running_requests: CountSchema,
+  queued_requests: CountSchema,
+  used_memory_mb: AmountSchema,
   loaded_models: Schema.Array(Schema.String),
   loading_models: Schema.optionalKey(Schema.Array(Schema.String)),
   leaving: Schema.Boolean,
