Spread only bodies that are dropped over several turns of the loop

A body that is held counts in the VM's account, and while its reading pauses, what has arrived of it waits in buffers that do not.

--- a/src/transport/requestBody.ts
+++ b/src/transport/requestBody.ts
@@ -35,7 +35,6 @@
       held.release();
     };
     request.on('data', (chunk: Buffer) => {
-      pace(request, chunk);
       sizeBytes += chunk.length;
       if (sizeBytes > maxBytes) {
         drop();
@@ -44,6 +43,7 @@
         chunks.push(chunk);
       } else {
         drop();
+        pace(request, chunk);
       }
     });
     request.on('end', () =>
