Trust no second connection once a server has closed the one that proves its life

New row of cutStreams: servers killed, other processes listen at their addresses at once. It is not opened again now; later only the id is asked for, and nothing to ask counts as broken off.

--- a/src/transport/entry/serverWitness.ts
+++ b/src/transport/entry/serverWitness.ts
@@ -15,8 +15,6 @@
 const ANSWER_TIMEOUT_MS = 300;
 /** Time within which all connections of a killed process have ended. */
 const CLOSING_MS = 100;
-/** Shortest time between two connections to a server that closes them at once. */
-const RECONNECT_MS = 500;
 const MAX_HEAD_BYTES = 16_384;
 
 /** A request that any life sign of a server answers. */
@@ -83,7 +81,11 @@
     const evidence = { answered: LifeEvidence.Answered, failed: LifeEvidence.Closed };
     sendQuestion(socket, question, report, evidence);
   }
-  const timer = setTimeout(() => report(LifeEvidence.StillOpen), ANSWER_TIMEOUT_MS);
+  // What has arrived meanwhile is read first, however late the timer is.
+  const timer = setTimeout(
+    () => setImmediate(() => setImmediate(() => report(LifeEvidence.StillOpen))),
+    ANSWER_TIMEOUT_MS,
+  );
   return () => clearTimeout(timer);
 }
 
@@ -110,56 +112,42 @@
   };
 }
 
-/** Opens a connection to the server of an answer that has begun, and again whenever the server closes it before the answer ends. */
+/** Opens a connection to the server of an answer that has begun. If the server closes it before the answer ends, only its id is asked for then. */
 export function openWitness(command: DispatchCommand, wire: EntryWire): ServerWitness {
   const { address } = command;
   const question = createQuestion(command, wire);
   let socket: Socket | null = null;
-  let connectedAtMs: number | null = null;
-  let lostAtMs = Number.NEGATIVE_INFINITY;
-  let isReleased = false;
-  let timer: NodeJS.Timeout | null = null;
+  let isConnected = false;
+  let lostAtMs: number | null = null;
 
   const connect = (): void => {
     const opened = net.connect(splitAddress(address));
     socket = opened;
     opened.setNoDelay(true);
     opened.once('connect', () => {
-      connectedAtMs = performance.now();
+      isConnected = true;
     });
     opened.on('error', () => {});
     // Without a reader, the end of the connection would stay unnoticed.
     opened.resume();
     opened.once('close', () => {
-      const nowMs = performance.now();
-      const openMs = connectedAtMs === null ? 0 : nowMs - connectedAtMs;
-      lostAtMs = connectedAtMs === null ? lostAtMs : nowMs;
-      connectedAtMs = null;
-      if (!isReleased) {
-        timer = setTimeout(connect, Math.max(0, RECONNECT_MS - openMs));
-      }
+      lostAtMs = isConnected ? performance.now() : null;
+      isConnected = false;
     });
   };
   const release = (): void => {
-    isReleased = true;
-    if (timer !== null) {
-      clearTimeout(timer);
-    }
     socket?.destroy();
   };
   const start = (report: Report): (() => void) => {
-    isReleased = true;
-    if (timer !== null) {
-      clearTimeout(timer);
+    if (socket !== null && isConnected) {
+      return askOnWitness(socket, question, report);
     }
-    // A connection that was opened since may be one to a successor.
-    if (performance.now() - lostAtMs < CLOSING_MS) {
+    const isLost = lostAtMs !== null;
+    const isJustLost = lostAtMs !== null && performance.now() - lostAtMs < CLOSING_MS;
+    if (isJustLost || (isLost && question === null)) {
       report(LifeEvidence.Closed);
       return () => {};
     }
-    if (socket !== null && connectedAtMs !== null) {
-      return askOnWitness(socket, question, report);
-    }
     return askOnNewConnection(address, question, report);
   };
 
--- a/tests/processes/cutStreams.test.ts
+++ b/tests/processes/cutStreams.test.ts
@@ -1,6 +1,7 @@
 /**
  * Tests that no caller takes a stream for complete that was cut, whatever cuts it, with many callers that read fast and slowly.
  */
+import net from 'node:net';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { type EntryProcess, startEntryProcess } from '../stand-ins/entryProcess.js';
 import { createConfiguration } from '../stand-ins/entryVms.js';
@@ -28,6 +29,8 @@
 let store: PlatformStore;
 let entry: EntryProcess;
 let servers: StartedProcess[] = [];
+let ports: number[] = [];
+const successors: net.Server[] = [];
 const heartbeats: NodeJS.Timeout[] = [];
 
 async function startServer(
@@ -37,6 +40,7 @@
   events = EVENTS,
 ): Promise<void> {
   const port = await findFreePort();
+  ports.push(port);
   const flags = { port, framing, 'event-bytes': eventBytes, 'interval-ms': 30, events };
   const args = Object.entries(flags).flatMap(([name, value]) => [`--${name}`, String(value)]);
   servers.push(await startProgram(id, 'tests/stand-ins/streamServerMain.js', args, 'ready'));
@@ -72,6 +76,8 @@
   heartbeats.splice(0).forEach((heartbeat) => clearInterval(heartbeat));
   await Promise.all([entry.vm, ...servers].map((started) => endProcess(started)));
   servers = [];
+  ports = [];
+  successors.splice(0).forEach((successor) => successor.close());
   await store.close();
 });
 
@@ -107,6 +113,14 @@
   });
 }
 
+/** Listens on a port as soon as the process that has it has ended. */
+function succeed(port: number): void {
+  const successor = net.createServer((socket) => socket.on('error', () => {}));
+  successor.on('error', () => setTimeout(() => successor.listen(port, '127.0.0.1'), 1));
+  successor.listen(port, '127.0.0.1');
+  successors.push(successor);
+}
+
 /** What cuts the streams. */
 const CUTS: readonly {
   cut: string;
@@ -142,6 +156,14 @@
     deadlineMs: LONG_DEADLINE_MS,
     run: () => servers.forEach(({ child }) => child.kill('SIGKILL')),
   },
+  {
+    cut: 'the end of the servers, at whose addresses others listen at once',
+    deadlineMs: LONG_DEADLINE_MS,
+    run: () => {
+      servers.forEach(({ child }) => child.kill('SIGKILL'));
+      ports.forEach(succeed);
+    },
+  },
   {
     cut: 'a reset by the servers that the VM reads late',
     deadlineMs: LONG_DEADLINE_MS,
