Read the rest of a complete answer whose connection has closed

Callers saw whole streams without a length, or with Connection: close, cut with answer_truncated although their server lived. Cause, by a stack of the failed attempt: the request's close event comes when the socket closes, while the answer is complete but reading is paused (slow caller, turn of others, pace), and was taken for a loss. Class: the end of a connection is no end of what was read from it. Change: at the close of the request only an answer that is not complete fails; the answer's own close decides for the rest.

--- a/src/transport/entry/attempt.ts
+++ b/src/transport/entry/attempt.ts
@@ -281,11 +281,18 @@
     }
   };
   context.agents.onConnection(request, () => runAfterUnreadData(context.isBehind(), send));
-  request.on('error', (error) => failForError(attempt, error));
-  request.on('close', () => {
+  let answer: IncomingMessage | null = null;
+  const failIfUnread = (): void => {
     if (!attempt.isBodyRead) {
       failForLostConnection(attempt);
     }
+  };
+  request.on('error', (error) => failForError(attempt, error));
+  request.on('close', () => {
+    // The connection may close while reading is paused, before the rest of a complete answer is read.
+    if (answer?.complete !== true) {
+      failIfUnread();
+    }
   });
   let informationCount = 0;
   request.on('information', () => {
@@ -307,6 +314,8 @@
     attempt.load = head.load;
     reportLimit(attempt, head);
     context.agents.recordIdleTimeout(response);
+    answer = response;
+    response.on('close', failIfUnread);
     response.on('error', (error) => failForError(attempt, error));
     onResponse(attempt, response, head);
   });
