Log the software version of the server of each attempt, and which stream a request takes up

What callers saw: streams with events of two software versions. No log line told the version of a server's software, nor that a request takes a stream up, so the hypotheses on how runs are joined could not be distinguished. Each line of a request now has softwareVersion and resumes. No decision changes.

--- a/src/coordination/entry/events.ts
+++ b/src/coordination/entry/events.ts
@@ -33,6 +33,10 @@
   readonly hasTokenCounts: boolean;
   /** Ids of the parts of the prompt, in the order of the prompt. */
   readonly promptParts: readonly string[];
+  /** Number of the last event that the caller has from an earlier request; null if it asks for the stream from its beginning. */
+  readonly lastEventId: string | null;
+  /** The caller's id of the request that brought the first event of the stream; null if it names none. */
+  readonly resumedRequestId: string | null;
   /** Digest of method, target and body: equal for requests with the same content, whatever their ids. */
   readonly contentDigest: string;
 }
--- a/src/coordination/entry/requests/admission.ts
+++ b/src/coordination/entry/requests/admission.ts
@@ -192,6 +192,7 @@
     phase: ForwardPhase.Waiting,
     attempt: 0,
     backendId: null,
+    softwareVersion: '',
     possiblyRunBackendIds: [],
     notRunBackendIds: [],
     notRunAttempts: 0,
--- a/src/coordination/entry/requests/forwarding.ts
+++ b/src/coordination/entry/requests/forwarding.ts
@@ -137,6 +137,7 @@
   record.attempt += 1;
   record.attemptAnsweredAtMs = null;
   record.backendId = backendId;
+  record.softwareVersion = backend.entry.softwareVersion;
   backend.inFlight += 1;
   backend.dispatchedAtMs = nowMs;
   takePermit(backend, nowMs);
--- a/src/coordination/entry/requests/requestCompletion.ts
+++ b/src/coordination/entry/requests/requestCompletion.ts
@@ -51,6 +51,8 @@
     adapter: record.request.adapter ?? '',
     attempt: record.attempt,
     server: record.backendId ?? '',
+    softwareVersion: record.softwareVersion,
+    resumes: record.request.resumedRequestId ?? '',
     ageMs: nowMs - record.arrivedAtMs,
     leftMs: record.deadlineAtMs - nowMs,
   };
--- a/src/coordination/entry/state.ts
+++ b/src/coordination/entry/state.ts
@@ -76,6 +76,8 @@
   phase: ForwardPhase;
   attempt: number;
   backendId: string | null;
+  /** Version of the software of the server of the last attempt; empty before the first. */
+  softwareVersion: string;
   /** Backend servers that may have run it. */
   possiblyRunBackendIds: string[];
   /** Backend servers that provably did not run it; cleared when it waits for a model that they lacked. */
--- a/src/state/entry/backends.ts
+++ b/src/state/entry/backends.ts
@@ -17,6 +17,8 @@
   /** Wall clock time at which the server started; with the id it identifies one incarnation of the server. */
   readonly bornAtWallMs: number;
   readonly service: string;
+  /** Version of the server's software, not of the weights of its models. */
+  readonly softwareVersion: string;
   readonly address: string;
   readonly failureDomain: string;
   readonly slots: number;
--- a/tests/entry/fixtures.ts
+++ b/tests/entry/fixtures.ts
@@ -158,6 +158,7 @@
     id,
     bornAtWallMs: 1,
     service,
+    softwareVersion: 'v1',
     address: `${id}:80`,
     failureDomain: 'fd-a',
     slots: 6,
@@ -189,6 +190,8 @@
     maxOutputTokens: 100,
     hasTokenCounts: true,
     promptParts: [],
+    lastEventId: null,
+    resumedRequestId: null,
     contentDigest: requestId,
     ...changes,
   };
--- a/tests/entry/malformedMessages.test.ts
+++ b/tests/entry/malformedMessages.test.ts
@@ -59,6 +59,7 @@
     'Transfer-Encoding',
     'Host',
     'Last-Event-Id',
+    'Resumes',
     'Retry-After',
     'Server-Leaving',
     'Server-Limit',
--- a/tests/platform/decoding.test.ts
+++ b/tests/platform/decoding.test.ts
@@ -137,7 +137,11 @@
     const entry = decodeBackendEntry('servers/i-1', JSON.stringify(BACKEND_SERVER))
       .toMaybe()
       .extract();
-    expect(entry).toMatchObject({ id: 'i-1', models: [{ name: 'm', adapters: ['a1'] }] });
+    expect(entry).toMatchObject({
+      id: 'i-1',
+      softwareVersion: 'v1',
+      models: [{ name: 'm', adapters: ['a1'] }],
+    });
     expect(entry).not.toHaveProperty('orderCount');
   });
 });
@@ -334,6 +338,7 @@
     const headers = [
       ...[...BASE_HEADERS, 'X-Model', 'm/a3', 'X-Token-Count', '1460,80', 'X-Api-Key', 'secret'],
       ...['X-Prompt-Prefix', '5c1e:800,91bd:410', 'X-Deadline-Ms', '900'],
+      ...['Last-Event-Id', '12', 'Resumes', 'first'],
     ];
     const head = decodeRequestHead('/p/q?r=1', headers).toMaybe().extract();
     expect(head).toMatchObject({
@@ -344,6 +349,8 @@
       maxOutputTokens: 80,
       deadlineMs: 900,
       promptParts: ['5c1e', '91bd'],
+      lastEventId: '12',
+      resumedRequestId: 'first',
     });
     expect(JSON.stringify(head)).not.toContain('secret');
   });
