Show with tests what servers get past the judge of streams: blocks that are no events, heads that are not a stream's

Rows for blocks without data, for lines of fields that no event has, also in front of a sound event, for two ids in an event, for blank lines, and for answers on a stream's route whose head is not that of a stream.

Rows that were wrong and are replaced by stricter ones: a comment, a retry time and a line with the versions of weights alone were expected to reach callers as they are. To a caller that splits a stream at its blank lines each is a piece without an id. They are expected to be dropped now, or to spoil the stream; so is an event with two ids.

--- a/src/state/entry/spoiledStreams.ts
+++ b/src/state/entry/spoiledStreams.ts
@@ -4,11 +4,13 @@
 
 /** The reasons, as log lines and metrics have them. */
 export const SpoilReason = {
-  /** A line is not one of an event stream. */
+  /** A line is neither a field of an event nor a comment. */
   ForeignText: 'foreign_text',
   /** Data without a number. */
   NoNumber: 'no_number',
-  /** A number without data, other than that of the event before. */
+  /** Data with more than one number. */
+  TwoNumbers: 'two_numbers',
+  /** Fields of an event without data. */
   NoData: 'number_without_data',
   /** Numbers that rise by one skip some. */
   Skipped: 'number_skipped',
--- a/tests/processes/spoiledStreams.test.ts
+++ b/tests/processes/spoiledStreams.test.ts
@@ -108,13 +108,19 @@
 
 const WHOLE: Expected = { body: formatRange(1, EVENT_COUNT), looksComplete: true };
 const CUT: Expected = { body: formatRange(1, AFTER), looksComplete: false };
+const DROPPED_VERDICTS: ReadonlySet<EventVerdict> = new Set([
+  EventVerdict.Idle,
+  EventVerdict.Repeated,
+]);
 const isSpoiled = ({ verdict }: StreamForm): boolean => verdict === EventVerdict.Spoiled;
 const SPOILED = FORMS.filter(isSpoiled).flatMap(({ name }) =>
   Object.values(Tail).map((tail) => ({ form: name, tail })),
 );
-/** Forms after which the caller gets what the server sent, and those that it has already or that stand for the event that is due. */
-const PASSED = FORMS.filter(({ verdict }) => verdict === EventVerdict.Idle);
-const DROPPED = FORMS.filter(({ verdict }) => verdict === EventVerdict.Repeated);
+/** Forms that are nothing to callers, or that they have already. */
+const DROPPED = [
+  ...FORMS.filter(({ verdict }) => DROPPED_VERDICTS.has(verdict)),
+  { name: 'blank lines', text: '\n\n\n\n' },
+];
 
 describe('a stream that its server spoils', () => {
   it.each(SPOILED)('is cut visibly if it may run only once: $form, then $tail', (spoiling) =>
@@ -143,16 +149,46 @@
   );
 });
 
-describe('a stream that its server does not spoil', () => {
-  it.each(PASSED)('is passed on as it is: $name', ({ name, text }) =>
-    expectOfBoth(
-      'flow',
-      { form: name, after: AFTER, tail: Tail.GoesOn },
-      { ...WHOLE, body: formatRange(1, AFTER) + text + formatRange(AFTER + 1, EVENT_COUNT) },
-    ),
+const HEADS = [
+  { name: 'no content type', status: '200 OK', contentType: '' },
+  ...[
+    'text/plain',
+    'application/json',
+    'application/octet-stream',
+    'nothing',
+    'text/event-stream-of-others',
+    'text/event-streams',
+  ].map((type) => ({ name: type, status: '200 OK', contentType: `Content-Type: ${type}\r\n` })),
+  {
+    name: 'two content types',
+    status: '200 OK',
+    contentType: 'Content-Type: text/event-stream\r\nContent-Type: text/plain\r\n',
+  },
+  ...['201 Created', '203 Non-Authoritative Information', '206 Partial Content', '302 Found'].map(
+    (status) => ({ name: status, status, contentType: 'Content-Type: text/event-stream\r\n' }),
+  ),
+];
+const HEAD_BODIES = ['the next event', 'data without an id', 'a JSON document'];
+const HEAD_ROWS = HEADS.flatMap(({ name, ...head }) =>
+  HEAD_BODIES.map((form) => ({ name, form, head, after: 0, tail: Tail.Ends })),
+);
+
+describe("an answer on a stream's route whose head is not that of a stream", () => {
+  it.each(HEAD_ROWS)('is retried whole if that is safe: $name, with $form', ({ name, ...row }) =>
+    expectOfBoth('resumed', row, WHOLE),
   );
 
-  it.each(DROPPED)('has each event once: $name', ({ name }) =>
+  it.each(HEAD_ROWS)(
+    'is rejected if the request may run only once: $name, with $form',
+    async ({ name, ...row }) => {
+      const result = await call('flow', { ...row, isFramed: true });
+      expect(result.status).toBe(502);
+    },
+  );
+});
+
+describe('a stream that its server does not spoil', () => {
+  it.each(DROPPED)('has each event once and nothing else: $name', ({ name }) =>
     expectOfBoth('flow', { form: name, after: AFTER, tail: Tail.GoesOn }, WHOLE),
   );
 });
--- a/tests/stand-ins/spoilingServer.ts
+++ b/tests/stand-ins/spoilingServer.ts
@@ -21,8 +21,19 @@
   readonly after: number;
   readonly tail: Tail;
   readonly isFramed: boolean;
+  /** Status and content type of the spoiled run, in place of those of a stream. */
+  readonly head?: Head;
 }
 
+/** The start of an answer's head. */
+export interface Head {
+  readonly status: string;
+  /** Header lines with their line ends. */
+  readonly contentType: string;
+}
+
+const STREAM_HEAD: Head = { status: '200 OK', contentType: 'Content-Type: text/event-stream\r\n' };
+
 /** Encodes a spoiling as the query of a path. */
 export function encodeSpoiling(spoiling: Spoiling): string {
   return encodeURIComponent(JSON.stringify(spoiling));
@@ -59,21 +70,35 @@
   },
 };
 
+const BLANK_LINES = '\n\n\n\n';
+
+/** Returns the text of a form where an event is due. Blank lines belong to the event before, so they are no form of their own. */
+function findSpoilingText(form: string, due: number): string {
+  return listStreamForms(due).find(({ name }) => name === form)?.text ?? BLANK_LINES;
+}
+
 function runStream(socket: Socket, head: string, hasRun: Set<string>): void {
   const attemptId = /^x-attempt-id: (\S+)/im.exec(head)?.[1] ?? '';
   const lastEventId = Number(/^last-event-id: (\d+)/im.exec(head)?.[1] ?? 0);
   const query = /^\S+ \S+\?(\S+)/.exec(head)?.[1] ?? '';
-  const { after, form, isFramed, tail } = JSON.parse(decodeURIComponent(query)) as Spoiling;
+  const {
+    after,
+    form,
+    head: spoiledHead,
+    isFramed,
+    tail,
+  } = JSON.parse(decodeURIComponent(query)) as Spoiling;
   const isSpoiled = !hasRun.has(attemptId);
   hasRun.add(attemptId);
   const framing = isFramed ? 'Transfer-Encoding: chunked' : 'Connection: close';
+  const { contentType, status } = (isSpoiled ? spoiledHead : null) ?? STREAM_HEAD;
   socket.write(
-    `HTTP/1.1 200 OK\r\nX-Attempt-Id: ${attemptId}\r\nContent-Type: text/event-stream\r\n${framing}\r\n\r\n`,
+    `HTTP/1.1 ${status}\r\nX-Attempt-Id: ${attemptId}\r\n${contentType}${framing}\r\n\r\n`,
   );
   const writer = createWriter(socket, isFramed);
   const step = (eventId: number): void => {
     if (isSpoiled && eventId === after + 1) {
-      writer.write(listStreamForms(eventId).find(({ name }) => name === form)!.text);
+      writer.write(findSpoilingText(form, eventId));
       if (!TAILS[tail](socket, writer)) {
         return;
       }
--- a/tests/stand-ins/streamForms.ts
+++ b/tests/stand-ins/streamForms.ts
@@ -19,6 +19,9 @@
   return ids.map((id) => `id: ${id}\ndata: piece ${id}\n\n`).join('');
 }
 
+/** Lines with a name that no field of an event has. */
+const FOREIGN_FIELDS = ['foo: bar', 'Content-Type: text/html', 'garbage:', 'Data: x', 'ID: 10'];
+
 /** Returns what a server may send where an event of a stream is due, which begins with 1, and the verdict on the first event of it. */
 export function listStreamForms(due: number): readonly StreamForm[] {
   return [
@@ -40,19 +43,11 @@
       text: `x-weight-versions: 7\nid: ${due}\ndata: x\n\n`,
       verdict: Sound,
     },
-    {
-      name: 'an event whose last id is right',
-      text: `id: 4\nid: ${due}\ndata: x\n\n`,
-      verdict: Sound,
-    },
     { name: 'a comment', text: ': keep open\n\n', verdict: Idle },
+    { name: 'a colon alone', text: ':\n\n', verdict: Idle },
+    { name: 'a comment of garbage', text: ':\u0000\u00fe{"id": 7}\n\n', verdict: Idle },
     { name: 'a retry time', text: 'retry: 100\n\n', verdict: Idle },
-    {
-      name: 'a line with the versions of weights',
-      text: 'x-weight-versions: 7\n\n',
-      verdict: Idle,
-    },
-    { name: 'the id of the event before again', text: `id: ${due - 1}\n\n`, verdict: Idle },
+    { name: 'a retry time that is no number', text: 'retry: xyz\n\n', verdict: Idle },
     { name: 'the event again', text: formatEvents(due - 1), verdict: Repeated },
     { name: 'an earlier event', text: formatEvents(1), verdict: Repeated },
     {
@@ -109,6 +104,24 @@
       verdict: Spoiled,
       reason: SpoilReason.NoNumber,
     },
+    {
+      name: 'the id of the event before again',
+      text: `id: ${due - 1}\n\n`,
+      verdict: Spoiled,
+      reason: SpoilReason.NoData,
+    },
+    {
+      name: 'a line with the versions of weights',
+      text: 'x-weight-versions: 7\n\n',
+      verdict: Spoiled,
+      reason: SpoilReason.NoData,
+    },
+    {
+      name: 'a type without data',
+      text: 'event: error\n\n',
+      verdict: Spoiled,
+      reason: SpoilReason.NoData,
+    },
     {
       name: 'an id far ahead without data',
       text: `id: ${due + 490}\n\n`,
@@ -139,6 +152,38 @@
       verdict: Spoiled,
       reason: SpoilReason.Skipped,
     },
+    {
+      name: 'an event with two ids, of which the last is due',
+      text: `id: 4\nid: ${due}\ndata: x\n\n`,
+      verdict: Spoiled,
+      reason: SpoilReason.TwoNumbers,
+    },
+    ...FOREIGN_FIELDS.flatMap((line) => [
+      {
+        name: `a block of ${line}`,
+        text: `${line}\n\n`,
+        verdict: Spoiled,
+        reason: SpoilReason.ForeignText,
+      },
+      {
+        name: `an event after ${line}`,
+        text: `${line}\n${formatEvents(due)}`,
+        verdict: Spoiled,
+        reason: SpoilReason.ForeignText,
+      },
+    ]),
+    {
+      name: 'an event with the versions of weights after its id',
+      text: `id: ${due}\nx-weight-versions: 7\ndata: x\n\n`,
+      verdict: Spoiled,
+      reason: SpoilReason.ForeignText,
+    },
+    {
+      name: 'an event after versions of weights that are no number',
+      text: `x-weight-versions: new\n${formatEvents(due)}`,
+      verdict: Spoiled,
+      reason: SpoilReason.ForeignText,
+    },
     {
       name: 'text with a blank line after it',
       text: 'some text\n\n',
