--- a/vitest.config.mjs
+++ b/vitest.config.mjs
@@ -1,12 +1,34 @@
 import { defineConfig } from 'vitest/config';
 
+/** Tests that start processes, or that need a processor of their own to end within the time limit. */
+const ONE_BY_ONE = ['tests/processes/**/*.test.ts', 'tests/entry/relays.test.ts'];
+
 export default defineConfig({
   test: {
-    include: ['tests/**/*.test.ts'],
     testTimeout: 60_000,
     hookTimeout: 60_000,
     reporters: ['default', ['json', { outputFile: 'coverage/tests.json' }]],
-    // Tests that start processes would distort each other's timing if they ran in parallel.
-    fileParallelism: false,
+    projects: [
+      {
+        extends: true,
+        test: {
+          name: 'in process',
+          include: ['tests/**/*.test.ts'],
+          exclude: ONE_BY_ONE,
+          maxWorkers: '50%',
+          sequence: { groupOrder: 0 },
+        },
+      },
+      {
+        extends: true,
+        test: {
+          name: 'one by one',
+          include: ONE_BY_ONE,
+          // Tests that start processes would distort each other's timing if they ran in parallel.
+          fileParallelism: false,
+          sequence: { groupOrder: 1 },
+        },
+      },
+    ],
   },
 });
