Deliver only events to the callers of a stream: data, type and id of the next number

Cause: the judge listed what is bad. Blocks without data, and lines of any name with a colon, counted as idle and were passed on as they came; a caller that splits a stream at its blank lines takes each for an event. Change: the reader of blocks says what is good, in one place: the fields data, event and id, after the platform's line with the versions of weights. Comments, retry lines and further blank lines are dropped; any other line, fields without data and two ids spoil the stream, which then goes on elsewhere, is retried, rejected or cut as before. Why it works: nothing that is not of that form reaches a caller, whatever it is.

--- a/src/protocol/entry/eventFrames.ts
+++ b/src/protocol/entry/eventFrames.ts
@@ -1,28 +1,38 @@
 /**
- * Splits the bytes of a stream of server-sent events into complete events, so that they can be forwarded unchanged.
+ * Splits the bytes of a stream of server-sent events into complete blocks. Of a block only the lines of an event are forwarded: an
+ * optional annotation, then fields. Comments, reconnection times and further blank lines are dropped; a caller that splits a stream at its
+ * blank lines would take them for events. Any other line is not one of an event stream.
  */
 
-/** A line end and the blank lines after it. A line ends with LF, CR LF or CR. */
-const BLANK_LINE_PATTERN = /(?:\r\n|\n|\r(?!\n))(?:\r\n|\n|\r)[\r\n]*/g;
+/** The end of a line and the blank line after it, then further blank lines. A line ends with LF, CR LF or CR. */
+const BLANK_LINE_PATTERN = /((?:\r\n|\n|\r(?!\n))(?:\r\n|\n|\r))[\r\n]*/g;
 /** Length of the longest blank line with the line end before it, without its last byte: what may have been received of it. */
 const MAX_PARTIAL_BLANK_LINE_LENGTH = 3;
 const LINE_ENDS_PATTERN = /^[\r\n]*$/;
 const ID_PATTERN = /^id(?::[ ]?(.*))?$/gm;
 const DATA_PATTERN = /^data(?::|$)/m;
-/** A line that is neither a comment, nor a field of an event without a value, nor a name and a value. */
-const FOREIGN_LINE_PATTERN = /^(?!:|(?:data|event|id|retry)$|[A-Za-z][\w.-]*:)[^\r\n]/m;
+/** A line that is not a field of an event. */
+const OTHER_LINE_PATTERN = /^(?!(?:data|event|id)(?::|$))[^\r\n]/m;
+/** A comment, or a time for reconnections, with its line end. */
+const IDLE_LINES_PATTERN = /^(?::|retry(?::|$))[^\r\n]*(?:\r\n|\n|\r|$)/gm;
+const LEADING_LINE_ENDS_PATTERN = /^[\r\n]+/;
 /** The longest number that is compared. */
 const MAX_NUMBER_DIGITS = 40;
 /** The mark with which a text in UTF-8 may begin, as Latin-1. */
 const BYTE_ORDER_MARK = '\u00ef\u00bb\u00bf';
 
-/** One complete event with the blank line that ends it, or several together that have neither data nor an id. */
+/** One complete block with the blank line that ends it, or several together without fields. */
 export interface EventFrame {
+  /** The lines of the event and the blank line that ends it; empty if the block has none. */
   readonly bytes: Buffer;
+  /** Number of bytes received, with those that are not forwarded. */
+  readonly receivedBytes: number;
   /** The id of the event, the last one of several; null if it has none. */
   readonly id: string | null;
-  /** False for comments, which servers send to keep a connection open. */
+  readonly idCount: number;
   readonly hasData: boolean;
+  /** True if it has no field of an event: only comments, which servers send to keep a connection open, and the like. */
+  readonly isIdle: boolean;
   /** True if some line is not one of an event stream. */
   readonly isForeign: boolean;
 }
@@ -35,56 +45,82 @@
   readonly getIncompleteLength: () => number;
 }
 
-/** Returns the index after the first blank lines that end after an index, or -1 if there are none. */
-function findFrameEnd(text: string, fromIndex: number): number {
+interface BlockEnd {
+  /** Index after the blank line that ends the block. */
+  readonly contentEnd: number;
+  /** Index after all blank lines. */
+  readonly end: number;
+}
+
+/** Finds the first blank lines that end after an index; null if there are none. */
+function findBlockEnd(text: string, fromIndex: number): BlockEnd | null {
   const pattern = BLANK_LINE_PATTERN;
   pattern.lastIndex = fromIndex;
-  const [blankLine] = pattern.exec(text) ?? [];
-  if (blankLine === undefined) {
-    return -1;
+  const [blankLines, first] = pattern.exec(text) ?? [];
+  if (blankLines === undefined || first === undefined) {
+    return null;
   }
   const end = pattern.lastIndex;
+  const contentEnd = end - blankLines.length + first.length;
   // A stream whose lines end with CR LF is cut between the two.
-  const isCut = end === text.length && blankLine.includes('\n') && blankLine.endsWith('\r');
-  return isCut ? -1 : end;
+  const isCut = end === text.length && blankLines.includes('\n') && blankLines.endsWith('\r');
+  if (isCut) {
+    return contentEnd === end ? null : { contentEnd, end: contentEnd };
+  }
+  return { contentEnd, end };
 }
 
-/** Returns the last id. Runs for each event, so it makes no list of all ids. */
-function decodeId(text: string): string | null {
+/** Returns the last id and the number of ids. Runs for each event, so it makes no list of all ids. */
+function decodeId(text: string): Pick<EventFrame, 'id' | 'idCount'> {
   let id: string | null = null;
+  let idCount = 0;
   for (let match = ID_PATTERN.exec(text); match !== null; match = ID_PATTERN.exec(text)) {
     id = match[1] ?? '';
+    idCount += 1;
   }
-  return id?.trim() ?? null;
+  return { id: id?.trim() ?? null, idCount };
 }
 
-interface FrameRange {
-  readonly start: number;
-  end: number;
-  readonly id: string | null;
-  readonly hasData: boolean;
+/** The lines of a block that are forwarded, as Latin-1, and whether there are others that no event stream has. */
+interface BlockLines {
+  readonly text: string;
   readonly isForeign: boolean;
 }
 
-/** Adds a frame to those of the same chunk. Frames without data and id are put together, since a chunk may have thousands. */
-function addFrame(frames: FrameRange[], frame: FrameRange): void {
+/** Selects the lines of an event from a block. Most blocks have no others. */
+function selectLines(block: string, annotationPattern: RegExp): BlockLines {
+  if (!OTHER_LINE_PATTERN.test(block)) {
+    return { text: block, isForeign: false };
+  }
+  const text = block.replace(IDLE_LINES_PATTERN, '');
+  return { text, isForeign: OTHER_LINE_PATTERN.test(text.replace(annotationPattern, '')) };
+}
+
+type MutableFrame = { -readonly [Field in keyof EventFrame]: EventFrame[Field] };
+
+/** Adds a frame to those of the same chunk. Frames without fields are put together, since a chunk may have thousands. */
+function addFrame(frames: MutableFrame[], frame: EventFrame): void {
   const last = frames.at(-1);
-  const isEmpty = ({ hasData, id, isForeign }: FrameRange): boolean =>
-    !hasData && id === null && !isForeign;
-  if (last !== undefined && isEmpty(last) && isEmpty(frame)) {
-    last.end = frame.end;
+  if (last?.isIdle === true && frame.isIdle) {
+    last.receivedBytes += frame.receivedBytes;
   } else {
     frames.push(frame);
   }
 }
 
+const NO_BYTES: Buffer = Buffer.alloc(0);
+
 /**
  * Creates a reader for one run of a stream.
  *
+ * @param annotationPattern Matches a line that may stand before the fields of an event, at the start of a text.
  * @param isLaterRun True if the caller has received a part of the stream, into the middle of which no byte order mark belongs.
  */
-export function createEventFrameReader(isLaterRun = false): EventFrameReader {
-  let incomplete: Buffer = Buffer.alloc(0);
+export function createEventFrameReader(
+  annotationPattern: RegExp,
+  isLaterRun = false,
+): EventFrameReader {
+  let incomplete: Buffer = NO_BYTES;
   /** Chunks after `incomplete` that complete no event. */
   let laterChunks: Buffer[] = [];
   let laterBytes = 0;
@@ -95,20 +131,25 @@
     const last = laterChunks.at(-1) ?? incomplete;
     const canJudge = last.length >= MAX_PARTIAL_BLANK_LINE_LENGTH;
     const end = last.subarray(-MAX_PARTIAL_BLANK_LINE_LENGTH).toString('latin1');
-    return canJudge && findFrameEnd(end + chunk.toString('latin1'), 0) < 0;
+    return canJudge && findBlockEnd(end + chunk.toString('latin1'), 0) === null;
   };
 
-  const decodeFrame = (text: string, start: number, end: number): FrameRange => {
-    const hasMark = isFirst && text.startsWith(BYTE_ORDER_MARK);
+  const decodeFrame = (received: string, receivedBytes: Buffer): EventFrame => {
+    const hasMark = isFirst && received.startsWith(BYTE_ORDER_MARK);
     isFirst = false;
-    const textStart = hasMark ? BYTE_ORDER_MARK.length : start;
-    const frameText = text.slice(textStart, end);
+    const block = received
+      .slice(hasMark ? BYTE_ORDER_MARK.length : 0)
+      .replace(LEADING_LINE_ENDS_PATTERN, '');
+    const { isForeign, text } = selectLines(block, annotationPattern);
+    const isIdle = !isForeign && LINE_ENDS_PATTERN.test(text);
+    const forwarded = isIdle ? '' : (hasMark && !isLaterRun ? BYTE_ORDER_MARK : '') + text;
     return {
-      start: isLaterRun ? textStart : start,
-      end,
-      id: decodeId(frameText),
-      hasData: DATA_PATTERN.test(frameText),
-      isForeign: FOREIGN_LINE_PATTERN.test(frameText),
+      bytes: forwarded === received ? receivedBytes : Buffer.from(forwarded, 'latin1'),
+      receivedBytes: received.length,
+      ...decodeId(text),
+      hasData: DATA_PATTERN.test(text),
+      isIdle,
+      isForeign,
     };
   };
 
@@ -129,18 +170,22 @@
       let fromIndex = Math.max(0, incomplete.length - MAX_PARTIAL_BLANK_LINE_LENGTH);
       const bytes = incomplete.length === 0 ? chunk : Buffer.concat([incomplete, chunk]);
       const text = bytes.toString('latin1');
-      const frames: FrameRange[] = [];
+      const frames: MutableFrame[] = [];
       let start = 0;
-      for (let end = findFrameEnd(text, fromIndex); end >= 0; end = findFrameEnd(text, fromIndex)) {
-        addFrame(frames, decodeFrame(text, start, end));
+      for (
+        let found = findBlockEnd(text, fromIndex);
+        found !== null;
+        found = findBlockEnd(text, fromIndex)
+      ) {
+        const { contentEnd, end } = found;
+        const received = bytes.subarray(start, contentEnd);
+        const frame = decodeFrame(text.slice(start, contentEnd), received);
+        addFrame(frames, { ...frame, receivedBytes: end - start });
         start = end;
         fromIndex = end;
       }
       incomplete = bytes.subarray(start);
-      return frames.map(({ start: from, end: to, ...fields }) => ({
-        bytes: bytes.subarray(from, to),
-        ...fields,
-      }));
+      return frames;
     },
     // What is left of a blank line belongs to the event before it.
     getIncompleteLength: () =>
--- a/src/protocol/entry/streamJudge.ts
+++ b/src/protocol/entry/streamJudge.ts
@@ -9,7 +9,7 @@
 export const EventVerdict = {
   /** The next event for the caller. */
   Sound: 'sound',
-  /** A comment or a field without data, which has no place in the order. */
+  /** Comments and the like, which callers do not need. */
   Idle: 'idle',
   /** The caller has it already. */
   Repeated: 'repeated',
@@ -66,10 +66,6 @@
   return id === null ? null : BigInt(id);
 }
 
-function isSameNumber(id: string, otherId: string | null): boolean {
-  return isEventNumber(id) && otherId !== null && BigInt(id) === BigInt(otherId);
-}
-
 /** Creates the judge of a run that is to go on at the place of the caller, or to begin anew. */
 export function createStreamJudge(place: StreamPlace): StreamJudge {
   let lastOfRun: bigint | null = null;
@@ -112,14 +108,20 @@
     return SOUND;
   };
 
-  const judgeEvent = ({ hasData, id, isForeign }: EventFrame): Judgement => {
+  const judgeEvent = ({ hasData, id, idCount, isForeign, isIdle }: EventFrame): Judgement => {
+    if (isIdle) {
+      return IDLE;
+    }
     if (isForeign) {
       return spoiled(SpoilReason.ForeignText);
     }
     if (!hasData) {
-      return id === null || isSameNumber(id, place.lastId) ? IDLE : spoiled(SpoilReason.NoData);
+      return spoiled(SpoilReason.NoData);
+    }
+    if (!isEventNumber(id)) {
+      return spoiled(SpoilReason.NoNumber);
     }
-    return isEventNumber(id) ? judgeNumber(id) : spoiled(SpoilReason.NoNumber);
+    return idCount > 1 ? spoiled(SpoilReason.TwoNumbers) : judgeNumber(id);
   };
 
   return {
--- a/src/transport/entry/answers.ts
+++ b/src/transport/entry/answers.ts
@@ -52,8 +52,6 @@
 const MAX_REJECTION_BYTES = 65_536;
 const MAX_REJECTION_MS = 1_000;
 
-const PASSED_ON: ReadonlySet<EventVerdict> = new Set([EventVerdict.Sound, EventVerdict.Idle]);
-
 /** Fails an attempt whose response cannot be delivered to the caller. Its connection is closed, not reused. */
 function rejectAnswer(attempt: Attempt): void {
   failAttempt(attempt, Diagnostics.AnswerMismatched);
@@ -126,7 +124,9 @@
   if (judged.some(({ isAdvance }) => isAdvance)) {
     recordProgress(attempt);
   }
-  const taken = judged.flatMap(({ frame, verdict }) => (PASSED_ON.has(verdict) ? [frame] : []));
+  const taken = judged.flatMap(({ frame, verdict }) =>
+    verdict === EventVerdict.Sound ? [frame] : [],
+  );
   if (taken.length > 0) {
     startAnswer(attempt, response);
     taken.forEach(() => recordStreamEvent(exchange, context.getNowMs()));
@@ -141,7 +141,10 @@
 }
 
 function forwardEventStream(attempt: Attempt, response: IncomingMessage): void {
-  const reader = createEventFrameReader(isAnswerBegun(attempt.exchange));
+  const reader = createEventFrameReader(
+    attempt.context.wire.eventAnnotationPattern,
+    isAnswerBegun(attempt.exchange),
+  );
   const judge = createStreamJudge(attempt.exchange.place);
   let receivedBytes = 0;
   let idleBytes = 0;
@@ -159,7 +162,7 @@
     const lastDataIndex = frames.findLastIndex(({ hasData }) => hasData);
     const idleFrames = frames.slice(lastDataIndex + 1);
     idleBytes = lastDataIndex >= 0 ? 0 : idleBytes;
-    idleBytes += idleFrames.reduce((sum, { bytes }) => sum + bytes.length, 0);
+    idleBytes += idleFrames.reduce((sum, { receivedBytes: added }) => sum + added, 0);
     forwardEvents(attempt, response, judge, frames, countHeld);
     keepPace(attempt, response, frames.length);
     leaveTurn(attempt, response, chunk);
--- a/src/transport/entry/wire.ts
+++ b/src/transport/entry/wire.ts
@@ -80,6 +80,8 @@
   readonly backendsPrefix: string;
   readonly engineOrderPath: string;
   readonly engineReportPath: string;
+  /** Matches a line that a backend server may put before the fields of an event, with its line end, at the start of a text. */
+  readonly eventAnnotationPattern: RegExp;
   readonly decodeConfiguration: (text: string) => Either<Diagnostic, Deployment>;
   readonly decodeBackendEntry: (key: string, text: string) => Either<Diagnostic, BackendEntry>;
   readonly decodeEngineReport: (text: string) => Either<Diagnostic, EngineReport>;
--- /dev/null
+++ b/tests/entry/eventFrames.test.ts
@@ -0,0 +1,62 @@
+/**
+ * Tests which bytes of a block of an event stream are passed on: those of an event, and nothing else.
+ */
+import { describe, expect, it } from 'vitest';
+import { PLATFORM_WIRE } from '../../platform/wire.js';
+import { createEventFrameReader } from '../../src/protocol/entry/eventFrames.js';
+
+const EVENT = 'id: 10\ndata: x\n\n';
+
+const BLOCKS = [
+  { name: 'an event', text: EVENT, passed: [EVENT] },
+  { name: 'an event with a type', text: `event: t\n${EVENT}`, passed: [`event: t\n${EVENT}`] },
+  {
+    name: 'an event with the versions of weights',
+    text: `x-weight-versions: 7\n${EVENT}`,
+    passed: [`x-weight-versions: 7\n${EVENT}`],
+  },
+  { name: 'an event after a comment', text: `: c\n${EVENT}`, passed: [EVENT] },
+  {
+    name: 'an event with a comment in it',
+    text: 'id: 10\n:\u0000\u00fe\ndata: x\n\n',
+    passed: [EVENT],
+  },
+  { name: 'an event after a retry time', text: `retry: 5\n${EVENT}`, passed: [EVENT] },
+  {
+    name: 'an event after a comment and the versions of weights',
+    text: `: c\nx-weight-versions: 7\n${EVENT}`,
+    passed: [`x-weight-versions: 7\n${EVENT}`],
+  },
+  { name: 'an event after blank lines', text: `\n\n\n${EVENT}`, passed: [EVENT] },
+  { name: 'an event before blank lines', text: `${EVENT}\n\n\n`, passed: [EVENT] },
+  {
+    name: 'two events with blank lines between them',
+    text: `${EVENT}\n\n${EVENT}`,
+    passed: [EVENT, EVENT],
+  },
+  { name: 'a comment', text: ': c\n\n', passed: [''] },
+  { name: 'a retry time', text: 'retry: xyz\n\n', passed: [''] },
+  { name: 'blank lines', text: '\n\n\n', passed: [''] },
+];
+
+const LINE_ENDS = [
+  { lines: 'LF', lineEnd: '\n' },
+  { lines: 'CR LF', lineEnd: '\r\n' },
+  { lines: 'CR', lineEnd: '\r' },
+];
+
+describe('what is passed on of a block', () => {
+  it.each(BLOCKS.flatMap((row) => LINE_ENDS.map((lines) => ({ ...row, ...lines }))))(
+    'are the lines of its event, cut at each byte, with $lines: $name',
+    ({ lineEnd, passed, text }) => {
+      const bytes = Buffer.from(text.replaceAll('\n', lineEnd), 'latin1');
+      const expected = passed.map((part) => part.replaceAll('\n', lineEnd)).join('');
+      const results = Array.from(bytes, (_, cut) => {
+        const reader = createEventFrameReader(PLATFORM_WIRE.eventAnnotationPattern);
+        const frames = [bytes.subarray(0, cut), bytes.subarray(cut)].flatMap(reader.addChunk);
+        return frames.map((frame) => frame.bytes.toString('latin1')).join('');
+      });
+      expect(new Set(results)).toEqual(new Set([expected]));
+    },
+  );
+});
