Deliver on a stream's route only streams and reports of failures

Cause: only an answer with status 200 and a content type that began with text/event-stream was judged; any other head made it a plain answer, which is delivered as it comes. Change: the head of an answer decides in one table what it is: 200 with text/event-stream as its one content type is a stream, 400 and above the report of a failure, all else no answer of the route, which fails the attempt like one of another request. So nothing unjudged is delivered as a success.

--- a/src/transport/entry/answers.ts
+++ b/src/transport/entry/answers.ts
@@ -37,7 +37,10 @@
 import type { AnswerHead } from './wire.js';
 
 const HTTP_OK = 200;
-const EVENT_STREAM_PATTERN = /^text\/event-stream\b/i;
+/** Lowest status of an answer that reports a failure. */
+const MIN_FAILURE_STATUS = 400;
+const EVENT_STREAM_PATTERN = /^text\/event-stream[ \t]*(?:;|$)/i;
+const CONTENT_TYPE_HEADER = 'content-type';
 /** Larger responses are forwarded as they arrive. If one is cut off, the caller's connection is closed. */
 const MAX_BUFFERED_BYTES = 1_048_576;
 /** Longest body of a response. */
@@ -266,6 +269,36 @@
   });
 }
 
+/** The kinds of answers on the route of a request. */
+const AnswerKind = {
+  Stream: 'stream',
+  Whole: 'whole',
+  /** Nothing that the route may deliver. */
+  Foreign: 'foreign',
+} as const;
+type AnswerKind = (typeof AnswerKind)[keyof typeof AnswerKind];
+
+/** Returns what an answer is by its head: a stream's route may deliver an event stream, or the report of a failure. */
+function getAnswerKind({ command }: Attempt, response: IncomingMessage): AnswerKind {
+  const status = response.statusCode ?? 0;
+  if (!command.isStream || status >= MIN_FAILURE_STATUS) {
+    return AnswerKind.Whole;
+  }
+  const types = response.headersDistinct[CONTENT_TYPE_HEADER] ?? [];
+  const isStream = types.length === 1 && EVENT_STREAM_PATTERN.test(types[0]!);
+  return status === HTTP_OK && isStream ? AnswerKind.Stream : AnswerKind.Foreign;
+}
+
+type AnswerHandler = (attempt: Attempt, response: IncomingMessage) => void;
+
+const ANSWER_HANDLERS: Readonly<Record<AnswerKind, AnswerHandler>> = {
+  [AnswerKind.Stream]: forwardEventStream,
+  [AnswerKind.Whole]: (attempt, response) =>
+    // The caller has received part of an event stream, which a whole answer cannot continue.
+    (isAnswerBegun(attempt.exchange) ? rejectAnswer : bufferAnswer)(attempt, response),
+  [AnswerKind.Foreign]: rejectAnswer,
+};
+
 /** Handles the response of a backend server once its headers have been received. */
 export function handleAnswer(attempt: Attempt, response: IncomingMessage, head: AnswerHead): void {
   const { command, context, exchange } = attempt;
@@ -290,14 +323,5 @@
     return;
   }
   watchServer(attempt, response);
-  const isOk = response.statusCode === HTTP_OK;
-  const isEventStream = EVENT_STREAM_PATTERN.test(response.headers['content-type'] ?? '');
-  if (command.isStream && isOk && isEventStream) {
-    forwardEventStream(attempt, response);
-  } else if (isAnswerBegun(exchange)) {
-    // The caller has received part of an event stream, which a response of another kind cannot continue.
-    rejectAnswer(attempt);
-  } else {
-    bufferAnswer(attempt, response);
-  }
+  ANSWER_HANDLERS[getAnswerKind(attempt, response)](attempt, response);
 }
