Let a stream go on only at servers of the software version that began it, within one answer

Cause: the version in a server's entry was dropped, so the choice of the next server did not know it. Change: the record keeps the version that began the stream; only servers of it can be chosen or waited for. With none of them registered, the answer is cut at once, so that its caller need not wait for what cannot come. A request whose caller has no event yet may run at any version.

--- a/src/coordination/entry/requests/admission.ts
+++ b/src/coordination/entry/requests/admission.ts
@@ -193,6 +193,7 @@
     attempt: 0,
     backendId: null,
     softwareVersion: '',
+    streamVersion: null,
     possiblyRunBackendIds: [],
     notRunBackendIds: [],
     notRunAttempts: 0,
--- a/src/coordination/entry/requests/attempts.ts
+++ b/src/coordination/entry/requests/attempts.ts
@@ -3,6 +3,7 @@
  */
 import { Diagnostics } from '../../../state/diagnostics.js';
 import { combineRunStatuses, getRunStatus } from '../../../state/runState.js';
+import { RouteKind } from '../../../state/entry/deployment.js';
 import { RunStatus } from '../../../state/types.js';
 import { LogLevel, RequestOutcome } from '../../events.js';
 import {
@@ -46,6 +47,13 @@
   return service.engine !== null && request.model !== null;
 }
 
+/** Records which software version has begun the stream of a request, once its caller has an event of it. */
+function recordStreamVersion(record: ForwardRecord): void {
+  if (record.route.kind === RouteKind.Stream) {
+    record.streamVersion ??= record.softwareVersion;
+  }
+}
+
 /** Returns the record of an attempt; undefined for late events of an earlier attempt. */
 function findAttempt(
   state: EntryState,
@@ -67,6 +75,7 @@
   if (record !== undefined) {
     record.firstEventAtMs ??= nowMs;
     record.attemptAnsweredAtMs ??= nowMs;
+    recordStreamVersion(record);
     record.runStatus = RunStatus.Unknown;
     const backend = state.backends.get(record.backendId!);
     if (backend !== undefined) {
@@ -138,6 +147,7 @@
 ): void {
   record.firstEventAtMs ??= nowMs;
   record.lastEventAtMs = lastEventAtMs ?? record.lastEventAtMs ?? nowMs;
+  recordStreamVersion(record);
   record.runStatus = RunStatus.Unknown;
 }
 
--- a/src/coordination/entry/requests/backendSelection.ts
+++ b/src/coordination/entry/requests/backendSelection.ts
@@ -81,7 +81,7 @@
 
 type Target = Pick<
   ForwardRecord,
-  'request' | 'service' | 'possiblyRunBackendIds' | 'notRunBackendIds'
+  'request' | 'service' | 'streamVersion' | 'possiblyRunBackendIds' | 'notRunBackendIds'
 >;
 
 /** Returns the model that a server must have loaded to run a request; null if any server of its service will do. */
@@ -89,6 +89,22 @@
   return service.engine === null ? null : request.model;
 }
 
+/** Returns whether a server's software may run a request: what two versions write into a stream does not fit together. */
+function hasStreamVersion({ streamVersion }: Target, { entry }: Backend): boolean {
+  return streamVersion === null || entry.softwareVersion === streamVersion;
+}
+
+/** Returns whether a server is registered that could go on with a request's stream at some time. */
+export function hasServerForStream(state: EntryState, record: Target): boolean {
+  const { backendLists, backends } = state;
+  return (
+    record.streamVersion === null ||
+    listOffering(backendLists, backends, record.service.name, null).some(
+      (backend) => !backend.isLeaving && hasStreamVersion(record, backend),
+    )
+  );
+}
+
 /** Returns whether a server that offers a request's model holds all that it needs, has not been tried, and can be waited for. */
 function isUsable(record: Target, backend: Backend, nowMs: number): boolean {
   const { notRunBackendIds, possiblyRunBackendIds, request } = record;
@@ -98,6 +114,7 @@
     (model === null || holdsVariant(backend, model, request.adapter, nowMs)) &&
     !possiblyRunBackendIds.includes(id) &&
     !notRunBackendIds.includes(id) &&
+    hasStreamVersion(record, backend) &&
     isEligible(backend, nowMs)
   );
 }
--- a/src/coordination/entry/requests/retries.ts
+++ b/src/coordination/entry/requests/retries.ts
@@ -5,7 +5,7 @@
 import { createDiagnostic, type Diagnostic, Diagnostics } from '../../../state/diagnostics.js';
 import type { Quarantine } from '../../../state/entry/crashEvidence.js';
 import { RunStatus } from '../../../state/types.js';
-import { findCandidates } from './backendSelection.js';
+import { findCandidates, hasServerForStream } from './backendSelection.js';
 import type { EntryCommand } from '../commands.js';
 import { OVERLOADED_RETRY_AFTER_MS, startWaiting, tryDispatch } from './forwarding.js';
 import {
@@ -112,10 +112,18 @@
  * Returns whether a request may wait for a server after its last attempt failed. One that can be rejected as not run may if
  * only the model was missing: an engine rejects requests while it unloads or loads the model, and another engine may soon
  * have it loaded. One that cannot, since it may have run or its answer has begun, may wait after each attempt that did not
- * run, if a second run is safe.
+ * run, if a second run is safe and a server may come that can go on with its stream.
  */
-function mayWait(record: ForwardRecord, failed: FailedAttempt, nowMs: number): boolean {
+function mayWait(
+  state: EntryState,
+  record: ForwardRecord,
+  failed: FailedAttempt,
+  nowMs: number,
+): boolean {
   const { isAnswerBegun, isModelMissing, isNotRun } = failed;
+  if (!hasServerForStream(state, record)) {
+    return false;
+  }
   return !isAnswerBegun && record.runStatus === RunStatus.NotRun
     ? isModelMissing && record.notRunAttempts <= MAX_NOT_RUN_RETRIES
     : isNotRun && isRetrySafe(record, isAnswerBegun) && hasAttemptLeft(record, nowMs);
@@ -141,7 +149,7 @@
   ) {
     return tryDispatch(state, record, nowMs) ?? [];
   }
-  if (mayWait(record, failed, nowMs)) {
+  if (mayWait(state, record, failed, nowMs)) {
     record.notRunBackendIds = isModelMissing ? [] : record.notRunBackendIds;
     return startWaiting(state, record, nowMs);
   }
--- a/src/coordination/entry/state.ts
+++ b/src/coordination/entry/state.ts
@@ -78,6 +78,8 @@
   backendId: string | null;
   /** Version of the software of the server of the last attempt; empty before the first. */
   softwareVersion: string;
+  /** Version of the software that began the stream, which alone may go on with it; null if any may run the request. */
+  streamVersion: string | null;
   /** Backend servers that may have run it. */
   possiblyRunBackendIds: string[];
   /** Backend servers that provably did not run it; cleared when it waits for a model that they lacked. */
--- a/tests/entry/backendLists.test.ts
+++ b/tests/entry/backendLists.test.ts
@@ -25,6 +25,7 @@
     [null, 'a1'].map((adapter) => ({
       service,
       request: createTestRequest('r', '/', { model, adapter }),
+      streamVersion: null,
       possiblyRunBackendIds: [],
       notRunBackendIds: [],
     })),
