--- a/tests/stand-ins/entryProcess.ts
+++ b/tests/stand-ins/entryProcess.ts
@@ -42,13 +42,14 @@
   storeAddress: string,
   limits: Readonly<Record<string, number>> = {},
   bounds: Readonly<Record<string, number>> = {},
+  vmId = 'vm-1',
 ): Promise<PreparedEntry> {
   const ports = await Promise.all([findFreePort(), findFreePort(), findFreePort(), findFreePort()]);
   const address = `127.0.0.1:${ports[0]}`;
   const readyAddress = `127.0.0.1:${ports[1]}`;
   const settingsPath = join(mkdtempSync(join(tmpdir(), 'entry-')), 'settings.json');
   const settings = {
-    node_name: 'vm-1',
+    node_name: vmId,
     ip: '127.0.0.1',
     zone: 'fd-a',
     port_range: [ports[2], ports[2]],
