--- a/vitest.config.mjs
+++ b/vitest.config.mjs
@@ -1,7 +1,12 @@
 import { defineConfig } from 'vitest/config';
 
-/** Tests that start processes, or that need a processor of their own to end within the time limit. */
-const ONE_BY_ONE = ['tests/processes/**/*.test.ts', 'tests/entry/relays.test.ts'];
+/** Tests that start processes, that need a processor of their own to end in time, or that bound times over sockets. */
+const ONE_BY_ONE = [
+  'tests/processes/**/*.test.ts',
+  'tests/entry/relays.test.ts',
+  'tests/entry/backendAgent.test.ts',
+  'tests/entry/serverStatements.test.ts',
+];
 
 export default defineConfig({
   test: {
