Pass on only the events that the caller of a taken-up stream lacks

Cause: the judge compared events only with those that this VM had sent. Change: the place of the caller begins at the event that it names. What it has is dropped, a first number beyond the next is spoiled, and so is a run that ends before it. Rows of streams with gaps that begin anew are as before.

--- a/src/protocol/entry/streamJudge.ts
+++ b/src/protocol/entry/streamJudge.ts
@@ -30,9 +30,9 @@
 export interface StreamPlace {
   /** Number of the last event that the caller has from this VM; null if it has none. */
   lastId: string | null;
-  /** Whether the numbers rise by one; null until two are known. */
+  /** Whether the numbers rise by one; null until two are known. Those of a stream that its caller takes up do. */
   isConsecutive: boolean | null;
-  /** Number after which the caller asked the stream to begin; null if it did not. */
+  /** Number of the last event that the caller had before, after which it takes the stream up; null if it begins anew. */
   readonly startsAfterId: string | null;
 }
 
@@ -46,10 +46,11 @@
 
 /** Creates the place of a caller that has no event yet. */
 export function createStreamPlace(startsAfterId: string | null): StreamPlace {
+  const isTakenUp = isEventNumber(startsAfterId);
   return {
     lastId: null,
-    isConsecutive: null,
-    startsAfterId: isEventNumber(startsAfterId) ? startsAfterId : null,
+    isConsecutive: isTakenUp ? true : null,
+    startsAfterId: isTakenUp ? startsAfterId : null,
   };
 }
 
@@ -71,6 +72,8 @@
   let lastOfRun: bigint | null = null;
   let last = IDLE;
 
+  const getLastOfCaller = (): bigint | null => toNumber(place.lastId ?? place.startsAfterId);
+
   /** Returns whether the numbers rise by one, as far as a number and the one before it show. */
   const learnStep = (number: bigint): boolean | null => {
     if (place.isConsecutive !== null) {
@@ -80,7 +83,7 @@
       return number === lastOfRun + 1n;
     }
     // Most streams begin with 1. Others show their step with the second event.
-    const before = toNumber(place.lastId ?? place.startsAfterId) ?? 0n;
+    const before = getLastOfCaller() ?? 0n;
     return number === before + 1n ? true : null;
   };
 
@@ -92,7 +95,7 @@
         ? REPEATED_BY_RUN
         : spoiled(SpoilReason.FellBack);
     }
-    const lastOfCaller = toNumber(place.lastId);
+    const lastOfCaller = getLastOfCaller();
     const isRepeated = lastOfCaller !== null && number <= lastOfCaller;
     // A run that begins anew is compared with itself, one that goes on with what the caller has.
     const due = before ?? (isRepeated ? null : lastOfCaller) ?? null;
@@ -132,7 +135,7 @@
       return last;
     },
     judgeEnd: () => {
-      const lastOfCaller = toNumber(place.lastId);
+      const lastOfCaller = getLastOfCaller();
       const isShort = lastOfRun !== null && lastOfCaller !== null && lastOfRun < lastOfCaller;
       return isShort ? SpoilReason.EndedEarly : null;
     },
--- a/tests/entry/streamJudge.test.ts
+++ b/tests/entry/streamJudge.test.ts
@@ -21,9 +21,10 @@
   const judge = createStreamJudge(place);
   const judged = createEventFrameReader(PLATFORM_WIRE.eventAnnotationPattern)
     .addChunk(Buffer.from(run, 'latin1'))
-    .map((frame) => judge.judge(frame));
+    .map((frame) => ({ id: frame.id, ...judge.judge(frame) }));
   const reason = judged.find((judgement) => judgement.reason !== null)?.reason ?? judge.judgeEnd();
-  return { verdicts: judged.map(({ verdict }) => verdict), reason };
+  const passed = judged.flatMap(({ id, verdict }) => (verdict === Sound ? [id] : []));
+  return { passed, verdicts: judged.map(({ verdict }) => verdict), reason };
 }
 
 const NINE = formatEvents(1, 2, 3, 4, 5, 6, 7, 8, 9);
@@ -142,6 +143,50 @@
   },
 ];
 
+/** Runs of a stream that its caller takes up after an event, and the ids of the events that are passed on. */
+const TAKEN_UP: readonly {
+  readonly name: string;
+  readonly runs: readonly string[];
+  readonly passed: readonly string[];
+  readonly reason?: SpoilReason;
+}[] = [
+  { name: 'goes on after it', runs: [formatEvents(5, 6)], passed: ['5', '6'] },
+  { name: 'begins anew', runs: [formatEvents(1, 2, 3, 4, 5, 6)], passed: ['5', '6'] },
+  { name: 'begins with it', runs: [formatEvents(4, 5, 6)], passed: ['5', '6'] },
+  { name: 'begins with 0', runs: [formatEvents(0, 1, 2, 3, 4, 5)], passed: ['5'] },
+  { name: 'ends with it', runs: [formatEvents(4)], passed: [] },
+  { name: 'has no event', runs: [''], passed: [] },
+  {
+    name: 'goes on at the next server after events that it has',
+    runs: [formatEvents(3, 4), formatEvents(5, 6)],
+    passed: ['5', '6'],
+  },
+  { name: 'skips one', runs: [formatEvents(6, 7)], passed: [], reason: SpoilReason.Skipped },
+  { name: 'begins far ahead', runs: [formatEvents(500)], passed: [], reason: SpoilReason.Skipped },
+  {
+    name: 'begins anew and skips one that is due',
+    runs: [formatEvents(3, 4, 6)],
+    passed: [],
+    reason: SpoilReason.Skipped,
+  },
+  {
+    name: 'begins anew and ends before it',
+    runs: [formatEvents(1, 2, 3)],
+    passed: [],
+    reason: SpoilReason.EndedEarly,
+  },
+];
+
+describe('a stream that its caller takes up after event 4', () => {
+  it.each(TAKEN_UP)('passes on the events that the caller lacks: $name', (row) => {
+    const place = createStreamPlace('4');
+    const judged = row.runs.map((run) => judgeRun(place, run));
+    expect(judged.flatMap(({ passed }) => passed)).toEqual(row.passed);
+    expect(judged.at(-1)?.reason).toBe(row.reason ?? null);
+    expect(place.lastId).toBe(row.passed.at(-1) ?? null);
+  });
+});
+
 describe('a stream', () => {
   it.each(RUNS)('$name', ({ lastId, reason = null, runs, startsAfterId = null }) => {
     const place = createStreamPlace(startsAfterId);
