Drop the byte order mark of a stream's first run too

What callers could see: a first piece whose first line is not its id but the mark and the id, so a piece without an id, or a blank line after the mark, so an empty piece. Cause: the mark was passed on in the first run, since the standard has clients drop it; a caller that splits at blank lines does not. Change: dropped in every run, like comments.

--- a/src/protocol/entry/eventFrames.ts
+++ b/src/protocol/entry/eventFrames.ts
@@ -18,7 +18,7 @@
 const LEADING_LINE_ENDS_PATTERN = /^[\r\n]+/;
 /** The longest number that is compared. */
 const MAX_NUMBER_DIGITS = 40;
-/** The mark with which a text in UTF-8 may begin, as Latin-1. */
+/** The mark with which a text in UTF-8 may begin, as Latin-1. It is dropped: many callers take it for a part of the first line. */
 const BYTE_ORDER_MARK = '\u00ef\u00bb\u00bf';
 
 /** One complete block with the blank line that ends it, or several together without fields. */
@@ -114,12 +114,8 @@
  * Creates a reader for one run of a stream.
  *
  * @param annotationPattern Matches a line that may stand before the fields of an event, at the start of a text.
- * @param isLaterRun True if the caller has received a part of the stream, into the middle of which no byte order mark belongs.
  */
-export function createEventFrameReader(
-  annotationPattern: RegExp,
-  isLaterRun = false,
-): EventFrameReader {
+export function createEventFrameReader(annotationPattern: RegExp): EventFrameReader {
   let incomplete: Buffer = NO_BYTES;
   /** Chunks after `incomplete` that complete no event. */
   let laterChunks: Buffer[] = [];
@@ -142,7 +138,7 @@
       .replace(LEADING_LINE_ENDS_PATTERN, '');
     const { isForeign, text } = selectLines(block, annotationPattern);
     const isIdle = !isForeign && LINE_ENDS_PATTERN.test(text);
-    const forwarded = isIdle ? '' : (hasMark && !isLaterRun ? BYTE_ORDER_MARK : '') + text;
+    const forwarded = isIdle ? '' : text;
     return {
       bytes: forwarded === received ? receivedBytes : Buffer.from(forwarded, 'latin1'),
       receivedBytes: received.length,
--- a/src/transport/entry/answers.ts
+++ b/src/transport/entry/answers.ts
@@ -144,10 +144,7 @@
 }
 
 function forwardEventStream(attempt: Attempt, response: IncomingMessage): void {
-  const reader = createEventFrameReader(
-    attempt.context.wire.eventAnnotationPattern,
-    isAnswerBegun(attempt.exchange),
-  );
+  const reader = createEventFrameReader(attempt.context.wire.eventAnnotationPattern);
   const judge = createStreamJudge(attempt.exchange.place);
   let receivedBytes = 0;
   let idleBytes = 0;
--- a/tests/entry/eventFrames.test.ts
+++ b/tests/entry/eventFrames.test.ts
@@ -28,6 +28,16 @@
     passed: [`x-weight-versions: 7\n${EVENT}`],
   },
   { name: 'an event after blank lines', text: `\n\n\n${EVENT}`, passed: [EVENT] },
+  {
+    name: 'an event after a byte order mark',
+    text: `\u00ef\u00bb\u00bf${EVENT}`,
+    passed: [EVENT],
+  },
+  {
+    name: 'an event after a byte order mark and a blank line',
+    text: `\u00ef\u00bb\u00bf\n${EVENT}`,
+    passed: [EVENT],
+  },
   { name: 'an event before blank lines', text: `${EVENT}\n\n\n`, passed: [EVENT] },
   {
     name: 'two events with blank lines between them',
