Tell in the last line why a process ended, and warn before memory ends it

Callers saw processes that didn't start or ended by themselves (FAULT), and no line told which it was. The last line of the log is now 'The process ends.' with its reason, status, signal and the time of the stop; other ends, also one that nothing has requested, are told on standard error. 'The start has ended.' gives the time of each part of the start, and 'The memory is nearly used up.' warns from 0.85 of memory_mb or of the heap limit on, since neither a kill by the platform nor the end of Node.js at its heap limit leaves a line. No decision of the daemon is changed.

--- a/src/bin/entryProgram.ts
+++ b/src/bin/entryProgram.ts
@@ -18,15 +18,21 @@
 import { createEntryLogWriter, logUnexpectedError } from '../transport/entry/entryLog.js';
 import { STATUS_PATH } from '../transport/entry/metricsServer.js';
 import { liftQuarantine, listQuarantines } from '../transport/entry/quarantineEditor.js';
+import {
+  createProcessEnd,
+  END_STATUSES,
+  EndReason,
+  type ProcessEnd,
+} from '../transport/entry/processEnd.js';
 import { processSignals, SignalRequest } from '../transport/entry/processSignals.js';
 import type { EntrySettings } from '../transport/entry/settings.js';
 import { createSettingsReloader } from '../transport/entry/settingsReloader.js';
+import { createStartReport, StartPart, type StartReport } from '../transport/entry/startReport.js';
 import { callHttp } from '../transport/httpCall.js';
 import type { PrefixStore } from '../transport/keyValueStore.js';
 import { VERSION } from '../transport/version.js';
 
-const EXIT_INVALID_SETTINGS = 2;
-const EXIT_START_FAILED = 1;
+const MS_PER_SECOND = 1_000;
 const DEFAULT_METRICS_PORT = '9464';
 const DEFAULT_LOG_LEVEL = 'info';
 /** Timeout of a call to the store; a call to a slow store takes several hundred milliseconds. */
@@ -46,7 +52,16 @@
   process.stderr.write(`gentiandeck-entry: ${text}\n`);
 }
 
-async function run(settings: EntrySettings, { logLevel, metricsPort }: Options): Promise<void> {
+function getUptimeMs(): number {
+  return process.uptime() * MS_PER_SECOND;
+}
+
+async function run(
+  settings: EntrySettings,
+  { logLevel, metricsPort }: Options,
+  startReport: StartReport,
+  processEnd: ProcessEnd,
+): Promise<void> {
   const { bounds, vmId, ...others } = settings;
   const log = createEntryLogWriter(logLevel, vmId);
   const store = createPlatformStore(settings.storeAddress, STORE_TIMEOUT_MS);
@@ -64,10 +79,14 @@
     ...others,
     ...bounds,
   });
-  const daemon = await startEntryDaemon({ settings, metricsPort, store, wire, log });
+  const daemon = await startEntryDaemon({ settings, metricsPort, store, wire, log, startReport });
+  const stop: { signal: string; requestedAtMs: number } = { signal: '', requestedAtMs: 0 };
   processSignals.handle({
     [SignalRequest.Stop]: (signal) => {
       writeInfo('A stop was requested.', { signal });
+      if (stop.signal === '') {
+        Object.assign(stop, { signal, requestedAtMs: getUptimeMs() });
+      }
       daemon.stop();
     },
     [SignalRequest.Reload]: createSettingsReloader({
@@ -76,36 +95,50 @@
       writeLog: log.write,
     }),
   });
-  await daemon.ended;
+  const reason = await daemon.ended;
+  const stopMs = stop.signal === '' ? 0 : Math.round(getUptimeMs() - stop.requestedAtMs);
+  const status = END_STATUSES[reason];
+  writeInfo('The process ends.', { reason, status, signal: stop.signal, stopMs });
   await log.close();
-  process.exit();
+  processEnd.end(reason, status === 0 ? '' : `The process ends with status ${status}: ${reason}.`);
+}
+
+function describeError(error: unknown): string {
+  const detail = error instanceof Error ? error.message : String(error);
+  return error instanceof DiagnosticError ? error.diagnostic.message : detail;
 }
 
 async function start(options: Options): Promise<void> {
+  const startReport = createStartReport(getUptimeMs);
+  startReport.finish(StartPart.Program);
+  const processEnd = createProcessEnd({
+    onExit: (listener) => process.on('exit', listener),
+    exit: (status) => process.exit(status),
+    writeError,
+  });
   // Nothing has been accepted yet, so a stop needs no shutdown.
   processSignals.handle({
     [SignalRequest.Stop]: (signal) => {
-      writeError(`It ends, since ${signal} requested a stop before the daemon had started.`);
-      process.exit();
+      const text = `It ends, since ${signal} requested a stop before the daemon had started.`;
+      processEnd.end(EndReason.StoppedInStart, text);
     },
   });
   const read = await readSettings(process.env, ({ message }) =>
     writeError(`${message} It is read again for some seconds.`),
   );
+  startReport.finish(StartPart.Settings);
   await read.caseOf<Promise<void>>({
-    Left: ({ message }) => {
-      writeError(message);
-      process.exitCode = EXIT_INVALID_SETTINGS;
-      return Promise.resolve();
-    },
-    Right: (settings) => run(settings, options),
+    Left: ({ message }) => processEnd.end(EndReason.InvalidSettings, message),
+    Right: (settings) =>
+      run(settings, options, startReport, processEnd).catch((error: unknown) =>
+        processEnd.end(EndReason.StartFailed, describeError(error)),
+      ),
   });
 }
 
 function fail(error: unknown): void {
-  const detail = error instanceof Error ? error.message : String(error);
-  writeError(error instanceof DiagnosticError ? error.diagnostic.message : detail);
-  process.exit(EXIT_START_FAILED);
+  writeError(describeError(error));
+  process.exit(END_STATUSES[EndReason.StartFailed]);
 }
 
 function parseOptions(flags: Record<string, unknown>): Options | null {
@@ -187,7 +220,7 @@
   .action((flags: Record<string, unknown>) => {
     const options = parseOptions(flags);
     if (options === null) {
-      process.exitCode = EXIT_INVALID_SETTINGS;
+      process.exitCode = END_STATUSES[EndReason.InvalidSettings];
       return;
     }
     start(options).catch(fail);
@@ -197,7 +230,7 @@
   .action((flags: Record<string, unknown>) => {
     const options = parseOptions(flags);
     if (options === null) {
-      process.exitCode = EXIT_INVALID_SETTINGS;
+      process.exitCode = END_STATUSES[EndReason.InvalidSettings];
       return;
     }
     printStatus(options).catch(fail);
--- a/src/transport/entry/entryDaemon.ts
+++ b/src/transport/entry/entryDaemon.ts
@@ -39,8 +39,11 @@
 import { createLoopWorkMeter } from './loopWork.js';
 import { createPeerCallCounter } from './peerCallCounter.js';
 import { createMalformedEntries } from './malformedEntries.js';
+import { createMemoryMonitor, readMemoryUsage } from './memoryMonitor.js';
 import { createMetricsServer } from './metricsServer.js';
+import { EndReason } from './processEnd.js';
 import { createEntryPolicy, type EntrySettings } from './settings.js';
+import { StartPart, type StartReport } from './startReport.js';
 import { encodeControllerLeaseHolder, EntryKey } from './storeKeys.js';
 import {
   createConfigurationDecoder,
@@ -70,6 +73,7 @@
   readonly store: PrefixStore;
   readonly wire: EntryWire;
   readonly log: EntryLog;
+  readonly startReport: StartReport;
 }
 
 /** A running daemon. */
@@ -78,8 +82,8 @@
   readonly stop: () => void;
   /** Applies the limits of changed settings. */
   readonly reload: (settings: EntrySettings) => void;
-  /** Resolves when the daemon has shut down. */
-  readonly ended: Promise<void>;
+  /** Resolves with the reason when the daemon has shut down. */
+  readonly ended: Promise<EndReason>;
 }
 
 function createIdGenerator(prefix: string): () => string {
@@ -103,7 +107,7 @@
  * @throws DiagnosticError if the process cannot listen on an address.
  */
 export async function startEntryDaemon(options: EntryDaemonOptions): Promise<EntryDaemon> {
-  const { log, metricsPort, settings, store, wire } = options;
+  const { log, metricsPort, settings, startReport, store, wire } = options;
   const writeLog = log.write;
   const clock = Effect.runSync(Clock.clockWith(Effect.succeed));
   const getNowMs = (): number => readClockMs(clock);
@@ -168,6 +172,17 @@
       isController: state.placement.fence !== null,
     });
   });
+  createMemoryMonitor({
+    maxBytes: settings.memoryMb * BYTES_PER_MB,
+    readUsage: readMemoryUsage,
+    getNowMs,
+    onHigh: (fields) =>
+      writeLog(LogLevel.Warn, EntryLogPrefix.Lifecycle, 'The memory is nearly used up.', {
+        ...fields,
+        heldMb: Math.round(vmMemory.getTotalUsedBytes() / BYTES_PER_MB),
+        requests: state.requests.size,
+      }),
+  });
   const callerConnections = createCallerConnections();
   const server = createForwardServer({
     post,
@@ -210,16 +225,16 @@
     getNowMs,
   });
 
-  let resolveEnded = (): void => {};
-  const ended = new Promise<void>((resolve) => {
+  let resolveEnded: (reason: EndReason) => void = () => {};
+  const ended = new Promise<EndReason>((resolve) => {
     resolveEnded = resolve;
   });
-  const exit = (): void => {
+  const exit = (reason: EndReason): void => {
     const deregister = Effect.timeoutOrElse(registration.deregister, {
       duration: DEREGISTRATION_TIMEOUT_MS,
       orElse: () => Effect.void,
     });
-    void Effect.runPromise(deregister).then(resolveEnded);
+    void Effect.runPromise(deregister).then(() => resolveEnded(reason));
   };
   const stopAccepting = (): void => {
     if (server.listening) {
@@ -279,12 +294,18 @@
     server,
     setLimits: (limits) => {
       current.limits = limits;
+      startReport.finish(StartPart.Configuration);
     },
     setReady: (isReady) => {
       current.isReady = isReady;
+      if (isReady) {
+        startReport.finish(StartPart.Servers);
+        const times = startReport.getTimes();
+        writeLog(LogLevel.Info, EntryLogPrefix.Lifecycle, 'The start has ended.', times);
+      }
     },
     stopAccepting,
-    exit,
+    exit: () => exit(EndReason.StopRequested),
   });
   const loop = createEventLoop<EntryState, EntryEvent, EntryCommand>({
     state,
@@ -314,6 +335,7 @@
   await listenOn(readyServer, settings.readyAddress);
   await listenOn(server, settings.listenAddress);
   await listenOn(peerServer, settings.peerAddress);
+  startReport.finish(StartPart.Ports);
   // The VM serves its callers also without its metrics.
   listenOn(metricsServer, `${settings.host}:${metricsPort}`).catch((error: unknown) =>
     logUnexpectedError(writeLog, error),
@@ -325,8 +347,7 @@
         writeLog(LogLevel.Error, EntryLogPrefix.Lifecycle, 'The event loop stopped unexpectedly.', {
           detail,
         });
-        process.exitCode = 1;
-        exit();
+        exit(EndReason.LoopStopped);
       }),
     ),
   );
--- a/src/transport/vmMemory.ts
+++ b/src/transport/vmMemory.ts
@@ -60,6 +60,7 @@
 export interface VmMemory {
   readonly getMaxBytes: (purpose: MemoryPurpose) => number;
   readonly getUsedBytes: (purpose: MemoryPurpose) => number;
+  readonly getTotalUsedBytes: () => number;
   readonly hold: (purpose: MemoryPurpose) => HeldMemory;
 }
 
@@ -112,6 +113,8 @@
   return {
     getMaxBytes: (purpose) => shares[purpose].maxBytes,
     getUsedBytes: (purpose) => shares[purpose].usedBytes,
+    getTotalUsedBytes: () =>
+      Object.values(shares).reduce((sum, { usedBytes }) => sum + usedBytes, 0),
     hold: (purpose) => holdMemory(shares[purpose]),
   };
 }
--- a/tests/stand-ins/entryVms.ts
+++ b/tests/stand-ins/entryVms.ts
@@ -8,6 +8,7 @@
 import { type EntryDaemon, startEntryDaemon } from '../../src/transport/entry/entryDaemon.js';
 import type { EntryLog } from '../../src/transport/entry/entryLog.js';
 import type { EntrySettings } from '../../src/transport/entry/settings.js';
+import { createStartReport } from '../../src/transport/entry/startReport.js';
 import { findFreePort } from './processes.js';
 
 const SILENT_LOG: EntryLog = {
@@ -186,6 +187,7 @@
     store: createPlatformStore(storeAddress, 1_000),
     wire: PLATFORM_WIRE,
     log,
+    startReport: createStartReport(() => performance.now()),
   });
   return { settings, daemon, metricsAddress: `127.0.0.1:${ports[3]}` };
 }
