Let streams that are taken up go before new requests where the rate of a workspace is used up

Cause: after the restart of all VMs the buckets of a workspace begin low, and the streams that broke come back at once.

Change: a bucket keeps the tokens of a rejected take-up until half a second after the time that its caller was told, at most its capacity. New requests, and loans to other VMs, leave them in it; the time that is told covers those that were told before. The sum of what all VMs may spend is as before.

--- a/src/coordination/entry/limits/rateLoans.ts
+++ b/src/coordination/entry/limits/rateLoans.ts
@@ -4,7 +4,11 @@
  * and are lost if the answer is lost, so that loans never increase the total that all VMs may spend.
  */
 import type { ForwardWorkspace } from '../../../state/entry/deployment.js';
-import { getBucketShortage, type RateBucket } from '../../../state/entry/rateBucket.js';
+import {
+  getBucketShortage,
+  getReservedTokens,
+  type RateBucket,
+} from '../../../state/entry/rateBucket.js';
 import type { Lender } from '../../../state/entry/reports.js';
 import { nextRandomInt } from '../../../state/random.js';
 import { getDemand } from '../exchange/demand.js';
@@ -12,7 +16,7 @@
 import { type EntryEventKind, type EntryEventOf, LimitKind } from '../events.js';
 import { findLender, type LenderAddress } from './lenders.js';
 import { getOthersDemand } from '../exchange/othersDemand.js';
-import { getRateBucket, getRateHolders } from './rates.js';
+import { getNeededTokens, getRateBucket, getRateHolders } from './rates.js';
 import { type EntryState, ForwardPhase, type ForwardRecord } from '../state.js';
 
 /** Maximum number of VMs asked for one request. Each loan request delays it by a few milliseconds. */
@@ -33,7 +37,8 @@
 ): number {
   const reservedTokens =
     (getDemand(state.workspaceDemand, name, nowMs) * OWN_DEMAND_RESERVE_MS) / MS_PER_SECOND;
-  return Math.max(0, bucket.levelTokens - reservedTokens);
+  const keptTokens = getReservedTokens(bucket, null, nowMs);
+  return Math.max(0, bucket.levelTokens - reservedTokens - keptTokens);
 }
 
 /** Removes lenders' answers that are older than their reports. */
@@ -118,7 +123,7 @@
     return null;
   }
   const bucket = getRateBucket(state, workspace, nowMs);
-  const tokens = Math.ceil(getBucketShortage(bucket, record.costTokens));
+  const tokens = Math.ceil(getBucketShortage(bucket, getNeededTokens(bucket, record, nowMs)));
   const lenders = listLenders(state, record, bucket, nowMs);
   const lender = selectLender(
     state,
--- a/src/coordination/entry/limits/rates.ts
+++ b/src/coordination/entry/limits/rates.ts
@@ -10,6 +10,8 @@
 import {
   createRateBucket,
   getBucketWaitMs,
+  getReservedTokens,
+  keepTokens,
   type RateBucket,
   refundBucket,
   resizeRateBucket,
@@ -17,6 +19,7 @@
 } from '../../../state/entry/rateBucket.js';
 import { selectByRendezvous } from '../../../state/entry/rendezvous.js';
 import { getLastMeanDemand, getOthersDemand } from '../exchange/othersDemand.js';
+import type { ForwardRequest } from '../events.js';
 import { countVmsSharingLimits, type EntryState } from '../state.js';
 
 /** Fraction of the rate that is divided equally, regardless of demand. */
@@ -33,6 +36,8 @@
 /** Size of a share as a fraction of the same tokens where only some VMs have one. */
 const HOLDER_SHARE_FRACTION = 0.5;
 const MIN_HOLDERS = 2;
+/** Time after which a caller that was told to come again is expected to have come, beyond the time that it was told. */
+const RESERVATION_SLACK_MS = 500;
 const MS_PER_SECOND = 1000;
 
 /**
@@ -144,28 +149,66 @@
   return existing;
 }
 
+/** Returns what names the stream that a request takes up; null for a request from the beginning. */
+function getStreamKey({ lastEventId, requestId, resumedRequestId }: ForwardRequest): string | null {
+  return lastEventId === null ? null : (resumedRequestId ?? requestId);
+}
+
+/** The request to charge, and its cost. */
+export interface RateCharge {
+  readonly request: ForwardRequest;
+  readonly costTokens: number;
+}
+
+/** Returns the tokens that a bucket must hold to admit a request: those that are kept for other requests stay in it. */
+export function getNeededTokens(
+  bucket: RateBucket,
+  { costTokens, request }: RateCharge,
+  nowMs: number,
+): number {
+  const key = getStreamKey(request);
+  return key === null ? costTokens + getReservedTokens(bucket, key, nowMs) : costTokens;
+}
+
 /**
- * Takes the cost of a request from this VM's share of the workspace's rate.
+ * Takes the cost of a request from this VM's share of the workspace's rate. A caller that takes a stream up has events of it that
+ * are lost if it cannot go on, so tokens are kept for it once it was rejected.
  *
  * @returns null if the cost was taken, else the time in milliseconds until it can be.
  */
 export function chargeRate(
   state: EntryState,
   workspace: ForwardWorkspace,
-  costTokens: number,
+  charge: RateCharge,
   nowMs: number,
 ): number | null {
   if (workspace.rateTokensPerSecond <= 0) {
     return null;
   }
+  const { costTokens, request } = charge;
   const bucket = getRateBucket(state, workspace, nowMs);
-  if (takeFromBucket(bucket, costTokens, nowMs)) {
+  const key = getStreamKey(request);
+  const neededTokens = getNeededTokens(bucket, charge, nowMs);
+  if (
+    getBucketWaitMs(bucket, neededTokens, nowMs) === 0 &&
+    takeFromBucket(bucket, costTokens, nowMs)
+  ) {
+    if (key !== null) {
+      bucket.reservations.delete(key);
+    }
     return null;
   }
+  const queuedTokens = costTokens + getReservedTokens(bucket, key, nowMs);
   // A VM without a share waits for the others' buckets to refill.
-  return bucket.rateTokensPerSecond === 0
-    ? (costTokens * MS_PER_SECOND) / workspace.rateTokensPerSecond
-    : getBucketWaitMs(bucket, costTokens, nowMs);
+  const waitMs =
+    bucket.rateTokensPerSecond === 0
+      ? (queuedTokens * MS_PER_SECOND) / workspace.rateTokensPerSecond
+      : getBucketWaitMs(bucket, queuedTokens, nowMs);
+  if (key !== null) {
+    const expiresAtMs = nowMs + waitMs + RESERVATION_SLACK_MS;
+    keepTokens(bucket, key, { tokens: costTokens, expiresAtMs }, nowMs);
+  }
+  return waitMs;
 }
 
 /** Returns the cost of a request that has not run to the workspace's bucket. */
--- a/src/coordination/entry/requests/admission.ts
+++ b/src/coordination/entry/requests/admission.ts
@@ -253,7 +253,7 @@
  */
 function chargeForward(state: EntryState, record: ForwardRecord, nowMs: number): EntryCommand[] {
   const { costTokens, request, workspace } = record;
-  const waitMs = workspace === null ? null : chargeRate(state, workspace, costTokens, nowMs);
+  const waitMs = workspace === null ? null : chargeRate(state, workspace, record, nowMs);
   if (waitMs !== null) {
     return requestLoan(state, record, nowMs) ?? refuseOverRate(state, record, waitMs, nowMs);
   }
--- a/src/state/entry/rateBucket.ts
+++ b/src/state/entry/rateBucket.ts
@@ -4,16 +4,26 @@
  * A request may cost more than the capacity of a small bucket. It is then admitted when the bucket is full, and
  * the level stays negative until the refill has made up for it. Otherwise the large requests of a small workspace
  * would never run.
+ *
+ * A bucket keeps tokens for requests that were rejected and go before others when they come again.
  */
 
 const MS_PER_SECOND = 1000;
 
+/** Tokens that are kept for a rejected request until it comes again or a time is over. */
+export interface Reservation {
+  readonly tokens: number;
+  readonly expiresAtMs: number;
+}
+
 /** Token bucket. Mutable; only the event loop changes it. */
 export interface RateBucket {
   levelTokens: number;
   capacityTokens: number;
   rateTokensPerSecond: number;
   updatedAtMs: number;
+  /** By what names the rejected request. */
+  readonly reservations: Map<string, Reservation>;
 }
 
 /** Creates a bucket with an initial level, which the caller must have accounted for in the workspace's rate. */
@@ -23,7 +33,13 @@
   levelTokens: number,
   nowMs: number,
 ): RateBucket {
-  return { levelTokens, capacityTokens, rateTokensPerSecond, updatedAtMs: nowMs };
+  return {
+    levelTokens,
+    capacityTokens,
+    rateTokensPerSecond,
+    updatedAtMs: nowMs,
+    reservations: new Map(),
+  };
 }
 
 function refill(bucket: RateBucket, nowMs: number): void {
@@ -70,6 +86,35 @@
   return Math.max(0, Math.min(costTokens, capacityTokens) - levelTokens);
 }
 
+/** Returns the tokens that are kept for rejected requests other than the given one. */
+export function getReservedTokens(
+  { reservations }: RateBucket,
+  key: string | null,
+  nowMs: number,
+): number {
+  let sum = 0;
+  reservations.forEach(({ expiresAtMs, tokens }, other) => {
+    if (expiresAtMs <= nowMs) {
+      reservations.delete(other);
+    } else if (other !== key) {
+      sum += tokens;
+    }
+  });
+  return sum;
+}
+
+/** Keeps tokens for a rejected request. More than the capacity cannot be kept. */
+export function keepTokens(
+  bucket: RateBucket,
+  key: string,
+  reservation: Reservation,
+  nowMs: number,
+): void {
+  if (getReservedTokens(bucket, key, nowMs) < bucket.capacityTokens) {
+    bucket.reservations.set(key, reservation);
+  }
+}
+
 /** Returns the time until a cost can be taken, which is infinite for a bucket that does not refill. */
 export function getBucketWaitMs(bucket: RateBucket, costTokens: number, nowMs: number): number {
   refill(bucket, nowMs);
