Load the adapter for a stream on an engine of the software version that began it

What callers may see: a stream that may go on at one version only waits for its adapter, while the controller answers with an engine of another version that holds it, or loads it there; the request then ends without a server. Cause: a request for an adapter names the model only, and any engine of the service will do.

Change: it names the version too, in an optional field that older VMs neither send nor read, so any version will do for them. The controller chooses among engines of it, and a VM asks only if one of them holds the base model.

--- a/src/coordination/entry/commands.ts
+++ b/src/coordination/entry/commands.ts
@@ -4,6 +4,7 @@
  */
 import type { CallerLimits } from '../../state/entry/deployment.js';
 import type { Quarantine } from '../../state/entry/crashEvidence.js';
+import type { AdapterNeed } from '../../state/entry/reports.js';
 import type { Refusal } from '../../state/types.js';
 import type { LogLevel, RequestMetrics } from '../events.js';
 import type { EngineOrder, EntryEvent, LimitName } from './events.js';
@@ -126,10 +127,7 @@
   /** Requests an adapter from the controller. */
   [EntryCommandKind.RequestAdapter]: {
     readonly peerAddress: string;
-    readonly service: string;
-    readonly model: string;
-    readonly adapter: string;
-    readonly failureDomain: string;
+    readonly need: AdapterNeed;
   };
   [EntryCommandKind.ReplyToAdapterRequest]: {
     readonly replyId: string;
--- a/src/coordination/entry/events.ts
+++ b/src/coordination/entry/events.ts
@@ -5,6 +5,7 @@
 import type { BackendEntry } from '../../state/entry/backends.js';
 import type { Deployment } from '../../state/entry/deployment.js';
 import type { Quarantine } from '../../state/entry/crashEvidence.js';
+import type { AdapterNeed } from '../../state/entry/reports.js';
 import type { LifeEvidence } from '../../state/entry/serverLife.js';
 import type { SpoilReason } from '../../state/entry/spoiledStreams.js';
 import type { Diagnostic } from '../../state/diagnostics.js';
@@ -314,10 +315,7 @@
   [EntryEventKind.PeerCallFailed]: { readonly vmId: string };
   /** Another VM requests an adapter from this VM as the controller. */
   [EntryEventKind.AdapterRequested]: {
-    readonly service: string;
-    readonly model: string;
-    readonly adapter: string;
-    readonly failureDomain: string;
+    readonly need: AdapterNeed;
     readonly replyId: string;
   };
   [EntryEventKind.AdapterRequestAnswered]: {
--- a/src/coordination/entry/placement/adapterPlacement.ts
+++ b/src/coordination/entry/placement/adapterPlacement.ts
@@ -4,12 +4,12 @@
  */
 import { getVariantKey } from '../../../state/entry/backends.js';
 import type { EngineProfile } from '../../../state/entry/deployment.js';
-import type { EngineAdapters } from '../../../state/entry/reports.js';
+import type { AdapterNeed, EngineAdapters } from '../../../state/entry/reports.js';
 import { sendEngineOrder } from './engineOrders.js';
 import { type EntryCommand, EntryCommandKind } from '../commands.js';
 import { type EntryEventKind, type EntryEventOf, OrderAction } from '../events.js';
 import { type EngineControl, getIncomingModel } from './placementState.js';
-import { isAcceptingRequests } from '../requests/backendSelection.js';
+import { hasStreamVersion, isAcceptingRequests } from '../requests/backendSelection.js';
 import { isPaused } from '../servers/serverPauses.js';
 import type { EntryState } from '../state.js';
 
@@ -24,13 +24,18 @@
   return [...control.models.values()].reduce((sum, adapters) => sum + adapters.size, 0);
 }
 
-function findEnginesWithModel(state: EntryState, service: string, model: string): EngineControl[] {
+/** Returns the engines that hold the base model of a needed adapter and may run requests for it. */
+function findEnginesWithModel(
+  state: EntryState,
+  { model, service, softwareVersion }: AdapterNeed,
+): EngineControl[] {
   return [...state.placement.engines.values()].filter((control) => {
     const backend = state.backends.get(control.backendId);
     const isUnloading = control.change?.model === model && !control.change.isLoad;
     return (
       backend !== undefined &&
       backend.entry.service === service &&
+      hasStreamVersion({ streamVersion: softwareVersion }, backend) &&
       isAcceptingRequests(backend) &&
       control.models.has(model) &&
       !isUnloading
@@ -69,9 +74,9 @@
   event: EntryEventOf<typeof EntryEventKind.AdapterRequested>,
   nowMs: number,
 ): AdapterRequestResult {
-  const { adapter, failureDomain, model, replyId, service } = event;
-  const candidates =
-    state.placement.fence === null ? [] : findEnginesWithModel(state, service, model);
+  const { need, replyId } = event;
+  const { adapter, failureDomain, model } = need;
+  const candidates = state.placement.fence === null ? [] : findEnginesWithModel(state, need);
   const key = getVariantKey(model, adapter);
   const engineWithAdapter = candidates.find((control) => control.models.get(model)?.has(adapter));
   if (engineWithAdapter !== undefined) {
--- a/src/coordination/entry/placement/adapterRequests.ts
+++ b/src/coordination/entry/placement/adapterRequests.ts
@@ -4,14 +4,18 @@
 import { listOffering } from '../../../state/entry/backendLists.js';
 import { getVariantKey } from '../../../state/entry/backends.js';
 import { type EntryCommand, EntryCommandKind } from '../commands.js';
-import { isAcceptingRequests } from '../requests/backendSelection.js';
+import { hasStreamVersion, isAcceptingRequests } from '../requests/backendSelection.js';
 import type { EntryState, ForwardRecord } from '../state.js';
 
 /** Minimum time between two requests for the same adapter. It covers the load order, the load and the answer. */
 const MIN_REQUEST_INTERVAL_MS = 250;
 
-function isBaseModelLoaded(state: EntryState, service: string, model: string): boolean {
-  return listOffering(state.backendLists, state.backends, service, model).some(isAcceptingRequests);
+/** Returns whether an engine that may run a request holds its base model. */
+function isBaseModelLoaded(state: EntryState, record: ForwardRecord, model: string): boolean {
+  const { backendLists, backends } = state;
+  return listOffering(backendLists, backends, record.service.name, model).some(
+    (backend) => isAcceptingRequests(backend) && hasStreamVersion(record, backend),
+  );
 }
 
 /**
@@ -29,18 +33,15 @@
     return [];
   }
   const service = record.service.name;
-  const key = `${service} ${getVariantKey(model, adapter)}`;
+  const softwareVersion = record.streamVersion;
+  const key = `${service} ${getVariantKey(model, adapter)} ${softwareVersion ?? ''}`;
   const requestedAtMs = state.adapterRequestedAtMs.get(key) ?? Number.NEGATIVE_INFINITY;
-  if (
-    nowMs - requestedAtMs < MIN_REQUEST_INTERVAL_MS ||
-    !isBaseModelLoaded(state, service, model)
-  ) {
+  if (nowMs - requestedAtMs < MIN_REQUEST_INTERVAL_MS || !isBaseModelLoaded(state, record, model)) {
     return [];
   }
   state.adapterRequestedAtMs.set(key, nowMs);
   const { failureDomain } = state.self;
   const { peerAddress } = controller;
-  return [
-    { kind: EntryCommandKind.RequestAdapter, peerAddress, service, model, adapter, failureDomain },
-  ];
+  const need = { service, model, adapter, failureDomain, softwareVersion };
+  return [{ kind: EntryCommandKind.RequestAdapter, peerAddress, need }];
 }
--- a/src/coordination/entry/requests/backendSelection.ts
+++ b/src/coordination/entry/requests/backendSelection.ts
@@ -90,7 +90,10 @@
 }
 
 /** Returns whether a server's software may run a request: what two versions write into a stream does not fit together. */
-function hasStreamVersion({ streamVersion }: Target, { entry }: Backend): boolean {
+export function hasStreamVersion(
+  { streamVersion }: Pick<ForwardRecord, 'streamVersion'>,
+  { entry }: Backend,
+): boolean {
   return streamVersion === null || entry.softwareVersion === streamVersion;
 }
 
--- a/src/state/entry/reports.ts
+++ b/src/state/entry/reports.ts
@@ -3,6 +3,17 @@
  * Peer messages carry these types, so their members have the names of the wire format.
  */
 
+/** An adapter that a request needs, and the engines that it can use. */
+export interface AdapterNeed {
+  readonly service: string;
+  readonly model: string;
+  readonly adapter: string;
+  /** Failure domain of the VM that has the request. */
+  readonly failureDomain: string;
+  /** Version of the software that the engine must have; null if any will do. */
+  readonly softwareVersion: string | null;
+}
+
 /** A VM that has tokens of a workspace's rate that it can lend. */
 export interface Lender {
   readonly vmId: string;
--- a/src/transport/entry/commandTable.ts
+++ b/src/transport/entry/commandTable.ts
@@ -174,20 +174,18 @@
     },
     [EntryCommandKind.SetStoreAccess]: ({ isReader }) => storeAccess.setReader(isReader),
     [EntryCommandKind.RenewRegistration]: registration.renew,
-    [EntryCommandKind.RequestAdapter]: ({ peerAddress, ...request }) => {
-      const { adapter, failureDomain, model, service } = request;
+    [EntryCommandKind.RequestAdapter]: ({ need, peerAddress }) => {
+      const { adapter, model, service } = need;
       const replyId = createReplyId();
       const localCall = Effect.promise(() => {
         const reply = waitForReply(replies.adapters, replyId, LOCAL_ADAPTER_TIMEOUT_MS, null);
         const kind = EntryEventKind.AdapterRequested;
-        post({ kind, service, model, adapter, failureDomain, replyId });
+        post({ kind, need, replyId });
         return reply;
       });
       const isSelf = peerAddress === self.peerAddress;
       peerCalls.add(PeerCallPurpose.Adapter);
-      const call = isSelf
-        ? localCall
-        : peers.ensureAdapter(peerAddress, { adapter, failureDomain, model, service });
+      const call = isSelf ? localCall : peers.ensureAdapter(peerAddress, need);
       const kind = EntryEventKind.AdapterRequestAnswered;
       const report = (backendId: string | null): void =>
         post({ kind, service, model, adapter, backendId });
--- a/src/transport/entry/entryPeers.ts
+++ b/src/transport/entry/entryPeers.ts
@@ -31,6 +31,7 @@
 import { createDiagnostic, type Diagnostic, Diagnostics } from '../../state/diagnostics.js';
 import { readStoreMirror, type StoreMirror } from '../../state/entry/storeMirror.js';
 import type { StoreUpdate } from '../../state/storedItems.js';
+import type { AdapterNeed } from '../../state/entry/reports.js';
 import { createPeerCalls, MAX_PEER_MESSAGE_BYTES, MIN_COMPRESSED_BYTES } from '../peerCalls.js';
 
 /** A peer that does not reply within this time is partitioned or suspended. */
@@ -141,11 +142,18 @@
             ageMs: ageMs ?? 0,
           });
         },
-        ensureAdapter: async ({ adapter, failureDomain, model, service }) => {
+        ensureAdapter: async ({
+          adapter,
+          failureDomain,
+          model,
+          service,
+          softwareVersion = null,
+        }) => {
           const replyId = createReplyId();
           const reply = waitForReply(replies.adapters, replyId, ADAPTER_TIMEOUT_MS, null);
           const kind = EntryEventKind.AdapterRequested;
-          post({ kind, service, model, adapter, failureDomain, replyId });
+          const need = { service, model, adapter, failureDomain, softwareVersion };
+          post({ kind, need, replyId });
           const backendId = (await reply) ?? undefined;
           return create(EnsureAdapterResponseSchema, { backendId });
         },
@@ -169,14 +177,6 @@
   return http.createServer(handler);
 }
 
-/** The adapter to load, and the failure domain in which a request needs it. */
-export interface AdapterRequest {
-  readonly service: string;
-  readonly model: string;
-  readonly adapter: string;
-  readonly failureDomain: string;
-}
-
 /** Calls peers. Every call has a timeout. */
 export interface EntryPeerClient {
   /** Sends a message, and requests the changes of the store after a revision unless that is null. */
@@ -187,7 +187,7 @@
   ) => Effect.Effect<PeerReply, Diagnostic>;
   readonly ensureAdapter: (
     address: string,
-    request: AdapterRequest,
+    need: AdapterNeed,
   ) => Effect.Effect<string | null, Diagnostic>;
   readonly requestLoan: (
     address: string,
@@ -214,9 +214,12 @@
           store: decodeStoreReply(reply),
         })),
       ),
-    ensureAdapter: (address, request) =>
+    ensureAdapter: (address, { softwareVersion, ...need }) =>
       call(address, (client) =>
-        client.ensureAdapter(request, { timeoutMs: ADAPTER_TIMEOUT_MS }),
+        client.ensureAdapter(
+          { ...need, softwareVersion: softwareVersion ?? undefined },
+          { timeoutMs: ADAPTER_TIMEOUT_MS },
+        ),
       ).pipe(Effect.map(({ backendId }) => backendId ?? null)),
     requestLoan: (address, { kind, name }, tokens) =>
       call(address, (client) =>
--- a/tests/entry/thrownErrors.test.ts
+++ b/tests/entry/thrownErrors.test.ts
@@ -102,10 +102,13 @@
     command: {
       kind: EntryCommandKind.RequestAdapter,
       peerAddress: 'vm-2:1',
-      service: 'llm',
-      model: 'm',
-      adapter: 'a1',
-      failureDomain: 'fd-a',
+      need: {
+        service: 'llm',
+        model: 'm',
+        adapter: 'a1',
+        failureDomain: 'fd-a',
+        softwareVersion: null,
+      },
     },
     peers: { ensureAdapter: () => FAULT },
     event: { kind: EntryEventKind.AdapterRequestAnswered, adapter: 'a1', backendId: null },
