Don't let a late refusal of an earlier term end the present one

Cause: the answer to an order did not name the fence that the order was sent with. An order of an earlier term that reached its engine late was refused; the controller took that for a refusal of its present fence, ended the term, and ignored the renewals of the lease that it still held.

OrderAnswered carries the fence now, and a refusal ends only the term that it is for.

--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -339,8 +339,11 @@
 const OUTCOME_HANDLERS: Readonly<Record<OrderOutcome, OutcomeHandler>> = {
   [OrderOutcome.Accepted]: (state, { orderId, server }, nowMs) =>
     handleAcceptedOrder(state, server, orderId, nowMs),
-  // Another controller has a higher fencing token.
-  [OrderOutcome.Fenced]: (state, { server }) => {
+  // Another controller has a higher fencing token, unless the order belongs to an earlier term of this VM.
+  [OrderOutcome.Fenced]: (state, { fence, server }) => {
+    if (fence !== state.controller.fence) {
+      return [];
+    }
     endTerm(state);
     const text = 'An engine rejected an order because of an outdated fencing token.';
     return [createLog(LogLevel.Warn, LogPrefix.Placement, text, { server })];
--- a/src/coordination/events.ts
+++ b/src/coordination/events.ts
@@ -180,6 +180,8 @@
   [EventKind.OrderAnswered]: {
     readonly server: string;
     readonly orderId: string;
+    /** The fencing token that the order was sent with. */
+    readonly fence: number;
     readonly outcome: OrderOutcome;
   };
   [EventKind.StopRequested]: Record<never, never>;
--- a/src/transport/commandTable.ts
+++ b/src/transport/commandTable.ts
@@ -328,7 +328,7 @@
         timeoutMs: ENGINE_CALL_TIMEOUT_MS,
       });
       const postOutcome = (outcome: OrderOutcome): void =>
-        post({ kind: EventKind.OrderAnswered, server, orderId: order.orderId, outcome });
+        post({ kind: EventKind.OrderAnswered, server, orderId: order.orderId, fence, outcome });
       runDetached(
         Effect.match(call, {
           onFailure: () => postOutcome(OrderOutcome.Unconfirmed),
--- a/tests/coordination/lateLeases.test.ts
+++ b/tests/coordination/lateLeases.test.ts
@@ -20,6 +20,11 @@
   return { kind, fence, isLost, sentAtMs };
 }
 
+function createRefusal(fence: number): VmEvent {
+  const { Fenced: outcome } = OrderOutcome;
+  return { kind: EventKind.OrderAnswered, server: 'engine-1', orderId: 'order-1', fence, outcome };
+}
+
 const CASES: readonly {
   readonly name: string;
   readonly events: readonly VmEvent[];
@@ -32,17 +37,18 @@
   },
   {
     name: 'a renewal, after an engine has refused the fence',
+    events: [createAnswer(4, 0), createRefusal(4), createAnswer(4, 100)],
+    fence: null,
+  },
+  {
+    name: 'a refusal of an order of an earlier term, after a later term has begun',
     events: [
       createAnswer(4, 0),
-      {
-        kind: EventKind.OrderAnswered,
-        server: 'engine-1',
-        orderId: 'order-1',
-        outcome: OrderOutcome.Fenced,
-      },
-      createAnswer(4, 100),
+      createAnswer(null, 0, true),
+      createAnswer(9, 200),
+      createRefusal(4),
     ],
-    fence: null,
+    fence: 9,
   },
   {
     name: 'a renewal, after the lease is known to be lost',
--- a/tests/coordination/placement.test.ts
+++ b/tests/coordination/placement.test.ts
@@ -209,6 +209,23 @@
       { kind: 'freeze', index: 0, afterMs: 500 },
     ],
   },
+  {
+    name: 'an engine refuses a delayed order of an earlier term of the controller',
+    seed: 0,
+    faults: [
+      { kind: 'orders', index: 4, afterMs: 1_104 },
+      { kind: 'restart', index: 0, afterMs: 5_397 },
+    ],
+  },
+  {
+    name: 'an engine refuses a delayed order after the controller froze and restarted',
+    seed: 0,
+    faults: [
+      { kind: 'orders', index: 4, afterMs: 4_766 },
+      { kind: 'freeze', index: 0, afterMs: 3_735 },
+      { kind: 'restart', index: 0, afterMs: 500 },
+    ],
+  },
 ];
 
 /** Injects the faults, ends them all, configures version 99 and lets the failure domain converge. */
--- a/tests/fakes/simulatedDomain.ts
+++ b/tests/fakes/simulatedDomain.ts
@@ -210,13 +210,14 @@
           kind: EventKind.OrderAnswered,
           server,
           orderId: order.orderId,
+          fence,
           outcome: OrderOutcome.Unconfirmed,
         });
       } else {
         scheduleAfter(nextRandomInt(random, faults.maxDelayMs), () => {
           const outcome = receiveOrder(engine, order, fence);
           const { orderId } = order;
-          deliverLater(vm, 1, { kind: EventKind.OrderAnswered, server, orderId, outcome });
+          deliverLater(vm, 1, { kind: EventKind.OrderAnswered, server, orderId, fence, outcome });
         });
       }
     }
