--- a/tests/entry/fixtures.ts
+++ b/tests/entry/fixtures.ts
@@ -226,8 +226,21 @@
   ) => EntryCommand[];
 }
 
-/** Creates a VM that is ready and has two backend servers of each service. */
-export function createTestVm(policy: Partial<EntryPolicy> = {}): TestVm {
+/** Two backend servers of each service. */
+export const TEST_ENTRIES: readonly BackendEntry[] = [
+  createTestEntry('c1', 'counter'),
+  createTestEntry('c2', 'counter'),
+  createTestEntry('e1', 'llm'),
+  createTestEntry('e2', 'llm'),
+];
+
+/** Creates a VM that is ready and has two backend servers of each service, unless others are given. */
+export function createTestVm(
+  policy: Partial<EntryPolicy> = {},
+  entries: readonly BackendEntry[] = TEST_ENTRIES,
+  startedAtMs = 0,
+  seed = 1,
+): TestVm {
   const self = {
     vmId: 'vm-1',
     incarnation: 'a',
@@ -235,7 +248,7 @@
     peerAddress: 'vm-1:1',
     processorShare: 1,
   };
-  const state = createEntryState(self, { ...TEST_POLICY, ...policy }, 1, 0);
+  const state = createEntryState(self, { ...TEST_POLICY, ...policy }, seed, startedAtMs);
   const step = (event: EntryEvent, nowMs = 10_000): EntryCommand[] =>
     stepEntry(state, event, nowMs);
   const readBackends = (
@@ -247,17 +260,11 @@
     return step({ kind, isSnapshot: false, changes, revision, source: 'test' }, nowMs);
   };
   const kind = EntryEventKind.ConfigurationRead;
-  step({ kind, deployment: createTestDeployment(), revision: 1, source: 'test' }, 0);
-  const entries = [
-    createTestEntry('c1', 'counter'),
-    createTestEntry('c2', 'counter'),
-    createTestEntry('e1', 'llm'),
-    createTestEntry('e2', 'llm'),
-  ];
+  step({ kind, deployment: createTestDeployment(), revision: 1, source: 'test' }, startedAtMs);
   readBackends(
     entries.map((entry) => ({ id: entry.id, revision: 5, entry })),
     5,
-    0,
+    startedAtMs,
   );
   const receiveRequest = (request: ForwardRequest, nowMs = 10_000): EntryCommand[] =>
     step({ kind: EntryEventKind.RequestArrived, request, delayMs: 0 }, nowMs);
--- /dev/null
+++ b/tests/entry/streamFleet.ts
@@ -0,0 +1,231 @@
+/**
+ * Several entry VMs' event handlers on one virtual time, with servers of several software versions and callers that take their
+ * streams up again.
+ */
+import { CloseCause } from '../../src/coordination/entry/closeCause.js';
+import { EntryCommandKind } from '../../src/coordination/entry/commands.js';
+import {
+  type EntryEvent,
+  EntryEventKind,
+  type ForwardRequest,
+} from '../../src/coordination/entry/events.js';
+import type { BackendEntry } from '../../src/state/entry/backends.js';
+import { RunStatus } from '../../src/state/types.js';
+import { createTestEntry, createTestRequest, createTestVm, type TestVm } from './fixtures.js';
+
+/** What becomes of a stream that its caller takes up. */
+export const TakeUpOutcome = {
+  SameVersion: 'same version',
+  OtherVersion: 'other version',
+  NotRun: 'not run',
+  /** It was neither sent to a server nor rejected. */
+  Open: 'open',
+} as const;
+export type TakeUpOutcome = (typeof TakeUpOutcome)[keyof typeof TakeUpOutcome];
+
+/** Time between two steps of a play, in which timers fire. */
+const STEP_MS = 100;
+/** A take-up that is neither sent nor rejected within this time is open. */
+const MAX_TAKE_UP_MS = 1_500;
+
+interface Timer {
+  readonly atMs: number;
+  readonly event: EntryEvent;
+}
+
+interface FleetVm {
+  readonly vm: TestVm;
+  readonly timers: Map<string, Timer>;
+  /** The server of each request. */
+  readonly serverIds: Map<string, string>;
+  readonly refusals: Map<string, string>;
+}
+
+/** The VMs of a play. Mutable. */
+export interface StreamFleet {
+  readonly vms: Map<string, FleetVm>;
+  servers: readonly BackendEntry[];
+  revision: number;
+  nowMs: number;
+  requestCount: number;
+  startCount: number;
+  /** The software version that began each stream, by the caller's id of the request. */
+  readonly versionsByStream: Map<string, string>;
+}
+
+/** Creates one server for each version. */
+export function createServers(versions: readonly string[]): BackendEntry[] {
+  return versions.map((softwareVersion, index) =>
+    createTestEntry(`e${index + 1}`, 'llm', { softwareVersion }),
+  );
+}
+
+type CommandHandler = (
+  fleet: StreamFleet,
+  vmId: string,
+  command: never,
+) => readonly EntryEvent[] | void;
+
+const COMMAND_HANDLERS: Partial<Readonly<Record<EntryCommandKind, CommandHandler>>> = {
+  [EntryCommandKind.StartTimer]: (
+    { nowMs, vms },
+    vmId,
+    { delayMs, event, timerId }: { delayMs: number; event: EntryEvent; timerId: string },
+  ) => {
+    vms.get(vmId)?.timers.set(timerId, { atMs: nowMs + delayMs, event });
+  },
+  [EntryCommandKind.CancelTimer]: ({ vms }, vmId, { timerId }: { timerId: string }) => {
+    vms.get(vmId)?.timers.delete(timerId);
+  },
+  [EntryCommandKind.Dispatch]: (
+    { vms },
+    vmId,
+    { backendId, requestId }: { backendId: string; requestId: string },
+  ) => {
+    vms.get(vmId)?.serverIds.set(requestId, backendId);
+  },
+  [EntryCommandKind.Refuse]: (
+    { vms },
+    vmId,
+    { refusal, requestId }: { refusal: { run: string }; requestId: string },
+  ) => {
+    vms.get(vmId)?.refusals.set(requestId, refusal.run);
+  },
+};
+
+function post(fleet: StreamFleet, vmId: string, event: EntryEvent): void {
+  const { vm } = fleet.vms.get(vmId)!;
+  vm.step(event, fleet.nowMs)
+    .flatMap((command) => COMMAND_HANDLERS[command.kind]?.(fleet, vmId, command as never) ?? [])
+    .forEach((reply) => post(fleet, vmId, reply));
+}
+
+/** Starts a VM, which then knows the servers. */
+export function startVm(fleet: StreamFleet, vmId: string): void {
+  fleet.startCount += 1;
+  const vm = createTestVm({}, fleet.servers, fleet.nowMs, fleet.startCount);
+  fleet.vms.set(vmId, { vm, timers: new Map(), serverIds: new Map(), refusals: new Map() });
+  post(fleet, vmId, { kind: EntryEventKind.MaintenanceTick });
+}
+
+/** Ends VMs without a trace. */
+export function killVms({ vms }: StreamFleet, vmIds: readonly string[]): void {
+  vmIds.forEach((vmId) => vms.delete(vmId));
+}
+
+/** Lets time pass, with the timers of all VMs. */
+export function advance(fleet: StreamFleet, durationMs: number): void {
+  const untilMs = fleet.nowMs + durationMs;
+  while (fleet.nowMs < untilMs) {
+    fleet.nowMs = Math.min(untilMs, fleet.nowMs + STEP_MS);
+    fleet.vms.forEach(({ timers }, vmId) => {
+      [...timers]
+        .filter(([, { atMs }]) => atMs <= fleet.nowMs)
+        .forEach(([timerId, { event }]) => {
+          timers.delete(timerId);
+          post(fleet, vmId, event);
+        });
+    });
+  }
+}
+
+/** Replaces the servers; all VMs learn of it. */
+export function setServers(fleet: StreamFleet, servers: readonly BackendEntry[]): void {
+  fleet.servers = servers;
+  fleet.revision += 1;
+  const { revision } = fleet;
+  const changes = servers.map((entry) => ({ id: entry.id, revision, entry }));
+  const kind = EntryEventKind.BackendsRead;
+  [...fleet.vms.keys()].forEach((vmId) =>
+    post(fleet, vmId, { kind, isSnapshot: true, changes, revision, source: 'test' }),
+  );
+}
+
+/** Creates VMs that have served with some servers for a while. */
+export function createStreamFleet(
+  vmIds: readonly string[],
+  servers: readonly BackendEntry[],
+): StreamFleet {
+  const fleet: StreamFleet = {
+    vms: new Map(),
+    servers,
+    revision: 10,
+    nowMs: 100_000,
+    requestCount: 0,
+    startCount: 0,
+    versionsByStream: new Map(),
+  };
+  vmIds.forEach((vmId) => startVm(fleet, vmId));
+  advance(fleet, 1_000);
+  return fleet;
+}
+
+function getVersion({ servers }: StreamFleet, serverId: string): string | undefined {
+  return servers.find(({ id }) => id === serverId)?.softwareVersion;
+}
+
+function sendRequest(
+  fleet: StreamFleet,
+  vmId: string,
+  changes: Partial<ForwardRequest>,
+): ForwardRequest {
+  fleet.requestCount += 1;
+  const request = createTestRequest(`r${fleet.requestCount}`, '/draft/x', {
+    promptTokens: 10,
+    maxOutputTokens: 1,
+    ...changes,
+  });
+  post(fleet, vmId, { kind: EntryEventKind.RequestArrived, request, delayMs: 0 });
+  return request;
+}
+
+/** Delivers the first event of a request's answer to its caller. */
+function deliverFirstEvent(fleet: StreamFleet, vmId: string, requestId: string): void {
+  const kind = EntryEventKind.AnswerStarted;
+  post(fleet, vmId, { kind, requestId, attempt: 1, load: null });
+}
+
+/** Lets the caller of a request leave. */
+export function leave(fleet: StreamFleet, vmId: string, requestId: string): void {
+  post(fleet, vmId, {
+    kind: EntryEventKind.CallerDisconnected,
+    requestId,
+    closedBy: CloseCause.Caller,
+  });
+}
+
+/** Starts streams whose callers get their first event. Returns the requests. */
+export function beginStreams(fleet: StreamFleet, vmId: string, count: number): ForwardRequest[] {
+  return Array.from({ length: count }, () => {
+    const request = sendRequest(fleet, vmId, {});
+    const serverId = fleet.vms.get(vmId)!.serverIds.get(request.requestId) ?? '';
+    fleet.versionsByStream.set(request.callerRequestId, getVersion(fleet, serverId) ?? '');
+    deliverFirstEvent(fleet, vmId, request.requestId);
+    return request;
+  });
+}
+
+/** Takes a stream up that a request has begun; `changes` are those of the request that takes it up. */
+export function takeUp(
+  fleet: StreamFleet,
+  vmId: string,
+  begun: ForwardRequest,
+  changes: Partial<ForwardRequest> = {},
+): { readonly request: ForwardRequest; readonly outcome: TakeUpOutcome } {
+  const resumedRequestId = begun.resumedRequestId ?? begun.callerRequestId;
+  const request = sendRequest(fleet, vmId, { lastEventId: '9', resumedRequestId, ...changes });
+  const { refusals, serverIds } = fleet.vms.get(vmId)!;
+  const { requestId } = request;
+  const untilMs = fleet.nowMs + MAX_TAKE_UP_MS;
+  while (!serverIds.has(requestId) && !refusals.has(requestId) && fleet.nowMs < untilMs) {
+    advance(fleet, STEP_MS);
+  }
+  const serverId = serverIds.get(requestId);
+  if (serverId === undefined) {
+    const isNotRun = refusals.get(requestId) === RunStatus.NotRun;
+    return { request, outcome: isNotRun ? TakeUpOutcome.NotRun : TakeUpOutcome.Open };
+  }
+  deliverFirstEvent(fleet, vmId, requestId);
+  const isSame = getVersion(fleet, serverId) === fleet.versionsByStream.get(resumedRequestId);
+  return { request, outcome: isSame ? TakeUpOutcome.SameVersion : TakeUpOutcome.OtherVersion };
+}
