Let a stream that its caller takes up go on only at the software version that began it

What callers saw: streams joined from two software versions over their tries; in the users' reports also after all VMs were killed at once. Cause: a take-up was an ordinary request; no VM kept which version had begun a stream, not even its own. Change: a VM keeps the origin of each stream that it has begun. While a service has several recent versions, VMs write the origins in batches to the store, under leases; a take-up whose origin is not known waits for one read of them. Found: only servers of that version are eligible, and with none registered the request is rejected as not run. Not found: it goes on if only one version can have begun it, else it is rejected as not run. A VM reads the batches once at its start, since it has not seen the past. The batches are neither mirrored nor relayed. Why it works: what began a stream outlasts its VM, and nothing is guessed.

The tables by phase in callerLeaves.test.ts and lifecycle.test.ts have a row for the new phase.

--- a/src/coordination/entry/commands.ts
+++ b/src/coordination/entry/commands.ts
@@ -4,6 +4,7 @@
  */
 import type { CallerLimits } from '../../state/entry/deployment.js';
 import type { Quarantine } from '../../state/entry/crashEvidence.js';
+import type { StreamGroup } from '../../state/entry/streamOrigins.js';
 import type { Refusal } from '../../state/types.js';
 import type { LogLevel, RequestMetrics } from '../events.js';
 import type { EngineOrder, EntryEvent, LimitName } from './events.js';
@@ -20,6 +21,8 @@
   AbortAnswer: 'abortAnswer',
   ProbeBackend: 'probeBackend',
   StoreQuarantines: 'storeQuarantines',
+  WriteStreamOrigins: 'writeStreamOrigins',
+  ReadStreamOrigins: 'readStreamOrigins',
   SetLimits: 'setLimits',
   SetReady: 'setReady',
   StopAccepting: 'stopAccepting',
@@ -106,6 +109,18 @@
     /** Version that the key must have; 0 if it must not exist. */
     readonly expectedVersion: number;
   };
+  /** Writes a batch of the origins of streams to the store, with times relative to the command. */
+  [EntryCommandKind.WriteStreamOrigins]: {
+    /** Names the key of the batch among those of this process. */
+    readonly batch: number;
+    /** Version that the key must have; 0 if it must not exist. */
+    readonly expectedVersion: number;
+    readonly groups: readonly StreamGroup[];
+    /** Time for which the store has to keep the batch. */
+    readonly lifeMs: number;
+  };
+  /** Reads the origins of streams that all VMs have written to the store. */
+  [EntryCommandKind.ReadStreamOrigins]: Record<never, never>;
   [EntryCommandKind.SetLimits]: { readonly limits: CallerLimits };
   [EntryCommandKind.SetReady]: { readonly isReady: boolean };
   /** Refuses new connections and closes idle ones. */
--- a/src/coordination/entry/events.ts
+++ b/src/coordination/entry/events.ts
@@ -2,16 +2,18 @@
  * Events that the event loop of an entry VM handles, for requests that are forwarded unchanged. They are plain
  * data without bodies, sockets or API keys.
  */
-import type { BackendEntry } from '../../state/entry/backends.js';
+import type { BackendEntry, BackendLoad } from '../../state/entry/backends.js';
 import type { Deployment } from '../../state/entry/deployment.js';
 import type { Quarantine } from '../../state/entry/crashEvidence.js';
 import type { LifeEvidence } from '../../state/entry/serverLife.js';
 import type { SpoilReason } from '../../state/entry/spoiledStreams.js';
+import type { StreamGroup } from '../../state/entry/streamOrigins.js';
 import type { Diagnostic } from '../../state/diagnostics.js';
 import type { RunState } from '../../state/types.js';
 import type { CloseCause } from './closeCause.js';
 import type { ListedEntryVm, PeerMessage } from './peerMessage.js';
 import type { EntryPolicy } from './policy.js';
+import type { StreamOriginsTask } from './requests/streamState.js';
 
 /** The properties of a request that routing, rate limiting and placement use. */
 export interface ForwardRequest {
@@ -41,13 +43,6 @@
   readonly contentDigest: string;
 }
 
-/** The load that a backend server reports with a response. */
-export interface BackendLoad {
-  readonly running: number;
-  readonly waiting: number;
-  readonly slots: number;
-}
-
 /** How a dispatch ended that produced no response to deliver. */
 export interface AttemptFailure {
   readonly diagnostic: Diagnostic;
@@ -140,6 +135,9 @@
   BackendProbed: 'backendProbed',
   EvidenceSpread: 'evidenceSpread',
   QuarantinesRead: 'quarantinesRead',
+  StreamOriginsTick: 'streamOriginsTick',
+  StreamOriginsWritten: 'streamOriginsWritten',
+  StreamOriginsRead: 'streamOriginsRead',
   ConfigurationRead: 'configurationRead',
   BackendsRead: 'backendsRead',
   VmsRead: 'vmsRead',
@@ -273,6 +271,11 @@
     readonly quarantines: readonly Quarantine[];
     readonly version: number;
   };
+  [EntryEventKind.StreamOriginsTick]: { readonly task: StreamOriginsTask };
+  /** The version of the batch that was written; null if the store has not confirmed the write. */
+  [EntryEventKind.StreamOriginsWritten]: { readonly version: number | null };
+  /** What VMs have written, with times relative to the event; null if the store did not answer. */
+  [EntryEventKind.StreamOriginsRead]: { readonly groups: readonly StreamGroup[] | null };
   [EntryEventKind.ConfigurationRead]: {
     readonly deployment: Deployment;
     /** Store revision at which the configuration was written. */
--- a/src/coordination/entry/evidence/crashDetection.ts
+++ b/src/coordination/entry/evidence/crashDetection.ts
@@ -7,6 +7,7 @@
 import {
   getProcessKey,
   getSharedParts,
+  type LostConnections,
   recordCrash,
   recordHealthyCauses,
   type Suspect,
@@ -26,12 +27,7 @@
 import { spreadEvidence } from '../exchange/evidenceSpread.js';
 import { isAnswerHealthy, listRecordCauses, reviewEvidence } from './quarantines.js';
 import { retryOrEnd } from '../requests/retries.js';
-import {
-  type EntryState,
-  ForwardPhase,
-  type ForwardRecord,
-  type LostConnections,
-} from '../state.js';
+import { type EntryState, ForwardPhase, type ForwardRecord } from '../state.js';
 
 /** Whether the loss of a request's connection is the crash of its server. */
 export const LossCause = {
--- a/src/coordination/entry/handlers.ts
+++ b/src/coordination/entry/handlers.ts
@@ -33,6 +33,8 @@
   handleAttemptStalled,
 } from './requests/attempts.js';
 import { handleStreamSpoiled } from './requests/spoiledStreams.js';
+import { handleStreamOriginsWritten } from './requests/streamOriginWrites.js';
+import { handleStreamOriginsRead, handleStreamOriginsTick } from './requests/streamVersions.js';
 import { handleUnframedAnswerEnded } from './requests/unframedEnds.js';
 import { handleWaitTimedOut } from './requests/forwarding.js';
 import { handleServerStated } from './servers/serverStatements.js';
@@ -82,6 +84,9 @@
   [EntryEventKind.BackendProbed]: handleBackendProbed,
   [EntryEventKind.EvidenceSpread]: handleEvidenceSpread,
   [EntryEventKind.QuarantinesRead]: handleQuarantinesRead,
+  [EntryEventKind.StreamOriginsTick]: handleStreamOriginsTick,
+  [EntryEventKind.StreamOriginsWritten]: handleStreamOriginsWritten,
+  [EntryEventKind.StreamOriginsRead]: handleStreamOriginsRead,
   [EntryEventKind.ConfigurationRead]: handleConfigurationRead,
   [EntryEventKind.BackendsRead]: (state, event, nowMs) => [
     ...handleBackendsRead(state, event, nowMs),
--- a/src/coordination/entry/lifecycle.ts
+++ b/src/coordination/entry/lifecycle.ts
@@ -21,6 +21,8 @@
 import { storeQuarantines } from './evidence/quarantineStore.js';
 import { STOPPING_RETRY_AFTER_MS } from './policy.js';
 import { terminateForward } from './requests/requestCompletion.js';
+import { maintainStreamOrigins } from './requests/streamOriginWrites.js';
+import { recallPast } from './requests/streamVersions.js';
 import type { EntryPolicy } from './policy.js';
 import { updatePermitShares } from './limits/serverLimits.js';
 import { reportEndedPauses } from './servers/serverPauses.js';
@@ -89,6 +91,7 @@
 /** Phases of requests that no backend server has. */
 const UNSENT_PHASES: ReadonlySet<ForwardPhase> = new Set([
   ForwardPhase.Charging,
+  ForwardPhase.Recalling,
   ForwardPhase.Waiting,
 ]);
 
@@ -184,5 +187,7 @@
     ...dispatchWaiting(state, nowMs),
     ...retryAdapterRequests(state, nowMs),
     ...storeQuarantines(state, nowMs),
+    ...maintainStreamOrigins(state, nowMs),
+    ...recallPast(state, nowMs),
   ];
 }
--- a/src/coordination/entry/requests/admission.ts
+++ b/src/coordination/entry/requests/admission.ts
@@ -30,7 +30,6 @@
   EntryLogPrefix,
 } from '../commands.js';
 import { EntryEventKind, type EntryEventOf, type ForwardRequest } from '../events.js';
-import { startForward } from './forwarding.js';
 import { checkQuarantine } from '../evidence/quarantines.js';
 import { requestLoan, creditLoan } from '../limits/rateLoans.js';
 import { getRateBucket, chargeRate } from '../limits/rates.js';
@@ -43,6 +42,7 @@
   terminateForward,
   refuseForward,
 } from './requestCompletion.js';
+import { startAtVersion } from './streamVersions.js';
 import { STOPPING_RETRY_AFTER_MS } from '../policy.js';
 import { EntryLifecycle, type EntryState, ForwardPhase, type ForwardRecord } from '../state.js';
 
@@ -194,6 +194,7 @@
     backendId: null,
     softwareVersion: '',
     streamVersion: null,
+    recallsLeft: 0,
     possiblyRunBackendIds: [],
     notRunBackendIds: [],
     notRunAttempts: 0,
@@ -263,7 +264,7 @@
     addDemand(state.modelDemand, key, costTokens, nowMs);
     addDemand(state.weightedModelDemand, key, costTokens * getObjectiveWeight(record), nowMs);
   }
-  return startForward(state, record, nowMs);
+  return startAtVersion(state, record, nowMs);
 }
 
 /** Admits a request and starts to forward it, or rejects it. */
--- a/src/coordination/entry/requests/attempts.ts
+++ b/src/coordination/entry/requests/attempts.ts
@@ -3,7 +3,6 @@
  */
 import { Diagnostics } from '../../../state/diagnostics.js';
 import { combineRunStatuses, getRunStatus } from '../../../state/runState.js';
-import { RouteKind } from '../../../state/entry/deployment.js';
 import { RunStatus } from '../../../state/types.js';
 import { LogLevel, RequestOutcome } from '../../events.js';
 import {
@@ -36,6 +35,7 @@
   markModelRefused,
   markUnreachable,
 } from './backendSelection.js';
+import { recordStreamVersion } from './streamOriginWrites.js';
 import { type EntryState, ForwardPhase, type ForwardRecord } from '../state.js';
 import { tryDispatch } from './forwarding.js';
 
@@ -47,13 +47,6 @@
   return service.engine !== null && request.model !== null;
 }
 
-/** Records which software version has begun the stream of a request, once its caller has an event of it. */
-function recordStreamVersion(record: ForwardRecord): void {
-  if (record.route.kind === RouteKind.Stream) {
-    record.streamVersion ??= record.softwareVersion;
-  }
-}
-
 /** Returns the record of an attempt; undefined for late events of an earlier attempt. */
 function findAttempt(
   state: EntryState,
@@ -72,18 +65,18 @@
   nowMs: number,
 ): EntryCommand[] {
   const record = findAttempt(state, event.requestId, event.attempt);
-  if (record !== undefined) {
-    record.firstEventAtMs ??= nowMs;
-    record.attemptAnsweredAtMs ??= nowMs;
-    recordStreamVersion(record);
-    record.runStatus = RunStatus.Unknown;
-    const backend = state.backends.get(record.backendId!);
-    if (backend !== undefined) {
-      recordReportedLoad(backend, event.load, nowMs);
-      updatePrefillSpeed(backend, record, nowMs);
-    }
+  if (record === undefined) {
+    return [];
+  }
+  record.firstEventAtMs ??= nowMs;
+  record.attemptAnsweredAtMs ??= nowMs;
+  record.runStatus = RunStatus.Unknown;
+  const backend = state.backends.get(record.backendId!);
+  if (backend !== undefined) {
+    recordReportedLoad(backend, event.load, nowMs);
+    updatePrefillSpeed(backend, record, nowMs);
   }
-  return [];
+  return recordStreamVersion(state, record, nowMs);
 }
 
 /** Ends a request whose whole answer has been sent to the caller. */
@@ -141,14 +134,15 @@
 
 /** Updates the record of a request whose caller has received part of an answer. */
 function recordBegunAnswer(
+  state: EntryState,
   record: ForwardRecord,
   lastEventAtMs: number | null,
   nowMs: number,
-): void {
+): EntryCommand[] {
   record.firstEventAtMs ??= nowMs;
   record.lastEventAtMs = lastEventAtMs ?? record.lastEventAtMs ?? nowMs;
-  recordStreamVersion(record);
   record.runStatus = RunStatus.Unknown;
+  return recordStreamVersion(state, record, nowMs);
 }
 
 /** Diagnostics of attempts whose connection was lost after the request may have been sent. */
@@ -172,7 +166,7 @@
   if (backend !== undefined) {
     recordReportedLoad(backend, load, nowMs);
   }
-  const log = createEntryLog(LogLevel.Info, EntryLogPrefix.Request, 'The attempt failed.', {
+  const failureLog = createEntryLog(LogLevel.Info, EntryLogPrefix.Request, 'The attempt failed.', {
     ...getRequestLogFields(record, nowMs),
     reason: failure.diagnostic.key,
     detail: failure.diagnostic.message,
@@ -187,21 +181,22 @@
   const isConnectionLost = !isRefusedByServer && LOST_CONNECTION_CODES.has(diagnostic.code);
   recordFailure(state, record, failure, nowMs);
   record.isPlaceDoubtful ||= event.isPlaceDoubtful ?? false;
-  if (isAnswerBegun) {
-    recordBegunAnswer(record, event.lastEventAtMs ?? null, nowMs);
-  }
+  const begun = isAnswerBegun
+    ? recordBegunAnswer(state, record, event.lastEventAtMs ?? null, nowMs)
+    : [];
   const { cause, commands } =
     isConnectionLost && backend !== undefined
       ? recordLostConnection(state, record, backend, failure.runState, nowMs)
       : { cause: LossCause.Irrelevant, commands: [] };
   releaseBackend(state, record);
+  const log = [failureLog, ...begun];
   if (!state.requests.has(event.requestId)) {
-    return [log, ...commands];
+    return [...log, ...commands];
   }
   const mayRetry = isRetrySafe(record, isAnswerBegun) && hasAttemptLeft(record, nowMs);
   if (cause === LossCause.Unverified && backend !== undefined && mayRetry) {
     startVerifying(state, record, backend, { diagnostic, isAnswerBegun });
-    return [log, ...commands];
+    return [...log, ...commands];
   }
   const isModelMissing =
     isMisdirected ||
@@ -210,7 +205,7 @@
   const isCrashSuspect = cause === LossCause.Crash;
   const isNotRun = getAttemptStatus(failure) === RunStatus.NotRun;
   const failed = { diagnostic, isAnswerBegun, isModelMissing, isNotRun, isCrashSuspect };
-  return [log, ...commands, ...retryOrEnd(state, record, failed, nowMs)];
+  return [...log, ...commands, ...retryOrEnd(state, record, failed, nowMs)];
 }
 
 /** Delivers a buffered answer, or retries the request if the answer reports a server failure. */
--- a/src/coordination/entry/requests/requestCompletion.ts
+++ b/src/coordination/entry/requests/requestCompletion.ts
@@ -16,6 +16,7 @@
 } from '../commands.js';
 import type { CloseCause } from '../closeCause.js';
 
+import { writeBrokenStream } from './streamOriginWrites.js';
 import { removePendingPrefill } from './prefillLoad.js';
 import { refundRate } from '../limits/rates.js';
 import { type EntryState, ForwardPhase, type ForwardRecord } from '../state.js';
@@ -103,7 +104,9 @@
     refundRate(state, record.workspace.name, record.costTokens);
   }
   const diagnosticKey = end.diagnostic?.key ?? null;
+  const isBroken = record.firstEventAtMs !== null && !isAnswered;
   return [
+    ...(isBroken ? writeBrokenStream(state, record, nowMs) : []),
     { kind: EntryCommandKind.CancelTimer, timerId: getDeadlineTimerId(requestId) },
     { kind: EntryCommandKind.CancelTimer, timerId: getWaitTimerId(requestId) },
     {
--- /dev/null
+++ b/src/coordination/entry/requests/streamState.ts
@@ -0,0 +1,69 @@
+/**
+ * The part of the state that decides at which software version a stream goes on.
+ */
+import { createStreamOrigins, type StreamOrigins } from '../../../state/entry/streamOrigins.js';
+
+/** What became of requests that take up streams. */
+export const TakeUpResult = {
+  /** The version that began the stream was known, or could be only one. */
+  Resumed: 'resumed',
+  /** It is not known, and several may have begun the stream. */
+  UnknownVersion: 'unknown_version',
+  /** No server of the version is registered. */
+  NoServer: 'no_server',
+} as const;
+export type TakeUpResult = (typeof TakeUpResult)[keyof typeof TakeUpResult];
+
+/** What is due by a timer for the origins of streams. */
+export const StreamOriginsTask = { Read: 'read', Write: 'write' } as const;
+export type StreamOriginsTask = (typeof StreamOriginsTask)[keyof typeof StreamOriginsTask];
+
+/** One key of the store to which this VM adds origins until it has enough of them. */
+export interface StreamBatch {
+  readonly number: number;
+  /** Version of the key in the store; 0 before it was written. */
+  version: number;
+  /** The digests that it has. */
+  readonly digests: string[];
+}
+
+/** Mutable. */
+export interface StreamVersionState {
+  readonly origins: StreamOrigins;
+  /** Digests of the streams that this VM has begun and not written to the store. */
+  readonly unwritten: Set<string>;
+  batch: StreamBatch;
+  /** The digests that are being written; null if no write is in progress. */
+  writing: readonly string[] | null;
+  /** True if a stream that was not written has broken off, so that its caller may take it up at another VM. */
+  isWriteUrgent: boolean;
+  isWriteScheduled: boolean;
+  isReading: boolean;
+  isReadScheduled: boolean;
+  readAtMs: number;
+  /** True once this VM knows the versions that were in service before it started. */
+  isPastKnown: boolean;
+  readonly takeUps: Map<TakeUpResult, number>;
+}
+
+/** Creates an empty batch, to be written under a key of its own. */
+export function createStreamBatch(number: number): StreamBatch {
+  return { number, version: 0, digests: [] };
+}
+
+/** Creates the state of a process that has just started. */
+export function createStreamVersionState(): StreamVersionState {
+  return {
+    origins: createStreamOrigins(),
+    unwritten: new Set(),
+    batch: createStreamBatch(1),
+    writing: null,
+    isWriteUrgent: false,
+    isWriteScheduled: false,
+    isReading: false,
+    isReadScheduled: false,
+    readAtMs: Number.NEGATIVE_INFINITY,
+    isPastKnown: false,
+    takeUps: new Map(),
+  };
+}
--- a/src/coordination/entry/servers/discovery.ts
+++ b/src/coordination/entry/servers/discovery.ts
@@ -13,6 +13,7 @@
 } from '../commands.js';
 import type { BackendChange, EntryEventKind, EntryEventOf } from '../events.js';
 import { dispatchWaiting, dispatchWaitingFor } from '../requests/forwarding.js';
+import { recordChangedVersions, updateStreamLife } from '../requests/streamOriginWrites.js';
 import { selectRelays, startAgeTimer, updateRelayRole } from '../exchange/relays.js';
 import { applyRestoredBackends } from './restoredStore.js';
 import { EntryLifecycle, type EntryState, updateVmsLastSeen } from '../state.js';
@@ -69,6 +70,7 @@
   }
   state.deployment = deployment;
   state.deploymentRevision = revision;
+  updateStreamLife(state);
   [...state.buckets.keys()]
     .filter((name) => !deployment.workspacesByName.has(name))
     .forEach((name) => state.buckets.delete(name));
@@ -127,6 +129,7 @@
   if (revision < state.backendsRevision) {
     return [];
   }
+  recordChangedVersions(state, event.changes, nowMs);
   const isRestored =
     isSnapshot &&
     state.areBackendsRead &&
--- a/src/coordination/entry/servers/restoredStore.ts
+++ b/src/coordination/entry/servers/restoredStore.ts
@@ -21,6 +21,7 @@
   EntryLogPrefix,
 } from '../commands.js';
 import { stopController } from '../placement/controller.js';
+import { rewriteStreamOrigins } from '../requests/streamOriginWrites.js';
 import type { BackendChange, EntryEventKind, EntryEventOf } from '../events.js';
 import type { EntryState } from '../state.js';
 
@@ -39,6 +40,7 @@
   const { knownRevision, revision, source } = event;
   const { fence } = state.placement;
   state.store.becameReachableAtMs = nowMs;
+  rewriteStreamOrigins(state);
   return [
     createEntryLog(LogLevel.Warn, EntryLogPrefix.Store, 'The store was restored from a copy.', {
       revision: formatStoreRevision(revision),
--- a/src/coordination/entry/state.ts
+++ b/src/coordination/entry/state.ts
@@ -15,8 +15,8 @@
 import {
   createCrashEvidence,
   type CrashEvidence,
+  type LostConnections,
   type Quarantine,
-  type Suspect,
 } from '../../state/entry/crashEvidence.js';
 import type { RateBucket } from '../../state/entry/rateBucket.js';
 import type {
@@ -33,6 +33,7 @@
 import type { ListedEntryVm } from './peerMessage.js';
 import { createPlacementState, type PlacementState } from './placement/placementState.js';
 import type { EntryPolicy } from './policy.js';
+import { createStreamVersionState, type StreamVersionState } from './requests/streamState.js';
 
 /** Identity and address of this VM, from its settings. */
 export interface EntryVmIdentity {
@@ -49,6 +50,8 @@
 export const ForwardPhase = {
   /** This VM has asked another VM to lend the rate limit tokens that the workspace lacks here. */
   Charging: 'charging',
+  /** It takes up a stream, and the software version that began it is being read from the store. */
+  Recalling: 'recalling',
   /** No backend server can run it yet. */
   Waiting: 'waiting',
   Dispatched: 'dispatched',
@@ -61,7 +64,8 @@
 export interface ForwardRecord {
   readonly request: ForwardRequest;
   readonly route: ForwardRoute;
-  readonly service: ForwardService;
+  /** Replaced by the service that began the stream, once that is known. */
+  service: ForwardService;
   readonly workspace: ForwardWorkspace | null;
   /** Names the request by its content, as `createRequestCause` returns it. */
   readonly requestCause: string;
@@ -80,6 +84,8 @@
   softwareVersion: string;
   /** Version of the software that began the stream, which alone may go on with it; null if any may run the request. */
   streamVersion: string | null;
+  /** Reads of the store after which the version that began the stream counts as unknown. */
+  recallsLeft: number;
   /** Backend servers that may have run it. */
   possiblyRunBackendIds: string[];
   /** Backend servers that provably did not run it; cleared when it waits for a model that they lacked. */
@@ -112,13 +118,6 @@
   readonly isAnswerBegun: boolean;
 }
 
-/** Requests that lost their connections to one process of a backend server that is being probed. */
-export interface LostConnections {
-  readonly entry: BackendEntry;
-  readonly firstLostAtMs: number;
-  readonly suspects: Suspect[];
-}
-
 /** A backend server that this VM has dropped because its entry was removed. */
 export interface DepartedServer {
   readonly entry: BackendEntry;
@@ -284,6 +283,7 @@
   readonly spoiledStreams: Map<SpoilReason, number>;
   /** Number of answers without a length that ended in order, by what was found of their servers. */
   readonly unframedEnds: Map<LifeEvidence, number>;
+  readonly streams: StreamVersionState;
 }
 
 /** Creates the state of a process that has just started. */
@@ -350,6 +350,7 @@
     nextTrialAtMs: new Map(),
     spoiledStreams: new Map(),
     unframedEnds: new Map(),
+    streams: createStreamVersionState(),
   };
 }
 
--- a/src/state/diagnostics.ts
+++ b/src/state/diagnostics.ts
@@ -121,6 +121,18 @@
     Capacity,
     'This VM holds request bodies up to its limit of {0} bytes.',
   ),
+  UnknownStreamVersion: define(
+    1111,
+    'unknown_stream_version',
+    Capacity,
+    'The software version that began the stream of request "{0}" is not known.',
+  ),
+  StreamVersionGone: define(
+    1112,
+    'stream_version_gone',
+    Capacity,
+    'No backend server has the software version "{0}", which began the stream.',
+  ),
   VmBehind: define(
     1108,
     'vm_behind',
--- a/src/state/entry/backends.ts
+++ b/src/state/entry/backends.ts
@@ -31,6 +31,13 @@
   readonly diskCopies: readonly string[];
 }
 
+/** The load that a backend server reports with a response. */
+export interface BackendLoad {
+  readonly running: number;
+  readonly waiting: number;
+  readonly slots: number;
+}
+
 /** A limit that a backend server has stated for its requests from all VMs together. */
 export interface ServerLimit {
   readonly requestsPerSecond: number;
--- a/src/state/entry/crashEvidence.ts
+++ b/src/state/entry/crashEvidence.ts
@@ -7,6 +7,7 @@
  *
  * The functions are pure transitions of one table; all times are on the clock of the VM that owns the table.
  */
+import type { BackendEntry } from './backends.js';
 import { CAUSE_RULES, CauseKind, getCauseKind } from './crashCauses.js';
 
 /** A request that was at a server when it crashed, and whose answer had not been running for some time. */
@@ -19,6 +20,13 @@
   readonly isAnswering: boolean;
 }
 
+/** Requests that lost their connections to one process of a backend server that is being probed. */
+export interface LostConnections {
+  readonly entry: BackendEntry;
+  readonly firstLostAtMs: number;
+  readonly suspects: Suspect[];
+}
+
 /** A crash of one process of a backend server. Reports of several VMs on the same process are merged. */
 export interface CrashReport {
   readonly serverId: string;
--- a/src/transport/entry/attempt.ts
+++ b/src/transport/entry/attempt.ts
@@ -7,12 +7,12 @@
 import type { EntryCommandKind, EntryCommandOf } from '../../coordination/entry/commands.js';
 import {
   type AttemptFailure,
-  type BackendLoad,
   type EntryEvent,
   EntryEventKind,
 } from '../../coordination/entry/events.js';
 import { MAX_TIMER_MS } from '../../protocol/fieldSchemas.js';
 import { createDiagnostic, type DiagnosticMessage, Diagnostics } from '../../state/diagnostics.js';
+import type { BackendLoad } from '../../state/entry/backends.js';
 import { advanceRunState, DispatchSignal } from '../../state/runState.js';
 import { RunState } from '../../state/types.js';
 import { MAX_INFORMATIONAL_RESPONSES, splitAddress } from '../httpCall.js';
--- a/src/transport/entry/commandTable.ts
+++ b/src/transport/entry/commandTable.ts
@@ -36,6 +36,7 @@
 import { applyCallerTimeouts } from './forwardServer.js';
 import { createPlacementExecutors, type PlacementKind } from './placementExecutors.js';
 import { applyStoreUpdate } from './storeWatches.js';
+import { createStreamOriginExecutors, type StreamOriginKind } from './streamOriginExecutors.js';
 
 /**
  * Timeout of an adapter request to this VM as the controller. The controller replies when the engine has accepted the
@@ -66,7 +67,10 @@
   | typeof EntryCommandKind.ReplyToAdapterRequest
   | typeof EntryCommandKind.RequestLoan
   | typeof EntryCommandKind.ReplyToLoanRequest;
-type LifecycleKind = Exclude<EntryCommandKind, TimerKind | RequestKind | PeerKind | PlacementKind>;
+type LifecycleKind = Exclude<
+  EntryCommandKind,
+  TimerKind | RequestKind | PeerKind | PlacementKind | StreamOriginKind
+>;
 
 function createRequestExecutors(context: EntryCommandContext): Pick<ExecutorTable, RequestKind> {
   const { attempts, exchanges, getNowMs, metrics, wire, writeLog } = context;
@@ -259,6 +263,7 @@
     ...createRequestExecutors(context),
     ...createPeerExecutors(context),
     ...createPlacementExecutors(context),
+    ...createStreamOriginExecutors(context),
     ...createLifecycleExecutors(context),
   };
   let table: { readonly [K in EntryCommandKind]: Executor<K> } | null = null;
--- a/src/transport/entry/metricsServer.ts
+++ b/src/transport/entry/metricsServer.ts
@@ -3,6 +3,7 @@
  */
 import http, { type Server } from 'node:http';
 import { countLiveVms, type EntryState, RelayRole } from '../../coordination/entry/state.js';
+import { TakeUpResult } from '../../coordination/entry/requests/streamState.js';
 import { isPaused } from '../../coordination/entry/servers/serverPauses.js';
 import { countHeldQuarantines } from '../../state/entry/quarantineTable.js';
 import { LifeEvidence } from '../../state/entry/serverLife.js';
@@ -99,11 +100,26 @@
   return [`# TYPE ${name} counter\n`, ...lines].join('');
 }
 
+/** Formats the number of requests that took up streams, by what became of them. */
+function formatStreamTakeUps({ state }: MetricsSources): string {
+  const name = 'gentiandeck_stream_take_ups_total';
+  const lines = Object.values(TakeUpResult).map(
+    (result) => `${name}{result="${result}"} ${state.streams.takeUps.get(result) ?? 0}\n`,
+  );
+  return [`# TYPE ${name} counter\n`, ...lines].join('');
+}
+
 function formatMetrics(sources: MetricsSources): string {
   const { callerConnections, loopWork, metrics, peerCalls } = sources;
   const counters = [metrics, loopWork, peerCalls, callerConnections];
   const texts = counters.map((counter) => counter.formatPrometheus());
-  const formats = [formatGauges, formatHeldBytes, formatSpoiledStreams, formatUnframedEnds];
+  const formats = [
+    formatGauges,
+    formatHeldBytes,
+    formatSpoiledStreams,
+    formatUnframedEnds,
+    formatStreamTakeUps,
+  ];
   return [...texts, ...formats.map((format) => format(sources))].join('');
 }
 
--- a/src/transport/entry/storeKeys.ts
+++ b/src/transport/entry/storeKeys.ts
@@ -14,6 +14,7 @@
   Uint32Schema,
   WallTimeMsSchema,
 } from '../../protocol/fieldSchemas.js';
+import { shiftStreamGroup, type StreamGroup } from '../../state/entry/streamOrigins.js';
 import { decodeJson, decodeValue } from '../../protocol/json.js';
 import { createDiagnostic, type Diagnostic, Diagnostics } from '../../state/diagnostics.js';
 
@@ -29,6 +30,8 @@
   ControllerScope: 'fleet',
   Controller: `${PREFIX}controllers/fleet`,
   Quarantines: `${PREFIX}quarantines`,
+  /** Prefix of the batches of origins of streams: some keys for each process of a VM, bound to leases. */
+  Streams: `${PREFIX}streams/`,
 } as const;
 
 const VmSchema = Schema.Struct({
@@ -57,6 +60,14 @@
   crashCount: Uint32Schema,
 });
 
+/** Streams that one software version has begun; the time is a wall clock time. */
+const StreamGroupSchema = Schema.Struct({
+  service: Schema.String,
+  softwareVersion: Schema.String,
+  seenAtMs: WallTimeMsSchema,
+  streams: Schema.Array(Schema.String),
+});
+
 /** The quarantines in the store. One that cannot be decoded costs only itself. */
 export interface DecodedQuarantines {
   readonly quarantines: readonly Quarantine[];
@@ -88,6 +99,26 @@
   });
 }
 
+/** Returns the key of a batch of a process of a VM. */
+export function getStreamBatchKey(vmId: string, incarnation: string, batch: number): string {
+  return `${EntryKey.Streams}${vmId}/${incarnation}/${batch}`;
+}
+
+/** Encodes a batch of origins of streams, whose times are relative to now. */
+export function encodeStreamGroups(groups: readonly StreamGroup[], wallMs: number): string {
+  return JSON.stringify(groups.map((group) => shiftStreamGroup(group, Math.round(wallMs))));
+}
+
+/** Decodes a batch of origins of streams, with times relative to now. Left is `MalformedBody`. */
+export function decodeStreamGroups(
+  text: string,
+  wallMs: number,
+): Either<Diagnostic, readonly StreamGroup[]> {
+  return decodeJson(Schema.Array(StreamGroupSchema), text).map((groups) =>
+    groups.map((group) => shiftStreamGroup(group, -wallMs)),
+  );
+}
+
 /** Encodes the registration of a VM. */
 export function encodeListedVm(vm: ListedEntryVm): string {
   return JSON.stringify(vm);
--- a/src/transport/entry/storeWatches.ts
+++ b/src/transport/entry/storeWatches.ts
@@ -159,6 +159,12 @@
   return { ...context, applyEntryKeys: createEntryKeysReader(context) };
 }
 
+/** Returns an update without the origins of streams, which VMs read only when they need them. */
+function dropStreamBatches(update: StoreUpdate): StoreUpdate {
+  const items = update.items.filter(({ key }) => !key.startsWith(EntryKey.Streams));
+  return { ...update, items };
+}
+
 /**
  * Applies an update from the store or a relay to the mirror, and posts what it contains to the event loop. Returns false for
  * one that is older than the mirror, of which only the configuration is used: that has a version of its own.
@@ -169,7 +175,7 @@
   source: string,
 ): boolean {
   const { applyEntryKeys, malformedEntries, mirror, post, wire, writeLog } = context;
-  const update = dropOutdatedItems(received);
+  const update = dropOutdatedItems(dropStreamBatches(received));
   const { isSnapshot, items, revision } = update;
   const knownRevision = mirror.revision;
   const isApplied = updateStoreMirror(mirror, update);
--- a/src/transport/entry/wire.ts
+++ b/src/transport/entry/wire.ts
@@ -5,14 +5,13 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Either } from 'purify-ts';
 import type {
-  BackendLoad,
   EngineOrder,
   EngineOrderOutcome,
   EngineReport,
   ForwardRequest,
 } from '../../coordination/entry/events.js';
 import type { Diagnostic } from '../../state/diagnostics.js';
-import type { BackendEntry } from '../../state/entry/backends.js';
+import type { BackendEntry, BackendLoad } from '../../state/entry/backends.js';
 import type { Deployment } from '../../state/entry/deployment.js';
 
 /** Data decoded from the URL and the headers of a caller's request. */
--- a/tests/entry/callerLeaves.test.ts
+++ b/tests/entry/callerLeaves.test.ts
@@ -82,6 +82,14 @@
     },
     isCancelled: false,
   },
+  [ForwardPhase.Recalling]: {
+    enter: (vm) => {
+      const changes = { lastEventId: '9', resumedRequestId: 'q' };
+      vm.receiveRequest(createTestRequest('r', '/draft/x', changes));
+    },
+    endsWait: { kind: EntryEventKind.StreamOriginsRead, groups: [] },
+    isCancelled: false,
+  },
   [ForwardPhase.Waiting]: {
     enter: (vm) => {
       vm.receiveRequest(createTestRequest('r', '/draft/x', { model: 'm4' }));
--- a/tests/entry/lifecycle.test.ts
+++ b/tests/entry/lifecycle.test.ts
@@ -73,6 +73,7 @@
   /** What becomes of a request in each phase when it is too late to send it: it waits no longer, or runs on. */
   const LATE_PHASES: Readonly<Record<ForwardPhase, boolean>> = {
     [ForwardPhase.Charging]: true,
+    [ForwardPhase.Recalling]: true,
     [ForwardPhase.Waiting]: true,
     [ForwardPhase.Dispatched]: false,
     [ForwardPhase.Verifying]: false,
--- a/tests/entry/streamFleet.ts
+++ b/tests/entry/streamFleet.ts
@@ -3,13 +3,14 @@
  * streams up again.
  */
 import { CloseCause } from '../../src/coordination/entry/closeCause.js';
-import { EntryCommandKind } from '../../src/coordination/entry/commands.js';
+import { EntryCommandKind, type EntryCommandOf } from '../../src/coordination/entry/commands.js';
 import {
   type EntryEvent,
   EntryEventKind,
   type ForwardRequest,
 } from '../../src/coordination/entry/events.js';
 import type { BackendEntry } from '../../src/state/entry/backends.js';
+import { shiftStreamGroup, type StreamGroup } from '../../src/state/entry/streamOrigins.js';
 import { RunStatus } from '../../src/state/types.js';
 import { createTestEntry, createTestRequest, createTestVm, type TestVm } from './fixtures.js';
 
@@ -34,6 +35,8 @@
 }
 
 interface FleetVm {
+  /** Differs between the processes of a VM. */
+  readonly number: number;
   readonly vm: TestVm;
   readonly timers: Map<string, Timer>;
   /** The server of each request. */
@@ -49,6 +52,11 @@
   nowMs: number;
   requestCount: number;
   startCount: number;
+  /** The batches that VMs have written, with the absolute times of their groups. */
+  readonly batches: Map<string, readonly StreamGroup[]>;
+  isStoreAway: boolean;
+  /** The commands that were sent to the store. */
+  readonly storeCalls: EntryCommandKind[];
   /** The software version that began each stream, by the caller's id of the request. */
   readonly versionsByStream: Map<string, string>;
 }
@@ -91,6 +99,28 @@
   ) => {
     vms.get(vmId)?.refusals.set(requestId, refusal.run);
   },
+  [EntryCommandKind.WriteStreamOrigins]: (
+    { batches, isStoreAway, nowMs, storeCalls, vms },
+    vmId,
+    { batch, groups }: EntryCommandOf<typeof EntryCommandKind.WriteStreamOrigins>,
+  ) => {
+    const kind = EntryEventKind.StreamOriginsWritten;
+    storeCalls.push(EntryCommandKind.WriteStreamOrigins);
+    if (isStoreAway) {
+      return [{ kind, version: null }];
+    }
+    const key = `${vmId}/${vms.get(vmId)!.number}/${batch}`;
+    batches.set(
+      key,
+      groups.map((group) => shiftStreamGroup(group, nowMs)),
+    );
+    return [{ kind, version: nowMs }];
+  },
+  [EntryCommandKind.ReadStreamOrigins]: ({ batches, isStoreAway, nowMs, storeCalls }) => {
+    storeCalls.push(EntryCommandKind.ReadStreamOrigins);
+    const groups = [...batches.values()].flat().map((group) => shiftStreamGroup(group, -nowMs));
+    return [{ kind: EntryEventKind.StreamOriginsRead, groups: isStoreAway ? null : groups }];
+  },
 };
 
 function post(fleet: StreamFleet, vmId: string, event: EntryEvent): void {
@@ -104,7 +134,13 @@
 export function startVm(fleet: StreamFleet, vmId: string): void {
   fleet.startCount += 1;
   const vm = createTestVm({}, fleet.servers, fleet.nowMs, fleet.startCount);
-  fleet.vms.set(vmId, { vm, timers: new Map(), serverIds: new Map(), refusals: new Map() });
+  fleet.vms.set(vmId, {
+    number: fleet.startCount,
+    vm,
+    timers: new Map(),
+    serverIds: new Map(),
+    refusals: new Map(),
+  });
   post(fleet, vmId, { kind: EntryEventKind.MaintenanceTick });
 }
 
@@ -153,6 +189,9 @@
     nowMs: 100_000,
     requestCount: 0,
     startCount: 0,
+    batches: new Map(),
+    isStoreAway: false,
+    storeCalls: [],
     versionsByStream: new Map(),
   };
   vmIds.forEach((vmId) => startVm(fleet, vmId));
@@ -205,6 +244,24 @@
   });
 }
 
+/** Sends a request that takes up the stream that another one has begun. */
+export function sendTakeUp(
+  fleet: StreamFleet,
+  vmId: string,
+  resumedRequestId: string,
+  changes: Partial<ForwardRequest> = {},
+): ForwardRequest {
+  return sendRequest(fleet, vmId, { lastEventId: '9', resumedRequestId, ...changes });
+}
+
+/** Lets all VMs learn that the store was restored from a copy. */
+export function restoreStore(fleet: StreamFleet): void {
+  const kind = EntryEventKind.StoreRestored;
+  [...fleet.vms.keys()].forEach((vmId) =>
+    post(fleet, vmId, { kind, revision: 2, knownRevision: 1, source: 'test' }),
+  );
+}
+
 /** Takes a stream up that a request has begun; `changes` are those of the request that takes it up. */
 export function takeUp(
   fleet: StreamFleet,
@@ -213,7 +270,7 @@
   changes: Partial<ForwardRequest> = {},
 ): { readonly request: ForwardRequest; readonly outcome: TakeUpOutcome } {
   const resumedRequestId = begun.resumedRequestId ?? begun.callerRequestId;
-  const request = sendRequest(fleet, vmId, { lastEventId: '9', resumedRequestId, ...changes });
+  const request = sendTakeUp(fleet, vmId, resumedRequestId, changes);
   const { refusals, serverIds } = fleet.vms.get(vmId)!;
   const { requestId } = request;
   const untilMs = fleet.nowMs + MAX_TAKE_UP_MS;
--- a/tests/entry/streamTakeUps.test.ts
+++ b/tests/entry/streamTakeUps.test.ts
@@ -2,6 +2,9 @@
  * Tests that a stream which its caller takes up again goes on only at the software version that began it.
  */
 import { describe, expect, it } from 'vitest';
+import { EntryCommandKind } from '../../src/coordination/entry/commands.js';
+import { ForwardPhase } from '../../src/coordination/entry/state.js';
+import { RunStatus } from '../../src/state/types.js';
 import { createTestEntry } from './fixtures.js';
 import {
   advance,
@@ -10,6 +13,8 @@
   createStreamFleet,
   killVms,
   leave,
+  restoreStore,
+  sendTakeUp,
   setServers,
   startVm,
   type StreamFleet,
@@ -72,7 +77,7 @@
     expected: SameVersion,
   },
   {
-    name: 'at the VM that began it, which was restarted',
+    name: 'at the VM that began it, restarted',
     versions: MIXED,
     play: (fleet) =>
       playTakeUps(fleet, 'a', () => {
@@ -83,13 +88,13 @@
     expected: SameVersion,
   },
   {
-    name: 'after all VMs were killed at once',
+    name: 'all VMs killed at once',
     versions: MIXED,
     play: (fleet) => playTakeUps(fleet, 'b', restartAll),
     expected: SameVersion,
   },
   {
-    name: 'after all VMs were killed at once, with streams under way',
+    name: 'all VMs killed with streams under way',
     versions: MIXED,
     play: (fleet) => {
       const begun = beginStreams(fleet, 'a', STREAM_COUNT);
@@ -114,7 +119,7 @@
     expected: SameVersion,
   },
   {
-    name: 'begun before a second version came',
+    name: 'a second version since',
     versions: ['v1', 'v1'],
     play: (fleet) =>
       playTakeUps(fleet, 'b', () => {
@@ -124,7 +129,7 @@
     expected: SameVersion,
   },
   {
-    name: 'after the servers of its version have left',
+    name: 'its version gone',
     versions: ['v1', 'v1'],
     play: (fleet) =>
       playTakeUps(fleet, 'b', () => {
@@ -135,7 +140,7 @@
     expected: NotRun,
   },
   {
-    name: 'after the servers of its version have left and all VMs were killed',
+    name: 'its version gone, all VMs killed at once',
     versions: ['v1', 'v1'],
     play: (fleet) =>
       playTakeUps(fleet, 'b', () => {
@@ -146,7 +151,7 @@
     expected: NotRun,
   },
   {
-    name: 'after the servers at its addresses came back with another version',
+    name: 'another version at its addresses',
     versions: ['v1', 'v1'],
     play: (fleet) =>
       playTakeUps(fleet, 'a', () => {
@@ -158,7 +163,7 @@
     expected: NotRun,
   },
   {
-    name: 'after its version has left and come back',
+    name: 'its version gone and back',
     versions: ['v1', 'v1'],
     play: (fleet) =>
       playTakeUps(fleet, 'b', () => {
@@ -170,7 +175,7 @@
     expected: SameVersion,
   },
   {
-    name: 'by a request that names no request',
+    name: 'no request named',
     versions: MIXED,
     play: (fleet) => {
       const begun = beginStreams(fleet, 'a', STREAM_COUNT);
@@ -181,7 +186,7 @@
     expected: NotRun,
   },
   {
-    name: 'by a request that names one that never ran',
+    name: 'a request named that never ran',
     versions: MIXED,
     play: (fleet) => {
       const begun = beginStreams(fleet, 'a', STREAM_COUNT);
@@ -192,19 +197,19 @@
     expected: NotRun,
   },
   {
-    name: 'with one version in service',
+    name: 'one version only',
     versions: ['v1', 'v1'],
     play: (fleet) => playTakeUps(fleet, 'b'),
     expected: SameVersion,
   },
   {
-    name: 'with one version in service, after all VMs were killed at once',
+    name: 'one version only, all VMs killed',
     versions: ['v1', 'v1'],
     play: (fleet) => playTakeUps(fleet, 'b', restartAll),
     expected: SameVersion,
   },
   {
-    name: 'with one version in service for longer than a stream may last',
+    name: 'one version only for a stream life',
     versions: MIXED,
     play: (fleet) => {
       setServers(fleet, createServers(['v2', 'v2']));
@@ -213,6 +218,60 @@
     },
     expected: SameVersion,
   },
+  {
+    name: 'then one version, all VMs killed',
+    versions: MIXED,
+    play: (fleet) => {
+      beginStreams(fleet, 'a', STREAM_COUNT);
+      advance(fleet, 1_000);
+      setServers(fleet, createServers(['v2', 'v2']));
+      advance(fleet, STREAM_LIFE_MS);
+      const begun = beginStreams(fleet, 'a', STREAM_COUNT);
+      restartAll(fleet);
+      const changes = { resumedRequestId: null };
+      return begun.map((request) => takeUp(fleet, 'b', request, changes).outcome);
+    },
+    expected: SameVersion,
+  },
+  {
+    name: 'store away, at another VM',
+    versions: MIXED,
+    play: (fleet) => {
+      fleet.isStoreAway = true;
+      return playTakeUps(fleet, 'b');
+    },
+    expected: NotRun,
+  },
+  {
+    name: 'store away, at the VM that began it',
+    versions: MIXED,
+    play: (fleet) => {
+      fleet.isStoreAway = true;
+      return playTakeUps(fleet, 'a');
+    },
+    expected: SameVersion,
+  },
+  {
+    name: 'store away for a while',
+    versions: MIXED,
+    play: (fleet) => {
+      fleet.isStoreAway = true;
+      return playTakeUps(fleet, 'b', () => {
+        fleet.isStoreAway = false;
+        advance(fleet, 1_500);
+      });
+    },
+    expected: SameVersion,
+  },
+  {
+    name: 'store away, one version only',
+    versions: ['v1', 'v1'],
+    play: (fleet) => {
+      fleet.isStoreAway = true;
+      return playTakeUps(fleet, 'b');
+    },
+    expected: SameVersion,
+  },
 ];
 
 describe('a stream that its caller takes up', () => {
@@ -224,3 +283,70 @@
     },
   );
 });
+
+describe('a VM', () => {
+  it('asks the store for nothing while one version is in service, but once at its start', () => {
+    const fleet = createStreamFleet(['a'], createServers(['v1', 'v1']));
+    const begun = beginStreams(fleet, 'a', STREAM_COUNT);
+    advance(fleet, STREAM_LIFE_MS);
+    begun.forEach((request) => takeUp(fleet, 'a', request));
+    expect(fleet.storeCalls).toEqual([EntryCommandKind.ReadStreamOrigins]);
+  });
+
+  it.each(['a', 'b'])(
+    'makes few calls to the store for many take-ups of unknown streams: %s',
+    (vmId) => {
+      const fleet = createStreamFleet(['a', 'b'], createServers(MIXED));
+      beginStreams(fleet, 'a', 1);
+      advance(fleet, 1_000);
+      fleet.storeCalls.splice(0);
+      const requests = Array.from({ length: 50 }, () => sendTakeUp(fleet, vmId, 'none'));
+      advance(fleet, 1_000);
+      const { refusals } = fleet.vms.get(vmId)!;
+      expect(requests.map(({ requestId }) => refusals.get(requestId))).toEqual(
+        requests.map(() => RunStatus.NotRun),
+      );
+      // The read of the first request ends before the others arrive.
+      const reads = Array.from({ length: 3 }, () => EntryCommandKind.ReadStreamOrigins);
+      expect(fleet.storeCalls).toEqual(reads);
+    },
+  );
+
+  it('writes at most four batches a second while versions mix', () => {
+    const fleet = createStreamFleet(['a'], createServers(MIXED));
+    fleet.storeCalls.splice(0);
+    Array.from({ length: 100 }, () => {
+      beginStreams(fleet, 'a', 1);
+      return advance(fleet, 100);
+    });
+    expect(fleet.storeCalls.length).toBeGreaterThan(10);
+    expect(fleet.storeCalls.length).toBeLessThanOrEqual(40);
+  });
+
+  it('writes its streams again once the store has been restored from a copy', () => {
+    const fleet = createStreamFleet(['a', 'b'], createServers(MIXED));
+    const begun = beginStreams(fleet, 'a', STREAM_COUNT);
+    advance(fleet, 1_000);
+    fleet.batches.clear();
+    restoreStore(fleet);
+    advance(fleet, 1_000);
+    expect(begun.map((request) => takeUp(fleet, 'b', request).outcome)).toEqual(
+      begun.map(() => SameVersion),
+    );
+  });
+});
+
+describe('a request that waits for the version of its stream', () => {
+  it.each([
+    { name: 'its deadline', deadlineMs: 200 },
+    { name: 'the end of both reads', deadlineMs: 15_000 },
+  ])('is rejected as not run at $name', ({ deadlineMs }) => {
+    const fleet = createStreamFleet(['a'], createServers(MIXED));
+    const { requestId } = sendTakeUp(fleet, 'a', 'none', { deadlineMs });
+    const { refusals, vm } = fleet.vms.get('a')!;
+    expect(vm.state.requests.get(requestId)?.phase).toBe(ForwardPhase.Recalling);
+    advance(fleet, 400);
+    expect(refusals.get(requestId)).toBe(RunStatus.NotRun);
+    expect(vm.state.requests.size).toBe(0);
+  });
+});
