Take blocks whose lines end in two ways, and ids that are not their number alone, for no events

What callers could see: two events in one piece, or none with an id. A line end of another kind in a stream (a CR LF in one of LF, a CR after a type) was passed on, and a caller that looks for the line ends it knows takes two lines, or two events, for one; spaces, tabs and no-break spaces around an id were cut off before it was judged, but passed on. Cause: again what is good was not said narrowly. Change: the lines of an event end alike, else its block is foreign text; an id is judged as it comes.

--- a/src/protocol/entry/eventFrames.ts
+++ b/src/protocol/entry/eventFrames.ts
@@ -9,6 +9,7 @@
 /** Length of the longest blank line with the line end before it, without its last byte: what may have been received of it. */
 const MAX_PARTIAL_BLANK_LINE_LENGTH = 3;
 const LINE_ENDS_PATTERN = /^[\r\n]*$/;
+const LINE_END_PATTERN = /\r\n|\n|\r/g;
 const ID_PATTERN = /^id(?::[ ]?(.*))?$/gm;
 const DATA_PATTERN = /^data(?::|$)/m;
 /** A line that is not a field of an event. */
@@ -78,7 +79,7 @@
     id = match[1] ?? '';
     idCount += 1;
   }
-  return { id: id?.trim() ?? null, idCount };
+  return { id, idCount };
 }
 
 /** The lines of a block that are forwarded, as Latin-1, and whether there are others that no event stream has. */
@@ -87,13 +88,20 @@
   readonly isForeign: boolean;
 }
 
+/** Returns whether the lines of a text end alike. A caller that knows only one kind of line ends would miss the others. */
+function hasOneLineEnd(text: string): boolean {
+  return !text.includes('\r') || new Set(text.match(LINE_END_PATTERN)).size <= 1;
+}
+
 /** Selects the lines of an event from a block. Most blocks have no others. */
 function selectLines(block: string, annotationPattern: RegExp): BlockLines {
   if (!OTHER_LINE_PATTERN.test(block)) {
-    return { text: block, isForeign: false };
+    return { text: block, isForeign: !LINE_ENDS_PATTERN.test(block) && !hasOneLineEnd(block) };
   }
   const text = block.replace(IDLE_LINES_PATTERN, '');
-  return { text, isForeign: OTHER_LINE_PATTERN.test(text.replace(annotationPattern, '')) };
+  const isIdle = LINE_ENDS_PATTERN.test(text);
+  const hasOthers = OTHER_LINE_PATTERN.test(text.replace(annotationPattern, ''));
+  return { text, isForeign: !isIdle && (hasOthers || !hasOneLineEnd(text)) };
 }
 
 type MutableFrame = { -readonly [Field in keyof EventFrame]: EventFrame[Field] };
--- a/tests/entry/eventFrames.test.ts
+++ b/tests/entry/eventFrames.test.ts
@@ -70,3 +70,25 @@
     },
   );
 });
+
+/** Blocks whose lines end in two ways, and whether they are those of an event stream. */
+const MIXED = [
+  { name: 'CR in an event', text: 'id: 10\rdata: x\n\n', isForeign: true },
+  { name: 'CR LF in an event', text: 'id: 10\r\ndata: x\n\n', isForeign: true },
+  { name: 'LF in an event', text: 'id: 10\ndata: x\r\n\r\n', isForeign: true },
+  { name: 'CR in the blank line', text: 'id: 10\ndata: x\n\r', isForeign: true },
+  { name: 'CR after a type', text: 'event: t\rid: 10\ndata: x\n\n', isForeign: true },
+  { name: 'CR after a comment', text: ': c\rid: 10\ndata: x\n\n', isForeign: false },
+  { name: 'CR between comments', text: ': c\r: c\n\n', isForeign: false },
+  { name: 'CR before an event', text: '\r\rid: 10\ndata: x\n\n', isForeign: false },
+];
+
+describe('a block with two kinds of line ends', () => {
+  it.each(MIXED)('is no event, unless only one is passed on: $name', ({ isForeign, text }) => {
+    const reader = createEventFrameReader(PLATFORM_WIRE.eventAnnotationPattern);
+    const frames = [text, EVENT].flatMap((part) => reader.addChunk(Buffer.from(part)));
+    expect(frames.some((frame) => frame.isForeign)).toBe(isForeign);
+    const passed = frames.filter((frame) => !frame.isForeign);
+    expect(passed.some(({ bytes }) => bytes.includes('\r'))).toBe(false);
+  });
+});
--- a/tests/stand-ins/streamForms.ts
+++ b/tests/stand-ins/streamForms.ts
@@ -92,6 +92,18 @@
       verdict: Spoiled,
       reason: SpoilReason.NoNumber,
     },
+    {
+      name: 'data with a space more in front of its id',
+      text: `id:  ${due}\ndata: x\n\n`,
+      verdict: Spoiled,
+      reason: SpoilReason.NoNumber,
+    },
+    {
+      name: 'data with a no-break space after its id',
+      text: `id: ${due}\u00a0\ndata: x\n\n`,
+      verdict: Spoiled,
+      reason: SpoilReason.NoNumber,
+    },
     {
       name: 'data with an id of 50 digits',
       text: `id: ${'1'.repeat(50)}\ndata: x\n\n`,
