Play soaks with servers of two software versions, and find streams joined from both

The servers of a soak have two versions in turn on even seeds, callers name in Resumes the attempt that brought the first event, and a stream with events of two versions, over all tries, is a finding ORDER. No check of the soak is changed besides; seeds draw as before.

--- a/tests/processes/entrySoak.test.ts
+++ b/tests/processes/entrySoak.test.ts
@@ -8,6 +8,7 @@
 import { type EntryOutcome, runEntryCallers } from '../soak/entryCallers.js';
 import {
   listBrokenPromises,
+  listJoinedStreams,
   listOrderFaults,
   listProcessFaults,
   listUnspoiled,
@@ -87,7 +88,7 @@
 
 describe('a soak of entry VMs', () => {
   it.each(SEEDS)('keeps the promises to all callers and servers, seed $seed', async ({ seed }) => {
-    fleet = await startEntryFleet(VM_COUNT);
+    fleet = await startEntryFleet(VM_COUNT, seed % 2 === 0 ? ['v1', 'v2'] : ['v1']);
     closers.push(fleet.close);
     const watch = watchEntryFleet(fleet);
     closers.push(watch.stop);
@@ -105,6 +106,7 @@
     const outcomes = await calls;
     const faults = [
       ...listBrokenPromises(fleet, outcomes),
+      ...listJoinedStreams(fleet, outcomes),
       ...listProcessFaults(fleet),
       ...listOrderFaults(fleet),
       ...watch.fallen,
--- a/tests/soak/entryCallers.ts
+++ b/tests/soak/entryCallers.ts
@@ -84,6 +84,8 @@
   readonly endedAtMs: number;
   /** Id of the last event that the caller had before. */
   readonly lastEventId: number;
+  /** Id of the attempt that brought the first event of the stream; its own unless it takes a stream up. */
+  readonly firstId: string;
   /** 0 if the connection ended without an answer. */
   readonly status: number;
   readonly answeredId: string;
@@ -105,19 +107,28 @@
   readonly eventBytes: number;
   readonly model: string;
   readonly lastEventId: number;
+  /** Id of the attempt that brought the first event of the stream; null for one from the beginning. */
+  readonly resumedId: string | null;
   /** Parts of the query with which servers spoil the stream. */
   readonly spoils: readonly string[];
   /** The caller closes its connection after this time. */
   readonly leavesAfterMs: number;
 }
 
-function createHeaders({ id, kind, lastEventId, model }: Attempt): http.OutgoingHttpHeaders {
+function createHeaders({
+  id,
+  kind,
+  lastEventId,
+  model,
+  resumedId,
+}: Attempt): http.OutgoingHttpHeaders {
   const { deadlineMs, hasModel } = ENTRY_KINDS[kind];
   return {
     ...{ host: 'h', 'x-attempt-id': id, 'x-api-key': 'key-1', 'x-token-count': '10,10' },
     'x-deadline-ms': String(deadlineMs),
     ...(hasModel ? { 'x-model': model } : {}),
     ...(lastEventId > 0 ? { 'last-event-id': String(lastEventId) } : {}),
+    ...(resumedId === null ? {} : { resumes: resumedId }),
   };
 }
 
@@ -134,6 +145,7 @@
   const { agent, id, isFramed, isSlow, kind, lastEventId, leavesAfterMs, vm } = attempt;
   const [host = '', port = ''] = vm.address.split(':');
   const path = createPath(attempt);
+  const firstId = attempt.resumedId ?? id;
   const sentAtMs = performance.now();
   const life = vm.lives.at(-1)!;
   return new Promise((resolve) => {
@@ -142,7 +154,8 @@
     let errorCode = '';
     const finish = (status: number, answeredId = '', body = '', isComplete = false): void =>
       resolve({
-        ...{ id, kind, vm, life, isFramed, isSlow, sentAtMs, lastEventId, hasLeft, errorCode },
+        ...{ id, firstId, kind, vm, life, isFramed, isSlow, sentAtMs, lastEventId },
+        ...{ hasLeft, errorCode },
         ...{ status, answeredId, body, isComplete, endedAtMs: performance.now() },
       });
     const headers = createHeaders(attempt);
@@ -241,7 +254,8 @@
       return;
     }
     const vm = pick(vms.filter((other) => other !== broken.vm));
-    const next = await call({ ...attempt, vm, lastEventId, leavesAfterMs: SILENCE_MS });
+    const resumedId = broken.firstId;
+    const next = await call({ ...attempt, vm, lastEventId, resumedId, leavesAfterMs: SILENCE_MS });
     await resume(attempt, next, remaining - 1);
   };
   const run = async (): Promise<void> => {
@@ -251,6 +265,7 @@
       const attempt = {
         ...{ agent, kind: pick(kinds), vm: pick(vms), model: pick(MODELS), lastEventId: 0 },
         ...{ isFramed: nextRandom(random) < 0.6, isSlow: nextRandom(random) < SLOW_FRACTION },
+        resumedId: null,
         eventBytes: pick(EVENT_BYTES),
         leavesAfterMs: isLeaving ? 20 + nextRandom(random) * 900 : SILENCE_MS,
         spoils: areSpoiled() ? drawSpoils() : [],
--- a/tests/soak/entryChecks.ts
+++ b/tests/soak/entryChecks.ts
@@ -174,6 +174,25 @@
   );
 }
 
+/** Returns the streams that hold events of servers of several software versions, over all tries of their callers. */
+export function listJoinedStreams(
+  { runs }: EntryFleet,
+  outcomes: readonly EntryOutcome[],
+): string[] {
+  const versionByRun = new Map(runs.map(({ run, server }) => [run, server.softwareVersion]));
+  const partsByStream = new Map<string, string[]>();
+  outcomes
+    .filter(({ kind, status }) => status === 200 && ENTRY_KINDS[kind].isStream)
+    .forEach(({ body, firstId, id, vm }) => {
+      const versions = parseEvents(body).events.map(({ run }) => versionByRun.get(run) ?? run);
+      const parts = [...new Set(versions)].map((version) => `${version} ${id} at ${vm.name}`);
+      partsByStream.set(firstId, [...(partsByStream.get(firstId) ?? []), ...parts]);
+    });
+  return [...partsByStream.values()]
+    .filter((parts) => new Set(parts.map((part) => part.split(' ')[0])).size > 1)
+    .map((parts) => `ORDER, a stream of several software versions: ${parts.join(', ')}`);
+}
+
 /** Returns whether a process ended as its signals say. */
 function hasExpectedEnd({ endSignals, endedAtMs, process: { child } }: VmLife): boolean {
   if (endedAtMs === Number.POSITIVE_INFINITY) {
--- a/tests/soak/entryFleet.ts
+++ b/tests/soak/entryFleet.ts
@@ -82,6 +82,7 @@
 export interface SoakServer {
   readonly id: string;
   readonly service: SoakService;
+  readonly softwareVersion: string;
   readonly process: StartedProcess;
   readonly bornMs: number;
   address: string;
@@ -186,8 +187,11 @@
   }
 }
 
-/** Starts a store, servers and VMs, and waits until the VMs are ready. */
-export async function startEntryFleet(vmCount: number): Promise<EntryFleet> {
+/** Starts a store, servers and VMs, and waits until the VMs are ready. Servers have the software versions in turn. */
+export async function startEntryFleet(
+  vmCount: number,
+  softwareVersions: readonly string[],
+): Promise<EntryFleet> {
   const store = await startPlatformStore();
   const servers: SoakServer[] = [];
   const runs: Run[] = [];
@@ -199,10 +203,11 @@
   let isClosing = false;
 
   const register = (server: SoakServer): void => {
-    const { address, bornMs, id, models, service, state } = server;
+    const { address, bornMs, id, models, service, softwareVersion, state } = server;
     sequence += 1;
     const timing = { cold_left_ms: 0, born: bornMs, seq: sequence };
-    const entry = { service, address, state, zone: 'fd-0', version: 'v1', slots: 200, ...timing };
+    const place = { service, address, zone: 'fd-0', version: softwareVersion };
+    const entry = { ...place, state, slots: 200, ...timing };
     store.put(`servers/${id}`, service === 'llm' ? { ...entry, models } : entry);
   };
 
@@ -233,8 +238,10 @@
     serverCount += 1;
     const id = knownId ?? `s${serverCount}`;
     const started = spawnProgram(id, SERVER_PROGRAM, ['--id', id, '--host', SERVER_HOST]);
+    const softwareVersion = softwareVersions[serverCount % softwareVersions.length]!;
     const server: SoakServer = {
-      ...{ id, service, process: started, bornMs: Date.now(), address: '', state: 'ready' },
+      ...{ id, service, softwareVersion, process: started, bornMs: Date.now() },
+      ...{ address: '', state: 'ready' },
       models: [{ name: 'm0', version: 1, adapters: [] }],
       killedAtMs: Number.POSITIVE_INFINITY,
     };
