Bound the number of rejected take-ups for which a bucket keeps tokens

What a workspace could do: reject costs of a few tokens were recorded without bound, and each of its requests sums them.

--- a/src/state/entry/rateBucket.ts
+++ b/src/state/entry/rateBucket.ts
@@ -9,6 +9,8 @@
  */
 
 const MS_PER_SECOND = 1000;
+/** Every request sums the reservations, so that a workspace may not have any number of them. */
+const MAX_RESERVATIONS = 100;
 
 /** Tokens that are kept for a rejected request until it comes again or a time is over. */
 export interface Reservation {
@@ -103,15 +105,18 @@
   return sum;
 }
 
-/** Keeps tokens for a rejected request. More than the capacity cannot be kept. */
+/** Keeps tokens for a rejected request, unless too many are kept already. More than the capacity cannot be kept. */
 export function keepTokens(
   bucket: RateBucket,
   key: string,
   reservation: Reservation,
   nowMs: number,
 ): void {
-  if (getReservedTokens(bucket, key, nowMs) < bucket.capacityTokens) {
-    bucket.reservations.set(key, reservation);
+  const { capacityTokens, reservations } = bucket;
+  const reservedTokens = getReservedTokens(bucket, key, nowMs);
+  const hasRoom = reservations.size < MAX_RESERVATIONS || reservations.has(key);
+  if (hasRoom && reservedTokens < capacityTokens) {
+    reservations.set(key, reservation);
   }
 }
 
--- a/tests/entry/takeUpRate.test.ts
+++ b/tests/entry/takeUpRate.test.ts
@@ -68,6 +68,18 @@
     expect(isAdmitted(vm, 'new', {}, NOW_MS + 2 * REFILL_MS)).toBe(true);
   });
 
+  it.each([
+    { name: 'small', promptTokens: 1 },
+    { name: 'large', promptTokens: 100_000 },
+  ])('keeps a bounded number of records: $name requests', ({ promptTokens }) => {
+    const vm = createEmptyVm();
+    const ids = Array.from({ length: 1_000 }, (_, i) => `r${i}`);
+    ids.forEach((id) =>
+      reject(vm, id, { ...TAKE_UP, promptTokens, maxOutputTokens: 1, resumedRequestId: id }),
+    );
+    expect(vm.state.buckets.get('mill')!.reservations.size).toBeLessThanOrEqual(100);
+  });
+
   it('keeps no tokens for requests from the beginning', () => {
     const vm = createEmptyVm();
     reject(vm, 'a', {});
