Tell the configuration to a VM that starts as the store goes down

Cause: a VM learns of the other VMs from the store only. A VM that starts without it waits for a message of another one, and fetches the contents of the store from there; but the VMs send to relays and to those that have reported to them, and of a relayed VM only its relay has heard. If it started as the store went down, nobody ever wrote to it. One that started later was known already, since all VMs read the store themselves by then and exchange reports.

While the store is unreachable, a relay also sends its reports to one VM of its failure domain a round that it has not heard from for two seconds. It doesn't request a report, so the demand of a VM that reports to the other relay isn't counted twice. At most two more messages a round in a failure domain.

tests/entry/relays.test.ts: of four cases with 60 VMs, "a relayed VM, as the store goes down" failed before, 12 s after the start; now the four pass. The simulated fleet reports a refused read of the store, as the real one does.

What a suspended relay costs a VM that starts is left as it is.

--- a/src/coordination/entry/exchange/exchangePeers.ts
+++ b/src/coordination/entry/exchange/exchangePeers.ts
@@ -3,12 +3,15 @@
  */
 import { nextRandomInt } from '../../../state/random.js';
 import type { ListedEntryVm } from '../peerMessage.js';
-import { selectRelay } from './relays.js';
+import { isRelay, selectRelay } from './relays.js';
 import { type EntryState, RelayRole } from '../state.js';
 
 /** Number of other relays to which a relay sends new evidence at once; three hops then reach a hundred relays. */
 const EVIDENCE_FANOUT = 5;
 
+/** Longest time between two reports of a VM that runs, several rounds of the exchange. */
+const MAX_REPORT_GAP_MS = 2_000;
+
 /** The address and id of a VM that takes part in the exchange between relays. */
 export type ExchangePeer = Pick<ListedEntryVm, 'vmId' | 'peerAddress'>;
 
@@ -38,6 +41,27 @@
   return [...peers.values()];
 }
 
+/**
+ * Returns the VMs of a relay's failure domain that it does not hear from while the store is unreachable. Those that have
+ * started since know no other VM, and learn of the store's contents only from a message of another.
+ */
+export function listSilentVms(state: EntryState, nowMs: number): ExchangePeer[] {
+  const { failureDomain, vmId: ownId } = state.self;
+  if (state.store.isReachable || !isRelay(state, ownId)) {
+    return [];
+  }
+  const reports = [...state.peers.values()].map(({ report }) => report);
+  const known = new Map([...state.listedVms, ...reports].map((vm) => [vm.vmId, vm] as const));
+  const getReportedAtMs = (vmId: string): number =>
+    state.peers.get(vmId)?.reportReceivedAtMs ?? Number.NEGATIVE_INFINITY;
+  return [...known.values()].filter(
+    (vm) =>
+      vm.vmId !== ownId &&
+      vm.failureDomain === failureDomain &&
+      nowMs - getReportedAtMs(vm.vmId) >= MAX_REPORT_GAP_MS,
+  );
+}
+
 /** Returns the VMs that this VM relays for. */
 function listRelayedVms(state: EntryState, nowMs: number): ExchangePeer[] {
   return [...state.peers.values()]
--- a/src/coordination/entry/exchange/gossip.ts
+++ b/src/coordination/entry/exchange/gossip.ts
@@ -19,6 +19,7 @@
 import {
   type ExchangePeer,
   listExchangePeers,
+  listSilentVms,
   selectEvidenceReceivers,
   selectRandom,
 } from './exchangePeers.js';
@@ -158,17 +159,24 @@
   ];
 }
 
-/** Sends all known reports to some other relays, which answer with those that they know. */
+/**
+ * Sends all known reports to some other relays, which answer with those that they know, and to a VM that may have just
+ * started. The report of that one is not requested, since its relay reports its demands.
+ */
 function exchangeReports(state: EntryState, report: VmReport, nowMs: number): EntryCommand[] {
   const peers = listExchangePeers(state, nowMs);
   const fanout = peers.length > MAX_RELAYS_FOR_FULL_FANOUT ? 1 : state.policy.peerFanout;
   const reports = [report, ...listKnownReports(state, nowMs)];
   const message = createMessage(state, nowMs);
-  return selectRandom(state, peers, fanout).map((peer) => {
+  const send = (peer: ExchangePeer, isReportRequested: boolean): EntryCommand => {
     const board = createBoardUpdate(state.board, state.peers.get(peer.vmId)?.knownBoard ?? null);
-    const request = { ...message, reports, board, isReportRequested: true };
+    const request = { ...message, reports, board, isReportRequested };
     return sendToPeer(peer, request, PeerCallPurpose.Reports);
-  });
+  };
+  return [
+    ...selectRandom(state, peers, fanout).map((peer) => send(peer, true)),
+    ...selectRandom(state, listSilentVms(state, nowMs), 1).map((peer) => send(peer, false)),
+  ];
 }
 
 function exchangeWithPeers(state: EntryState, nowMs: number): EntryCommand[] {
--- a/tests/entry/relays.test.ts
+++ b/tests/entry/relays.test.ts
@@ -271,6 +271,43 @@
   });
 });
 
+/** `recover_s` of the platform's settings. */
+const MAX_RECOVERY_MS = 12_000;
+const RESTART_MS = 1_000;
+
+/** Returns a VM that only its relay has heard of. */
+function findUnheardOf(fleet: ExchangeFleet): ExchangeVm {
+  return findByRole(fleet, RelayRole.Relayed).find(({ listed }) =>
+    fleet.vms.every(({ state }) => state.peers.get(listed.vmId)?.isRelayedHere !== false),
+  )!;
+}
+
+const RESTARTED: readonly {
+  readonly name: string;
+  readonly find: (fleet: ExchangeFleet) => ExchangeVm;
+  readonly outageMs: number;
+}[] = [
+  { name: 'a relay, as the store goes down', find: findFirstRelay, outageMs: 0 },
+  { name: 'a relay, some seconds later', find: findFirstRelay, outageMs: 4_000 },
+  { name: 'a relayed VM, as the store goes down', find: findUnheardOf, outageMs: 0 },
+  { name: 'a relayed VM, some seconds later', find: findUnheardOf, outageMs: 4_000 },
+];
+
+describe('a VM that starts while the store is down', () => {
+  it.each(RESTARTED)('gets the contents of the store from a VM: $name', ({ find, outageMs }) => {
+    const fleet = startFleet();
+    const vm = find(fleet);
+    fleet.vms.forEach((other) => Object.assign(other, { isRefusedByStore: true }));
+    fleet.runFor(outageMs);
+    Object.assign(vm, { isRunning: false });
+    fleet.runFor(RESTART_MS);
+    Object.assign(vm, { isRunning: true });
+    fleet.restartUnconfigured(vm);
+    fleet.runFor(MAX_RECOVERY_MS);
+    expect(vm.mirror.items.has('kept')).toBe(true);
+  });
+});
+
 describe('the mirror of the store', () => {
   const change = fc.record({
     key: fc.constantFrom('a', 'b', 'c', 'd'),
--- a/tests/fakes/exchangeFleet.ts
+++ b/tests/fakes/exchangeFleet.ts
@@ -81,6 +81,8 @@
   /** Brings the store back from a copy without its latest changes. */
   readonly restore: (lostChanges: number) => void;
   readonly restart: (vm: ExchangeVm) => void;
+  /** Restarts a VM that knows neither the configuration nor the other VMs until it hears of them. */
+  readonly restartUnconfigured: (vm: ExchangeVm) => void;
   /** Passes an event to a VM. */
   readonly post: (vm: ExchangeVm, event: EntryEvent) => void;
   /** Returns the number of calls between VMs for a purpose. */
@@ -112,9 +114,17 @@
     processorShare: i < domainCount * STRONG_VMS_PER_DOMAIN ? 1.35 : 0.324,
   }));
 
-  const createState = (listed: ListedEntryVm, index: number, start: number): EntryState => {
+  const createUnconfiguredState = (
+    listed: ListedEntryVm,
+    index: number,
+    start: number,
+  ): EntryState => {
     const self = { ...listed, incarnation: `${start}` };
-    const state = createEntryState(self, TEST_POLICY, seed + index, nowMs);
+    return createEntryState(self, TEST_POLICY, seed + index, nowMs);
+  };
+
+  const createState = (listed: ListedEntryVm, index: number, start: number): EntryState => {
+    const state = createUnconfiguredState(listed, index, start);
     const workspacesByName = new Map(
       workspaces.map((name) => [name, { ...TEST_WORKSPACE, name, rateTokensPerSecond }]),
     );
@@ -247,6 +257,7 @@
     }
     Object.assign(vm, { storeCalls: vm.storeCalls + 1, isStoreConfirmed: !vm.isRefusedByStore });
     if (vm.isRefusedByStore) {
+      post(vm, { kind: EntryEventKind.StoreReachabilityRead, isReachable: false, ageMs: 0 });
       return;
     }
     Object.assign(vm, { confirmedAtMs: nowMs });
@@ -279,13 +290,16 @@
     }
   };
 
-  const start = (vm: ExchangeVm): void => {
-    vm.timers.clear();
-    post(vm, { kind: EntryEventKind.VmsRead, vms: listedVms });
+  const startExchange = (vm: ExchangeVm): void => {
     const tick = nextRandomInt(random, TEST_POLICY.peerIntervalMs);
     const event = { kind: EntryEventKind.PeerTick } as const;
     vm.timers.set(event.kind, { atMs: nowMs + tick, event });
   };
+  const start = (vm: ExchangeVm): void => {
+    vm.timers.clear();
+    post(vm, { kind: EntryEventKind.VmsRead, vms: listedVms });
+    startExchange(vm);
+  };
   vms.forEach(start);
 
   const runVm = (vm: ExchangeVm, index: number): void => {
@@ -344,6 +358,12 @@
       Object.assign(vm, { state, mirror: createStoreMirror(), isReader: false });
       start(vm);
     },
+    restartUnconfigured: (vm) => {
+      const state = createUnconfiguredState(vm.listed, vms.indexOf(vm), nowMs);
+      Object.assign(vm, { state, mirror: createStoreMirror(), isReader: false });
+      vm.timers.clear();
+      startExchange(vm);
+    },
     setDemand: (tokensPerSecond) => {
       demandTokensPerSecond = tokensPerSecond;
     },
