Deliver a complete answer although its server sends bytes behind it

What callers could see: a 502 for a request that has run, or a broken stream whose last event had come, when the server sends bytes that are no answer right behind a complete one, or a body behind an answer to HEAD. Cause: the parser reports these bytes as an error of the request before the end of the answer is read, and the attempt failed by it. Change: an error after the answer is complete does not fail the attempt; its connection is closed by Node.js as before, so nothing of the bytes reaches the next request.

--- a/src/transport/entry/attempt.ts
+++ b/src/transport/entry/attempt.ts
@@ -290,7 +290,12 @@
       failForLostConnection(attempt);
     }
   };
-  request.on('error', (error) => failForError(attempt, error));
+  request.on('error', (error) => {
+    // Bytes behind a complete answer belong to no request.
+    if (answer?.complete !== true) {
+      failForError(attempt, error);
+    }
+  });
   request.on('close', () => {
     // The connection may close while reading is paused, before the rest of a complete answer is read.
     if (answer?.complete !== true) {
--- a/tests/entry/spoiledAttempts.test.ts
+++ b/tests/entry/spoiledAttempts.test.ts
@@ -171,6 +171,20 @@
   { name: 'before a comment', run: `${BYTE_ORDER_MARK}: c\n\n${formatEvents(4, 5)}` },
 ];
 
+describe('a stream whose server sends bytes behind its end', () => {
+  it.each(['garbage', '\r\n\r\n', 'HTTP/1.1 200 OK\r\n\r\n', formatEvents(6)])(
+    'is whole without them: %j',
+    async (extra) => {
+      const answer: Answer = (socket) =>
+        socket.write(`${HEAD}Content-Length: ${WHOLE.length}\r\n\r\n${WHOLE}${extra}`);
+      const { kinds, result } = await callServers([answer]);
+      expect(result.body).toBe(WHOLE);
+      expect(looksComplete(result)).toBe(true);
+      expect(kinds).toContain(EntryEventKind.AnswerCompleted);
+    },
+  );
+});
+
 describe('a byte order mark', () => {
   it.each(MARKED)('of a run that goes on does not reach the caller: $name', async ({ run }) => {
     const { result } = await callServers([sendSpoiled('garbage\n\n'), sendFramed(run)]);
