Have the servers of the soak draw heads that are not a stream's, and forms that callers get nothing of

Servers now also send comments, retry times and the like in front of drawn events, and a head that is not a stream's in every other run of a fifth of the spoiled streams. The callers' check is unchanged: it splits at blank lines, so a piece that is not an event of a run is a finding, an empty one too.

--- a/tests/soak/entryCallers.ts
+++ b/tests/soak/entryCallers.ts
@@ -5,7 +5,12 @@
 import http from 'node:http';
 import { nextRandom, nextRandomInt, type RandomState } from '../../src/state/random.js';
 import { wait } from '../stand-ins/entryVms.js';
-import { listSpoiledForms, SpoiledTail } from '../stand-ins/streamForms.js';
+import {
+  FOREIGN_HEADS,
+  listIdleForms,
+  listSpoiledForms,
+  SpoiledTail,
+} from '../stand-ins/streamForms.js';
 import type { EntryFleet, SoakVm, VmLife } from './entryFleet.js';
 import { EVENT_COUNT, parseEvents } from './numberedEvents.js';
 
@@ -21,6 +26,10 @@
 /** Share of the streams that their servers spoil while a disruption has them do so, and share of these that are spoiled twice. */
 const SPOILED_FRACTION = 0.5;
 const TWICE_SPOILED_FRACTION = 0.3;
+/** Share of the streams with a head that is not a stream's, of those that their servers spoil. */
+const FOREIGN_HEAD_FRACTION = 0.2;
+/** Number of forms without data that servers send in such a stream. */
+const IDLE_FORM_COUNT = 3;
 const TAILS = Object.values(SpoiledTail);
 const MODELS = ['m0', 'm0', 'm0/a1', 'm0/a2', 'm0/a3', 'm1', 'm1/a1', 'm1/a2', 'm2', 'm2/a1'];
 
@@ -109,7 +118,7 @@
   readonly lastEventId: number;
   /** Id of the attempt that brought the first event of the stream; null for one from the beginning. */
   readonly resumedId: string | null;
-  /** Parts of the query with which servers spoil the stream. */
+  /** Parts of the query with which servers spoil the stream, or send more than its events. */
   readonly spoils: readonly string[];
   /** The caller closes its connection after this time. */
   readonly leavesAfterMs: number;
@@ -220,6 +229,7 @@
   const kinds = Object.keys(ENTRY_KINDS) as EntryKind[];
   const pick = <T>(from: readonly T[]): T => from[nextRandomInt(random, from.length)]!;
   const formCount = listSpoiledForms(1).length;
+  const idleFormCount = listIdleForms(1).length;
   let sent = 0;
 
   /** Draws where and how servers spoil a stream, in the order of the events. */
@@ -229,9 +239,18 @@
       { length: places },
       () => 2 + nextRandomInt(random, EVENT_COUNT - 1),
     );
-    return eventIds
+    const idle = Array.from(
+      { length: IDLE_FORM_COUNT },
+      () =>
+        `idle=${1 + nextRandomInt(random, EVENT_COUNT)}.${nextRandomInt(random, idleFormCount)}`,
+    );
+    if (nextRandom(random) < FOREIGN_HEAD_FRACTION) {
+      return [...idle, `head=${nextRandomInt(random, FOREIGN_HEADS.length)}`];
+    }
+    const spoils = eventIds
       .sort((left, right) => left - right)
       .map((eventId) => `spoil=${eventId}.${nextRandomInt(random, formCount)}.${pick(TAILS)}`);
+    return [...idle, ...spoils];
   };
   const areSpoiled = (): boolean =>
     nextRandom(random) < SPOILED_FRACTION &&
--- a/tests/stand-ins/soakServerMain.ts
+++ b/tests/stand-ins/soakServerMain.ts
@@ -4,13 +4,15 @@
  * `ran ATTEMPT RUN LAST_EVENT_ID` and `order HOLDER FENCE MODELS_AS_JSON`. Events name their run; a query of the path sets
  * how the answer is framed, how long its events are, and where it is spoiled: `spoil=EVENT_ID.FORM_NUMBER.TAIL`, any number of them. A
  * run that begins before that event sends the form in its place, prints `spoiled RUN EVENT_ID TAIL FORM`, and goes on as the tail says.
+ * With `idle=EVENT_ID.FORM_NUMBER` it sends a form that callers get nothing of in front of that event. With `head=NUMBER` every other
+ * run of the server has a head that is not a stream's, and prints `spoiled RUN 0 head STATUS`.
  */
 import { once } from 'node:events';
 import http, { type IncomingMessage, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { EVENT_COUNT, formatEvent, formatPlainAnswer } from '../soak/numberedEvents.js';
 import { readFlags } from './http.js';
-import { listSpoiledForms, SpoiledTail } from './streamForms.js';
+import { FOREIGN_HEADS, listIdleForms, listSpoiledForms, SpoiledTail } from './streamForms.js';
 
 const EVENT_INTERVAL_MS = 17;
 /** Time within which an event is written in two parts, so that a kill falls between them as well. */
@@ -76,6 +78,8 @@
   readonly attemptId: string;
   readonly run: string;
   readonly eventBytes: number;
+  /** Forms that callers get nothing of, and the events in front of which they are sent. */
+  readonly idleForms: ReadonlyMap<number, number>;
 }
 
 /** The place in a run at which a spoiled form is sent. */
@@ -113,7 +117,7 @@
 }
 
 function sendEvents(eventRun: EventRun, firstId: number, spoil: Spoil | undefined): void {
-  const { attemptId, eventBytes, response, run } = eventRun;
+  const { attemptId, eventBytes, idleForms, response, run } = eventRun;
   const sendEvent = (eventId: number): void => {
     if (eventId > EVENT_COUNT) {
       response.end();
@@ -122,6 +126,11 @@
     if (spoil?.eventId === eventId && !spoilRun(eventRun, spoil)) {
       return;
     }
+    const idleNumber = idleForms.get(eventId);
+    if (idleNumber !== undefined) {
+      const forms = listIdleForms(eventId);
+      response.write(forms[idleNumber % forms.length]!.text, 'latin1');
+    }
     const text = formatEvent({ eventId, run, attemptId, fill: 'x'.repeat(eventBytes) });
     response.write(text.slice(0, text.length / 2));
     setTimeout(() => {
@@ -133,6 +142,23 @@
   response.on('error', () => {});
 }
 
+function findIdleForms(url: URL): ReadonlyMap<number, number> {
+  const pairs = url.searchParams.getAll('idle').map((text) => text.split('.').map(Number));
+  return new Map(pairs.map(([eventId = 0, formNumber = 0]) => [eventId, formNumber]));
+}
+
+/** Returns the status and the fields of the head of a run, and reports a head that is not a stream's. */
+function drawHead(url: URL, run: string): (typeof FOREIGN_HEADS)[number] {
+  const number = url.searchParams.get('head');
+  if (number === null || runCount % 2 === 0) {
+    const isStream = url.searchParams.has('events');
+    return { status: 200, headers: isStream ? { 'content-type': 'text/event-stream' } : {} };
+  }
+  const head = FOREIGN_HEADS[Number(number) % FOREIGN_HEADS.length]!;
+  report('spoiled', run, 0, 'head', head.status);
+  return head;
+}
+
 function runRequest(request: IncomingMessage, response: ServerResponse, url: URL): void {
   const attemptId = String(request.headers['x-attempt-id']);
   const lastEventId = Number(request.headers['last-event-id'] ?? 0);
@@ -141,19 +167,21 @@
   report('ran', attemptId, runName, lastEventId);
   const isFramed = url.searchParams.get('framing') !== 'none';
   const isStream = url.searchParams.has('events');
+  const head = drawHead(url, runName);
   const headers = {
     'x-attempt-id': attemptId,
     'x-server-seal': runName,
     'x-server-load': '1,0,200',
-    ...(isStream ? { 'content-type': 'text/event-stream' } : {}),
+    ...head.headers,
     ...(isFramed ? {} : { connection: 'close' }),
   };
   response.useChunkedEncodingByDefault = isFramed;
-  response.writeHead(200, headers);
+  response.writeHead(head.status, headers);
   if (isStream) {
     const eventBytes = Number(url.searchParams.get('events'));
     const firstId = lastEventId + 1;
-    const eventRun = { response, attemptId, run: runName, eventBytes };
+    const idleForms = findIdleForms(url);
+    const eventRun = { response, attemptId, run: runName, eventBytes, idleForms };
     sendEvents(eventRun, firstId, findSpoil(url, firstId));
   } else {
     response.end(formatPlainAnswer(attemptId));
--- a/tests/stand-ins/streamForms.ts
+++ b/tests/stand-ins/streamForms.ts
@@ -252,5 +252,22 @@
   return listStreamForms(due).filter(({ verdict }) => verdict === Spoiled);
 }
 
+/** Returns the forms that nothing of a stream is lost with, and that its callers get nothing of. */
+export function listIdleForms(due: number): readonly StreamForm[] {
+  return listStreamForms(due).filter(({ verdict }) => verdict === Idle);
+}
+
+/** Heads of answers that are not those of a stream. */
+export const FOREIGN_HEADS: readonly {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string>>;
+}[] = [
+  { status: 200, headers: {} },
+  { status: 200, headers: { 'content-type': 'text/plain' } },
+  { status: 200, headers: { 'content-type': 'text/event-stream-of-words' } },
+  { status: 201, headers: { 'content-type': 'text/event-stream' } },
+  { status: 206, headers: { 'content-type': 'text/event-stream' } },
+];
+
 /** What a server does after it has spoiled a stream. */
 export const SpoiledTail = { GoesOn: 'goesOn', Ends: 'ends', Resets: 'resets' } as const;
