Hold the body of a request once while it waits for its answer

Traced: with 49 MB of bodies in the account, 100 MB of buffers were alive after a full collection. The listeners of a request keep the list of the chunks that its body arrived in, and live as long as the request, so each body was held twice and counted once. The list is now emptied when the body is joined.

--- a/src/transport/requestBody.ts
+++ b/src/transport/requestBody.ts
@@ -49,7 +49,8 @@
     request.on('end', () =>
       resolve(
         isHeld
-          ? Right(Buffer.concat(chunks))
+          ? // The listeners live as long as the request, and would keep the body a second time.
+            Right(Buffer.concat(chunks.splice(0)))
           : Left(createDiagnostic(Diagnostics.MemoryExhausted, maxHeldBytes)),
       ),
     );
