Hold for callers only the memory that the program leaves

Callers of a VM of 250 MB lost it to the platform's memory limit beside many large bodies. The shares of what a VM holds were fractions of all its memory, 0.59 together; the program takes about 100 MB of it, and the runtime lets unused buffers grow by 64 MB before it collects them. The shares are now fractions of what is left of memory_mb, 1 together: 190 MB of 350 (before 206), 90 MB of 250 (before 147), a quarter of a smaller memory.

--- a/src/transport/entry/entryDaemon.ts
+++ b/src/transport/entry/entryDaemon.ts
@@ -26,7 +26,7 @@
 import type { PrefixStore } from '../keyValueStore.js';
 import { listen } from '../listen.js';
 import { createMetrics } from '../metrics.js';
-import { createVmMemory } from '../vmMemory.js';
+import { createVmMemory, getHoldableBytes } from '../vmMemory.js';
 import { createBackendAgents } from './backendAgent.js';
 import { createCallerConnections } from './callerConnections.js';
 import { createEntryCommandExecutor } from './commandTable.js';
@@ -127,7 +127,7 @@
   const metrics = createMetrics();
   const agents = createBackendAgents();
   const turnPacer = createTurnPacer();
-  const vmMemory = createVmMemory(settings.memoryMb * BYTES_PER_MB);
+  const vmMemory = createVmMemory(getHoldableBytes(settings.memoryMb * BYTES_PER_MB));
   const peers = createEntryPeerClient();
   const current: { limits: CallerLimits | null; isReady: boolean } = {
     limits: null,
--- a/src/transport/vmMemory.ts
+++ b/src/transport/vmMemory.ts
@@ -30,18 +30,24 @@
 } as const;
 export type MemoryShortage = (typeof MemoryShortage)[keyof typeof MemoryShortage];
 
+/** What the process takes when it serves a large configuration and holds nothing. */
+const PROGRAM_BYTES = 100_663_296;
+/** By how much buffers grow before the runtime collects those that are no longer used. */
+const UNCOLLECTED_BYTES = 67_108_864;
+/** Fraction of the memory of a small VM that it may hold for others. */
+const MIN_HELD_FRACTION = 0.25;
+
 interface MemoryShare {
-  /** Fraction of the VM's memory. */
+  /** Fraction of the memory that a VM has for what it holds. */
   readonly fraction: number;
   readonly onShortage: MemoryShortage;
 }
 
-/** The rest of the memory is for the program itself and for what the sockets hold. */
 export const MEMORY_SHARES: Readonly<Record<MemoryPurpose, MemoryShare>> = {
-  [MemoryPurpose.RequestHeads]: { fraction: 0.15, onShortage: MemoryShortage.RejectOldest },
-  [MemoryPurpose.RequestBodies]: { fraction: 0.2, onShortage: MemoryShortage.Reject },
-  [MemoryPurpose.Answers]: { fraction: 0.12, onShortage: MemoryShortage.Forward },
-  [MemoryPurpose.Streams]: { fraction: 0.12, onShortage: MemoryShortage.BreakOff },
+  [MemoryPurpose.RequestHeads]: { fraction: 0.25, onShortage: MemoryShortage.RejectOldest },
+  [MemoryPurpose.RequestBodies]: { fraction: 0.35, onShortage: MemoryShortage.Reject },
+  [MemoryPurpose.Answers]: { fraction: 0.2, onShortage: MemoryShortage.Forward },
+  [MemoryPurpose.Streams]: { fraction: 0.2, onShortage: MemoryShortage.BreakOff },
 };
 
 /** The part of one holder in the memory. */
@@ -98,7 +104,12 @@
   return holder;
 }
 
-/** Creates the memory of a VM that has this many bytes in all. */
+/** Returns the bytes that a VM with this much memory may hold for others. */
+export function getHoldableBytes(memoryBytes: number): number {
+  return Math.max(memoryBytes - PROGRAM_BYTES - UNCOLLECTED_BYTES, memoryBytes * MIN_HELD_FRACTION);
+}
+
+/** Creates the memory of a VM that may hold this many bytes in all. */
 export function createVmMemory(totalBytes: number): VmMemory {
   const createShare = (purpose: MemoryPurpose): Share => ({
     maxBytes: totalBytes * MEMORY_SHARES[purpose].fraction,
--- a/tests/entry/vmMemory.test.ts
+++ b/tests/entry/vmMemory.test.ts
@@ -4,6 +4,7 @@
 import { describe, expect, it } from 'vitest';
 import {
   createVmMemory,
+  getHoldableBytes,
   type HeldMemory,
   MEMORY_SHARES,
   MemoryPurpose,
@@ -40,3 +41,20 @@
     expect(memory.hold(MemoryPurpose.Answers).add(50)).toBe(true);
   });
 });
+
+const BYTES_PER_MB = 1_048_576;
+
+describe('the memory that a VM may hold for others', () => {
+  it.each([
+    { memoryMb: 350, heldMb: 190 },
+    { memoryMb: 250, heldMb: 90 },
+    { memoryMb: 128, heldMb: 32 },
+  ])('leaves the program its own: $heldMb MB of $memoryMb MB', ({ heldMb, memoryMb }) => {
+    expect(getHoldableBytes(memoryMb * BYTES_PER_MB)).toBe(heldMb * BYTES_PER_MB);
+  });
+
+  it('is not given out twice', () => {
+    const fractions = Object.values(MEMORY_SHARES).map(({ fraction }) => fraction);
+    expect(fractions.reduce((sum, fraction) => sum + fraction, 0)).toBeLessThanOrEqual(1);
+  });
+});
