Take no answer whose body has a transfer coding other than chunks

A server's answer with `Transfer-Encoding: gzip`, `identity` or `chunked, gzip` went to callers as an event stream. Node.js decodes chunks only, so the body was still coded; and since any transfer coding counted as framing, such a body, which ends with its connection, ended whole for callers, without the check that the server has outlived it.

Cause: the presence of the header was taken for framing. Chunks are the one coding that is decoded and that marks an end; an answer with any other is now rejected like one with a `Content-Encoding`, on all routes.

--- a/src/transport/entry/answers.ts
+++ b/src/transport/entry/answers.ts
@@ -41,6 +41,7 @@
 const MIN_FAILURE_STATUS = 400;
 const EVENT_STREAM_PATTERN = /^text\/event-stream[ \t]*(?:;|$)/i;
 const CONTENT_TYPE_HEADER = 'content-type';
+const CHUNKED_PATTERN = /^chunked$/i;
 /** Larger responses are forwarded as they arrive. If one is cut off, the caller's connection is closed. */
 const MAX_BUFFERED_BYTES = 1_048_576;
 /** Longest body of a response. */
@@ -286,6 +287,13 @@
   return status === HTTP_OK && isStream ? AnswerKind.Stream : AnswerKind.Foreign;
 }
 
+/** Returns whether the body is not sent as it is. Chunks are the only coding that Node.js decodes. */
+function isEncoded({ headers }: IncomingMessage): boolean {
+  const coding = headers['transfer-encoding'];
+  const isCoded = coding !== undefined && !CHUNKED_PATTERN.test(coding);
+  return isCoded || headers['content-encoding'] !== undefined;
+}
+
 type AnswerHandler = (attempt: Attempt, response: IncomingMessage) => void;
 
 const ANSWER_HANDLERS: Readonly<Record<AnswerKind, AnswerHandler>> = {
@@ -302,10 +310,9 @@
   const { callerRequestId } = head;
   const isForThisRequest = callerRequestId === exchange.callerRequestId;
   const isRefusalWithoutId = callerRequestId === null && head.isRefused;
-  const isEncoded = response.headers['content-encoding'] !== undefined;
   // A server may send an earlier rejection once more, while it runs this request.
   const isReplay = !context.agents.recordAnswer(response, callerRequestId) && head.isRefused;
-  if (!(isForThisRequest || isRefusalWithoutId) || isEncoded || isReplay) {
+  if (!(isForThisRequest || isRefusalWithoutId) || isEncoded(response) || isReplay) {
     rejectAnswer(attempt);
     return;
   }
--- a/tests/processes/spoiledStreams.test.ts
+++ b/tests/processes/spoiledStreams.test.ts
@@ -164,6 +164,11 @@
     status: '200 OK',
     contentType: 'Content-Type: text/event-stream\r\nContent-Type: text/plain\r\n',
   },
+  ...['gzip', 'identity', 'chunked, gzip'].map((coding) => ({
+    name: `the transfer coding ${coding}`,
+    status: '200 OK',
+    contentType: `Content-Type: text/event-stream\r\nTransfer-Encoding: ${coding}\r\n`,
+  })),
   ...['201 Created', '203 Non-Authoritative Information', '206 Partial Content', '302 Found'].map(
     (status) => ({ name: status, status, contentType: 'Content-Type: text/event-stream\r\n' }),
   ),
