Leave a stream whose later events end their lines in another way

A caller that splits a stream at its blank lines, and knows one kind of them, joined events into one: after events that end with LF, sound ones that end with CR LF or CR were passed on, from the same run or from the next one of the same answer.

Cause: line ends were compared within a block, not with the events before it. The caller's place now holds what ends the lines of its events, over all runs, and an event that ends otherwise spoils the stream.

--- a/src/protocol/entry/eventFrames.ts
+++ b/src/protocol/entry/eventFrames.ts
@@ -10,6 +10,7 @@
 const MAX_PARTIAL_BLANK_LINE_LENGTH = 3;
 const LINE_ENDS_PATTERN = /^[\r\n]*$/;
 const LINE_END_PATTERN = /\r\n|\n|\r/g;
+const FIRST_LINE_END_PATTERN = /\r\n|\n|\r/;
 const ID_PATTERN = /^id(?::[ ]?(.*))?$/gm;
 const DATA_PATTERN = /^data(?::|$)/m;
 /** A line that is not a field of an event. */
@@ -32,6 +33,8 @@
   readonly id: string | null;
   readonly idCount: number;
   readonly hasData: boolean;
+  /** What ends its first line; empty if it has no line of an event. */
+  readonly lineEnd: string;
   /** True if it has no field of an event: only comments, which servers send to keep a connection open, and the like. */
   readonly isIdle: boolean;
   /** True if some line is not one of an event stream. */
@@ -93,6 +96,11 @@
   return !text.includes('\r') || new Set(text.match(LINE_END_PATTERN)).size <= 1;
 }
 
+/** Returns what ends the first line of a text; empty if it has none. */
+function findLineEnd(text: string): string {
+  return FIRST_LINE_END_PATTERN.exec(text)?.[0] ?? '';
+}
+
 /** Selects the lines of an event from a block. Most blocks have no others. */
 function selectLines(block: string, annotationPattern: RegExp): BlockLines {
   if (!OTHER_LINE_PATTERN.test(block)) {
@@ -152,6 +160,7 @@
       receivedBytes: received.length,
       ...decodeId(text),
       hasData: DATA_PATTERN.test(text),
+      lineEnd: findLineEnd(forwarded),
       isIdle,
       isForeign,
     };
--- a/src/protocol/entry/streamJudge.ts
+++ b/src/protocol/entry/streamJudge.ts
@@ -32,6 +32,8 @@
   lastId: string | null;
   /** Whether the numbers rise by one; null until two are known. Those of a stream that its caller takes up do. */
   isConsecutive: boolean | null;
+  /** What ends the lines of the events that the caller has from this VM; null if it has none. */
+  lineEnd: string | null;
   /** Number of the last event that the caller had before, after which it takes the stream up; null if it begins anew. */
   readonly startsAfterId: string | null;
 }
@@ -50,6 +52,7 @@
   return {
     lastId: null,
     isConsecutive: isTakenUp ? true : null,
+    lineEnd: null,
     startsAfterId: isTakenUp ? startsAfterId : null,
   };
 }
@@ -87,7 +90,7 @@
     return number === before + 1n ? true : null;
   };
 
-  const judgeNumber = (id: string): Judgement => {
+  const judgeNumber = (id: string, lineEnd: string): Judgement => {
     const number = BigInt(id);
     const before = lastOfRun;
     if (before !== null && number <= before) {
@@ -108,14 +111,17 @@
       return REPEATED;
     }
     place.lastId = id;
+    place.lineEnd = lineEnd;
     return SOUND;
   };
 
-  const judgeEvent = ({ hasData, id, idCount, isForeign, isIdle }: EventFrame): Judgement => {
+  const judgeEvent = (event: EventFrame): Judgement => {
+    const { hasData, id, idCount, isForeign, isIdle, lineEnd } = event;
     if (isIdle) {
       return IDLE;
     }
-    if (isForeign) {
+    // A caller that looks for one kind of blank line would join events that end in two.
+    if (isForeign || lineEnd !== (place.lineEnd ?? lineEnd)) {
       return spoiled(SpoilReason.ForeignText);
     }
     if (!hasData) {
@@ -124,7 +130,7 @@
     if (!isEventNumber(id)) {
       return spoiled(SpoilReason.NoNumber);
     }
-    return idCount > 1 ? spoiled(SpoilReason.TwoNumbers) : judgeNumber(id);
+    return idCount > 1 ? spoiled(SpoilReason.TwoNumbers) : judgeNumber(id, lineEnd);
   };
 
   return {
--- a/tests/entry/streamJudge.test.ts
+++ b/tests/entry/streamJudge.test.ts
@@ -143,6 +143,27 @@
   },
 ];
 
+const LINE_ENDS = [
+  { lines: 'LF', lineEnd: '\n' },
+  { lines: 'CR LF', lineEnd: '\r\n' },
+  { lines: 'CR', lineEnd: '\r' },
+];
+const LINE_END_PAIRS = LINE_ENDS.flatMap((first) =>
+  LINE_ENDS.filter((later) => later !== first).map((later) => ({ first, later })),
+);
+
+describe('a stream whose later events end their lines in another way', () => {
+  it.each(LINE_END_PAIRS)('is spoiled: $first.lines, then $later.lines', ({ first, later }) => {
+    const begin = formatEvents(1, 2).replaceAll('\n', first.lineEnd);
+    const rest = formatEvents(3, 4).replaceAll('\n', later.lineEnd);
+    const expected = { passed: ['1', '2'], reason: SpoilReason.ForeignText };
+    expect(judgeRun(createStreamPlace(null), begin + rest)).toMatchObject(expected);
+    const place = createStreamPlace(null);
+    judgeRun(place, begin);
+    expect(judgeRun(place, rest)).toMatchObject({ ...expected, passed: [] });
+  });
+});
+
 /** Runs of a stream that its caller takes up after an event, and the ids of the events that are passed on. */
 const TAKEN_UP: readonly {
   readonly name: string;
