Judge all texts of a chunk from an engine, not the first one only

A chunk without an index reached callers although it had text: in its second choice, or in `delta.content` beside an empty `text`.

Cause: only the first text of the first choice was looked at, while the whole chunk is forwarded. All texts of all choices are now judged: a chunk without an index may have none that is not empty, and one with an index has exactly one.

With the rows "text without an index in the second choice" and "... beside an empty text", five tests of tests/dispatch/spoiledCompletions.test.ts failed before; its 122 tests pass now. The row "two texts in a choice" passed before too.

--- a/src/protocol/completionJudge.ts
+++ b/src/protocol/completionJudge.ts
@@ -47,13 +47,13 @@
 
 /** Returns why a chunk with an index is not the token that is due; null if it is. */
 function findTokenFault(
-  { choiceCount, text, tokenIndex }: CompletionChunk,
+  { choiceCount, texts, tokenIndex }: CompletionChunk,
   dueIndex: number,
 ): AnswerSpoilReason | null {
   if (tokenIndex !== dueIndex) {
     return Number(tokenIndex) < dueIndex ? AnswerSpoilReason.FellBack : AnswerSpoilReason.Skipped;
   }
-  return text === null || choiceCount !== 1 ? AnswerSpoilReason.NoText : null;
+  return texts.length !== 1 || choiceCount !== 1 ? AnswerSpoilReason.NoText : null;
 }
 
 /** Creates the judge of one dispatch. It is not asked again after a spoiled item. */
@@ -66,7 +66,7 @@
   let dueIndex = resumeFromToken;
 
   const findFault = (chunk: CompletionChunk): AnswerSpoilReason | null => {
-    const hasText = chunk.text !== null && chunk.text !== '';
+    const hasText = chunk.texts.some((text) => text !== '');
     if (chunk.id !== dispatchId) {
       return AnswerSpoilReason.OtherRequest;
     }
--- a/src/protocol/openai.ts
+++ b/src/protocol/openai.ts
@@ -131,8 +131,10 @@
   readonly id: string;
   /** Index of the token in the response, from zero; null for a chunk without one. */
   readonly tokenIndex: number | null;
-  /** Null for a chunk without text. */
+  /** The first text of the first choice; null if that has none. */
   readonly text: string | null;
+  /** All texts of all choices, of which callers may read any. */
+  readonly texts: readonly string[];
   readonly finishReason: string | null;
   readonly choiceCount: number;
   /** The complete chunk, for forwarding: as it was received and decoded. */
@@ -144,11 +146,15 @@
 export function decodeChunk(data: string): Either<Diagnostic, CompletionChunk> {
   return parseJson(data).chain((value) =>
     decodeValue(ChunkSchema, value).map((chunk) => {
-      const choice = chunk.choices[0];
+      const [choice] = chunk.choices;
+      const texts = chunk.choices.flatMap(({ delta, text }) =>
+        [text, delta?.content].flatMap((part) => part ?? []),
+      );
       return {
         id: chunk.id,
         tokenIndex: chunk.token_index ?? null,
         text: choice?.text ?? choice?.delta?.content ?? null,
+        texts,
         finishReason: choice?.finish_reason ?? null,
         choiceCount: chunk.choices.length,
         data,
--- a/tests/stand-ins/completionForms.ts
+++ b/tests/stand-ins/completionForms.ts
@@ -99,6 +99,21 @@
     name: 'text without an index',
     write: (place) => encodeChunk(place, { token_index: undefined }),
   },
+  {
+    name: 'text without an index in the second choice',
+    write: (place) =>
+      encodeChunk(place, { choices: [{}, CHOICES[place.kind]('x')], token_index: undefined }),
+  },
+  {
+    name: 'text without an index beside an empty text',
+    write: (place) =>
+      writeChoice(place, { text: '', delta: { content: 'x' } }, { token_index: undefined }),
+  },
+  {
+    name: 'two texts in a choice',
+    write: (place) =>
+      writeChoice(place, { text: getTokenText(place.due), delta: { content: 'x' } }),
+  },
   { name: 'an index without text', write: (place) => encodeChunk(place, { choices: [] }) },
   { name: 'an index whose choice has no text', write: (place) => writeChoice(place, { index: 0 }) },
   {
