--- a/src/coordination/entry/commands.ts
+++ b/src/coordination/entry/commands.ts
@@ -8,7 +8,8 @@
 import type { StreamGroup } from '../../state/entry/streamOrigins.js';
 import type { Refusal } from '../../state/types.js';
 import type { LogLevel, RequestMetrics } from '../events.js';
-import type { EngineOrder, EntryEvent, LimitName } from './events.js';
+import type { EngineOrder } from './engineOrder.js';
+import type { EntryEvent, LimitName } from './events.js';
 import type { PeerMessage, StoreRequest } from './peerMessage.js';
 import type { PeerCallPurpose } from './exchange/peerCallPurpose.js';
 
--- a/src/coordination/entry/events.ts
+++ b/src/coordination/entry/events.ts
@@ -13,6 +13,7 @@
 import type { RunState } from '../../state/types.js';
 import type { CloseCause } from './closeCause.js';
 import type { ListedEntryVm, PeerMessage } from './peerMessage.js';
+import type { EngineOrder, EngineOrderOutcome, EngineReport } from './engineOrder.js';
 import type { EntryPolicy } from './policy.js';
 import type { StreamOriginsTask } from './requests/streamState.js';
 
@@ -54,15 +55,6 @@
   readonly isMisdirected: boolean;
 }
 
-/** An order to an engine to load or unload a model or an adapter. */
-export interface EngineOrder {
-  readonly action: OrderAction;
-  readonly model: string;
-  readonly adapter: string | null;
-  /** Number of orders that the engine must have accepted before this one. */
-  readonly expectedOrderCount: number;
-}
-
 /** The kinds of limits that the VMs divide among themselves, and whose tokens they lend each other. */
 export const LimitKind = {
   /** The rate of a workspace. */
@@ -78,36 +70,6 @@
   readonly name: string;
 }
 
-/** The actions that an order can request. */
-export const OrderAction = { Load: 'load', Unload: 'unload' } as const;
-export type OrderAction = (typeof OrderAction)[keyof typeof OrderAction];
-
-/** The result of an order. */
-export const EngineOrderOutcome = {
-  /** The engine is carrying the order out. */
-  Accepted: 'accepted',
-  /** The engine is already in the requested state. */
-  Done: 'done',
-  /** Another order is in progress, or the engine has accepted other orders since `expectedOrderCount`. */
-  Conflict: 'conflict',
-  /** The engine has accepted an order with a higher fencing token, from a later controller. */
-  Fenced: 'fenced',
-  /** The engine rejected the order, or another server responded at the address. */
-  Rejected: 'rejected',
-  /** No response arrived: the order may still be carried out. */
-  Unknown: 'unknown',
-} as const;
-export type EngineOrderOutcome = (typeof EngineOrderOutcome)[keyof typeof EngineOrderOutcome];
-
-/** The state that an engine reports on request. */
-export interface EngineReport {
-  readonly isBusy: boolean;
-  readonly orderCount: number;
-  readonly models: BackendEntry['models'];
-  /** Adapters that are being loaded, as `model/adapter`. */
-  readonly loadingAdapters: readonly string[];
-}
-
 /** What a connection to a backend server shows about its process. */
 export const ProbeOutcome = {
   Accepting: 'accepting',
--- a/src/coordination/entry/lifecycle.ts
+++ b/src/coordination/entry/lifecycle.ts
@@ -26,13 +26,8 @@
 import type { EntryPolicy } from './policy.js';
 import { updatePermitShares } from './limits/serverLimits.js';
 import { reportEndedPauses } from './servers/serverPauses.js';
-import {
-  EntryLifecycle,
-  type EntryState,
-  ForwardPhase,
-  isShuttingDown,
-  updateVmsLastSeen,
-} from './state.js';
+import { updateVmsLastSeen } from './liveVms.js';
+import { EntryLifecycle, type EntryState, ForwardPhase, isShuttingDown } from './state.js';
 
 /** The platform checks readiness once a second and removes a VM after two failed checks; the rest is margin. */
 const UNREADY_DETECTION_MS = 2_600;
--- a/src/coordination/entry/limits/rates.ts
+++ b/src/coordination/entry/limits/rates.ts
@@ -20,7 +20,8 @@
 import { selectByRendezvous } from '../../../state/entry/rendezvous.js';
 import { getLastMeanDemand, getOthersDemand } from '../exchange/othersDemand.js';
 import type { ForwardRequest } from '../events.js';
-import { countVmsSharingLimits, type EntryState } from '../state.js';
+import { countVmsSharingLimits } from '../liveVms.js';
+import { type EntryState } from '../state.js';
 
 /** Fraction of the rate that is divided equally, regardless of demand. */
 const EQUAL_FRACTION = 0.75;
--- a/src/coordination/entry/limits/serverLimits.ts
+++ b/src/coordination/entry/limits/serverLimits.ts
@@ -29,7 +29,8 @@
 import { spreadEvidence } from '../exchange/evidenceSpread.js';
 import { findLender } from './lenders.js';
 import type { Loan } from './rateLoans.js';
-import { countVmsSharingLimits, type EntryState } from '../state.js';
+import { countVmsSharingLimits } from '../liveVms.js';
+import { type EntryState } from '../state.js';
 
 /** Number of tokens that one request takes. */
 const REQUEST_PERMITS = 1;
--- a/src/coordination/entry/placement/controller.ts
+++ b/src/coordination/entry/placement/controller.ts
@@ -26,7 +26,8 @@
   EntryCommandKind,
   EntryLogPrefix,
 } from '../commands.js';
-import { EntryEventKind, type EntryEventOf, OrderAction } from '../events.js';
+import { OrderAction } from '../engineOrder.js';
+import { EntryEventKind, type EntryEventOf } from '../events.js';
 import { collectModelDemands, getUrgencyWeights } from '../exchange/modelDemands.js';
 import { type EngineView, type PlanStep, planNextStep, WeightSource } from './placementPlanner.js';
 import { type EngineControl, reserveMemory } from './placementState.js';
--- a/src/coordination/entry/placement/engineOrders.ts
+++ b/src/coordination/entry/placement/engineOrders.ts
@@ -11,12 +11,8 @@
   EntryCommandKind,
   EntryLogPrefix,
 } from '../commands.js';
-import {
-  EngineOrderOutcome,
-  type EntryEventKind,
-  type EntryEventOf,
-  OrderAction,
-} from '../events.js';
+import { EngineOrderOutcome, OrderAction } from '../engineOrder.js';
+import { type EntryEventKind, type EntryEventOf } from '../events.js';
 import {
   advanceReservation,
   createEngineControl,
--- a/src/coordination/entry/placement/placementPlanner.ts
+++ b/src/coordination/entry/placement/placementPlanner.ts
@@ -7,7 +7,7 @@
  * replica.
  */
 import type { EngineModel, EngineProfile } from '../../../state/entry/deployment.js';
-import type { EngineOrder } from '../events.js';
+import type { EngineOrder } from '../engineOrder.js';
 import {
   getReplicaGain,
   getReplicaRemovalCost,
--- a/src/coordination/entry/placement/placementState.ts
+++ b/src/coordination/entry/placement/placementState.ts
@@ -4,7 +4,7 @@
  * it from the engines' entries in the store.
  */
 import type { BackendEntry } from '../../../state/entry/backends.js';
-import type { EngineOrder, EngineReport } from '../events.js';
+import type { EngineOrder, EngineReport } from '../engineOrder.js';
 
 /** A model that an engine is loading or unloading. */
 export interface ModelChange {
--- a/src/coordination/entry/requests/backendSelection.ts
+++ b/src/coordination/entry/requests/backendSelection.ts
@@ -13,7 +13,8 @@
 import { getPrefillDelay } from './prefillLoad.js';
 import { findObstacle, isEligible } from '../servers/serverAvailability.js';
 import { isLimitUnverified } from '../limits/serverLimits.js';
-import { countLiveVms, type EntryState, type ForwardRecord } from '../state.js';
+import { countLiveVms } from '../liveVms.js';
+import { type EntryState, type ForwardRecord } from '../state.js';
 
 /** Reported load is ignored from this age on. */
 const REPORTED_LOAD_MAX_AGE_MS = 1_500;
--- a/src/coordination/entry/requests/forwarding.ts
+++ b/src/coordination/entry/requests/forwarding.ts
@@ -36,12 +36,8 @@
 import { formatObstacles } from '../servers/serverAvailability.js';
 import { getPauseWaitMs, isPaused } from '../servers/serverPauses.js';
 import { requestAdapter } from '../placement/adapterRequests.js';
-import {
-  countVmsSharingLimits,
-  type EntryState,
-  ForwardPhase,
-  type ForwardRecord,
-} from '../state.js';
+import { countVmsSharingLimits } from '../liveVms.js';
+import { type EntryState, ForwardPhase, type ForwardRecord } from '../state.js';
 
 /** Fraction of the time to the deadline that a request may wait for its model; the rest is for the answer. */
 const MAX_WAIT_FRACTION = 0.5;
--- a/src/coordination/entry/requests/retryBudget.ts
+++ b/src/coordination/entry/requests/retryBudget.ts
@@ -2,7 +2,8 @@
  * Limits the retries of each service with a token bucket. Each VM holds its own share of the budget of all VMs:
  * a fixed ratio of its requests, and its share of the fixed reserve.
  */
-import { countVmsSharingLimits, type EntryState, type RetryBudget } from '../state.js';
+import { countVmsSharingLimits } from '../liveVms.js';
+import { type EntryState, type RetryBudget } from '../state.js';
 
 /** Fraction of the configured budget that is used; the rest covers VMs that restart with a new reserve. */
 const BUDGET_FRACTION = 0.6;
--- a/src/coordination/entry/requests/streamOriginWrites.ts
+++ b/src/coordination/entry/requests/streamOriginWrites.ts
@@ -15,7 +15,8 @@
 } from '../../../state/entry/streamOrigins.js';
 import { createEntryTimer, type EntryCommand, EntryCommandKind } from '../commands.js';
 import { type BackendChange, EntryEventKind, type EntryEventOf } from '../events.js';
-import { countVmsSharingLimits, type EntryState, type ForwardRecord } from '../state.js';
+import { countVmsSharingLimits } from '../liveVms.js';
+import { type EntryState, type ForwardRecord } from '../state.js';
 import { createStreamBatch, StreamOriginsTask } from './streamState.js';
 
 /** Interval of the writes of one VM, and its lower bound for each VM: it bounds the calls of all VMs together. */
--- a/src/coordination/entry/requests/streamVersions.ts
+++ b/src/coordination/entry/requests/streamVersions.ts
@@ -15,12 +15,8 @@
 } from '../../../state/entry/streamOrigins.js';
 import { createEntryTimer, type EntryCommand, EntryCommandKind } from '../commands.js';
 import { EntryEventKind, type EntryEventOf } from '../events.js';
-import {
-  countVmsSharingLimits,
-  type EntryState,
-  ForwardPhase,
-  type ForwardRecord,
-} from '../state.js';
+import { countVmsSharingLimits } from '../liveVms.js';
+import { type EntryState, ForwardPhase, type ForwardRecord } from '../state.js';
 import { hasServerForStream } from './backendSelection.js';
 import { startForward } from './forwarding.js';
 import { refuseForward } from './requestCompletion.js';
--- a/src/coordination/entry/servers/discovery.ts
+++ b/src/coordination/entry/servers/discovery.ts
@@ -16,7 +16,8 @@
 import { recordChangedVersions, updateStreamLife } from '../requests/streamOriginWrites.js';
 import { selectRelays, startAgeTimer, updateRelayRole } from '../exchange/relays.js';
 import { applyRestoredBackends } from './restoredStore.js';
-import { EntryLifecycle, type EntryState, updateVmsLastSeen } from '../state.js';
+import { updateVmsLastSeen } from '../liveVms.js';
+import { EntryLifecycle, type EntryState } from '../state.js';
 
 /** Grace period for a mass removal while the store is reachable: its outage may have been too short to be detected. */
 const MASS_REMOVAL_GRACE_MS = 1_800;
--- a/src/transport/entry/metricsServer.ts
+++ b/src/transport/entry/metricsServer.ts
@@ -2,7 +2,8 @@
  * Serves the metrics of an entry VM over HTTP in the Prometheus text format, and its status for operators.
  */
 import http, { type Server } from 'node:http';
-import { countLiveVms, type EntryState, RelayRole } from '../../coordination/entry/state.js';
+import { countLiveVms } from '../../coordination/entry/liveVms.js';
+import { type EntryState, RelayRole } from '../../coordination/entry/state.js';
 import { TakeUpResult } from '../../coordination/entry/requests/streamState.js';
 import { isPaused } from '../../coordination/entry/servers/serverPauses.js';
 import { countHeldQuarantines } from '../../state/entry/quarantineTable.js';
--- a/src/transport/entry/placementExecutors.ts
+++ b/src/transport/entry/placementExecutors.ts
@@ -4,7 +4,8 @@
  */
 import { Effect } from 'effect';
 import { EntryCommandKind, EntryLogPrefix } from '../../coordination/entry/commands.js';
-import { EntryEventKind, EngineOrderOutcome } from '../../coordination/entry/events.js';
+import { EngineOrderOutcome } from '../../coordination/entry/engineOrder.js';
+import { EntryEventKind } from '../../coordination/entry/events.js';
 import { LogLevel } from '../../coordination/events.js';
 import { type LeaseResult, NOT_ACQUIRED } from '../controllerLease.js';
 import { callHttp } from '../httpCall.js';
--- a/src/transport/entry/wire.ts
+++ b/src/transport/entry/wire.ts
@@ -8,8 +8,8 @@
   EngineOrder,
   EngineOrderOutcome,
   EngineReport,
-  ForwardRequest,
-} from '../../coordination/entry/events.js';
+} from '../../coordination/entry/engineOrder.js';
+import type { ForwardRequest } from '../../coordination/entry/events.js';
 import type { Diagnostic } from '../../state/diagnostics.js';
 import type { BackendEntry, BackendLoad } from '../../state/entry/backends.js';
 import type { Deployment } from '../../state/entry/deployment.js';
--- a/tests/entry/placement.test.ts
+++ b/tests/entry/placement.test.ts
@@ -4,12 +4,8 @@
  */
 import { describe, expect, it } from 'vitest';
 import { type EntryCommand, EntryCommandKind } from '../../src/coordination/entry/commands.js';
-import {
-  EngineOrderOutcome,
-  type EntryEvent,
-  EntryEventKind,
-  OrderAction,
-} from '../../src/coordination/entry/events.js';
+import { EngineOrderOutcome, OrderAction } from '../../src/coordination/entry/engineOrder.js';
+import { type EntryEvent, EntryEventKind } from '../../src/coordination/entry/events.js';
 import {
   type EngineView,
   getCommittedMemoryMb,
--- a/tests/entry/removedModels.test.ts
+++ b/tests/entry/removedModels.test.ts
@@ -7,9 +7,9 @@
 import {
   type EngineOrder,
   EngineOrderOutcome,
-  EntryEventKind,
   OrderAction,
-} from '../../src/coordination/entry/events.js';
+} from '../../src/coordination/entry/engineOrder.js';
+import { EntryEventKind } from '../../src/coordination/entry/events.js';
 import {
   type EngineView,
   NO_DEMAND,
--- a/tests/entry/thrownErrors.test.ts
+++ b/tests/entry/thrownErrors.test.ts
@@ -6,12 +6,8 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import { PLATFORM_WIRE } from '../../platform/wire.js';
 import { type EntryCommand, EntryCommandKind } from '../../src/coordination/entry/commands.js';
-import {
-  EngineOrderOutcome,
-  type EntryEvent,
-  EntryEventKind,
-  LimitKind,
-} from '../../src/coordination/entry/events.js';
+import { EngineOrderOutcome } from '../../src/coordination/entry/engineOrder.js';
+import { type EntryEvent, EntryEventKind, LimitKind } from '../../src/coordination/entry/events.js';
 import { StoreRequest } from '../../src/coordination/entry/peerMessage.js';
 import { PeerCallPurpose } from '../../src/coordination/entry/exchange/peerCallPurpose.js';
 import { createStoreMirror } from '../../src/state/entry/storeMirror.js';
--- a/tests/fakes/exchangeFleet.ts
+++ b/tests/fakes/exchangeFleet.ts
@@ -13,11 +13,11 @@
 import { type ListedEntryVm, StoreRequest } from '../../src/coordination/entry/peerMessage.js';
 import type { PeerCallPurpose } from '../../src/coordination/entry/exchange/peerCallPurpose.js';
 import { stepEntry } from '../../src/coordination/entry/handlers.js';
+import { updateVmsLastSeen } from '../../src/coordination/entry/liveVms.js';
 import {
   createEntryState,
   type EntryState,
   RelayRole,
-  updateVmsLastSeen,
 } from '../../src/coordination/entry/state.js';
 import { encodePeerMessage, encodePeerRequest } from '../../src/protocol/entry/peerMessages.js';
 import { PeerMessageSchema } from '../../src/protocol/gen/entry_pb.js';
