Tell since when a VM reaches no server of a service, and when it does again

What callers saw: 503 from VMs that are cut off from all servers. What could not be told: whether an attempt that fails to connect met one server that is down or a VM that reaches none. Attempts that fail to connect to three servers in a row, of the service's or all if it has fewer, with no answer of any between them, are told in a line; while that lasts, servers are probed in turn, and two that accept connections end it. In calm nothing is sent.

--- a/src/coordination/entry/events.ts
+++ b/src/coordination/entry/events.ts
@@ -93,6 +93,7 @@
   StreamSpoiled: 'streamSpoiled',
   UnframedAnswerEnded: 'unframedAnswerEnded',
   AttemptStalled: 'attemptStalled',
+  ReachTick: 'reachTick',
   LimitReported: 'limitReported',
   ServerStated: 'serverStated',
   BackendProbed: 'backendProbed',
@@ -143,6 +144,8 @@
     /** Time that the request may have waited to be read. */
     readonly delayMs: number;
   };
+  /** Probes a server of a service that this VM is cut off from. */
+  [EntryEventKind.ReachTick]: { readonly service: string };
   /** The connection of an admitted request was closed before its answer was complete. */
   [EntryEventKind.CallerDisconnected]: {
     readonly requestId: string;
--- a/src/coordination/entry/handlers.ts
+++ b/src/coordination/entry/handlers.ts
@@ -57,6 +57,7 @@
 import { handleQuarantinesRead } from './evidence/quarantineStore.js';
 import { handleLoanAnswered, handleLoanRequested } from './limits/loans.js';
 import { handleLimitReported } from './limits/serverLimits.js';
+import { handleReachProbed, handleReachTick } from './servers/serviceReach.js';
 import type { EntryState } from './state.js';
 
 type EntryHandler<K extends EntryEventKind> = (
@@ -69,6 +70,7 @@
 
 const HANDLERS: EntryHandlerTable = {
   [EntryEventKind.RequestArrived]: handleRequestArrived,
+  [EntryEventKind.ReachTick]: handleReachTick,
   [EntryEventKind.CallerDisconnected]: handleCallerDisconnected,
   [EntryEventKind.RequestDeadlineReached]: handleRequestDeadlineReached,
   [EntryEventKind.WaitTimedOut]: handleWaitTimedOut,
@@ -81,7 +83,10 @@
   [EntryEventKind.AttemptStalled]: handleAttemptStalled,
   [EntryEventKind.LimitReported]: handleLimitReported,
   [EntryEventKind.ServerStated]: handleServerStated,
-  [EntryEventKind.BackendProbed]: handleBackendProbed,
+  [EntryEventKind.BackendProbed]: (state, event, nowMs) => [
+    ...handleReachProbed(state, event, nowMs),
+    ...handleBackendProbed(state, event, nowMs),
+  ],
   [EntryEventKind.EvidenceSpread]: handleEvidenceSpread,
   [EntryEventKind.QuarantinesRead]: handleQuarantinesRead,
   [EntryEventKind.StreamOriginsTick]: handleStreamOriginsTick,
--- a/src/coordination/entry/requests/attempts.ts
+++ b/src/coordination/entry/requests/attempts.ts
@@ -2,8 +2,9 @@
  * Handles the end of attempts: answers, failures and servers that send no data.
  */
 import { Diagnostics } from '../../../state/diagnostics.js';
+import type { Backend } from '../../../state/entry/backends.js';
 import { combineRunStatuses, getRunStatus } from '../../../state/runState.js';
-import { RunStatus } from '../../../state/types.js';
+import { RunState, RunStatus } from '../../../state/types.js';
 import { LogLevel, RequestOutcome } from '../../events.js';
 import {
   createEntryLog,
@@ -35,12 +36,19 @@
   markModelRefused,
   markUnreachable,
 } from './backendSelection.js';
+import { recordServerReached, recordServerUnreached } from '../servers/serviceReach.js';
 import { recordStreamVersion } from './streamOriginWrites.js';
 import { type EntryState, ForwardPhase, type ForwardRecord } from '../state.js';
 import { tryDispatch } from './forwarding.js';
 
 /** Lowest HTTP status that indicates a failure of the server rather than of the request. */
 const MIN_SERVER_ERROR_STATUS = 500;
+/** States of an attempt whose server has sent at least the head of an answer. */
+const ANSWERED_STATES: ReadonlySet<RunState> = new Set([
+  RunState.Accepted,
+  RunState.Streaming,
+  RunState.Done,
+]);
 
 /** Returns whether a request is for a model on an engine. */
 function isEngineRequest({ request, service }: ForwardRecord): boolean {
@@ -73,6 +81,7 @@
   record.runStatus = RunStatus.Unknown;
   const backend = state.backends.get(record.backendId!);
   if (backend !== undefined) {
+    recordServerReached(state, backend, nowMs);
     recordReportedLoad(backend, event.load, nowMs);
     updatePrefillSpeed(backend, record, nowMs);
   }
@@ -145,6 +154,22 @@
   return recordStreamVersion(state, record, nowMs);
 }
 
+/** Records whether an attempt that failed has reached its server. */
+function recordReach(
+  state: EntryState,
+  backend: Backend,
+  { diagnostic, isRefusedByServer, runState }: AttemptFailure,
+  nowMs: number,
+): EntryCommand[] {
+  if (diagnostic.code === Diagnostics.ConnectFailed.code) {
+    return recordServerUnreached(state, backend, nowMs);
+  }
+  if (isRefusedByServer || ANSWERED_STATES.has(runState)) {
+    recordServerReached(state, backend, nowMs);
+  }
+  return [];
+}
+
 /** Diagnostics of attempts whose connection was lost after the request may have been sent. */
 const LOST_CONNECTION_CODES: ReadonlySet<number> = new Set([
   Diagnostics.AnswerLost.code,
@@ -180,6 +205,7 @@
   const { diagnostic, isMisdirected, isRefusedByServer } = failure;
   const isConnectionLost = !isRefusedByServer && LOST_CONNECTION_CODES.has(diagnostic.code);
   recordFailure(state, record, failure, nowMs);
+  const reach = backend === undefined ? [] : recordReach(state, backend, failure, nowMs);
   record.isPlaceDoubtful ||= event.isPlaceDoubtful ?? false;
   const begun = isAnswerBegun
     ? recordBegunAnswer(state, record, event.lastEventAtMs ?? null, nowMs)
@@ -189,7 +215,7 @@
       ? recordLostConnection(state, record, backend, failure.runState, nowMs)
       : { cause: LossCause.Irrelevant, commands: [] };
   releaseBackend(state, record);
-  const log = [failureLog, ...begun];
+  const log = [failureLog, ...reach, ...begun];
   if (!state.requests.has(event.requestId)) {
     return [...log, ...commands];
   }
@@ -223,6 +249,7 @@
   const backend = state.backends.get(backendId);
   const isFailure = status >= MIN_SERVER_ERROR_STATUS;
   if (backend !== undefined) {
+    recordServerReached(state, backend, nowMs);
     recordReportedLoad(backend, load, nowMs);
     recordAttemptOutcome(backend, isFailure);
   }
--- /dev/null
+++ b/src/coordination/entry/servers/serviceReach.ts
@@ -0,0 +1,147 @@
+/**
+ * Decides whether this VM is cut off from the servers of a service, and notices when it reaches them again.
+ *
+ * Attempts that fail to connect show that servers are not reached. While the VM is cut off, it probes them in turn. In calm nothing
+ * is sent for this.
+ */
+import { listOffering } from '../../../state/entry/backendLists.js';
+import type { Backend } from '../../../state/entry/backends.js';
+import { getProcessKey } from '../../../state/entry/crashEvidence.js';
+import {
+  createServiceReach,
+  endCutOff,
+  recordProbed,
+  recordReached,
+  recordUnreached,
+  type ServiceReach,
+} from '../../../state/entry/serviceReach.js';
+import { nextRandom } from '../../../state/random.js';
+import { LogLevel } from '../../events.js';
+import {
+  createEntryLog,
+  createEntryTimer,
+  type EntryCommand,
+  EntryCommandKind,
+  EntryLogPrefix,
+} from '../commands.js';
+import { EntryEventKind, type EntryEventOf, ProbeOutcome } from '../events.js';
+import type { EntryState } from '../state.js';
+
+/** Bounds of the pause between two probes, drawn so that VMs which were cut off together do not return at one moment. */
+const MIN_PROBE_INTERVAL_MS = 250;
+const MAX_PROBE_INTERVAL_MS = 500;
+
+function getReach({ reach }: EntryState, service: string): ServiceReach {
+  const known = reach.get(service);
+  if (known !== undefined) {
+    return known;
+  }
+  const created = createServiceReach();
+  reach.set(service, created);
+  return created;
+}
+
+/** Returns the servers of a service that this VM could send requests to. */
+function listServers({ backendLists, backends }: EntryState, service: string): Backend[] {
+  return listOffering(backendLists, backends, service, null).filter(({ isLeaving }) => !isLeaving);
+}
+
+/** Returns whether this VM reaches no server of a service. */
+export function isCutOff({ reach }: EntryState, service: string): boolean {
+  return (reach.get(service)?.cutOffSinceMs ?? null) !== null;
+}
+
+/** Records that a server has answered this VM. */
+export function recordServerReached(state: EntryState, { entry }: Backend, nowMs: number): void {
+  recordReached(getReach(state, entry.service), nowMs);
+}
+
+function scheduleProbe(state: EntryState, service: string): EntryCommand {
+  const spreadMs = nextRandom(state.random) * (MAX_PROBE_INTERVAL_MS - MIN_PROBE_INTERVAL_MS);
+  const kind = EntryEventKind.ReachTick;
+  return createEntryTimer(`${kind}/${service}`, MIN_PROBE_INTERVAL_MS + spreadMs, {
+    kind,
+    service,
+  });
+}
+
+/** Records that this VM could not connect to a server. */
+export function recordServerUnreached(
+  state: EntryState,
+  { entry }: Backend,
+  nowMs: number,
+): EntryCommand[] {
+  const { id, service } = entry;
+  const reach = getReach(state, service);
+  const serverCount = listServers(state, service).length;
+  if (!recordUnreached(reach, id, serverCount, nowMs)) {
+    return [];
+  }
+  return [
+    createEntryLog(
+      LogLevel.Warn,
+      EntryLogPrefix.Backend,
+      'This VM reaches no server of a service.',
+      {
+        service,
+        unreached: [...reach.unreachedIds].join(' '),
+        servers: serverCount,
+        sinceReachedMs: Number.isFinite(reach.reachedAtMs)
+          ? Math.round(nowMs - reach.reachedAtMs)
+          : -1,
+      },
+    ),
+    scheduleProbe(state, service),
+  ];
+}
+
+/** Probes the next server of a service that this VM is cut off from. */
+export function handleReachTick(
+  state: EntryState,
+  { service }: EntryEventOf<typeof EntryEventKind.ReachTick>,
+): EntryCommand[] {
+  const reach = getReach(state, service);
+  const servers = listServers(state, service);
+  if (reach.cutOffSinceMs === null || servers.length === 0) {
+    endCutOff(reach);
+    return [];
+  }
+  const { address, bornAtWallMs, id } = servers[reach.probeCount % servers.length]!.entry;
+  reach.probeCount += 1;
+  const processKey = getProcessKey(id, bornAtWallMs);
+  return [
+    { kind: EntryCommandKind.ProbeBackend, address, processKey },
+    scheduleProbe(state, service),
+  ];
+}
+
+/** Records whether a probe has reached its server. */
+export function handleReachProbed(
+  state: EntryState,
+  { outcome, processKey }: EntryEventOf<typeof EntryEventKind.BackendProbed>,
+  nowMs: number,
+): EntryCommand[] {
+  const probed = [...state.backends.values()].find(
+    ({ entry }) => getProcessKey(entry.id, entry.bornAtWallMs) === processKey,
+  );
+  const { id = '', service = '' } = probed?.entry ?? {};
+  const reach = state.reach.get(service);
+  const sinceMs = reach?.cutOffSinceMs ?? null;
+  if (reach === undefined || sinceMs === null) {
+    return [];
+  }
+  const isReached = outcome === ProbeOutcome.Accepting;
+  if (!recordProbed(reach, id, isReached, listServers(state, service).length, nowMs)) {
+    return [];
+  }
+  const kind = EntryEventKind.ReachTick;
+  return [
+    { kind: EntryCommandKind.CancelTimer, timerId: `${kind}/${service}` },
+    createEntryLog(
+      LogLevel.Info,
+      EntryLogPrefix.Backend,
+      'This VM reaches the servers of a service again.',
+      { service, cutOffMs: Math.round(nowMs - sinceMs) },
+    ),
+  ];
+}
--- a/src/coordination/entry/state.ts
+++ b/src/coordination/entry/state.ts
@@ -19,6 +19,7 @@
   type Quarantine,
 } from '../../state/entry/crashEvidence.js';
 import type { RateBucket } from '../../state/entry/rateBucket.js';
+import type { ServiceReach } from '../../state/entry/serviceReach.js';
 import type {
   BoardVersion,
   FleetDemand,
@@ -212,6 +213,8 @@
   /** Changed only by `backendRegistry.ts`, which keeps `backendLists` in step. */
   readonly backends: Map<string, Backend>;
   readonly backendLists: BackendLists;
+  /** Whether this VM reaches the servers of each service. */
+  readonly reach: Map<string, ServiceReach>;
   /** By server id. */
   readonly copiedEntries: Map<string, CopiedEntry>;
   /** The servers that were dropped recently, by id. */
@@ -305,6 +308,7 @@
     deploymentRevision: 0,
     backends: new Map(),
     backendLists: new Map(),
+    reach: new Map(),
     copiedEntries: new Map(),
     departedServers: new Map(),
     backendsRevision: 0,
