--- a/src/coordination/entry/closeCause.ts
+++ b/src/coordination/entry/closeCause.ts
@@ -10,6 +10,8 @@
   IdleTimer: 'idleTimer',
   /** The head of a request took longer than the header timeout. */
   HeaderCheck: 'headerCheck',
+  /** The VM that has passed the request has closed it: its caller has left, or the VM has ended. */
+  Peer: 'peer',
   /** This VM is shutting down. */
   Shutdown: 'shutdown',
   /** An earlier answer on it was the last one. */
--- a/src/coordination/entry/commands.ts
+++ b/src/coordination/entry/commands.ts
@@ -10,12 +10,14 @@
 import type { LogLevel, RequestMetrics } from '../events.js';
 import type { EngineOrder } from './engineOrder.js';
 import type { EntryEvent, LimitName } from './events.js';
+import type { PassedRequest } from './passedRequest.js';
 import type { PeerMessage, StoreRequest } from './peerMessage.js';
 import type { PeerCallPurpose } from './exchange/peerCallPurpose.js';
 
 /** The kinds of commands that the event loop issues. */
 export const EntryCommandKind = {
   Dispatch: 'dispatch',
+  Pass: 'pass',
   CancelAttempt: 'cancelAttempt',
   RecallAttempt: 'recallAttempt',
   DeliverAnswer: 'deliverAnswer',
@@ -71,31 +73,38 @@
   readonly healthPath: string | null;
 }
 
+/** What all attempts have in common, at a backend server or at another VM. */
+interface AttemptPayload {
+  readonly requestId: string;
+  readonly attempt: number;
+  readonly address: string;
+  readonly maxConnections: number;
+  /** Time until the request's deadline. */
+  readonly remainingMs: number;
+  /** Time without received data before the response starts, after which the attempt is reported as stalled. */
+  readonly startTimeoutMs: number;
+  /** The same limit once the response has started, between two events of a stream. */
+  readonly eventGapTimeoutMs: number;
+  readonly isStream: boolean;
+}
+
 /** The payload of each command, by kind. */
 export interface EntryCommandPayloads {
-  [EntryCommandKind.Dispatch]: {
-    readonly requestId: string;
-    readonly attempt: number;
+  [EntryCommandKind.Dispatch]: AttemptPayload & {
     readonly backendId: string;
     /** With the id, the incarnation of the server. */
     readonly bornAtWallMs: number;
-    readonly address: string;
-    readonly maxConnections: number;
+    readonly softwareVersion: string;
     readonly workspace: string | null;
-    /** Time until the request's deadline. */
-    readonly remainingMs: number;
     /** Lower values are served first; 0 is the most urgent. */
     readonly urgency: number;
-    /** Time without received data before the response starts, after which the attempt is reported as stalled. */
-    readonly startTimeoutMs: number;
-    /** The same limit once the response has started, between two events of a stream. */
-    readonly eventGapTimeoutMs: number;
-    readonly isStream: boolean;
     /** True if the server had a request limit, so that an answer without one shows that the limit has ended. */
     readonly isServerLimited: boolean;
     /** How the server can be asked whether it lives; null if it cannot. */
     readonly lifeCheck: LifeCheck | null;
   };
+  /** Starts an attempt at another VM, which sends the request to a server. */
+  [EntryCommandKind.Pass]: AttemptPayload & { readonly vmId: string; readonly pass: PassedRequest };
   /** Fails an attempt whose request has not been sent to its server. */
   [EntryCommandKind.RecallAttempt]: { readonly requestId: string; readonly attempt: number };
   [EntryCommandKind.CancelAttempt]: { readonly requestId: string; readonly attempt: number };
--- a/src/coordination/entry/events.ts
+++ b/src/coordination/entry/events.ts
@@ -12,6 +12,7 @@
 import type { Diagnostic } from '../../state/diagnostics.js';
 import type { RunState } from '../../state/types.js';
 import type { CloseCause } from './closeCause.js';
+import type { AnswerSource, PassedEnd, PassedRequest } from './passedRequest.js';
 import type { ListedEntryVm, PeerMessage } from './peerMessage.js';
 import type { EngineOrder, EngineOrderOutcome, EngineReport } from './engineOrder.js';
 import type { EntryPolicy } from './policy.js';
@@ -93,6 +94,7 @@
   StreamSpoiled: 'streamSpoiled',
   UnframedAnswerEnded: 'unframedAnswerEnded',
   AttemptStalled: 'attemptStalled',
+  PassedRequestArrived: 'passedRequestArrived',
   ReachTick: 'reachTick',
   LimitReported: 'limitReported',
   ServerStated: 'serverStated',
@@ -144,6 +146,13 @@
     /** Time that the request may have waited to be read. */
     readonly delayMs: number;
   };
+  /** Another VM passes a request to this one. */
+  [EntryEventKind.PassedRequestArrived]: {
+    readonly request: ForwardRequest;
+    readonly pass: PassedRequest;
+    /** Time that the request may have waited to be read. */
+    readonly delayMs: number;
+  };
   /** Probes a server of a service that this VM is cut off from. */
   [EntryEventKind.ReachTick]: { readonly service: string };
   /** The connection of an admitted request was closed before its answer was complete. */
@@ -157,6 +166,8 @@
     readonly requestId: string;
     readonly attempt: number;
     readonly load: BackendLoad | null;
+    /** The server that answers, if another VM passes its answer; absent or null if it is not known. */
+    readonly source?: AnswerSource | null;
   };
   /** A complete response is buffered until the loop decides whether to deliver it. */
   [EntryEventKind.AnswerReady]: {
@@ -176,6 +187,8 @@
     readonly attempt: number;
     readonly failure: AttemptFailure;
     readonly load: BackendLoad | null;
+    /** Why the VM that the request was passed to has ended it; absent or null if that was not so. */
+    readonly passedEnd?: PassedEnd | null;
     /** True if any byte of a response has been sent to the caller. */
     readonly isAnswerBegun: boolean;
     /** Time of the last stream event that was sent to the caller; absent or null if none was. */
--- a/src/coordination/entry/handlers.ts
+++ b/src/coordination/entry/handlers.ts
@@ -57,6 +57,7 @@
 import { handleQuarantinesRead } from './evidence/quarantineStore.js';
 import { handleLoanAnswered, handleLoanRequested } from './limits/loans.js';
 import { handleLimitReported } from './limits/serverLimits.js';
+import { handlePassedRequestArrived } from './requests/passedAdmission.js';
 import { handleReachProbed, handleReachTick } from './servers/serviceReach.js';
 import type { EntryState } from './state.js';
 
@@ -70,6 +71,7 @@
 
 const HANDLERS: EntryHandlerTable = {
   [EntryEventKind.RequestArrived]: handleRequestArrived,
+  [EntryEventKind.PassedRequestArrived]: handlePassedRequestArrived,
   [EntryEventKind.ReachTick]: handleReachTick,
   [EntryEventKind.CallerDisconnected]: handleCallerDisconnected,
   [EntryEventKind.RequestDeadlineReached]: handleRequestDeadlineReached,
--- a/src/coordination/entry/requests/admission.ts
+++ b/src/coordination/entry/requests/admission.ts
@@ -30,6 +30,7 @@
   EntryLogPrefix,
 } from '../commands.js';
 import { EntryEventKind, type EntryEventOf, type ForwardRequest } from '../events.js';
+import type { PassedRequest } from '../passedRequest.js';
 import { checkQuarantine } from '../evidence/quarantines.js';
 import { requestLoan, creditLoan } from '../limits/rateLoans.js';
 import { getRateBucket, chargeRate } from '../limits/rates.js';
@@ -66,7 +67,7 @@
 const MAX_OBJECTIVE_WEIGHT = 4;
 
 /** Route, service and workspace of an admitted request. */
-interface Admission {
+export interface Admission {
   readonly route: ForwardRoute;
   readonly service: ForwardService;
   readonly workspace: ForwardWorkspace | null;
@@ -129,7 +130,7 @@
 }
 
 /** Rejects a request that was not admitted and so has no record. */
-function refuseUnadmitted(
+export function refuseUnadmitted(
   state: EntryState,
   request: ForwardRequest,
   diagnostic: Diagnostic,
@@ -170,11 +171,24 @@
   return Math.min(deadlineMs ?? timeoutMs, timeoutMs);
 }
 
-function createForwardRecord(
+/** Returns an admission if the request still has time when it arrives. Left is `VmBehind`. */
+export function checkTimeLeft(
+  request: ForwardRequest,
+  admission: Admission,
+  delayMs: number,
+): Either<Diagnostic, Admission> {
+  return getTimeLimitMs(request, admission.route) > delayMs
+    ? Right(admission)
+    : Left(createDiagnostic(Diagnostics.VmBehind, Math.round(delayMs)));
+}
+
+/** Creates the record of a request. `pass` is what another VM tells that has passed it to this one, else null. */
+export function createForwardRecord(
   request: ForwardRequest,
   admission: Admission,
   delayMs: number,
   nowMs: number,
+  pass: PassedRequest | null,
 ): ForwardRecord {
   const { route, service, workspace } = admission;
   const timeLimitMs = getTimeLimitMs(request, route) - delayMs;
@@ -192,11 +206,16 @@
     phase: ForwardPhase.Waiting,
     attempt: 0,
     backendId: null,
+    passedBy: pass?.vmId ?? null,
+    passedTo: null,
+    triedVmIds: [],
+    connectFailures: 0,
+    hasArrived: false,
     softwareVersion: '',
-    streamVersion: null,
+    streamVersion: pass?.streamVersion ?? null,
     recallsLeft: 0,
-    possiblyRunBackendIds: [],
-    notRunBackendIds: [],
+    possiblyRunBackendIds: [...(pass?.possiblyRunIds ?? [])],
+    notRunBackendIds: [...(pass?.notRunIds ?? [])],
     notRunAttempts: 0,
     runStatus: RunStatus.NotRun,
     firstEventAtMs: null,
@@ -267,6 +286,29 @@
   return startAtVersion(state, record, nowMs);
 }
 
+/** Opens the record of an admitted request, and starts it unless a quarantine holds it back. */
+export function openForward(
+  state: EntryState,
+  record: ForwardRecord,
+  nowMs: number,
+  start: (state: EntryState, record: ForwardRecord, nowMs: number) => EntryCommand[],
+): EntryCommand[] {
+  const { requestId } = record.request;
+  state.requests.set(requestId, record);
+  const { commands, isRejected } = checkQuarantine(state, record, nowMs);
+  if (isRejected) {
+    return commands;
+  }
+  return [
+    ...commands,
+    createEntryTimer(getDeadlineTimerId(requestId), record.deadlineAtMs - nowMs, {
+      kind: EntryEventKind.RequestDeadlineReached,
+      requestId,
+    }),
+    ...start(state, record, nowMs),
+  ];
+}
+
 /** Admits a request and starts to forward it, or rejects it. */
 export function handleRequestArrived(
   state: EntryState,
@@ -275,32 +317,17 @@
 ): EntryCommand[] {
   const { delayMs, request } = event;
   const admission = admit(state, request).chain((admitted) =>
-    getTimeLimitMs(request, admitted.route) > delayMs
-      ? Right(admitted)
-      : Left(createDiagnostic(Diagnostics.VmBehind, Math.round(delayMs))),
+    checkTimeLeft(request, admitted, delayMs),
   );
   return admission.caseOf<EntryCommand[]>({
     Left: (diagnostic) => refuseUnadmitted(state, request, diagnostic),
     Right: (admitted) => {
-      const record = createForwardRecord(request, admitted, delayMs, nowMs);
+      const record = createForwardRecord(request, admitted, delayMs, nowMs, null);
       const { costTokens, workspace } = record;
-      const { requestId } = request;
-      state.requests.set(requestId, record);
       if (workspace !== null) {
         addDemand(state.workspaceDemand, workspace.name, costTokens, nowMs);
       }
-      const { commands, isRejected } = checkQuarantine(state, record, nowMs);
-      if (isRejected) {
-        return commands;
-      }
-      return [
-        ...commands,
-        createEntryTimer(getDeadlineTimerId(requestId), record.deadlineAtMs - nowMs, {
-          kind: EntryEventKind.RequestDeadlineReached,
-          requestId,
-        }),
-        ...chargeForward(state, record, nowMs),
-      ];
+      return openForward(state, record, nowMs, chargeForward);
     },
   });
 }
--- a/src/coordination/entry/requests/attempts.ts
+++ b/src/coordination/entry/requests/attempts.ts
@@ -12,7 +12,7 @@
   EntryCommandKind,
   EntryLogPrefix,
 } from '../commands.js';
-import { type AttemptFailure, EntryEventKind, type EntryEventOf } from '../events.js';
+import { type AttemptFailure, type EntryEventKind, type EntryEventOf } from '../events.js';
 import { LossCause, recordLostConnection, startVerifying } from '../evidence/crashDetection.js';
 import {
   cancelAttempt,
@@ -37,7 +37,11 @@
   markUnreachable,
 } from './backendSelection.js';
 import { recordServerReached, recordServerUnreached } from '../servers/serviceReach.js';
+import { recordBegunAnswer } from './answerProgress.js';
+import { handlePassFailed } from './passFailures.js';
+import { countPass } from './passing.js';
 import { recordStreamVersion } from './streamOriginWrites.js';
+import { PassResult } from '../../../state/entry/passTargets.js';
 import { type EntryState, ForwardPhase, type ForwardRecord } from '../state.js';
 import { tryDispatch } from './forwarding.js';
 
@@ -66,6 +70,13 @@
   return isCurrent ? record : undefined;
 }
 
+/** Counts the answer of a request that was passed to another VM. */
+function countIfPassed(state: EntryState, { passedTo }: ForwardRecord): void {
+  if (passedTo !== null) {
+    countPass(state, PassResult.Answered);
+  }
+}
+
 /** Records the start of an answer; its body is streamed to the caller outside the event loop. */
 export function handleAnswerStarted(
   state: EntryState,
@@ -79,6 +90,7 @@
   record.firstEventAtMs ??= nowMs;
   record.attemptAnsweredAtMs ??= nowMs;
   record.runStatus = RunStatus.Unknown;
+  record.softwareVersion = event.source?.softwareVersion ?? record.softwareVersion;
   const backend = state.backends.get(record.backendId!);
   if (backend !== undefined) {
     recordServerReached(state, backend, nowMs);
@@ -102,6 +114,7 @@
   if (backend !== undefined) {
     recordAttemptOutcome(backend, false);
   }
+  countIfPassed(state, record);
   const { maxGapMs, meanGapMs } = event;
   const end = { outcome: RequestOutcome.Completed, diagnostic: null, maxGapMs, meanGapMs };
   return [...closeForward(state, record, end, nowMs), ...recordHealthyAnswer(state, record, nowMs)];
@@ -141,27 +154,17 @@
   }
 }
 
-/** Updates the record of a request whose caller has received part of an answer. */
-function recordBegunAnswer(
-  state: EntryState,
-  record: ForwardRecord,
-  lastEventAtMs: number | null,
-  nowMs: number,
-): EntryCommand[] {
-  record.firstEventAtMs ??= nowMs;
-  record.lastEventAtMs = lastEventAtMs ?? record.lastEventAtMs ?? nowMs;
-  record.runStatus = RunStatus.Unknown;
-  return recordStreamVersion(state, record, nowMs);
-}
-
 /** Records whether an attempt that failed has reached its server. */
 function recordReach(
   state: EntryState,
+  record: ForwardRecord,
   backend: Backend,
   { diagnostic, isRefusedByServer, runState }: AttemptFailure,
   nowMs: number,
 ): EntryCommand[] {
+  record.hasArrived ||= runState !== RunState.NotSent;
   if (diagnostic.code === Diagnostics.ConnectFailed.code) {
+    record.connectFailures += 1;
     return recordServerUnreached(state, backend, nowMs);
   }
   if (isRefusedByServer || ANSWERED_STATES.has(runState)) {
@@ -186,6 +189,9 @@
   if (record === undefined) {
     return [];
   }
+  if (record.passedTo !== null) {
+    return handlePassFailed(state, record, event, nowMs);
+  }
   const { failure, isAnswerBegun, load } = event;
   const backend = state.backends.get(record.backendId!);
   if (backend !== undefined) {
@@ -205,7 +211,7 @@
   const { diagnostic, isMisdirected, isRefusedByServer } = failure;
   const isConnectionLost = !isRefusedByServer && LOST_CONNECTION_CODES.has(diagnostic.code);
   recordFailure(state, record, failure, nowMs);
-  const reach = backend === undefined ? [] : recordReach(state, backend, failure, nowMs);
+  const reach = backend === undefined ? [] : recordReach(state, record, backend, failure, nowMs);
   record.isPlaceDoubtful ||= event.isPlaceDoubtful ?? false;
   const begun = isAnswerBegun
     ? recordBegunAnswer(state, record, event.lastEventAtMs ?? null, nowMs)
@@ -248,13 +254,16 @@
   const backendId = record.backendId!;
   const backend = state.backends.get(backendId);
   const isFailure = status >= MIN_SERVER_ERROR_STATUS;
+  countIfPassed(state, record);
   if (backend !== undefined) {
     recordServerReached(state, backend, nowMs);
     recordReportedLoad(backend, load, nowMs);
     recordAttemptOutcome(backend, isFailure);
   }
   record.runStatus = RunStatus.Unknown;
-  if (isFailure && mayRunTwice(record)) {
+  record.hasArrived = true;
+  // The VM that a request was passed to has retried it.
+  if (isFailure && mayRunTwice(record) && record.passedTo === null) {
     record.possiblyRunBackendIds.push(backendId);
     if (takeRetryIfAllowed(state, record, nowMs)) {
       releaseBackend(state, record);
@@ -289,9 +298,10 @@
   if (!shouldRetry) {
     return [];
   }
-  const backendId = record.backendId!;
-  const backend = state.backends.get(backendId);
-  record.possiblyRunBackendIds.push(backendId);
+  const holderId = record.backendId ?? record.passedTo!;
+  const backend = state.backends.get(holderId);
+  record.possiblyRunBackendIds.push(holderId);
+  record.hasArrived = true;
   if (!takeRetryIfAllowed(state, record, nowMs)) {
     record.possiblyRunBackendIds.pop();
     return [];
--- a/src/coordination/entry/requests/forwarding.ts
+++ b/src/coordination/entry/requests/forwarding.ts
@@ -23,7 +23,9 @@
   getWaitTimerId,
   refuseForward,
 } from './requestCompletion.js';
+import { findPassTarget, isBarredFromServers, isServiceUnreachable, passTo } from './passing.js';
 import { addPendingPrefill } from './prefillLoad.js';
+import { getCallerTimeoutMs, getEventGapTimeoutMs, getFirstDataTimeoutMs } from './requestTimes.js';
 import { depositRetry, withdrawRetry } from './retryBudget.js';
 import { chooseBackend, findCandidates, findHolders, isHolder } from './backendSelection.js';
 import {
@@ -43,18 +45,6 @@
 const MAX_WAIT_FRACTION = 0.5;
 /** Longest wait for a model: the time to order and complete a load from the weight store. */
 const MAX_WAIT_MS = 8_000;
-/**
- * Callers abandon a stream without an event after the longest of three times that the platform specifies: a
- * fixed minimum, a multiple of the route's latency objective, and a multiple of its longest event gap.
- */
-const MIN_CALLER_TIMEOUT_MS = 2_000;
-const CALLER_TIMEOUT_OBJECTIVES = 4;
-const CALLER_TIMEOUT_GAPS = 8;
-/**
- * Fraction of that time after which a request without a server is rejected, so that its caller can retry, and after
- * which a stream without data is moved to another server. The rest is at least one latency objective.
- */
-const CALLER_TIMEOUT_FRACTION = 0.75;
 /** Wait for a server of a service without an engine, which loads no model: its registration may be arriving. */
 const NO_ENGINE_WAIT_MS = 150;
 /** Retry-After time of a rejected request: about the time to order and complete a load from host memory. */
@@ -65,12 +55,6 @@
 const MIN_PERMIT_RETRY_AFTER_MS = 200;
 /** Callers that are rejected for the same limit or pause return spread over this time. */
 const RETRY_SPREAD_MS = 500;
-/** Time without data before a stream's first event that causes a retry, as a multiple of the objective. */
-const STREAM_TIMEOUT_OBJECTIVES = 1.5;
-/** The same for a request that is not a stream. */
-const ANSWER_TIMEOUT_OBJECTIVES = 3;
-const MIN_NO_DATA_TIMEOUT_MS = 300;
-
 const MAX_URGENCY = 9;
 /** Fraction of a server's connections that is divided among the VMs; the rest is for VMs that just started. */
 const SHARED_CONNECTION_FRACTION = 0.8;
@@ -82,31 +66,6 @@
   return Math.min(MAX_URGENCY, Math.max(0, priority));
 }
 
-/** Returns the time without data before the answer begins after which a request is retried, if that is safe. */
-function getFirstDataTimeoutMs(record: ForwardRecord): number {
-  const { kind, latencyObjectiveMs } = record.route;
-  const objectives =
-    kind === RouteKind.Stream ? STREAM_TIMEOUT_OBJECTIVES : ANSWER_TIMEOUT_OBJECTIVES;
-  return Math.max(MIN_NO_DATA_TIMEOUT_MS, latencyObjectiveMs * objectives);
-}
-
-/** Returns the time without an event after which the caller of a request abandons it. */
-function getCallerTimeoutMs({ route }: ForwardRecord): number {
-  return Math.max(
-    MIN_CALLER_TIMEOUT_MS,
-    route.latencyObjectiveMs * CALLER_TIMEOUT_OBJECTIVES,
-    (route.maxEventGapMs ?? 0) * CALLER_TIMEOUT_GAPS,
-  );
-}
-
-/**
- * Returns the time without data in the middle of an answer after which it is retried, if that is safe. A sound server
- * may be silent for over a second, so this is derived from the caller's timeout alone.
- */
-function getEventGapTimeoutMs(record: ForwardRecord): number {
-  return getCallerTimeoutMs(record) * CALLER_TIMEOUT_FRACTION;
-}
-
 /** Returns this VM's share of the connections that a server of the service accepts. */
 function getConnectionShare(state: EntryState, record: ForwardRecord): number {
   const share = record.service.maxConnections / countVmsSharingLimits(state);
@@ -146,6 +105,7 @@
       attempt: record.attempt,
       backendId,
       bornAtWallMs: backend.entry.bornAtWallMs,
+      softwareVersion: backend.entry.softwareVersion,
       address: backend.entry.address,
       maxConnections: getConnectionShare(state, record),
       workspace: record.workspace?.name ?? null,
@@ -166,15 +126,32 @@
 
 /** Chooses among the backend servers that can run a request now; undefined if there is none. */
 function findBackend(state: EntryState, record: ForwardRecord, nowMs: number): Backend | undefined {
-  return chooseBackend(state, record, findCandidates(state, record, nowMs), nowMs);
+  return isBarredFromServers(state, record)
+    ? undefined
+    : chooseBackend(state, record, findCandidates(state, record, nowMs), nowMs);
+}
+
+/** Returns whether a request could be dispatched or passed now. */
+export function canDispatch(state: EntryState, record: ForwardRecord, nowMs: number): boolean {
+  return (
+    findPassTarget(state, record, nowMs) !== undefined ||
+    (!isBarredFromServers(state, record) && findCandidates(state, record, nowMs).length > 0)
+  );
 }
 
-/** Dispatches a request to a backend server that can run it now; returns null if there is none. */
+/**
+ * Dispatches a request to a backend server that can run it now, or passes it to another VM if this VM does not reach the servers;
+ * returns null if there is none.
+ */
 export function tryDispatch(
   state: EntryState,
   record: ForwardRecord,
   nowMs: number,
 ): EntryCommand[] | null {
+  const target = findPassTarget(state, record, nowMs);
+  if (target !== undefined) {
+    return passTo(state, record, target, nowMs);
+  }
   const backend = findBackend(state, record, nowMs);
   return backend === undefined ? null : dispatchTo(state, record, backend.entry.id, nowMs);
 }
@@ -194,8 +171,7 @@
   if (record.service.engine === null) {
     return NO_ENGINE_WAIT_MS;
   }
-  const timeoutMs = getCallerTimeoutMs(record) * CALLER_TIMEOUT_FRACTION;
-  const leftMs = timeoutMs - (nowMs - record.arrivedAtMs);
+  const leftMs = getEventGapTimeoutMs(record) - (nowMs - record.arrivedAtMs);
   return Math.max(
     0,
     Math.min(MAX_WAIT_MS, leftMs, (record.deadlineAtMs - nowMs) * MAX_WAIT_FRACTION),
@@ -284,18 +260,17 @@
   ];
 }
 
-/** Dispatches a waiting request if a server can run it; after an earlier attempt this takes a retry from the budget. */
+/** Dispatches a waiting request if a server can run it; after an attempt that reached one this takes a retry from the budget. */
 function tryDispatchWaiting(
   state: EntryState,
   record: ForwardRecord,
   nowMs: number,
 ): EntryCommand[] {
-  const backend = findBackend(state, record, nowMs);
-  if (backend === undefined) {
+  if (!canDispatch(state, record, nowMs)) {
     return borrowPermit(state, record, nowMs);
   }
-  const mayDispatch = record.attempt === 0 || withdrawRetry(state, record.service.name);
-  return mayDispatch ? dispatchTo(state, record, backend.entry.id, nowMs) : [];
+  const mayDispatch = !record.hasArrived || withdrawRetry(state, record.service.name);
+  return mayDispatch ? (tryDispatch(state, record, nowMs) ?? []) : [];
 }
 
 /**
@@ -326,6 +301,10 @@
   nowMs: number,
 ): EntryCommand[] {
   depositRetry(state, record.service.name);
+  if (isServiceUnreachable(state, record, nowMs)) {
+    const diagnostic = createDiagnostic(Diagnostics.ServersUnreachable, record.service.name);
+    return refuseForward(state, record, diagnostic, nowMs, OVERLOADED_RETRY_AFTER_MS);
+  }
   return tryDispatch(state, record, nowMs) ?? startWaiting(state, record, nowMs);
 }
 
--- /dev/null
+++ b/src/coordination/entry/requests/passing.ts
@@ -0,0 +1,158 @@
+/**
+ * Passes requests to other VMs while this VM does not reach the servers of their service.
+ *
+ * This VM has authenticated and charged the request, and keeps its caller and its deadline. The other VM sends it to a server, or
+ * rejects it; it never passes it on. Its choice among servers, their limits and its retries are its own.
+ */
+import { RouteKind } from '../../../state/entry/deployment.js';
+import { nextRandomInt } from '../../../state/random.js';
+import { LogLevel } from '../../events.js';
+import {
+  createEntryLog,
+  type EntryCommand,
+  EntryCommandKind,
+  EntryLogPrefix,
+} from '../commands.js';
+import type { ListedEntryVm } from '../peerMessage.js';
+import { isCutOff, isPassingFutile, isReachedSince } from '../servers/serviceReach.js';
+import { type PassResult, type PassTarget } from '../../../state/entry/passTargets.js';
+import { type EntryState, ForwardPhase, type ForwardRecord } from '../state.js';
+import { getRequestLogFields, getWaitTimerId } from './requestCompletion.js';
+import { getEventGapTimeoutMs } from './requestTimes.js';
+
+/** VMs that one request may be passed to. */
+const MAX_PASSES = 3;
+/** A request that could not connect to one server is sent to another one if one has answered within this time. */
+const RECENTLY_REACHED_MS = 500;
+/** Failed connects of one request after which it is passed although servers answer: those may use old connections. */
+const MAX_CONNECT_FAILURES = 2;
+/** Requests more that a VM of the own failure domain may have, for each core, than one of another domain. */
+const REMOTE_DOMAIN_REQUESTS = 10;
+/** Connections to one VM; more requests wait for one of them. */
+const MAX_CONNECTIONS = 256;
+/** How long a VM that could not run a request gets none for the same service. */
+export const AVOID_TARGET_MS = 1_000;
+
+/** Counts how a request that was passed has ended. */
+export function countPass({ passResults }: EntryState, result: PassResult): void {
+  passResults.set(result, (passResults.get(result) ?? 0) + 1);
+}
+
+/** Returns what this VM knows of a VM that it passes requests to. */
+export function getPassTarget({ passTargets }: EntryState, vmId: string): PassTarget {
+  const known = passTargets.get(vmId);
+  if (known !== undefined) {
+    return known;
+  }
+  const created = { inFlight: 0, avoidUntilMs: new Map<string, number>() };
+  passTargets.set(vmId, created);
+  return created;
+}
+
+/** Returns whether a request is to go to another VM rather than to a server. */
+function isPassDue(state: EntryState, record: ForwardRecord, nowMs: number): boolean {
+  const { connectFailures, passedBy, service } = record;
+  if (passedBy !== null) {
+    return false;
+  }
+  const isUnreached =
+    connectFailures > 0 && !isReachedSince(state, service.name, nowMs - RECENTLY_REACHED_MS);
+  return isCutOff(state, service.name) || isUnreached || connectFailures >= MAX_CONNECT_FAILURES;
+}
+
+/** Returns whether a request is not to be sent to servers any more: this VM reaches none, and has passed it before. */
+export function isBarredFromServers(state: EntryState, record: ForwardRecord): boolean {
+  return record.triedVmIds.length > 0 && isCutOff(state, record.service.name);
+}
+
+/** Returns whether neither this VM nor those that it has passed requests to reach a server of a request's service. */
+export function isServiceUnreachable(
+  state: EntryState,
+  { passedBy, service }: ForwardRecord,
+  nowMs: number,
+): boolean {
+  return passedBy === null && isPassingFutile(state, service.name, nowMs);
+}
+
+/** Returns the requests of this VM that a VM has for each core, and what it costs that it is in another failure domain. */
+function getTargetCost(state: EntryState, vm: ListedEntryVm): number {
+  const isRemote = vm.failureDomain !== state.self.failureDomain;
+  const inFlight = state.passTargets.get(vm.vmId)?.inFlight ?? 0;
+  return inFlight / vm.processorShare + (isRemote ? REMOTE_DOMAIN_REQUESTS : 0);
+}
+
+/** Returns the VM to which a request is to be passed; undefined if it is to go to a server, or if there is no VM for it. */
+export function findPassTarget(
+  state: EntryState,
+  record: ForwardRecord,
+  nowMs: number,
+): ListedEntryVm | undefined {
+  if (record.triedVmIds.length >= MAX_PASSES || !isPassDue(state, record, nowMs)) {
+    return undefined;
+  }
+  const service = record.service.name;
+  const isUsable = ({ vmId }: ListedEntryVm): boolean =>
+    vmId !== state.self.vmId &&
+    !record.triedVmIds.includes(vmId) &&
+    !record.possiblyRunBackendIds.includes(vmId) &&
+    (state.passTargets.get(vmId)?.avoidUntilMs.get(service) ?? 0) <= nowMs;
+  const targets = state.listedVms.filter(isUsable);
+  // The scan starts at a random index, to break ties at random.
+  const first = nextRandomInt(state.random, Math.max(1, targets.length));
+  const rotated = [...targets.slice(first), ...targets.slice(0, first)];
+  const costs = new Map(rotated.map((vm) => [vm, getTargetCost(state, vm)]));
+  const [lowest, ...others] = rotated;
+  return lowest === undefined
+    ? undefined
+    : others.reduce((best, vm) => (costs.get(vm)! < costs.get(best)! ? vm : best), lowest);
+}
+
+/** Starts an attempt of a request at another VM. */
+export function passTo(
+  state: EntryState,
+  record: ForwardRecord,
+  { peerAddress, vmId }: ListedEntryVm,
+  nowMs: number,
+): EntryCommand[] {
+  const { requestId } = record.request;
+  record.phase = ForwardPhase.Dispatched;
+  record.attempt += 1;
+  record.attemptAnsweredAtMs = null;
+  record.backendId = null;
+  record.passedTo = vmId;
+  record.dispatchedAtMs = nowMs;
+  getPassTarget(state, vmId).inFlight += 1;
+  // The other VM retries the request, so only the loss of that VM itself is noticed here.
+  const timeoutMs = getEventGapTimeoutMs(record);
+  return [
+    { kind: EntryCommandKind.CancelTimer, timerId: getWaitTimerId(requestId) },
+    {
+      kind: EntryCommandKind.Pass,
+      requestId,
+      attempt: record.attempt,
+      vmId,
+      address: peerAddress,
+      maxConnections: MAX_CONNECTIONS,
+      remainingMs: Math.max(1, record.deadlineAtMs - nowMs),
+      startTimeoutMs: timeoutMs,
+      eventGapTimeoutMs: timeoutMs,
+      isStream: record.route.kind === RouteKind.Stream,
+      pass: {
+        vmId: state.self.vmId,
+        incarnation: state.self.incarnation,
+        configurationVersion: state.deployment?.version ?? 0,
+        service: record.service.name,
+        workspace: record.workspace?.name ?? null,
+        streamVersion: record.streamVersion,
+        possiblyRunIds: record.possiblyRunBackendIds,
+        notRunIds: record.notRunBackendIds,
+      },
+    },
+    createEntryLog(
+      LogLevel.Debug,
+      EntryLogPrefix.Request,
+      'The request was passed to another VM.',
+      getRequestLogFields(record, nowMs),
+    ),
+  ];
+}
--- a/src/coordination/entry/requests/requestCompletion.ts
+++ b/src/coordination/entry/requests/requestCompletion.ts
@@ -52,6 +52,8 @@
     adapter: record.request.adapter ?? '',
     attempt: record.attempt,
     server: record.backendId ?? '',
+    passedBy: record.passedBy ?? '',
+    passedTo: record.passedTo ?? '',
     softwareVersion: record.softwareVersion,
     resumes: record.request.resumedRequestId ?? '',
     ageMs: nowMs - record.arrivedAtMs,
@@ -65,7 +67,7 @@
   return `${record.service.name} ${getVariantKey(model ?? '', adapter)}`;
 }
 
-/** Releases the slot that the current attempt holds at its backend server. */
+/** Releases the slot that the current attempt holds at its backend server, or at the VM that it was passed to. */
 export function releaseBackend(state: EntryState, record: ForwardRecord): void {
   const backend = record.backendId === null ? undefined : state.backends.get(record.backendId);
   if (backend !== undefined) {
@@ -73,6 +75,11 @@
     removePendingPrefill(backend, record);
   }
   record.backendId = null;
+  const target = record.passedTo === null ? undefined : state.passTargets.get(record.passedTo);
+  if (target !== undefined) {
+    target.inFlight = Math.max(0, target.inFlight - 1);
+  }
+  record.passedTo = null;
 }
 
 /** Returns the command that cancels the attempt in flight, if there is one. */
--- a/src/coordination/entry/requests/retries.ts
+++ b/src/coordination/entry/requests/retries.ts
@@ -5,9 +5,9 @@
 import { createDiagnostic, type Diagnostic, Diagnostics } from '../../../state/diagnostics.js';
 import type { Quarantine } from '../../../state/entry/crashEvidence.js';
 import { RunStatus } from '../../../state/types.js';
-import { findCandidates, hasServerForStream } from './backendSelection.js';
+import { hasServerForStream } from './backendSelection.js';
 import type { EntryCommand } from '../commands.js';
-import { OVERLOADED_RETRY_AFTER_MS, startWaiting, tryDispatch } from './forwarding.js';
+import { canDispatch, OVERLOADED_RETRY_AFTER_MS, startWaiting, tryDispatch } from './forwarding.js';
 import {
   createQuarantineRefusal,
   findRecordQuarantine,
@@ -23,6 +23,12 @@
 /** A request with no more time left than this is not retried. */
 const MIN_RETRY_TIME_LEFT_MS = 60;
 
+/** Reasons of attempts that have not reached a server. */
+const UNREACHED_CODES: ReadonlySet<number> = new Set([
+  Diagnostics.ConnectFailed.code,
+  Diagnostics.ServersUnreachable.code,
+]);
+
 /** What a failed attempt leaves to decide about its request. */
 export interface FailedAttempt {
   readonly diagnostic: Diagnostic;
@@ -61,8 +67,8 @@
 }
 
 /**
- * Takes one retry from the budget if the route's attempts, the time left and the candidate servers allow one.
- * Returns whether it was taken.
+ * Takes one retry from the budget if the route's attempts, the time left and the candidate servers allow one. A retry after
+ * attempts that reached no server is free. Returns whether the request may be retried.
  */
 export function takeRetryIfAllowed(
   state: EntryState,
@@ -71,11 +77,17 @@
 ): boolean {
   return (
     hasAttemptLeft(record, nowMs) &&
-    findCandidates(state, record, nowMs).length > 0 &&
-    withdrawRetry(state, record.service.name)
+    canDispatch(state, record, nowMs) &&
+    (!record.hasArrived || withdrawRetry(state, record.service.name))
   );
 }
 
+/** Returns the reason to reject a request that no server has run. */
+function createNotRunReason({ service }: ForwardRecord, { code }: Diagnostic): Diagnostic {
+  const entry = UNREACHED_CODES.has(code) ? Diagnostics.ServersUnreachable : Diagnostics.Overloaded;
+  return createDiagnostic(entry, service.name);
+}
+
 /** Ends a request whose last attempt failed: aborts an answer that has begun, else rejects the request. */
 function endWithFailure(
   state: EntryState,
@@ -88,9 +100,7 @@
     return abortForward(state, record, diagnostic, nowMs);
   }
   const isNotRun = record.runStatus === RunStatus.NotRun;
-  const reason = isNotRun
-    ? createDiagnostic(Diagnostics.Overloaded, record.service.name)
-    : diagnostic;
+  const reason = isNotRun ? createNotRunReason(record, diagnostic) : diagnostic;
   return refuseForward(state, record, reason, nowMs, isNotRun ? OVERLOADED_RETRY_AFTER_MS : null);
 }
 
--- a/src/coordination/entry/requests/streamOriginWrites.ts
+++ b/src/coordination/entry/requests/streamOriginWrites.ts
@@ -142,7 +142,8 @@
     return [];
   }
   record.streamVersion ??= record.softwareVersion;
-  const name = isResumableStream(record) ? getStreamName(record) : null;
+  // The VM that has the caller records where a passed request's stream began.
+  const name = isResumableStream(record) && record.passedBy === null ? getStreamName(record) : null;
   if (name === null) {
     return [];
   }
--- a/src/coordination/entry/servers/serviceReach.ts
+++ b/src/coordination/entry/servers/serviceReach.ts
@@ -1,8 +1,8 @@
 /**
  * Decides whether this VM is cut off from the servers of a service, and notices when it reaches them again.
  *
- * Attempts that fail to connect show that servers are not reached. While the VM is cut off, it probes them in turn. In calm nothing
- * is sent for this.
+ * Attempts that fail to connect show that servers are not reached. While the VM is cut off, it probes them in turn, and its
+ * requests are passed to other VMs. In calm nothing is sent for this.
  */
 import { listOffering } from '../../../state/entry/backendLists.js';
 import type { Backend } from '../../../state/entry/backends.js';
@@ -51,6 +51,21 @@
   return (reach.get(service)?.cutOffSinceMs ?? null) !== null;
 }
 
+/** Returns whether other VMs do not reach the servers of a service either that this VM is cut off from. */
+export function isPassingFutile(state: EntryState, service: string, nowMs: number): boolean {
+  return isCutOff(state, service) && state.reach.get(service)!.passingFutileUntilMs > nowMs;
+}
+
+/** Records that the VMs which were asked do not reach the servers of a service either. */
+export function recordPassingFutile(state: EntryState, service: string, untilMs: number): void {
+  getReach(state, service).passingFutileUntilMs = untilMs;
+}
+
+/** Returns whether a server of a service has answered this VM since a time. */
+export function isReachedSince({ reach }: EntryState, service: string, sinceMs: number): boolean {
+  return (reach.get(service)?.reachedAtMs ?? Number.NEGATIVE_INFINITY) >= sinceMs;
+}
+
 /** Records that a server has answered this VM. */
 export function recordServerReached(state: EntryState, { entry }: Backend, nowMs: number): void {
   recordReached(getReach(state, entry.service), nowMs);
--- a/src/coordination/entry/state.ts
+++ b/src/coordination/entry/state.ts
@@ -18,6 +18,7 @@
   type LostConnections,
   type Quarantine,
 } from '../../state/entry/crashEvidence.js';
+import type { PassResult, PassTarget } from '../../state/entry/passTargets.js';
 import type { RateBucket } from '../../state/entry/rateBucket.js';
 import type { ServiceReach } from '../../state/entry/serviceReach.js';
 import type {
@@ -81,13 +82,23 @@
   phase: ForwardPhase;
   attempt: number;
   backendId: string | null;
+  /** The VM that has passed the request to this one; null if a caller sent it. */
+  readonly passedBy: string | null;
+  /** The VM that has the current attempt; null unless it was passed to one. */
+  passedTo: string | null;
+  /** VMs that it was passed to and that could not run it. */
+  readonly triedVmIds: string[];
+  /** Attempts that could not connect to their servers. */
+  connectFailures: number;
+  /** True once an attempt may have reached a server, so that the next one is a repeat there. */
+  hasArrived: boolean;
   /** Version of the software of the server of the last attempt; empty before the first. */
   softwareVersion: string;
   /** Version of the software that began the stream, which alone may go on with it; null if any may run the request. */
   streamVersion: string | null;
   /** Reads of the store after which the version that began the stream counts as unknown. */
   recallsLeft: number;
-  /** Backend servers that may have run it. */
+  /** Backend servers, and VMs that it was passed to, that may have run it. */
   possiblyRunBackendIds: string[];
   /** Backend servers that provably did not run it; cleared when it waits for a model that they lacked. */
   notRunBackendIds: string[];
@@ -215,6 +226,9 @@
   readonly backendLists: BackendLists;
   /** Whether this VM reaches the servers of each service. */
   readonly reach: Map<string, ServiceReach>;
+  /** The VMs that requests were passed to, by id. */
+  readonly passTargets: Map<string, PassTarget>;
+  readonly passResults: Map<PassResult, number>;
   /** By server id. */
   readonly copiedEntries: Map<string, CopiedEntry>;
   /** The servers that were dropped recently, by id. */
@@ -309,6 +323,8 @@
     backends: new Map(),
     backendLists: new Map(),
     reach: new Map(),
+    passTargets: new Map(),
+    passResults: new Map(),
     copiedEntries: new Map(),
     departedServers: new Map(),
     backendsRevision: 0,
--- a/src/protocol/statusCodes.ts
+++ b/src/protocol/statusCodes.ts
@@ -29,6 +29,8 @@
       [Diagnostics.Overloaded, 503],
       [Diagnostics.Stopping, 503],
       [Diagnostics.VmBehind, 503],
+      [Diagnostics.ServersUnreachable, 503],
+      [Diagnostics.UnknownPeer, 503],
       [Diagnostics.NotConfigured, 503],
       [Diagnostics.PromptQuarantined, 503],
       [Diagnostics.RequestQuarantined, 503],
--- a/src/state/diagnostics.ts
+++ b/src/state/diagnostics.ts
@@ -133,6 +133,13 @@
     Capacity,
     'No backend server has the software version "{0}", which began the stream.',
   ),
+  ServersUnreachable: define(
+    1113,
+    'servers_unreachable',
+    Failure,
+    'This VM reaches no backend server of "{0}".',
+  ),
+  UnknownPeer: define(1114, 'unknown_peer', Failure, 'VM "{0}" is not listed in the store.'),
   VmBehind: define(
     1108,
     'vm_behind',
@@ -352,6 +359,11 @@
   return { ...createDiagnostic(entry, ...values), path };
 }
 
+/** Returns the table entry with a code; undefined if there is none. */
+export function findDiagnosticMessage(code: number): DiagnosticMessage | undefined {
+  return Object.values(Diagnostics).find((entry) => entry.code === code);
+}
+
 /** Returns whether a diagnostic was created from the given table entry. */
 export function hasDiagnosticCode(diagnostic: Diagnostic, entry: DiagnosticMessage): boolean {
   return diagnostic.code === entry.code;
--- a/src/transport/entry/answerEnds.ts
+++ b/src/transport/entry/answerEnds.ts
@@ -4,6 +4,7 @@
  */
 import type { IncomingMessage } from 'node:http';
 import { Effect } from 'effect';
+import { EntryCommandKind } from '../../coordination/entry/commands.js';
 import { EntryEventKind } from '../../coordination/entry/events.js';
 import { SIGNS_OF_LIFE } from '../../state/entry/serverLife.js';
 import { type Attempt, failForLostConnection } from './attempt.js';
@@ -29,6 +30,9 @@
   if (isFramed(attempt.exchange, response)) {
     return;
   }
+  if (attempt.command.kind !== EntryCommandKind.Dispatch) {
+    return;
+  }
   const witness = openWitness(attempt.command, attempt.context.wire);
   attempt.witness = witness;
   response.once('close', () => {
--- a/src/transport/entry/answers.ts
+++ b/src/transport/entry/answers.ts
@@ -3,6 +3,7 @@
  * are buffered until the event loop decides whether to deliver them; large ones are forwarded as they arrive.
  */
 import type { IncomingMessage } from 'node:http';
+import { EntryCommandKind } from '../../coordination/entry/commands.js';
 import { EntryEventKind } from '../../coordination/entry/events.js';
 import { createEventFrameReader, type EventFrame } from '../../protocol/entry/eventFrames.js';
 import {
@@ -10,10 +11,16 @@
   EventVerdict,
   type StreamJudge,
 } from '../../protocol/entry/streamJudge.js';
+import {
+  encodeAnswerSource,
+  readPassedEnd,
+  removePassHeaders,
+} from '../../protocol/entry/passedRequests.js';
 import { isAnswerHead } from '../../protocol/httpText.js';
 import { Diagnostics } from '../../state/diagnostics.js';
 import { DOUBTS, type SpoilReason } from '../../state/entry/spoiledStreams.js';
 import { DispatchSignal } from '../../state/runState.js';
+import { RunStatus } from '../../state/types.js';
 import { lacksChunks } from '../unframedAnswers.js';
 import { MemoryPurpose } from '../vmMemory.js';
 import {
@@ -85,14 +92,25 @@
   if (!isAnswerReported) {
     attempt.isAnswerReported = true;
     const { attempt: number, requestId } = command;
-    context.post({ kind: EntryEventKind.AnswerStarted, requestId, attempt: number, load });
+    const kind = EntryEventKind.AnswerStarted;
+    context.post({ kind, requestId, attempt: number, load, source: attempt.source });
+  }
+}
+
+/** Encodes the head of an answer for the caller, or for the VM that has passed the request. */
+function encodeHead({ command, context, exchange }: Attempt, response: IncomingMessage): string[] {
+  const headers = removePassHeaders(context.wire.encodeAnswerHead(response.rawHeaders));
+  if (!exchange.isPassed || command.kind !== EntryCommandKind.Dispatch) {
+    return headers;
   }
+  const { backendId, bornAtWallMs, softwareVersion } = command;
+  return [...headers, ...encodeAnswerSource({ backendId, bornAtWallMs, softwareVersion })];
 }
 
 function startAnswer(attempt: Attempt, response: IncomingMessage): void {
-  const { context, exchange } = attempt;
+  const { exchange } = attempt;
   if (!isAnswerBegun(exchange) && !exchange.response.destroyed) {
-    const headers = context.wire.encodeAnswerHead(response.rawHeaders);
+    const headers = encodeHead(attempt, response);
     // The server's length is not passed on, since what follows may come from another run.
     if (!isFramed(exchange, response) || lacksChunks(exchange.request)) {
       endWithConnection(exchange);
@@ -203,7 +221,7 @@
 }
 
 function bufferAnswer(attempt: Attempt, response: IncomingMessage): void {
-  const { context, exchange } = attempt;
+  const { exchange } = attempt;
   const chunks: Buffer[] = [];
   const isComplete = createCompletenessCheck(attempt.exchange, response);
   const held = holdForCaller(attempt, MemoryPurpose.Answers);
@@ -254,14 +272,14 @@
         completeAttempt(attempt);
         return;
       }
-      const headers = context.wire.encodeAnswerHead(response.rawHeaders);
+      const headers = encodeHead(attempt, response);
       const status = response.statusCode ?? 0;
       completeBufferedAttempt(
         attempt,
         status,
         headers,
         Buffer.concat(chunks.splice(0)),
-        isFramed(exchange, response),
+        isFramed(exchange, response) || exchange.isPassed,
       );
     });
   });
@@ -304,6 +322,26 @@
   [AnswerKind.Foreign]: rejectAnswer,
 };
 
+/** Fails an attempt at another VM that has no answer of a server. Returns false if it has one, which marks its own end. */
+function endIfUnanswered(attempt: Attempt, response: IncomingMessage): boolean {
+  const end = readPassedEnd(response.headers);
+  if (end !== null) {
+    const isRefused = end.run === RunStatus.NotRun;
+    dropBody(response);
+    failAttempt(attempt, Diagnostics.BackendRefused, {
+      isRefused,
+      isMisdirected: false,
+      passedEnd: end,
+    });
+    return true;
+  }
+  if (attempt.source === null || !isFramed(attempt.exchange, response)) {
+    rejectAnswer(attempt);
+    return true;
+  }
+  return false;
+}
+
 /** Handles the response of a backend server once its headers have been received. */
 export function handleAnswer(attempt: Attempt, response: IncomingMessage, head: AnswerHead): void {
   const { command, context, exchange } = attempt;
@@ -322,6 +360,9 @@
     failAttempt(attempt, Diagnostics.BackendRefused, head, response.statusCode ?? 0);
     return;
   }
+  if (command.kind === EntryCommandKind.Pass && endIfUnanswered(attempt, response)) {
+    return;
+  }
   if (!isAnswerHead(response.statusCode ?? 0, response.rawHeaders)) {
     rejectAnswer(attempt);
     return;
--- a/src/transport/entry/attempt.ts
+++ b/src/transport/entry/attempt.ts
@@ -1,22 +1,25 @@
 /**
- * Runs attempts. An attempt is one dispatch of a forwarded request to a backend server. It posts at most one final
+ * Runs attempts. An attempt is one dispatch of a forwarded request to a backend server, or to another VM. It posts at most one final
  * event to the event loop: its response is buffered, its response is complete, or it failed.
  */
-import http, { type ClientRequest, type IncomingMessage } from 'node:http';
+import type { ClientRequest, IncomingMessage } from 'node:http';
 import { Either } from 'purify-ts';
-import type { EntryCommandKind, EntryCommandOf } from '../../coordination/entry/commands.js';
+import { EntryCommandKind, type EntryCommandOf } from '../../coordination/entry/commands.js';
 import {
   type AttemptFailure,
   type EntryEvent,
   EntryEventKind,
 } from '../../coordination/entry/events.js';
+import type { AnswerSource, PassedEnd } from '../../coordination/entry/passedRequest.js';
+import { readAnswerSource } from '../../protocol/entry/passedRequests.js';
 import { MAX_TIMER_MS } from '../../protocol/fieldSchemas.js';
 import { createDiagnostic, type DiagnosticMessage, Diagnostics } from '../../state/diagnostics.js';
 import type { BackendLoad } from '../../state/entry/backends.js';
 import { advanceRunState, DispatchSignal } from '../../state/runState.js';
 import { RunState } from '../../state/types.js';
-import { MAX_INFORMATIONAL_RESPONSES, splitAddress } from '../httpCall.js';
+import { MAX_INFORMATIONAL_RESPONSES } from '../httpCall.js';
 import type { VmMemory } from '../vmMemory.js';
+import { createRequest, MAX_ANSWER_HEAD_BYTES } from './attemptRequest.js';
 import type { BackendAgents } from './backendAgent.js';
 import type { EventPacer } from './eventPacer.js';
 import { type ForwardExchange, isAnswerBegun } from './exchange.js';
@@ -26,13 +29,14 @@
 import type { TurnPacer } from './turnPacer.js';
 import type { AnswerHead, EntryWire } from './wire.js';
 
-/** Longest head of a response. */
-const MAX_ANSWER_HEAD_BYTES = 16_384;
 /** Prefix of the codes of errors that the HTTP parser of Node.js reports. */
 const PARSER_ERROR_PREFIX = 'HPE_';
 const HEAD_OVERFLOW_CODE = 'HPE_HEADER_OVERFLOW';
 
 export type DispatchCommand = EntryCommandOf<typeof EntryCommandKind.Dispatch>;
+export type PassCommand = EntryCommandOf<typeof EntryCommandKind.Pass>;
+/** The commands that start attempts, at a backend server or at another VM. */
+export type SendCommand = DispatchCommand | PassCommand;
 
 /** Dependencies that all attempts share. */
 export interface AttemptContext {
@@ -51,7 +55,7 @@
 
 /** An attempt in progress. */
 export interface Attempt {
-  readonly command: DispatchCommand;
+  readonly command: SendCommand;
   readonly exchange: ForwardExchange;
   readonly context: AttemptContext;
   request: ClientRequest | null;
@@ -65,6 +69,8 @@
   readonly startedAtMs: number;
   progressAtMs: number;
   stallTimer: NodeJS.Timeout | null;
+  /** The server whose answer another VM passes; null if a server answers itself, or before the answer. */
+  source: AnswerSource | null;
   /** Shows whether the server outlives an answer without a length; null for any other answer. */
   witness: ServerWitness | null;
   /** Why the response is not read for now; empty while it is. */
@@ -87,6 +93,17 @@
   recordProgress(attempt);
 }
 
+/** What the head of a response tells of the failure that it reports. */
+type FailureHead = Pick<AnswerHead, 'isRefused' | 'isMisdirected'> & {
+  /** Why the VM that the request was passed to has ended it. */
+  readonly passedEnd?: PassedEnd;
+};
+
+/** Returns the id of the server or VM that an attempt is sent to. */
+function getTargetName(command: SendCommand): string {
+  return command.kind === EntryCommandKind.Dispatch ? command.backendId : command.vmId;
+}
+
 /** Ends an attempt. Returns false if it has already ended. */
 function settle(attempt: Attempt): boolean {
   if (attempt.isSettled) {
@@ -110,7 +127,7 @@
 export function failAttempt(
   attempt: Attempt,
   message: DiagnosticMessage,
-  head: Pick<AnswerHead, 'isRefused' | 'isMisdirected'> | null = null,
+  head: FailureHead | null = null,
   ...details: readonly (number | string)[]
 ): void {
   const { command, context, exchange, load, runState } = attempt;
@@ -118,7 +135,7 @@
     return;
   }
   const failure: AttemptFailure = {
-    diagnostic: createDiagnostic(message, command.backendId, ...details),
+    diagnostic: createDiagnostic(message, getTargetName(command), ...details),
     runState,
     isRefusedByServer: head?.isRefused ?? false,
     isMisdirected: head?.isMisdirected ?? false,
@@ -132,6 +149,7 @@
     attempt: command.attempt,
     failure,
     load,
+    passedEnd: head?.passedEnd ?? null,
     isAnswerBegun: isAnswerBegun(exchange),
     lastEventAtMs: exchange.lastEventAtMs,
     isPlaceDoubtful: exchange.isPlaceDoubtful,
@@ -223,38 +241,30 @@
 /** Reports the request limit that the head of a response states, or that a limit has ended. */
 function reportLimit({ command, context, startedAtMs }: Attempt, { limit }: AnswerHead): void {
   const { isStated, requestsPerSecond } = limit;
-  if (isStated && (requestsPerSecond !== null || command.isServerLimited)) {
+  if (command.kind !== EntryCommandKind.Dispatch || !isStated) {
+    return;
+  }
+  if (requestsPerSecond !== null || command.isServerLimited) {
     const kind = EntryEventKind.LimitReported;
     const { backendId } = command;
     context.post({ kind, backendId, requestsPerSecond, dispatchedAtMs: startedAtMs });
   }
 }
 
-/** Creates the request of an attempt. Throws if Node.js does not accept its address or its head. */
-function createRequest(attempt: Attempt): ClientRequest {
+/** Reports what the head of a response states of its server, also one that another VM passes. */
+function reportStatements(attempt: Attempt, response: IncomingMessage, head: AnswerHead): void {
   const { command, context, exchange } = attempt;
-  const { body, request: incoming } = exchange;
-  const headers = context.wire.encodeForwardHead(incoming.rawHeaders, {
-    workspace: command.workspace,
-    expectedServer: command.backendId,
-    remainingMs: command.remainingMs,
-    urgency: command.urgency,
-    resumeAfter: exchange.place.lastId,
-  });
-  const hasBody = body.length > 0 || incoming.headers['content-length'] !== undefined;
-  const framing = hasBody ? ['Content-Length', String(body.length)] : [];
-  return http.request({
-    ...splitAddress(command.address),
-    method: incoming.method ?? 'GET',
-    path: incoming.url ?? '/',
-    headers: [...headers, ...framing] as unknown as http.OutgoingHttpHeaders,
-    setHost: false,
-    maxHeaderSize: MAX_ANSWER_HEAD_BYTES,
-    // On a kept connection, the rejection of this dispatch could not be told from that of the earlier one.
-    agent:
-      !exchange.rejectedAddresses.has(command.address) &&
-      context.agents.getAgent(command.address, command.maxConnections),
-  });
+  attempt.source =
+    command.kind === EntryCommandKind.Pass ? readAnswerSource(response.headers) : null;
+  const server = command.kind === EntryCommandKind.Dispatch ? command : attempt.source;
+  if (server !== null) {
+    const { backendId, bornAtWallMs } = server;
+    const requestName = exchange.callerRequestId;
+    postStatement(context.post, head.statement, { backendId, bornAtWallMs, requestName });
+  }
+  if (!attempt.isSettled) {
+    reportLimit(attempt, head);
+  }
 }
 
 /** Sends the request of an attempt once it has a connection, and hands its response to the caller of `startAttempt`. */
@@ -311,16 +321,13 @@
   });
   request.on('response', (response) => {
     const head = context.wire.decodeAnswerHead(response.statusCode ?? 0, response.headers);
-    const { backendId, bornAtWallMs } = command;
-    const source = { backendId, bornAtWallMs, requestName: exchange.callerRequestId };
-    postStatement(context.post, head.statement, source);
+    reportStatements(attempt, response, head);
     if (attempt.isSettled) {
       request.destroy();
       return;
     }
     recordSignal(attempt, DispatchSignal.HeadersReceived);
     attempt.load = head.load;
-    reportLimit(attempt, head);
     context.agents.recordIdleTimeout(response);
     answer = response;
     response.on('close', failIfUnread);
@@ -335,7 +342,7 @@
  * that nothing was sent. An attempt that cannot be started fails.
  */
 export function startAttempt(
-  command: DispatchCommand,
+  command: SendCommand,
   exchange: ForwardExchange,
   context: AttemptContext,
   onResponse: (attempt: Attempt, response: IncomingMessage, head: AnswerHead) => void,
@@ -353,6 +360,7 @@
     startedAtMs: context.getNowMs(),
     progressAtMs: context.getNowMs(),
     stallTimer: null,
+    source: null,
     witness: null,
     pauseReasons: new Set(),
   };
--- a/src/transport/entry/commandTable.ts
+++ b/src/transport/entry/commandTable.ts
@@ -51,6 +51,7 @@
 
 type RequestKind =
   | typeof EntryCommandKind.Dispatch
+  | typeof EntryCommandKind.Pass
   | typeof EntryCommandKind.CancelAttempt
   | typeof EntryCommandKind.RecallAttempt
   | typeof EntryCommandKind.DeliverAnswer
@@ -81,6 +82,12 @@
         startAttempt(command, exchange, attempts, handleAnswer);
       }
     },
+    [EntryCommandKind.Pass]: (command) => {
+      const exchange = exchanges.get(command.requestId);
+      if (exchange !== undefined) {
+        startAttempt(command, exchange, attempts, handleAnswer);
+      }
+    },
     [EntryCommandKind.CancelAttempt]: ({ attempt, requestId }) => {
       const cancel = exchanges.get(requestId)?.cancel ?? null;
       if (cancel?.attempt === attempt) {
--- a/src/transport/entry/entryDaemon.ts
+++ b/src/transport/entry/entryDaemon.ts
@@ -41,6 +41,7 @@
 import { createMalformedEntries } from './malformedEntries.js';
 import { createMemoryMonitor, readMemoryUsage } from './memoryMonitor.js';
 import { createMetricsServer } from './metricsServer.js';
+import { handlePassedRequest } from './passServer.js';
 import { EndReason } from './processEnd.js';
 import { createEntryPolicy, type EntrySettings } from './settings.js';
 import { StartPart, type StartReport } from './startReport.js';
@@ -201,12 +202,18 @@
   server.on('connection', turnPacer.recordConnection);
   const readyServer = createReadinessServer(wire.readyPath, () => current.isReady);
   const createReplyId = createIdGenerator('reply');
+  const passContext = {
+    ...{ post, wire, exchanges, vmMemory, turnPacer, loopDelay },
+    createRequestId: createIdGenerator('passed'),
+    getLimits: () => current.limits,
+  };
   const peerServer = createEntryPeerServer({
     post,
     replies,
     createReplyId,
     mirror,
     configurationKey: wire.configurationKey,
+    handlePassedRequest: (request, response) => handlePassedRequest(passContext, request, response),
     getConfigurationVersion: () => state.deployment?.version ?? 0,
     getStoreAgeMs: () =>
       storeAccess.isCurrent() ? getNowMs() - storeAccess.getConfirmedAtMs() : null,
--- a/src/transport/entry/entryPeers.ts
+++ b/src/transport/entry/entryPeers.ts
@@ -2,7 +2,7 @@
  * Implements the protocol between entry VMs over Connect RPC: the server that receives calls of other VMs, and the
  * client that calls them.
  */
-import http, { type Server } from 'node:http';
+import http, { type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { create } from '@bufbuild/protobuf';
 import { Code, ConnectError } from '@connectrpc/connect';
 import { compressionGzip, connectNodeAdapter } from '@connectrpc/connect-node';
@@ -23,6 +23,7 @@
   hasFiniteNumbers,
   type PeerReply,
 } from '../../protocol/entry/peerMessages.js';
+import { isPassedRequest } from '../../protocol/entry/passedRequests.js';
 import {
   EnsureAdapterResponseSchema,
   EntryPeerService,
@@ -40,6 +41,8 @@
 const ADAPTER_TIMEOUT_MS = 2_000;
 /** Peers reply within a few milliseconds; the request that needs the tokens cannot wait for a peer that does not. */
 const LOAN_TIMEOUT_MS = 150;
+/** Longest head of a call, which for a passed request includes that of the caller. */
+const MAX_HEAD_BYTES = 262_144;
 /** The reply of a VM that lends no tokens. */
 export const NO_LOAN: RateLoan = { lentTokens: 0, spareTokens: 0 };
 
@@ -63,6 +66,8 @@
   readonly createReplyId: () => string;
   readonly mirror: StoreMirror;
   readonly configurationKey: string;
+  /** Handles a request that another VM passes to this one. */
+  readonly handlePassedRequest: (request: IncomingMessage, response: ServerResponse) => void;
   /** Returns the version of the configuration in force; 0 before the first one. */
   readonly getConfigurationVersion: () => number;
   /** Returns how long ago the store has confirmed the contents of the mirror; null if they are not current. */
@@ -174,7 +179,13 @@
     // A small link would take longer for a large configuration than a call may.
     compressMinBytes: MIN_COMPRESSED_BYTES,
   });
-  return http.createServer(handler);
+  return http.createServer({ maxHeaderSize: MAX_HEAD_BYTES }, (request, response) => {
+    if (isPassedRequest(request.headers)) {
+      context.handlePassedRequest(request, response);
+    } else {
+      handler(request, response);
+    }
+  });
 }
 
 /** Calls peers. Every call has a timeout. */
--- a/src/transport/entry/exchange.ts
+++ b/src/transport/entry/exchange.ts
@@ -2,6 +2,8 @@
  * Holds a forwarded request and sends the response to its caller. Response bodies are streamed outside the event loop.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { PassedEnd } from '../../coordination/entry/passedRequest.js';
+import { encodePassedEnd } from '../../protocol/entry/passedRequests.js';
 import { createStreamPlace, type StreamPlace } from '../../protocol/entry/streamJudge.js';
 import {
   getForwardRefusalHeaders,
@@ -34,6 +36,8 @@
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
   readonly body: Buffer;
+  /** True if another VM has passed the request to this one. */
+  readonly isPassed: boolean;
   /** Addresses of the servers that have rejected the request. */
   readonly rejectedAddresses: Set<string>;
   /** Up to where the caller has the stream, over all attempts. */
@@ -66,9 +70,11 @@
 /** Creates the exchange of a request that has no response yet. */
 export function createForwardExchange(
   fields: Pick<ForwardExchange, 'requestId' | 'callerRequestId' | 'request' | 'response' | 'body'>,
+  isPassed = false,
 ): ForwardExchange {
   return {
     ...fields,
+    isPassed,
     rejectedAddresses: new Set(),
     place: createStreamPlace(fields.request.headers[LAST_EVENT_ID_HEADER]?.toString() ?? null),
     isPlaceDoubtful: false,
@@ -108,9 +114,15 @@
   }
 }
 
-/** Marks the end of a response that has not started only by closing its connection. */
+/**
+ * Marks the end of a response that has not started only by closing its connection. To another VM it is sent in chunks: they end only
+ * once the server is known to have outlived its answer.
+ */
 export function endWithConnection(exchange: ForwardExchange): void {
-  const { response } = exchange;
+  const { isPassed, response } = exchange;
+  if (isPassed) {
+    return;
+  }
   exchange.endsWithConnection = true;
   response.shouldKeepAlive = false;
   response.useChunkedEncodingByDefault = false;
@@ -158,6 +170,12 @@
   response.end(request.method === 'HEAD' ? undefined : body);
 }
 
+/** Returns what another VM is told that has passed a request which is rejected. */
+export function getPassedEnd({ diagnostic, retryAfterMs, run }: Refusal): PassedEnd {
+  const { code, message } = diagnostic;
+  return { run, code, message, retryAfterMs };
+}
+
 /** Rejects a request whose response has not started. */
 export function sendForwardRefusal(
   exchange: ForwardExchange,
@@ -167,6 +185,7 @@
   const headers = [
     ...wire.encodeOwnAnswerHead(exchange.callerRequestId),
     ...getForwardRefusalHeaders(refusal),
+    ...(exchange.isPassed ? encodePassedEnd(getPassedEnd(refusal)) : []),
   ];
   sendWholeAnswer(exchange, getForwardRefusalStatus(refusal), headers, encodeRefusal(refusal));
 }
--- a/src/transport/entry/metricsServer.ts
+++ b/src/transport/entry/metricsServer.ts
@@ -7,6 +7,7 @@
 import { TakeUpResult } from '../../coordination/entry/requests/streamState.js';
 import { isPaused } from '../../coordination/entry/servers/serverPauses.js';
 import { countHeldQuarantines } from '../../state/entry/quarantineTable.js';
+import { PassResult } from '../../state/entry/passTargets.js';
 import { LifeEvidence } from '../../state/entry/serverLife.js';
 import { SpoilReason } from '../../state/entry/spoiledStreams.js';
 import { getRevisionInEra, getStoreEra } from '../../state/storeRevision.js';
@@ -112,6 +113,15 @@
   return [`# TYPE ${name} counter\n`, ...lines].join('');
 }
 
+/** Formats the number of requests that were passed to other VMs, by how that ended. */
+function formatPasses({ state }: MetricsSources): string {
+  const name = 'gentiandeck_passed_requests_total';
+  const lines = Object.values(PassResult).map(
+    (result) => `${name}{result="${result}"} ${state.passResults.get(result) ?? 0}\n`,
+  );
+  return [`# TYPE ${name} counter\n`, ...lines].join('');
+}
+
 function formatMetrics(sources: MetricsSources): string {
   const { callerConnections, loopWork, metrics, peerCalls } = sources;
   const counters = [metrics, loopWork, peerCalls, callerConnections];
@@ -122,6 +132,7 @@
     formatSpoiledStreams,
     formatUnframedEnds,
     formatStreamTakeUps,
+    formatPasses,
   ];
   return [...texts, ...formats.map((format) => format(sources))].join('');
 }
--- a/src/transport/entry/wire.ts
+++ b/src/transport/entry/wire.ts
@@ -20,10 +20,11 @@
 /** Data that the VM adds to the headers of a forwarded request. */
 export interface ForwardHead {
   readonly workspace: string | null;
-  /** Id of the backend server that the request is meant for. Any other server rejects the request. */
-  readonly expectedServer: string;
+  /** Id of the backend server that the request is meant for. Any other server rejects it. Null if it goes to another VM. */
+  readonly expectedServer: string | null;
   readonly remainingMs: number;
-  readonly urgency: number;
+  /** Null if the request goes to another VM. */
+  readonly urgency: number | null;
   /**
    * Id of the last event that was sent to the caller. If null, the stream starts after the event that the caller's own
    * headers name, else at its beginning.
--- a/tests/entry/answerEnds.test.ts
+++ b/tests/entry/answerEnds.test.ts
@@ -85,6 +85,7 @@
   startTimeoutMs: 60_000,
   eventGapTimeoutMs: 60_000,
   isStream: true,
+  softwareVersion: 'v1',
   isServerLimited: false,
   lifeCheck: null,
 };
--- a/tests/entry/brokenStreams.test.ts
+++ b/tests/entry/brokenStreams.test.ts
@@ -53,6 +53,7 @@
   startTimeoutMs: 5_000,
   eventGapTimeoutMs: 5_000,
   isStream: true,
+  softwareVersion: 'v1',
   isServerLimited: false,
   lifeCheck: null,
 };
--- a/tests/entry/closedBeforeRead.test.ts
+++ b/tests/entry/closedBeforeRead.test.ts
@@ -77,7 +77,13 @@
       kind: 'dispatch',
       ...{ requestId: 'r', attempt: 1, backendId: 'e1', bornAtWallMs: 1 },
       ...{ address, maxConnections: 2, workspace: null, remainingMs: 10_000, urgency: 1 },
-      ...{ startTimeoutMs: 5_000, eventGapTimeoutMs: 5_000, isStream, isServerLimited: false },
+      ...{
+        startTimeoutMs: 5_000,
+        eventGapTimeoutMs: 5_000,
+        isStream,
+        softwareVersion: 'v1',
+        isServerLimited: false,
+      },
       lifeCheck: null,
     };
     const server = http.createServer((request, response) => {
--- a/tests/entry/largeConfiguration.test.ts
+++ b/tests/entry/largeConfiguration.test.ts
@@ -74,6 +74,7 @@
     createReplyId: () => 'reply',
     mirror,
     configurationKey: CONFIGURATION_KEY,
+    handlePassedRequest: () => {},
     getConfigurationVersion: () => 7,
     getStoreAgeMs: () => 0,
   });
--- a/tests/entry/lifeFixtures.ts
+++ b/tests/entry/lifeFixtures.ts
@@ -136,6 +136,7 @@
   startTimeoutMs: 60_000,
   eventGapTimeoutMs: 60_000,
   isStream: true,
+  softwareVersion: 'v1',
   isServerLimited: false,
   lifeCheck: { healthPath: HEALTH_PATH },
 };
--- a/tests/entry/malformedMessages.test.ts
+++ b/tests/entry/malformedMessages.test.ts
@@ -281,6 +281,7 @@
     createReplyId: () => 'reply',
     mirror: createStoreMirror(),
     configurationKey: 'configuration',
+    handlePassedRequest: () => {},
     getConfigurationVersion: () => 1,
     getStoreAgeMs: () => 0,
   });
--- a/tests/entry/refusedCalls.test.ts
+++ b/tests/entry/refusedCalls.test.ts
@@ -49,6 +49,7 @@
   maxConnections: 2,
   startTimeoutMs: 900,
   eventGapTimeoutMs: 900,
+  softwareVersion: 'v1',
   isServerLimited: false,
   lifeCheck: null,
   isStream: false,
--- a/tests/entry/replayedAnswers.test.ts
+++ b/tests/entry/replayedAnswers.test.ts
@@ -73,6 +73,7 @@
   startTimeoutMs: DEADLINE_MS,
   eventGapTimeoutMs: DEADLINE_MS,
   isStream: false,
+  softwareVersion: 'v1',
   isServerLimited: false,
   lifeCheck: null,
 };
--- a/tests/entry/spoiledAttempts.test.ts
+++ b/tests/entry/spoiledAttempts.test.ts
@@ -60,6 +60,7 @@
   startTimeoutMs: GAP_TIMEOUT_MS,
   eventGapTimeoutMs: GAP_TIMEOUT_MS,
   isStream: true,
+  softwareVersion: 'v1',
   isServerLimited: false,
   lifeCheck: null,
 };
