Pass requests to VMs that are known to reach the servers, and end no service for a few that do not

VMs of the own failure domain go first, and most of them were cut off too; after three of them a request was rejected, and with it all requests of the service for a second (250 of 530 that ended at VMs that were cut off), although other VMs reached the servers. A VM that is cut off was asked again each second. Change: VMs that have brought an answer of the service go before others; one that reaches no server gets none for three seconds; a request goes to five VMs at most; passing counts as futile only when no VM is left. A passed request whose connect fails goes back at once unless a server has answered lately. Tests: rows of passing.test.ts (all of four, five of seven, known to be good) fail without the change.

--- a/src/coordination/entry/requests/attempts.ts
+++ b/src/coordination/entry/requests/attempts.ts
@@ -39,7 +39,7 @@
 import { recordServerReached, recordServerUnreached } from '../servers/serviceReach.js';
 import { recordBegunAnswer } from './answerProgress.js';
 import { handlePassFailed } from './passFailures.js';
-import { countPass } from './passing.js';
+import { countPass, recordPassAnswered } from './passing.js';
 import { recordStreamVersion } from './streamOriginWrites.js';
 import { PassResult } from '../../../state/entry/passTargets.js';
 import { type EntryState, ForwardPhase, type ForwardRecord } from '../state.js';
@@ -91,6 +91,7 @@
   record.attemptAnsweredAtMs ??= nowMs;
   record.runStatus = RunStatus.Unknown;
   record.softwareVersion = event.source?.softwareVersion ?? record.softwareVersion;
+  recordPassAnswered(state, record, nowMs);
   const backend = state.backends.get(record.backendId!);
   if (backend !== undefined) {
     recordServerReached(state, backend, nowMs);
@@ -255,6 +256,7 @@
   const backend = state.backends.get(backendId);
   const isFailure = status >= MIN_SERVER_ERROR_STATUS;
   countIfPassed(state, record);
+  recordPassAnswered(state, record, nowMs);
   if (backend !== undefined) {
     recordServerReached(state, backend, nowMs);
     recordReportedLoad(backend, load, nowMs);
--- a/src/coordination/entry/requests/passFailures.ts
+++ b/src/coordination/entry/requests/passFailures.ts
@@ -13,11 +13,10 @@
 import { createEntryLog, type EntryCommand, EntryLogPrefix } from '../commands.js';
 import type { EntryEventKind, EntryEventOf } from '../events.js';
 import type { PassedEnd } from '../passedRequest.js';
-import { recordPassingFutile } from '../servers/serviceReach.js';
 import { PassResult } from '../../../state/entry/passTargets.js';
 import { type EntryState, type ForwardRecord } from '../state.js';
 import { recordBegunAnswer } from './answerProgress.js';
-import { AVOID_TARGET_MS, countPass, findPassTarget, getPassTarget } from './passing.js';
+import { countPass, recordPassReturned } from './passing.js';
 import {
   abortForward,
   getRequestLogFields,
@@ -83,7 +82,6 @@
   record.runStatus = combineRunStatuses(record.runStatus, status);
   record.hasArrived ||= !isNotRun;
   record.isPlaceDoubtful ||= event.isPlaceDoubtful ?? false;
-  record.notRunAttempts += isNotRun ? 1 : 0;
   (isNotRun ? record.triedVmIds : record.possiblyRunBackendIds).push(vmId);
   countPass(state, result);
   const log = createEntryLog(
@@ -107,10 +105,8 @@
     const ended = endForReason(state, record, reason, end?.retryAfterMs ?? null, nowMs);
     return [log, ...begun, ...ended];
   }
-  getPassTarget(state, vmId).avoidUntilMs.set(service, nowMs + AVOID_TARGET_MS);
-  if (isNotRun && findPassTarget(state, record, nowMs) === undefined) {
-    recordPassingFutile(state, service, nowMs + AVOID_TARGET_MS);
-  }
+  const isVmCutOff = reason.code === Diagnostics.ServersUnreachable.code;
+  recordPassReturned(state, vmId, service, isVmCutOff, nowMs);
   const failed = {
     diagnostic: reason,
     isAnswerBegun,
--- a/src/coordination/entry/requests/passing.ts
+++ b/src/coordination/entry/requests/passing.ts
@@ -14,24 +14,35 @@
   EntryLogPrefix,
 } from '../commands.js';
 import type { ListedEntryVm } from '../peerMessage.js';
-import { isCutOff, isPassingFutile, isReachedSince } from '../servers/serviceReach.js';
+import {
+  isCutOff,
+  isPassingFutile,
+  isReachedSince,
+  recordPassingFutile,
+} from '../servers/serviceReach.js';
 import { type PassResult, type PassTarget } from '../../../state/entry/passTargets.js';
 import { type EntryState, ForwardPhase, type ForwardRecord } from '../state.js';
 import { getRequestLogFields, getWaitTimerId } from './requestCompletion.js';
 import { getEventGapTimeoutMs } from './requestTimes.js';
 
 /** VMs that one request may be passed to. */
-const MAX_PASSES = 3;
+const MAX_PASSES = 5;
 /** A request that could not connect to one server is sent to another one if one has answered within this time. */
 const RECENTLY_REACHED_MS = 500;
 /** Failed connects of one request after which it is passed although servers answer: those may use old connections. */
 const MAX_CONNECT_FAILURES = 2;
 /** Requests more that a VM of the own failure domain may have, for each core, than one of another domain. */
 const REMOTE_DOMAIN_REQUESTS = 10;
+/** The same for one that has brought an answer recently, before one of which that is not known. */
+const UNKNOWN_VM_REQUESTS = 5;
+/** How long an answer that a VM has brought shows that it reaches the servers of a service. */
+const KNOWN_GOOD_MS = 2_000;
 /** Connections to one VM; more requests wait for one of them. */
 const MAX_CONNECTIONS = 256;
 /** How long a VM that could not run a request gets none for the same service. */
-export const AVOID_TARGET_MS = 1_000;
+const AVOID_TARGET_MS = 1_000;
+/** The same for one that reaches no server of the service. */
+const AVOID_CUT_OFF_MS = 3_000;
 
 /** Counts how a request that was passed has ended. */
 export function countPass({ passResults }: EntryState, result: PassResult): void {
@@ -39,12 +50,12 @@
 }
 
 /** Returns what this VM knows of a VM that it passes requests to. */
-export function getPassTarget({ passTargets }: EntryState, vmId: string): PassTarget {
+function getPassTarget({ passTargets }: EntryState, vmId: string): PassTarget {
   const known = passTargets.get(vmId);
   if (known !== undefined) {
     return known;
   }
-  const created = { inFlight: 0, avoidUntilMs: new Map<string, number>() };
+  const created: PassTarget = { inFlight: 0, avoidUntilMs: new Map(), answeredAtMs: new Map() };
   passTargets.set(vmId, created);
   return created;
 }
@@ -74,11 +85,30 @@
   return passedBy === null && isPassingFutile(state, service.name, nowMs);
 }
 
-/** Returns the requests of this VM that a VM has for each core, and what it costs that it is in another failure domain. */
-function getTargetCost(state: EntryState, vm: ListedEntryVm): number {
+/** Returns the requests of this VM that a VM has for each core, and what speaks against it in the same unit. */
+function getTargetCost(
+  state: EntryState,
+  vm: ListedEntryVm,
+  service: string,
+  nowMs: number,
+): number {
   const isRemote = vm.failureDomain !== state.self.failureDomain;
-  const inFlight = state.passTargets.get(vm.vmId)?.inFlight ?? 0;
-  return inFlight / vm.processorShare + (isRemote ? REMOTE_DOMAIN_REQUESTS : 0);
+  const target = state.passTargets.get(vm.vmId);
+  const isKnown = nowMs - (target?.answeredAtMs.get(service) ?? -Infinity) < KNOWN_GOOD_MS;
+  return (
+    (target?.inFlight ?? 0) / vm.processorShare +
+    (isRemote ? REMOTE_DOMAIN_REQUESTS : 0) +
+    (isKnown ? 0 : UNKNOWN_VM_REQUESTS)
+  );
+}
+
+/** Returns the other VMs that may get requests for a service. */
+function listTargets(state: EntryState, service: string, nowMs: number): ListedEntryVm[] {
+  const { listedVms, passTargets, self } = state;
+  return listedVms.filter(
+    ({ vmId }) =>
+      vmId !== self.vmId && (passTargets.get(vmId)?.avoidUntilMs.get(service) ?? 0) <= nowMs,
+  );
 }
 
 /** Returns the VM to which a request is to be passed; undefined if it is to go to a server, or if there is no VM for it. */
@@ -91,16 +121,13 @@
     return undefined;
   }
   const service = record.service.name;
-  const isUsable = ({ vmId }: ListedEntryVm): boolean =>
-    vmId !== state.self.vmId &&
-    !record.triedVmIds.includes(vmId) &&
-    !record.possiblyRunBackendIds.includes(vmId) &&
-    (state.passTargets.get(vmId)?.avoidUntilMs.get(service) ?? 0) <= nowMs;
-  const targets = state.listedVms.filter(isUsable);
+  const targets = listTargets(state, service, nowMs).filter(
+    ({ vmId }) => !record.triedVmIds.includes(vmId) && !record.possiblyRunBackendIds.includes(vmId),
+  );
   // The scan starts at a random index, to break ties at random.
   const first = nextRandomInt(state.random, Math.max(1, targets.length));
   const rotated = [...targets.slice(first), ...targets.slice(0, first)];
-  const costs = new Map(rotated.map((vm) => [vm, getTargetCost(state, vm)]));
+  const costs = new Map(rotated.map((vm) => [vm, getTargetCost(state, vm, service, nowMs)]));
   const [lowest, ...others] = rotated;
   return lowest === undefined
     ? undefined
@@ -156,3 +183,39 @@
     ),
   ];
 }
+
+/** Records that a VM has brought an answer of a server. */
+export function recordPassAnswered(state: EntryState, record: ForwardRecord, nowMs: number): void {
+  if (record.passedTo !== null) {
+    getPassTarget(state, record.passedTo).answeredAtMs.set(record.service.name, nowMs);
+  }
+}
+
+/** Records that a VM could not run a request for a service, so that it gets none for some time. */
+export function recordPassReturned(
+  state: EntryState,
+  vmId: string,
+  service: string,
+  isVmCutOff: boolean,
+  nowMs: number,
+): void {
+  const { answeredAtMs, avoidUntilMs } = getPassTarget(state, vmId);
+  answeredAtMs.delete(service);
+  avoidUntilMs.set(service, nowMs + (isVmCutOff ? AVOID_CUT_OFF_MS : AVOID_TARGET_MS));
+  if (listTargets(state, service, nowMs).length === 0) {
+    recordPassingFutile(state, service, nowMs + AVOID_TARGET_MS);
+  }
+}
+
+/**
+ * Returns whether a passed request that could not connect is to go back to the VM that has passed it, since no server has answered
+ * this VM recently: that VM knows others.
+ */
+export function isReturnDue(state: EntryState, record: ForwardRecord, nowMs: number): boolean {
+  const { connectFailures, passedBy, service } = record;
+  return (
+    passedBy !== null &&
+    connectFailures > 0 &&
+    !isReachedSince(state, service.name, nowMs - RECENTLY_REACHED_MS)
+  );
+}
--- a/src/coordination/entry/requests/retries.ts
+++ b/src/coordination/entry/requests/retries.ts
@@ -14,6 +14,7 @@
   getQuarantineRetryAfterMs,
   isRepeatDoubtful,
 } from '../evidence/quarantines.js';
+import { isReturnDue } from './passing.js';
 import { abortForward, refuseForward } from './requestCompletion.js';
 import { withdrawRetry } from './retryBudget.js';
 import type { EntryState, ForwardRecord } from '../state.js';
@@ -77,6 +78,7 @@
 ): boolean {
   return (
     hasAttemptLeft(record, nowMs) &&
+    !isReturnDue(state, record, nowMs) &&
     canDispatch(state, record, nowMs) &&
     (!record.hasArrived || withdrawRetry(state, record.service.name))
   );
--- a/src/state/entry/passTargets.ts
+++ b/src/state/entry/passTargets.ts
@@ -8,6 +8,8 @@
   inFlight: number;
   /** Time until which it gets no requests for a service, by service. */
   readonly avoidUntilMs: Map<string, number>;
+  /** Time at which it last brought an answer of a server, by service. */
+  readonly answeredAtMs: Map<string, number>;
 }
 
 /** How requests that were passed to other VMs have ended. */
--- a/tests/entry/passing.test.ts
+++ b/tests/entry/passing.test.ts
@@ -289,6 +289,20 @@
     expect(refused).toEqual(passes.length === 0 ? [RunStatus.Unknown] : []);
   });
 
+  it('is passed to a VM that has brought answers before one of which that is not known', () => {
+    const vm = createVm([SELF, NEAR, createListed('vm-4'), createListed('vm-5')]);
+    cutOff(vm, '/lookup/x');
+    const passedTo = Array.from({ length: 5 }, (_, i) => {
+      const requestId = `r${i}`;
+      const request = createTestRequest(requestId, '/lookup/x');
+      const [vmId = ''] = listPasses(vm.receiveRequest(request, CUT_AT_MS + i));
+      const kind = EntryEventKind.AnswerReady;
+      vm.step({ kind, requestId, attempt: 1, status: 200, load: null }, CUT_AT_MS + i);
+      return vmId;
+    });
+    expect(new Set(passedTo).size).toBe(1);
+  });
+
   it('goes on with a begun stream at another VM, at the version that began it', () => {
     const vm = createVm();
     cutOff(vm, '/draft/x');
@@ -306,19 +320,26 @@
     ]);
   });
 
-  it('is rejected as not run once three VMs reach no server, and later ones at once', () => {
-    const others = ['vm-2', 'vm-3', 'vm-4', 'vm-5'].map((vmId) => createListed(vmId));
-    const vm = createVm([SELF, ...others]);
-    cutOff(vm, '/lookup/x');
-    vm.receiveRequest(createTestRequest('r', '/lookup/x'), CUT_AT_MS + 1);
-    const end = createEnd(Diagnostics.ServersUnreachable);
-    const ended = [1, 2, 3].map((attempt) =>
-      fail(vm, 'r', attempt, Diagnostics.BackendRefused, { end, runState: RunState.Accepted }),
-    );
-    const [refusal] = findCommands(ended[2]!, EntryCommandKind.Refuse);
-    expect(refusal?.refusal.run).toBe(RunStatus.NotRun);
-    const later = vm.receiveRequest(createTestRequest('s', '/lookup/x'), CUT_AT_MS + 500);
-    expect(findCommands(later, EntryCommandKind.Refuse)).toHaveLength(1);
-    expect(listPasses(later)).toEqual([]);
-  });
+  it.each([
+    { name: 'all of four', others: 4, passes: 4, laterPasses: 0 },
+    { name: 'five of seven', others: 7, passes: 5, laterPasses: 1 },
+  ])(
+    'is rejected as not run once the VMs that were asked reach no server: $name',
+    ({ laterPasses, others, passes }) => {
+      const listed = Array.from({ length: others }, (_, i) => createListed(`vm-${i + 2}`));
+      const vm = createVm([SELF, ...listed]);
+      cutOff(vm, '/lookup/x');
+      vm.receiveRequest(createTestRequest('r', '/lookup/x'), CUT_AT_MS + 1);
+      const end = createEnd(Diagnostics.ServersUnreachable);
+      const ended = Array.from({ length: passes }, (_, i) =>
+        fail(vm, 'r', i + 1, Diagnostics.BackendRefused, { end, runState: RunState.Accepted }),
+      );
+      expect(ended.flatMap(listPasses)).toHaveLength(passes - 1);
+      const [refusal] = findCommands(ended.at(-1)!, EntryCommandKind.Refuse);
+      expect(refusal?.refusal.run).toBe(RunStatus.NotRun);
+      const later = vm.receiveRequest(createTestRequest('s', '/lookup/x'), CUT_AT_MS + 500);
+      expect(findCommands(later, EntryCommandKind.Refuse)).toHaveLength(1 - laterPasses);
+      expect(listPasses(later)).toHaveLength(laterPasses);
+    },
+  );
 });
