Give up the controller's lease at a VM that reaches no engine

Change: such a VM releases the lease and does not claim it while it is cut off from a service with engines and another VM is listed.

--- a/src/coordination/entry/placement/controller.ts
+++ b/src/coordination/entry/placement/controller.ts
@@ -33,6 +33,7 @@
 import { type EngineControl, reserveMemory } from './placementState.js';
 import { isAcceptingRequests } from '../requests/backendSelection.js';
 import { compareRelayRank } from '../exchange/relays.js';
+import { isCutOffFromEngines } from '../servers/serviceReach.js';
 import { isPaused, shortenPauses } from '../servers/serverPauses.js';
 import { EntryLifecycle, type EntryState, isShuttingDown } from '../state.js';
 
@@ -77,7 +78,8 @@
 function claimVacantLease(state: EntryState, nowMs: number): EntryCommand[] {
   const { placement, store } = state;
   const isVacant = state.controller === null && placement.leaseVacantSinceMs !== null;
-  if (!isVacant || !store.isReachable || state.lifecycle !== EntryLifecycle.Running) {
+  const canHold = state.lifecycle === EntryLifecycle.Running && !isCutOffFromEngines(state);
+  if (!isVacant || !store.isReachable || !canHold) {
     return [];
   }
   const isJustStarted = nowMs - state.startedAtMs < CLAIM_AFTER_START_MS;
@@ -224,22 +226,6 @@
   return state.placement.fence === null ? [] : runController(state, nowMs);
 }
 
-/** Renews or claims the lease, sends orders, and starts the timer of the next round. */
-export function handleControllerTick(
-  state: EntryState,
-  _event: EntryEventOf<typeof EntryEventKind.ControllerTick>,
-  nowMs: number,
-): EntryCommand[] {
-  const { controllerTickMs } = state.policy;
-  const kind = EntryEventKind.ControllerTick;
-  return [
-    createEntryTimer(kind, controllerTickMs, { kind }),
-    ...claimVacantLease(state, nowMs),
-    ...renewLease(state, nowMs),
-    ...runControllerIfActive(state, nowMs),
-  ];
-}
-
 /** Ends this VM's term as the controller, if it is the controller. */
 export function stopController(state: EntryState, reason: string): EntryCommand[] {
   const { placement } = state;
@@ -254,14 +240,39 @@
       LogLevel.Warn,
       EntryLogPrefix.Placement,
       'This VM is no longer the controller.',
-      {
-        fence,
-        reason,
-      },
+      { fence, reason },
     ),
   ];
 }
 
+/** Gives the lease up if this VM reaches no engine, so that a VM that does sends the orders. */
+function releaseIfCutOff(state: EntryState): EntryCommand[] {
+  const { fence } = state.placement;
+  return fence === null || !isCutOffFromEngines(state)
+    ? []
+    : [
+        ...stopController(state, 'this VM reaches no engine'),
+        { kind: EntryCommandKind.ReleaseControllerLease, fence },
+      ];
+}
+
+/** Renews or claims the lease, sends orders, and starts the timer of the next round. */
+export function handleControllerTick(
+  state: EntryState,
+  _event: EntryEventOf<typeof EntryEventKind.ControllerTick>,
+  nowMs: number,
+): EntryCommand[] {
+  const { controllerTickMs } = state.policy;
+  const kind = EntryEventKind.ControllerTick;
+  return [
+    createEntryTimer(kind, controllerTickMs, { kind }),
+    ...releaseIfCutOff(state),
+    ...claimVacantLease(state, nowMs),
+    ...renewLease(state, nowMs),
+    ...runControllerIfActive(state, nowMs),
+  ];
+}
+
 /** Updates the lease holder from a read of the store. */
 export function handleControllerLeaseRead(
   state: EntryState,
--- a/src/coordination/entry/servers/serviceReach.ts
+++ b/src/coordination/entry/servers/serviceReach.ts
@@ -51,6 +51,13 @@
   return (reach.get(service)?.cutOffSinceMs ?? null) !== null;
 }
 
+/** Returns whether this VM reaches no engine of a service, and another VM may. */
+export function isCutOffFromEngines(state: EntryState): boolean {
+  const services = [...(state.deployment?.servicesByName.values() ?? [])];
+  const hasOthers = state.listedVms.some(({ vmId }) => vmId !== state.self.vmId);
+  return hasOthers && services.some(({ engine, name }) => engine !== null && isCutOff(state, name));
+}
+
 /** Returns whether other VMs do not reach the servers of a service either that this VM is cut off from. */
 export function isPassingFutile(state: EntryState, service: string, nowMs: number): boolean {
   return isCutOff(state, service) && state.reach.get(service)!.passingFutileUntilMs > nowMs;
