Pass nothing shortly before a stop, and hold fewer connections to one VM

A VM that stops dispatches nothing later than three seconds before it aborts its requests; passing did not ask for that. With 256 connections to one VM, six VMs that are cut off could use up the descriptors of the seventh (4,100, of which 800 are for everything but callers); 64 now. Tests: a row of passing.test.ts fails without the first change.

--- a/src/coordination/entry/requests/passing.ts
+++ b/src/coordination/entry/requests/passing.ts
@@ -38,7 +38,7 @@
 /** How long an answer that a VM has brought shows that it reaches the servers of a service. */
 const KNOWN_GOOD_MS = 2_000;
 /** Connections to one VM; more requests wait for one of them. */
-const MAX_CONNECTIONS = 256;
+const MAX_CONNECTIONS = 64;
 /** How long a VM that could not run a request gets none for the same service. */
 const AVOID_TARGET_MS = 1_000;
 /** The same for one that reaches no server of the service. */
@@ -117,7 +117,8 @@
   record: ForwardRecord,
   nowMs: number,
 ): ListedEntryVm | undefined {
-  if (record.triedVmIds.length >= MAX_PASSES || !isPassDue(state, record, nowMs)) {
+  const mayPass = record.triedVmIds.length < MAX_PASSES && nowMs < state.noDispatchFromMs;
+  if (!mayPass || !isPassDue(state, record, nowMs)) {
     return undefined;
   }
   const service = record.service.name;
--- a/tests/entry/passing.test.ts
+++ b/tests/entry/passing.test.ts
@@ -181,6 +181,16 @@
     expect(vm.state.buckets.get('mill')!.levelTokens).toBe(levelTokens);
   });
 
+  it('passes nothing once its stop is too near for an answer', () => {
+    const vm = createVm();
+    cutOff(vm, '/lookup/x');
+    vm.step({ kind: EntryEventKind.StopRequested }, CUT_AT_MS);
+    const early = vm.receiveRequest(createTestRequest('r', '/lookup/x'), CUT_AT_MS + 100);
+    const late = vm.receiveRequest(createTestRequest('s', '/lookup/x'), CUT_AT_MS + 5_000);
+    expect(listPasses(early)).toHaveLength(1);
+    expect(listPasses(late)).toEqual([]);
+  });
+
   it('sends requests itself again once two servers in a row accept connections', () => {
     const vm = createVm();
     cutOff(vm, '/lookup/x');
