Choose the server of a waiting request once

Found by reading the diff: since requests can be passed, each look at a waiting request listed the candidate servers twice. No change of behaviour; the files that test waiting requests pass (92 tests).

--- a/src/coordination/entry/requests/forwarding.ts
+++ b/src/coordination/entry/requests/forwarding.ts
@@ -139,6 +139,20 @@
   );
 }
 
+/** Returns what starts an attempt of a request now, at another VM or at a backend server; null if none can run it. */
+function findStart(
+  state: EntryState,
+  record: ForwardRecord,
+  nowMs: number,
+): (() => EntryCommand[]) | null {
+  const target = findPassTarget(state, record, nowMs);
+  if (target !== undefined) {
+    return () => passTo(state, record, target, nowMs);
+  }
+  const backend = findBackend(state, record, nowMs);
+  return backend === undefined ? null : () => dispatchTo(state, record, backend.entry.id, nowMs);
+}
+
 /**
  * Dispatches a request to a backend server that can run it now, or passes it to another VM if this VM does not reach the servers;
  * returns null if there is none.
@@ -148,12 +162,7 @@
   record: ForwardRecord,
   nowMs: number,
 ): EntryCommand[] | null {
-  const target = findPassTarget(state, record, nowMs);
-  if (target !== undefined) {
-    return passTo(state, record, target, nowMs);
-  }
-  const backend = findBackend(state, record, nowMs);
-  return backend === undefined ? null : dispatchTo(state, record, backend.entry.id, nowMs);
+  return findStart(state, record, nowMs)?.() ?? null;
 }
 
 /** Returns whether the caller of a request has received part of its answer, which rules out a rejection. */
@@ -266,11 +275,12 @@
   record: ForwardRecord,
   nowMs: number,
 ): EntryCommand[] {
-  if (!canDispatch(state, record, nowMs)) {
+  const start = findStart(state, record, nowMs);
+  if (start === null) {
     return borrowPermit(state, record, nowMs);
   }
-  const mayDispatch = !record.hasArrived || withdrawRetry(state, record.service.name);
-  return mayDispatch ? (tryDispatch(state, record, nowMs) ?? []) : [];
+  const mayStart = !record.hasArrived || withdrawRetry(state, record.service.name);
+  return mayStart ? start() : [];
 }
 
 /**
