Log each step of a start and of a stop with its time

A record of ended or late processes did not tell which part a start waited for or which requests a stop waited for. Each part of a start now has a line when it ends, and a VM that is not ready says at 5, 15, 35 s and then once a minute what it waits for. Each step of a stop has a line with the time since its request; while it waits, once a second the phases and the oldest requests. A stop before the daemon runs tells the part that it came in.

--- a/src/bin/entryProgram.ts
+++ b/src/bin/entryProgram.ts
@@ -79,11 +79,15 @@
     ...others,
     ...bounds,
   });
+  startReport.logTo((level, text, fields) =>
+    log.write(level, EntryLogPrefix.Lifecycle, text, fields),
+  );
   const daemon = await startEntryDaemon({ settings, metricsPort, store, wire, log, startReport });
   const stop: { signal: string; requestedAtMs: number } = { signal: '', requestedAtMs: 0 };
   processSignals.handle({
     [SignalRequest.Stop]: (signal) => {
       writeInfo('A stop was requested.', { signal });
+      startReport.close();
       if (stop.signal === '') {
         Object.assign(stop, { signal, requestedAtMs: getUptimeMs() });
       }
@@ -119,8 +123,10 @@
   // Nothing has been accepted yet, so a stop needs no shutdown.
   processSignals.handle({
     [SignalRequest.Stop]: (signal) => {
+      const { uptimeMs, waitsFor } = startReport.getWait();
       const text = `It ends, since ${signal} requested a stop before the daemon had started.`;
-      processEnd.end(EndReason.StoppedInStart, text);
+      const detail = `It had run for ${uptimeMs} ms and waited for: ${waitsFor}.`;
+      processEnd.end(EndReason.StoppedInStart, `${text} ${detail}`);
     },
   });
   const read = await readSettings(process.env, ({ message }) =>
--- a/src/coordination/entry/lifecycle.ts
+++ b/src/coordination/entry/lifecycle.ts
@@ -27,6 +27,7 @@
 import { updatePermitShares } from './limits/serverLimits.js';
 import { reportEndedPauses } from './servers/serverPauses.js';
 import { updateVmsLastSeen } from './liveVms.js';
+import { beginStopProgress, getStopMs, logStopStep, reportStopWait } from './stopReport.js';
 import { EntryLifecycle, type EntryState, ForwardPhase, isShuttingDown } from './state.js';
 
 /** The platform checks readiness once a second and removes a VM after two failed checks; the rest is margin. */
@@ -54,6 +55,7 @@
   }
   state.lifecycle = EntryLifecycle.Stopping;
   state.isReady = false;
+  state.stop = beginStopProgress(nowMs);
   const { fence } = state.placement;
   state.placement.fence = null;
   const { stopGraceMs } = state.policy;
@@ -78,9 +80,11 @@
 
 function abortRequests(state: EntryState, nowMs: number): EntryCommand[] {
   const diagnostic = createDiagnostic(Diagnostics.Stopping);
-  return [...state.requests.values()].flatMap((record) =>
-    terminateForward(state, record, diagnostic, nowMs),
-  );
+  const records = [...state.requests.values()];
+  return [
+    logStopStep(state, 'The remaining requests are aborted.', records, nowMs),
+    ...records.flatMap((record) => terminateForward(state, record, diagnostic, nowMs)),
+  ];
 }
 
 /** Phases of requests that no backend server has. */
@@ -93,11 +97,15 @@
 /** Rejects the requests that wait for their answers to begin, so that their callers have time to go to another VM. */
 function rejectUnsent(state: EntryState, nowMs: number): EntryCommand[] {
   const diagnostic = createDiagnostic(Diagnostics.Stopping);
-  return [...state.requests.values()]
-    .filter(({ firstEventAtMs, phase }) => firstEventAtMs === null && UNSENT_PHASES.has(phase))
-    .flatMap((record) =>
+  const records = [...state.requests.values()].filter(
+    ({ firstEventAtMs, phase }) => firstEventAtMs === null && UNSENT_PHASES.has(phase),
+  );
+  return [
+    logStopStep(state, 'The requests that no server has are rejected.', records, nowMs),
+    ...records.flatMap((record) =>
       terminateForward(state, record, diagnostic, nowMs, STOPPING_RETRY_AFTER_MS),
-    );
+    ),
+  ];
 }
 
 type StopStepHandler = (state: EntryState, nowMs: number) => EntryCommand[];
@@ -109,25 +117,33 @@
 
 const STOP_STEP_HANDLERS: Readonly<Record<StopStep, StopStepHandler>> = {
   [StopStep.Drain]: (state, nowMs) => {
+    const isFirst = state.lifecycle !== EntryLifecycle.Draining;
     state.lifecycle = EntryLifecycle.Draining;
-    return [{ kind: EntryCommandKind.StopAccepting }, ...scheduleDrainCheck(state, nowMs)];
+    const text = 'The VM accepts no more connections.';
+    return [
+      ...(isFirst ? [logStopStep(state, text, [...state.requests.values()], nowMs)] : []),
+      { kind: EntryCommandKind.StopAccepting },
+      ...reportStopWait(state, nowMs),
+      ...scheduleDrainCheck(state, nowMs),
+    ];
   },
   [StopStep.RejectUnsent]: rejectUnsent,
   [StopStep.AbortRequests]: (state, nowMs) => [
     ...abortRequests(state, nowMs),
     createStopTimer(StopStep.Exit, state.policy.stopGraceMs * (EXIT_FRACTION - ABORT_FRACTION)),
   ],
-  [StopStep.Exit]: (state) =>
+  [StopStep.Exit]: (state, nowMs) =>
     state.requests.size === 0
       ? [
           createEntryLog(
             LogLevel.Info,
             EntryLogPrefix.Lifecycle,
             'The graceful shutdown has ended.',
+            { stopMs: getStopMs(state, nowMs) },
           ),
           { kind: EntryCommandKind.Exit },
         ]
-      : [createStopTimer(StopStep.Exit, DRAIN_CHECK_MS)],
+      : [...reportStopWait(state, nowMs), createStopTimer(StopStep.Exit, DRAIN_CHECK_MS)],
 };
 
 /** Runs one step of a graceful shutdown. */
--- a/src/coordination/entry/state.ts
+++ b/src/coordination/entry/state.ts
@@ -35,6 +35,7 @@
 import type { ListedEntryVm } from './peerMessage.js';
 import { createPlacementState, type PlacementState } from './placement/placementState.js';
 import type { EntryPolicy } from './policy.js';
+import type { StopProgress } from './stopReport.js';
 import { createStreamVersionState, type StreamVersionState } from './requests/streamState.js';
 
 /** Identity and address of this VM, from its settings. */
@@ -216,6 +217,8 @@
   readonly startedAtMs: number;
   lifecycle: EntryLifecycle;
   isReady: boolean;
+  /** Null until a graceful shutdown has begun. */
+  stop: StopProgress | null;
   /** Time from which no request is dispatched any more, since this VM is about to stop. */
   noDispatchFromMs: number;
   deployment: Deployment | null;
@@ -317,6 +320,7 @@
     startedAtMs: nowMs,
     lifecycle: EntryLifecycle.Starting,
     isReady: false,
+    stop: null,
     noDispatchFromMs: Number.POSITIVE_INFINITY,
     deployment: null,
     deploymentRevision: 0,
--- a/src/transport/entry/entryDaemon.ts
+++ b/src/transport/entry/entryDaemon.ts
@@ -33,6 +33,7 @@
 import { type EntryLog, logUnexpectedError } from './entryLog.js';
 import { createEntryPeerClient, createEntryPeerServer, type EntryReplies } from './entryPeers.js';
 import { abortForwardAnswer, type ForwardExchange } from './exchange.js';
+import { deregisterVm } from './deregistration.js';
 import { createEventPacer } from './eventPacer.js';
 import { createForwardServer, createReadinessServer } from './forwardServer.js';
 import { createLoopDelayMonitor } from './loopDelay.js';
@@ -237,11 +238,10 @@
     resolveEnded = resolve;
   });
   const exit = (reason: EndReason): void => {
-    const deregister = Effect.timeoutOrElse(registration.deregister, {
-      duration: DEREGISTRATION_TIMEOUT_MS,
-      orElse: () => Effect.void,
-    });
-    void Effect.runPromise(deregister).then(() => resolveEnded(reason));
+    const timeoutMs = DEREGISTRATION_TIMEOUT_MS;
+    void deregisterVm({ registration, timeoutMs, getNowMs, writeLog }).then(() =>
+      resolveEnded(reason),
+    );
   };
   const stopAccepting = (): void => {
     if (server.listening) {
--- a/tests/entry/lifecycle.test.ts
+++ b/tests/entry/lifecycle.test.ts
@@ -2,7 +2,7 @@
  * Tests the reload of settings and the steps of a graceful shutdown.
  */
 import { describe, expect, it } from 'vitest';
-import { EntryCommandKind } from '../../src/coordination/entry/commands.js';
+import { EntryCommandKind, EntryLogPrefix } from '../../src/coordination/entry/commands.js';
 import { type EntryEvent, EntryEventKind, StopStep } from '../../src/coordination/entry/events.js';
 import { ForwardPhase } from '../../src/coordination/entry/state.js';
 import { getForwardRefusalStatus } from '../../src/protocol/entry/refusals.js';
@@ -58,6 +58,39 @@
     expect(findCommands(vm.step(exit), EntryCommandKind.Exit)).toHaveLength(1);
   });
 
+  it('tells its steps with their times, and once a second which requests it waits for', () => {
+    const vm = createTestVm();
+    const { backendId } = getDispatch(vm.receiveRequest(createTestRequest('r', '/draft/x'), 9_000));
+    vm.step({ kind: EntryEventKind.StopRequested }, 10_000);
+    const steps: readonly (readonly [StopStep, number])[] = [
+      [StopStep.Drain, 12_600],
+      [StopStep.Drain, 12_700],
+      [StopStep.Drain, 13_600],
+      [StopStep.RejectUnsent, 14_200],
+      [StopStep.AbortRequests, 17_200],
+      [StopStep.Exit, 17_300],
+    ];
+    const lines = steps.flatMap(([step, nowMs]) =>
+      findCommands(vm.step({ kind: EntryEventKind.StopStep, step }, nowMs), EntryCommandKind.Log)
+        .filter(({ part }) => part === EntryLogPrefix.Lifecycle)
+        .map(({ fields, text }) => ({ text, ...fields })),
+    );
+    const getWaiting = (ageMs: number) => ({
+      requests: 1,
+      phases: 'dispatched=1',
+      oldestRequests: `${createTestRequest('r', '/draft/x').callerRequestId} (dispatched, ${backendId}, ${ageMs} ms)`,
+    });
+    const none = { requests: 0, phases: '', oldestRequests: '' };
+    expect(lines).toEqual([
+      { text: 'The VM accepts no more connections.', stopMs: 2_600, ...getWaiting(3_600) },
+      { text: 'The shutdown waits for requests.', stopMs: 2_600, ...getWaiting(3_600) },
+      { text: 'The shutdown waits for requests.', stopMs: 3_600, ...getWaiting(4_600) },
+      { text: 'The requests that no server has are rejected.', stopMs: 4_200, ...none },
+      { text: 'The remaining requests are aborted.', stopMs: 7_200, ...getWaiting(8_200) },
+      { text: 'The graceful shutdown has ended.', stopMs: 7_300 },
+    ]);
+  });
+
   it('refuses an aborted request with the status for requests that may have run', () => {
     const vm = createTestVm();
     vm.receiveRequest(createTestRequest('r', '/book/x'));
--- a/tests/entry/processEnds.test.ts
+++ b/tests/entry/processEnds.test.ts
@@ -1,7 +1,7 @@
 /**
  * Tests what a process tells of its start, its memory and its end.
  */
-import { describe, expect, it, vi } from 'vitest';
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import type { LogFields } from '../../src/coordination/entry/commands.js';
 import { createMemoryMonitor, type MemoryUsage } from '../../src/transport/entry/memoryMonitor.js';
 import { createProcessEnd, EndReason } from '../../src/transport/entry/processEnd.js';
@@ -76,6 +76,58 @@
 });
 
 describe('the report of a start', () => {
+  beforeEach(() => {
+    vi.useFakeTimers();
+  });
+
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  /** The parts that have ended at the start, and the lines of the first minute. */
+  const WAITS: readonly { ended: readonly StartPart[]; waitsFor: string; waitsMs: number[] }[] = [
+    { ended: [], waitsFor: 'program', waitsMs: [5_000, 15_000, 35_000] },
+    { ended: [StartPart.Program], waitsFor: 'settings', waitsMs: [5_000, 15_000, 35_000] },
+    {
+      ended: [StartPart.Program, StartPart.Settings, StartPart.Ports],
+      waitsFor: 'configuration',
+      waitsMs: [5_000, 15_000, 35_000],
+    },
+    { ended: Object.values(StartPart), waitsFor: '', waitsMs: [] },
+  ];
+
+  it.each(WAITS)(
+    'names at growing intervals the part that a VM waits for: "$waitsFor"',
+    ({ ended, waitsFor, waitsMs }) => {
+      const startMs = Date.now();
+      const report = createStartReport(() => Date.now() - startMs);
+      const lines: { text: string; fields: LogFields }[] = [];
+      report.logTo((_level, text, fields) => lines.push({ text, fields }));
+      ended.forEach(report.finish);
+      vi.advanceTimersByTime(60_000);
+      const waits = lines.filter(({ text }) => text === 'The VM is not ready yet.');
+      expect(waits.map(({ fields }) => fields)).toEqual(
+        waitsMs.map((waitedMs) => ({ waitsFor, waitedMs, uptimeMs: waitedMs })),
+      );
+      expect(lines.slice(0, ended.length).map(({ fields }) => fields.part)).toEqual(ended);
+    },
+  );
+
+  it('gives the parts that have ended before its lines are written, and none after its close', () => {
+    const uptimesMs = [100, 130];
+    const report = createStartReport(() => uptimesMs.shift() ?? 130);
+    report.finish(StartPart.Program);
+    report.finish(StartPart.Settings);
+    const lines: LogFields[] = [];
+    report.logTo((_level, _text, fields) => lines.push(fields));
+    report.close();
+    vi.advanceTimersByTime(60_000);
+    expect(lines).toEqual([
+      { part: 'program', partMs: 100, uptimeMs: 100 },
+      { part: 'settings', partMs: 30, uptimeMs: 130 },
+    ]);
+  });
+
   it('gives the time of each part, and only of the first end of each', () => {
     let uptimeMs = 100;
     const report = createStartReport(() => uptimeMs);
--- a/tests/processes/entryEnds.test.ts
+++ b/tests/processes/entryEnds.test.ts
@@ -18,6 +18,14 @@
 /** `grace_s` of the settings. */
 const GRACE_S = 2;
 const MS_PER_SECOND = 1_000;
+/** The steps of each stop. */
+const STOP_TEXTS = [
+  'A stop was requested.',
+  'A graceful shutdown has started.',
+  'The VM accepts no more connections.',
+  'The graceful shutdown has ended.',
+  'The deregistration has ended.',
+] as const;
 const OVER_ALL_START_PARTS = {
   programMs: expect.any(Number),
   settingsMs: expect.any(Number),
@@ -100,6 +108,8 @@
       status: 0,
     });
     expect(last.stopMs).toBeLessThan(GRACE_S * MS_PER_SECOND);
+    const output = entry.vm.getOutput();
+    STOP_TEXTS.forEach((text) => expect(output).toContain(text));
   });
 
   it('ends with status 0 and names the signal while it waits for a port', async () => {
@@ -142,5 +152,9 @@
     const line = getLines(started).filter((text) => text.includes('The start has ended.'));
     expect(line).toHaveLength(1);
     expect(JSON.parse(line[0]!)).toMatchObject(OVER_ALL_START_PARTS);
+    const parts = getLines(started)
+      .filter((text) => text.includes('A part of the start has ended.'))
+      .map((text) => (JSON.parse(text) as { part: string }).part);
+    expect(parts).toEqual(['program', 'settings', 'ports', 'configuration', 'servers']);
   });
 });
