Describe any thrown value without throwing

What callers saw: a process that ended with status 7 and cut off all its requests. Cause: the handler of uncaught errors made its line with String(error) or error.stack, which throw for an object without a prototype and for an error whose stack cannot be read; Node.js ends a process whose handler throws. Evidence: six rows of tests/processes/unexplainedEnds.test.ts ended so. describeThrown catches what reading the value throws, so the handler cannot fail by it; the event loop's and the start's own handlers use it too. Measured: the 24 rows of thrown values pass in one run at load 18 on 8 cores, six of them failed before. No library is known to throw such a value; that this was a cause of the reported ends is not shown.

--- a/src/bin/entryProgram.ts
+++ b/src/bin/entryProgram.ts
@@ -30,6 +30,7 @@
 import { createStartReport, StartPart, type StartReport } from '../transport/entry/startReport.js';
 import { callHttp } from '../transport/httpCall.js';
 import type { PrefixStore } from '../transport/keyValueStore.js';
+import { describeThrown } from '../transport/thrownValues.js';
 import { VERSION } from '../transport/version.js';
 
 const MS_PER_SECOND = 1_000;
@@ -108,8 +109,7 @@
 }
 
 function describeError(error: unknown): string {
-  const detail = error instanceof Error ? error.message : String(error);
-  return error instanceof DiagnosticError ? error.diagnostic.message : detail;
+  return error instanceof DiagnosticError ? error.diagnostic.message : describeThrown(error);
 }
 
 async function start(options: Options): Promise<void> {
--- a/src/transport/entry/entryDaemon.ts
+++ b/src/transport/entry/entryDaemon.ts
@@ -26,6 +26,7 @@
 import type { PrefixStore } from '../keyValueStore.js';
 import { listen } from '../listen.js';
 import { createMetrics } from '../metrics.js';
+import { describeThrown } from '../thrownValues.js';
 import { createVmMemory, getHoldableBytes } from '../vmMemory.js';
 import { createBackendAgents } from './backendAgent.js';
 import { createCallerConnections } from './callerConnections.js';
@@ -321,7 +322,7 @@
     execute: (command, timers) => loopWork.measure(command.kind, () => execute(command, timers)),
     onError: (event, error) => {
       const text = 'An event could not be handled.';
-      const detail = error instanceof Error ? (error.stack ?? error.message) : String(error);
+      const detail = describeThrown(error);
       writeLog(LogLevel.Error, EntryLogPrefix.Lifecycle, text, { event: event.kind, detail });
       failRequestOf(event);
     },
--- a/src/transport/entry/entryLog.ts
+++ b/src/transport/entry/entryLog.ts
@@ -5,6 +5,7 @@
 import pino from 'pino';
 import { EntryLogPrefix, type LogFields } from '../../coordination/entry/commands.js';
 import { LogLevel } from '../../coordination/events.js';
+import { describeThrown } from '../thrownValues.js';
 
 const MAX_BUFFERED_BYTES = 1_048_576;
 /** Lines are written once there are this many bytes, or after the flush interval. */
@@ -23,9 +24,9 @@
   fields?: LogFields,
 ) => void;
 
-/** Logs an error that nothing expected, with its stack. */
+/** Logs an error that nothing expected, with its stack. Never throws. */
 export function logUnexpectedError(writeLog: EntryLogWriter, error: unknown): void {
-  const detail = error instanceof Error ? (error.stack ?? error.message) : String(error);
+  const detail = describeThrown(error);
   writeLog(LogLevel.Error, EntryLogPrefix.Lifecycle, 'An unexpected error was caught.', { detail });
 }
 
