Catch unexpected errors while a process still waits for its settings

What callers saw: a VM that did not start, with status 1. Cause: the handlers of uncaught errors were set once the settings had been read; an error in a timer or a socket callback before that ended the process. Evidence: a row of tests/processes/unexplainedEnds.test.ts. The handlers are now set before the settings are read and tell an error on standard error until the log exists. The row now waits for the line that the settings are awaited in place of 2.5 s: at load 21 a process had not got there in that time, and an error while the program is loaded ends it as before. No such error is known.

--- a/src/bin/entryProgram.ts
+++ b/src/bin/entryProgram.ts
@@ -40,6 +40,7 @@
 const STORE_TIMEOUT_MS = 1_000;
 const STATUS_TIMEOUT_MS = 2_000;
 const MAX_PORT = 65_535;
+const UNEXPECTED_EVENTS = ['uncaughtException', 'unhandledRejection'] as const;
 
 interface Options {
   readonly metricsPort: number;
@@ -57,6 +58,13 @@
   return process.uptime() * MS_PER_SECOND;
 }
 
+type ErrorHandler = (error: unknown) => void;
+
+/** One failed socket or promise is not allowed to end the process and all other requests. The last handler applies. */
+const unexpectedErrors: { handle: ErrorHandler } = {
+  handle: (error) => writeError(`An unexpected error was caught: ${describeThrown(error)}`),
+};
+
 async function run(
   settings: EntrySettings,
   { logLevel, metricsPort }: Options,
@@ -69,10 +77,7 @@
   const wire = PLATFORM_WIRE;
   const writeInfo = (text: string, fields: LogFields): void =>
     log.write(LogLevel.Info, EntryLogPrefix.Lifecycle, text, fields);
-  const logUnexpected = (error: unknown): void => logUnexpectedError(log.write, error);
-  // One failed socket or promise is not allowed to end the process and all other requests. The daemon may wait long for its ports.
-  process.on('uncaughtException', logUnexpected);
-  process.on('unhandledRejection', logUnexpected);
+  unexpectedErrors.handle = (error) => logUnexpectedError(log.write, error);
   writeInfo('The daemon is starting.', {
     version: VERSION,
     nodeVersion: process.version,
@@ -120,6 +125,10 @@
     exit: (status) => process.exit(status),
     writeError,
   });
+  // The settings and the ports may be waited for.
+  UNEXPECTED_EVENTS.forEach((event) =>
+    process.on(event, (error: unknown) => unexpectedErrors.handle(error)),
+  );
   // Nothing has been accepted yet, so a stop needs no shutdown.
   processSignals.handle({
     [SignalRequest.Stop]: (signal) => {
--- a/tests/processes/unexplainedEnds.test.ts
+++ b/tests/processes/unexplainedEnds.test.ts
@@ -233,7 +233,7 @@
     const { settingsPath } = prepared;
     renameSync(settingsPath, `${settingsPath}.later`);
     const started = start({}, onRequest('throw new Error("unexpected");'));
-    await wait(LATE_SETTINGS_MS);
+    await waitFor('it waits for its settings', () => output.includes('It is read again'));
     started.kill('SIGUSR2');
     await wait(LIVES_ON_MS);
     expect(isRunning(started), output).toBe(true);
