End a stop within its grace whatever it waits for

What callers saw: nothing more than a VM that ended late: up to 0.8 s after its grace of 4 s, when the platform kills it (FAULT). Cause: requests were aborted at 0.9 and the process ended at 0.95 of the grace, then waited up to 0.3 s for the store and 0.5 s for the reader of the log. Also by reading: the check for the end was repeated every 100 ms without a bound while a request was left, it was lost if the step that aborts requests failed, and a check late in the grace was set beyond the bound. The end has its timer from the request on, at 0.92 of the grace, ends also with requests left and tells them, and the last two steps share what is left up to 0.95.

--- a/src/bin/entryProgram.ts
+++ b/src/bin/entryProgram.ts
@@ -109,7 +109,7 @@
   const stopMs = stop.signal === '' ? 0 : Math.round(getUptimeMs() - stop.requestedAtMs);
   const status = END_STATUSES[reason];
   writeInfo('The process ends.', { reason, status, signal: stop.signal, stopMs });
-  await log.close();
+  await log.close(daemon.getEndLeftMs());
   processEnd.end(reason, status === 0 ? '' : `The process ends with status ${status}: ${reason}.`);
 }
 
--- a/src/coordination/entry/lifecycle.ts
+++ b/src/coordination/entry/lifecycle.ts
@@ -27,14 +27,14 @@
 import { updatePermitShares } from './limits/serverLimits.js';
 import { reportEndedPauses } from './servers/serverPauses.js';
 import { updateVmsLastSeen } from './liveVms.js';
-import { beginStopProgress, getStopMs, logStopStep, reportStopWait } from './stopReport.js';
+import { beginStopProgress, logStopStep, reportStopWait } from './stopReport.js';
 import { EntryLifecycle, type EntryState, ForwardPhase, isShuttingDown } from './state.js';
 
 /** The platform checks readiness once a second and removes a VM after two failed checks; the rest is margin. */
 const UNREADY_DETECTION_MS = 2_600;
 /** Fractions of the time until the process is killed after which requests are aborted and the process exits. */
 const ABORT_FRACTION = 0.9;
-const EXIT_FRACTION = 0.95;
+const EXIT_FRACTION = 0.92;
 /** A request that is dispatched later than this before the abort would probably be cut off. */
 const MIN_RUN_MS = 3_000;
 /** Interval at which a stopping VM checks whether all requests have ended. */
@@ -55,10 +55,11 @@
   }
   state.lifecycle = EntryLifecycle.Stopping;
   state.isReady = false;
-  state.stop = beginStopProgress(nowMs);
+  const { stopGraceMs } = state.policy;
+  const exitDelayMs = stopGraceMs * EXIT_FRACTION;
+  state.stop = beginStopProgress(nowMs, exitDelayMs);
   const { fence } = state.placement;
   state.placement.fence = null;
-  const { stopGraceMs } = state.policy;
   const drainDelayMs = Math.min(UNREADY_DETECTION_MS, stopGraceMs / 2);
   const abortDelayMs = stopGraceMs * ABORT_FRACTION;
   const rejectDelayMs = Math.max(drainDelayMs, abortDelayMs - MIN_RUN_MS);
@@ -71,6 +72,8 @@
     createStopTimer(StopStep.Drain, drainDelayMs),
     createStopTimer(StopStep.RejectUnsent, rejectDelayMs),
     createStopTimer(StopStep.AbortRequests, abortDelayMs),
+    // Whatever becomes of the other steps, the VM ends.
+    createStopTimer(StopStep.Exit, exitDelayMs),
     createEntryLog(LogLevel.Info, EntryLogPrefix.Lifecycle, 'A graceful shutdown has started.', {
       requests: state.requests.size,
       graceMs: stopGraceMs,
@@ -110,11 +113,25 @@
 
 type StopStepHandler = (state: EntryState, nowMs: number) => EntryCommand[];
 
-const scheduleDrainCheck: StopStepHandler = (state) =>
+/** Returns the time until the next check whether the VM can end, which is not after its bound. */
+function getExitCheckDelayMs({ stop }: EntryState, nowMs: number): number {
+  const leftMs = stop === null ? DRAIN_CHECK_MS : stop.exitAtMs - nowMs;
+  return Math.max(0, Math.min(DRAIN_CHECK_MS, leftMs));
+}
+
+const scheduleDrainCheck: StopStepHandler = (state, nowMs) =>
   state.requests.size === 0
-    ? [createStopTimer(StopStep.Exit, DRAIN_CHECK_MS)]
+    ? [createStopTimer(StopStep.Exit, getExitCheckDelayMs(state, nowMs))]
     : [createStopTimer(StopStep.Drain, DRAIN_CHECK_MS)];
 
+function exit(state: EntryState, nowMs: number): EntryCommand[] {
+  const records = [...state.requests.values()];
+  return [
+    logStopStep(state, 'The graceful shutdown has ended.', records, nowMs),
+    { kind: EntryCommandKind.Exit },
+  ];
+}
+
 const STOP_STEP_HANDLERS: Readonly<Record<StopStep, StopStepHandler>> = {
   [StopStep.Drain]: (state, nowMs) => {
     const isFirst = state.lifecycle !== EntryLifecycle.Draining;
@@ -128,22 +145,16 @@
     ];
   },
   [StopStep.RejectUnsent]: rejectUnsent,
-  [StopStep.AbortRequests]: (state, nowMs) => [
-    ...abortRequests(state, nowMs),
-    createStopTimer(StopStep.Exit, state.policy.stopGraceMs * (EXIT_FRACTION - ABORT_FRACTION)),
-  ],
-  [StopStep.Exit]: (state, nowMs) =>
-    state.requests.size === 0
-      ? [
-          createEntryLog(
-            LogLevel.Info,
-            EntryLogPrefix.Lifecycle,
-            'The graceful shutdown has ended.',
-            { stopMs: getStopMs(state, nowMs) },
-          ),
-          { kind: EntryCommandKind.Exit },
-        ]
-      : [...reportStopWait(state, nowMs), createStopTimer(StopStep.Exit, DRAIN_CHECK_MS)],
+  [StopStep.AbortRequests]: abortRequests,
+  [StopStep.Exit]: (state, nowMs) => {
+    const isDue = state.stop !== null && nowMs >= state.stop.exitAtMs;
+    return isDue || state.requests.size === 0
+      ? exit(state, nowMs)
+      : [
+          ...reportStopWait(state, nowMs),
+          createStopTimer(StopStep.Exit, getExitCheckDelayMs(state, nowMs)),
+        ];
+  },
 };
 
 /** Runs one step of a graceful shutdown. */
--- a/src/coordination/entry/stopReport.ts
+++ b/src/coordination/entry/stopReport.ts
@@ -13,13 +13,16 @@
 /** A graceful shutdown that is under way. */
 export interface StopProgress {
   readonly requestedAtMs: number;
+  /** Time at which the VM ends whatever it waits for. */
+  readonly exitAtMs: number;
   /** Time at which the requests that it waits for are logged next. */
   reportDueAtMs: number;
 }
 
 /** Begins to measure a graceful shutdown. */
-export function beginStopProgress(nowMs: number): StopProgress {
-  return { requestedAtMs: nowMs, reportDueAtMs: nowMs + WAIT_REPORT_INTERVAL_MS };
+export function beginStopProgress(nowMs: number, exitDelayMs: number): StopProgress {
+  const exitAtMs = nowMs + exitDelayMs;
+  return { requestedAtMs: nowMs, exitAtMs, reportDueAtMs: nowMs + WAIT_REPORT_INTERVAL_MS };
 }
 
 /** Returns the time since the shutdown was requested; 0 if none was. */
--- a/src/transport/entry/entryDaemon.ts
+++ b/src/transport/entry/entryDaemon.ts
@@ -34,6 +34,7 @@
 import { type EntryLog, logUnexpectedError } from './entryLog.js';
 import { createEntryPeerClient, createEntryPeerServer, type EntryReplies } from './entryPeers.js';
 import { abortForwardAnswer, type ForwardExchange } from './exchange.js';
+import { getStopLeftMs, limitEndStep } from './endSteps.js';
 import { deregisterVm } from './deregistration.js';
 import { createEventPacer } from './eventPacer.js';
 import { createForwardServer, createReadinessServer } from './forwardServer.js';
@@ -87,6 +88,8 @@
   readonly reload: (settings: EntrySettings) => void;
   /** Resolves with the reason when the daemon has shut down. */
   readonly ended: Promise<EndReason>;
+  /** Returns the time that a shutdown has left for its last steps; infinite if none was requested. */
+  readonly getEndLeftMs: () => number;
 }
 
 function createIdGenerator(prefix: string): () => string {
@@ -238,8 +241,9 @@
   const ended = new Promise<EndReason>((resolve) => {
     resolveEnded = resolve;
   });
+  const getEndLeftMs = (): number => getStopLeftMs(state, getNowMs());
   const exit = (reason: EndReason): void => {
-    const timeoutMs = DEREGISTRATION_TIMEOUT_MS;
+    const timeoutMs = limitEndStep(DEREGISTRATION_TIMEOUT_MS, getEndLeftMs() / 2);
     void deregisterVm({ registration, timeoutMs, getNowMs, writeLog }).then(() =>
       resolveEnded(reason),
     );
@@ -375,5 +379,6 @@
     reload: (changed) =>
       post({ kind: EntryEventKind.SettingsRead, policy: createEntryPolicy(changed) }),
     ended,
+    getEndLeftMs,
   };
 }
--- a/src/transport/entry/entryLog.ts
+++ b/src/transport/entry/entryLog.ts
@@ -6,6 +6,7 @@
 import { EntryLogPrefix, type LogFields } from '../../coordination/entry/commands.js';
 import { LogLevel } from '../../coordination/events.js';
 import { describeThrown } from '../thrownValues.js';
+import { limitEndStep } from './endSteps.js';
 
 const MAX_BUFFERED_BYTES = 1_048_576;
 /** Lines are written once there are this many bytes, or after the flush interval. */
@@ -45,9 +46,9 @@
   readonly countDropped: () => number;
   /**
    * Writes all buffered lines in order; called before the process exits. Resolves once they are written, or after
-   * `CLOSE_TIMEOUT_MS`. Lines that are logged later are dropped.
+   * the time that is left or `CLOSE_TIMEOUT_MS`. Lines that are logged later are dropped.
    */
-  readonly close: () => Promise<void>;
+  readonly close: (leftMs?: number) => Promise<void>;
 }
 
 /** Creates the log of a process. Lines below the level are not written. */
@@ -86,17 +87,20 @@
     },
     countDropped: () => droppedCount,
     // A synchronous flush would overtake a write that is under way, and block while nobody reads.
-    close: () =>
+    close: (leftMs = CLOSE_TIMEOUT_MS) =>
       new Promise((resolve) => {
         isClosed = true;
         clearInterval(timer);
         destination.once('close', resolve);
-        setTimeout(() => {
-          // A destination that is not destroyed is flushed synchronously at the exit.
-          destination.destroy();
-          // A destination whose reader has gone is never closed.
-          resolve();
-        }, CLOSE_TIMEOUT_MS);
+        setTimeout(
+          () => {
+            // A destination that is not destroyed is flushed synchronously at the exit.
+            destination.destroy();
+            // A destination whose reader has gone is never closed.
+            resolve();
+          },
+          limitEndStep(CLOSE_TIMEOUT_MS, leftMs),
+        );
         destination.end();
       }),
   };
--- a/tests/entry/lifecycle.test.ts
+++ b/tests/entry/lifecycle.test.ts
@@ -87,10 +87,48 @@
       { text: 'The shutdown waits for requests.', stopMs: 3_600, ...getWaiting(4_600) },
       { text: 'The requests that no server has are rejected.', stopMs: 4_200, ...none },
       { text: 'The remaining requests are aborted.', stopMs: 7_200, ...getWaiting(8_200) },
-      { text: 'The graceful shutdown has ended.', stopMs: 7_300 },
+      { text: 'The graceful shutdown has ended.', stopMs: 7_300, ...none },
     ]);
   });
 
+  const EXIT_BOUND_MS = 0.92 * createTestVm().state.policy.stopGraceMs;
+
+  it('has a timer for its end from the moment on at which it is requested', () => {
+    const vm = createTestVm();
+    const commands = vm.step({ kind: EntryEventKind.StopRequested }, 10_000);
+    const event = { kind: EntryEventKind.StopStep, step: StopStep.Exit };
+    expect(findCommands(commands, EntryCommandKind.StartTimer)).toContainEqual(
+      expect.objectContaining({ delayMs: EXIT_BOUND_MS, event }),
+    );
+  });
+
+  it.each<{ name: string; leftMs: number; isEnded: boolean }>([
+    { name: 'before its bound', leftMs: 150, isEnded: false },
+    { name: 'shortly before its bound', leftMs: 20, isEnded: false },
+    { name: 'at its bound', leftMs: 0, isEnded: true },
+    { name: 'late', leftMs: -500, isEnded: true },
+  ])('ends by its bound although a request is left: $name', ({ isEnded, leftMs }) => {
+    const vm = createTestVm();
+    vm.receiveRequest(createTestRequest('r', '/draft/x'), 9_000);
+    vm.step({ kind: EntryEventKind.StopRequested }, 10_000);
+    const exit = { kind: EntryEventKind.StopStep, step: StopStep.Exit };
+    const commands = vm.step(exit, 10_000 + EXIT_BOUND_MS - leftMs);
+    expect(findCommands(commands, EntryCommandKind.Exit)).toHaveLength(Number(isEnded));
+    const delaysMs = findCommands(commands, EntryCommandKind.StartTimer).map(
+      ({ delayMs }) => delayMs,
+    );
+    expect(delaysMs).toEqual(isEnded ? [] : [Math.min(100, leftMs)]);
+  });
+
+  it('does not check for its end after its bound', () => {
+    const vm = createTestVm();
+    vm.step({ kind: EntryEventKind.StopRequested }, 10_000);
+    const drain = { kind: EntryEventKind.StopStep, step: StopStep.Drain };
+    const commands = vm.step(drain, 10_000 + EXIT_BOUND_MS - 20);
+    const [timer] = findCommands(commands, EntryCommandKind.StartTimer);
+    expect(timer).toMatchObject({ delayMs: 20, event: { step: StopStep.Exit } });
+  });
+
   it('refuses an aborted request with the status for requests that may have run', () => {
     const vm = createTestVm();
     vm.receiveRequest(createTestRequest('r', '/book/x'));
