--- a/src/bin/entryProgram.ts
+++ b/src/bin/entryProgram.ts
@@ -30,6 +30,7 @@
 import { createStartReport, StartPart, type StartReport } from '../transport/entry/startReport.js';
 import { callHttp } from '../transport/httpCall.js';
 import type { PrefixStore } from '../transport/keyValueStore.js';
+import { describeThrown } from '../transport/thrownValues.js';
 import { VERSION } from '../transport/version.js';
 
 const MS_PER_SECOND = 1_000;
@@ -39,6 +40,7 @@
 const STORE_TIMEOUT_MS = 1_000;
 const STATUS_TIMEOUT_MS = 2_000;
 const MAX_PORT = 65_535;
+const UNEXPECTED_EVENTS = ['uncaughtException', 'unhandledRejection'] as const;
 
 interface Options {
   readonly metricsPort: number;
@@ -56,6 +58,13 @@
   return process.uptime() * MS_PER_SECOND;
 }
 
+type ErrorHandler = (error: unknown) => void;
+
+/** One failed socket or promise is not allowed to end the process and all other requests. The last handler applies. */
+const unexpectedErrors: { handle: ErrorHandler } = {
+  handle: (error) => writeError(`An unexpected error was caught: ${describeThrown(error)}`),
+};
+
 async function run(
   settings: EntrySettings,
   { logLevel, metricsPort }: Options,
@@ -68,10 +77,7 @@
   const wire = PLATFORM_WIRE;
   const writeInfo = (text: string, fields: LogFields): void =>
     log.write(LogLevel.Info, EntryLogPrefix.Lifecycle, text, fields);
-  const logUnexpected = (error: unknown): void => logUnexpectedError(log.write, error);
-  // One failed socket or promise is not allowed to end the process and all other requests. The daemon may wait long for its ports.
-  process.on('uncaughtException', logUnexpected);
-  process.on('unhandledRejection', logUnexpected);
+  unexpectedErrors.handle = (error) => logUnexpectedError(log.write, error);
   writeInfo('The daemon is starting.', {
     version: VERSION,
     nodeVersion: process.version,
@@ -79,11 +85,15 @@
     ...others,
     ...bounds,
   });
+  startReport.logTo((level, text, fields) =>
+    log.write(level, EntryLogPrefix.Lifecycle, text, fields),
+  );
   const daemon = await startEntryDaemon({ settings, metricsPort, store, wire, log, startReport });
   const stop: { signal: string; requestedAtMs: number } = { signal: '', requestedAtMs: 0 };
   processSignals.handle({
     [SignalRequest.Stop]: (signal) => {
       writeInfo('A stop was requested.', { signal });
+      startReport.close();
       if (stop.signal === '') {
         Object.assign(stop, { signal, requestedAtMs: getUptimeMs() });
       }
@@ -99,13 +109,12 @@
   const stopMs = stop.signal === '' ? 0 : Math.round(getUptimeMs() - stop.requestedAtMs);
   const status = END_STATUSES[reason];
   writeInfo('The process ends.', { reason, status, signal: stop.signal, stopMs });
-  await log.close();
+  await log.close(daemon.getEndLeftMs());
   processEnd.end(reason, status === 0 ? '' : `The process ends with status ${status}: ${reason}.`);
 }
 
 function describeError(error: unknown): string {
-  const detail = error instanceof Error ? error.message : String(error);
-  return error instanceof DiagnosticError ? error.diagnostic.message : detail;
+  return error instanceof DiagnosticError ? error.diagnostic.message : describeThrown(error);
 }
 
 async function start(options: Options): Promise<void> {
@@ -116,11 +125,17 @@
     exit: (status) => process.exit(status),
     writeError,
   });
+  // The settings and the ports may be waited for.
+  UNEXPECTED_EVENTS.forEach((event) =>
+    process.on(event, (error: unknown) => unexpectedErrors.handle(error)),
+  );
   // Nothing has been accepted yet, so a stop needs no shutdown.
   processSignals.handle({
     [SignalRequest.Stop]: (signal) => {
+      const { uptimeMs, waitsFor } = startReport.getWait();
       const text = `It ends, since ${signal} requested a stop before the daemon had started.`;
-      processEnd.end(EndReason.StoppedInStart, text);
+      const detail = `It had run for ${uptimeMs} ms and waited for: ${waitsFor}.`;
+      processEnd.end(EndReason.StoppedInStart, `${text} ${detail}`);
     },
   });
   const read = await readSettings(process.env, ({ message }) =>
--- a/src/transport/entry/entryDaemon.ts
+++ b/src/transport/entry/entryDaemon.ts
@@ -26,6 +26,7 @@
 import type { PrefixStore } from '../keyValueStore.js';
 import { listen } from '../listen.js';
 import { createMetrics } from '../metrics.js';
+import { describeThrown } from '../thrownValues.js';
 import { createVmMemory, getHoldableBytes } from '../vmMemory.js';
 import { createBackendAgents } from './backendAgent.js';
 import { createCallerConnections } from './callerConnections.js';
@@ -33,6 +34,8 @@
 import { type EntryLog, logUnexpectedError } from './entryLog.js';
 import { createEntryPeerClient, createEntryPeerServer, type EntryReplies } from './entryPeers.js';
 import { abortForwardAnswer, type ForwardExchange } from './exchange.js';
+import { getStopLeftMs, limitEndStep } from './endSteps.js';
+import { deregisterVm } from './deregistration.js';
 import { createEventPacer } from './eventPacer.js';
 import { createForwardServer, createReadinessServer } from './forwardServer.js';
 import { createLoopDelayMonitor } from './loopDelay.js';
@@ -85,6 +88,8 @@
   readonly reload: (settings: EntrySettings) => void;
   /** Resolves with the reason when the daemon has shut down. */
   readonly ended: Promise<EndReason>;
+  /** Returns the time that a shutdown has left for its last steps; infinite if none was requested. */
+  readonly getEndLeftMs: () => number;
 }
 
 function createIdGenerator(prefix: string): () => string {
@@ -236,12 +241,12 @@
   const ended = new Promise<EndReason>((resolve) => {
     resolveEnded = resolve;
   });
+  const getEndLeftMs = (): number => getStopLeftMs(state, getNowMs());
   const exit = (reason: EndReason): void => {
-    const deregister = Effect.timeoutOrElse(registration.deregister, {
-      duration: DEREGISTRATION_TIMEOUT_MS,
-      orElse: () => Effect.void,
-    });
-    void Effect.runPromise(deregister).then(() => resolveEnded(reason));
+    const timeoutMs = limitEndStep(DEREGISTRATION_TIMEOUT_MS, getEndLeftMs() / 2);
+    void deregisterVm({ registration, timeoutMs, getNowMs, writeLog }).then(() =>
+      resolveEnded(reason),
+    );
   };
   const stopAccepting = (): void => {
     if (server.listening) {
@@ -321,7 +326,7 @@
     execute: (command, timers) => loopWork.measure(command.kind, () => execute(command, timers)),
     onError: (event, error) => {
       const text = 'An event could not be handled.';
-      const detail = error instanceof Error ? (error.stack ?? error.message) : String(error);
+      const detail = describeThrown(error);
       writeLog(LogLevel.Error, EntryLogPrefix.Lifecycle, text, { event: event.kind, detail });
       failRequestOf(event);
     },
@@ -374,5 +379,6 @@
     reload: (changed) =>
       post({ kind: EntryEventKind.SettingsRead, policy: createEntryPolicy(changed) }),
     ended,
+    getEndLeftMs,
   };
 }
