Let streams of unknown origin go on only with a confirmed view

Callers saw: during a release, streams that had begun at a new version through one VM were taken up at a VM out of step (cut off, or standing still) and went on at the old version, status 200.

Cause: where this VM knew one version only, it took that for the only one that can have begun a stream that it did not know. Nothing asked whether it could know of another, and the time at which an answer was read stood for the time of its contents.

Why this works: the stream began before the request that takes it up arrived, so whoever knows all that was registered at the arrival knows its version. A VM now knows until when that holds: the start of a call to the store, or the end of its wait if it brought nothing, passed on by relays as an age. A request waits for it, up to 1.5 s, without a call of its own; after 0.6 s a read of the origins names the revision to reach; while the store is away, more than half of the other relays have to say that they know no later servers. Otherwise it is rejected as not run (servers_unconfirmed). A read of the origins counts only for requests that arrived before it started.

Two tests of peers give the new age, callerLeaves.test.ts the revision of a read.

--- a/src/coordination/entry/events.ts
+++ b/src/coordination/entry/events.ts
@@ -104,6 +104,7 @@
   StreamOriginsTick: 'streamOriginsTick',
   StreamOriginsWritten: 'streamOriginsWritten',
   StreamOriginsRead: 'streamOriginsRead',
+  StoreContentsRead: 'storeContentsRead',
   ConfigurationRead: 'configurationRead',
   BackendsRead: 'backendsRead',
   VmsRead: 'vmsRead',
@@ -254,7 +255,11 @@
   /** The version of the batch that was written; null if the store has not confirmed the write. */
   [EntryEventKind.StreamOriginsWritten]: { readonly version: number | null };
   /** What VMs have written, with times relative to the event; null if the store did not answer. */
-  [EntryEventKind.StreamOriginsRead]: { readonly groups: readonly StreamGroup[] | null };
+  [EntryEventKind.StreamOriginsRead]: {
+    readonly groups: readonly StreamGroup[] | null;
+    /** Revision of the store at the read; 0 if it did not answer. */
+    readonly revision: number;
+  };
   [EntryEventKind.ConfigurationRead]: {
     readonly deployment: Deployment;
     /** Store revision at which the configuration was written. */
@@ -275,6 +280,12 @@
     readonly knownRevision: number;
     readonly source: string;
   };
+  /** The contents of the store up to a revision have been posted. */
+  [EntryEventKind.StoreContentsRead]: {
+    readonly revision: number;
+    /** Time since a moment until which they are all that the store had; null if no such moment is known. */
+    readonly ageMs: number | null;
+  };
   [EntryEventKind.VmsRead]: { readonly vms: readonly ListedEntryVm[] };
   [EntryEventKind.StoreReachabilityRead]: {
     readonly isReachable: boolean;
--- a/src/coordination/entry/handlers.ts
+++ b/src/coordination/entry/handlers.ts
@@ -34,7 +34,12 @@
 } from './requests/attempts.js';
 import { handleStreamSpoiled } from './requests/spoiledStreams.js';
 import { handleStreamOriginsWritten } from './requests/streamOriginWrites.js';
-import { handleStreamOriginsRead, handleStreamOriginsTick } from './requests/streamVersions.js';
+import {
+  handleStoreContentsRead,
+  handleStreamOriginsRead,
+  handleStreamOriginsTick,
+  resumeConfirmed,
+} from './requests/streamVersions.js';
 import { handleUnframedAnswerEnded } from './requests/unframedEnds.js';
 import { handleWaitTimedOut } from './requests/forwarding.js';
 import { handleServerStated } from './servers/serverStatements.js';
@@ -99,13 +104,17 @@
     ...handleBackendsRead(state, event, nowMs),
     ...runControllerIfActive(state, nowMs),
   ],
+  [EntryEventKind.StoreContentsRead]: handleStoreContentsRead,
   [EntryEventKind.VmsRead]: handleVmsRead,
   [EntryEventKind.StoreReachabilityRead]: handleStoreReachabilityRead,
   [EntryEventKind.StoreContentsAged]: handleStoreContentsAged,
   [EntryEventKind.StoreChangesTick]: handleStoreChangesTick,
   [EntryEventKind.StoreRestored]: handleStoreRestored,
   [EntryEventKind.MaintenanceTick]: handleMaintenanceTick,
-  [EntryEventKind.PeerMessage]: handlePeerMessage,
+  [EntryEventKind.PeerMessage]: (state, event, nowMs) => [
+    ...handlePeerMessage(state, event, nowMs),
+    ...resumeConfirmed(state, nowMs),
+  ],
   [EntryEventKind.PeerTick]: handlePeerTick,
   [EntryEventKind.PeerCallFailed]: handlePeerCallFailed,
   [EntryEventKind.AdapterRequested]: handleAdapterRequested,
--- a/src/coordination/entry/requests/admission.ts
+++ b/src/coordination/entry/requests/admission.ts
@@ -213,7 +213,7 @@
     hasArrived: false,
     softwareVersion: '',
     streamVersion: pass?.streamVersion ?? null,
-    recallsLeft: 0,
+    recall: null,
     possiblyRunBackendIds: [...(pass?.possiblyRunIds ?? [])],
     notRunBackendIds: [...(pass?.notRunIds ?? [])],
     notRunAttempts: 0,
--- a/src/coordination/entry/requests/streamState.ts
+++ b/src/coordination/entry/requests/streamState.ts
@@ -9,6 +9,8 @@
   Resumed: 'resumed',
   /** It is not known, and several may have begun the stream. */
   UnknownVersion: 'unknown_version',
+  /** Only one may have begun it, as far as this VM knows, but nothing confirmed that it knows all servers. */
+  Unconfirmed: 'unconfirmed',
   /** No server of the version is registered. */
   NoServer: 'no_server',
 } as const;
@@ -18,6 +20,19 @@
 export const StreamOriginsTask = { Read: 'read', Write: 'write' } as const;
 export type StreamOriginsTask = (typeof StreamOriginsTask)[keyof typeof StreamOriginsTask];
 
+/** What a VM has asked since a request arrived that takes up a stream which this VM does not know. Mutable. */
+export interface StreamRecall {
+  readonly startedAtMs: number;
+  /** Number of reads that had started before: they may have missed what was written until the request arrived. */
+  readonly readsBefore: number;
+  /** The first successful read: when it started, and the revision of the store at it; null before that. */
+  firstRead: { readonly atMs: number; readonly revision: number } | null;
+  /** Start of the last successful read. */
+  lastReadAtMs: number;
+  /** True if the last read failed. */
+  hasReadFailed: boolean;
+}
+
 /** One key of the store to which this VM adds origins until it has enough of them. */
 export interface StreamBatch {
   readonly number: number;
@@ -41,8 +56,13 @@
   /** Time of the last write. */
   writtenAtMs: number;
   isReading: boolean;
-  isReadScheduled: boolean;
   readAtMs: number;
+  /** Time at which it is looked at again what requests wait for; not finite if none waits. */
+  readTickAtMs: number;
+  /** Time at which the relay was last asked for what requests wait for. */
+  relayAskedAtMs: number;
+  /** Number of reads that have started. */
+  readCount: number;
   /** True once this VM knows the versions that were in service before it started. */
   isPastKnown: boolean;
   readonly takeUps: Map<TakeUpResult, number>;
@@ -64,8 +84,10 @@
     isWriteScheduled: false,
     writtenAtMs: Number.NEGATIVE_INFINITY,
     isReading: false,
-    isReadScheduled: false,
     readAtMs: Number.NEGATIVE_INFINITY,
+    readTickAtMs: Number.POSITIVE_INFINITY,
+    relayAskedAtMs: Number.NEGATIVE_INFINITY,
+    readCount: 0,
     isPastKnown: false,
     takeUps: new Map(),
   };
--- a/src/coordination/entry/state.ts
+++ b/src/coordination/entry/state.ts
@@ -35,7 +35,11 @@
 import type { ListedEntryVm } from './peerMessage.js';
 import { createPlacementState, type PlacementState } from './placement/placementState.js';
 import type { EntryPolicy } from './policy.js';
-import { createStreamVersionState, type StreamVersionState } from './requests/streamState.js';
+import {
+  createStreamVersionState,
+  type StreamRecall,
+  type StreamVersionState,
+} from './requests/streamState.js';
 
 /** Identity and address of this VM, from its settings. */
 export interface EntryVmIdentity {
@@ -96,8 +100,8 @@
   softwareVersion: string;
   /** Version of the software that began the stream, which alone may go on with it; null if any may run the request. */
   streamVersion: string | null;
-  /** Reads of the store after which the version that began the stream counts as unknown. */
-  recallsLeft: number;
+  /** What was asked since the request arrived to learn which version began its stream; null if nothing was. */
+  recall: StreamRecall | null;
   /** Backend servers, and VMs that it was passed to, that may have run it. */
   possiblyRunBackendIds: string[];
   /** Backend servers that provably did not run it; cleared when it waits for a model that they lacked. */
@@ -150,6 +154,10 @@
 /** Reachability of the store, as the watches on it report it. */
 export interface StoreStatus {
   isReachable: boolean;
+  /** Revision of the store up to which this VM knows its contents. */
+  revision: number;
+  /** A time until which this VM knows all that the store had; not finite before the first one. */
+  knownAtMs: number;
   /** Time at which the store last confirmed what this VM knows of it, as far as known; not finite before the first time. */
   confirmedAtMs: number;
   /** Time of the last change from unreachable to reachable. */
@@ -338,6 +346,8 @@
     retryBudgets: new Map(),
     store: {
       isReachable: true,
+      revision: 0,
+      knownAtMs: Number.NEGATIVE_INFINITY,
       confirmedAtMs: Number.NEGATIVE_INFINITY,
       becameReachableAtMs: Number.NEGATIVE_INFINITY,
       becameUnreachableAtMs: Number.NEGATIVE_INFINITY,
--- a/src/protocol/entry/peerMessages.ts
+++ b/src/protocol/entry/peerMessages.ts
@@ -30,6 +30,8 @@
   readonly isCurrent: boolean;
   /** Time since the store confirmed the contents; 0 unless they are current. */
   readonly ageMs: number;
+  /** Time since a moment until which the VM knows all that the store had; undefined if it knows no such moment. */
+  readonly knownAgeMs?: number | undefined;
 }
 
 /** The answer to a message. */
@@ -161,7 +163,7 @@
 
 /** Encodes the answer to a message. */
 export function encodePeerMessage(message: PeerMessage, store: StoreReply): PeerMessageWire {
-  const { ageMs, changes, isCurrent } = store;
+  const { ageMs, changes, isCurrent, knownAgeMs } = store;
   return create(PeerMessageSchema, {
     ...encodeMessage(message),
     store:
@@ -176,6 +178,7 @@
             revision: changes.revision,
             isCurrent,
             ageMs,
+            ...(knownAgeMs === undefined ? {} : { knownAgeMs }),
           },
   });
 }
@@ -208,13 +211,18 @@
   if (store === undefined) {
     return { changes: null, isCurrent: false, ageMs: 0 };
   }
-  const { ageMs, isCurrent, isSnapshot, items, revision } = store;
+  const { ageMs, isCurrent, isSnapshot, items, knownAgeMs, revision } = store;
   const changes = {
     isSnapshot,
     items: items.map(({ key, value, version }) => ({ key, value: value ?? null, version })),
     revision,
   };
-  return { changes, isCurrent, ageMs: Math.max(0, ageMs) };
+  return {
+    changes,
+    isCurrent,
+    ageMs: Math.max(0, ageMs),
+    knownAgeMs: knownAgeMs === undefined ? undefined : Math.max(0, knownAgeMs),
+  };
 }
 
 function decodeWorkspaceDemand(wire: WorkspaceDemandWire): WorkspaceDemand {
--- a/src/state/diagnostics.ts
+++ b/src/state/diagnostics.ts
@@ -133,6 +133,12 @@
     Capacity,
     'No backend server has the software version "{0}", which began the stream.',
   ),
+  ServersUnconfirmed: define(
+    1115,
+    'servers_unconfirmed',
+    Capacity,
+    'This VM may not know all servers that were registered when request "{0}" was taken up.',
+  ),
   ServersUnreachable: define(
     1113,
     'servers_unreachable',
--- a/src/transport/entry/commandTable.ts
+++ b/src/transport/entry/commandTable.ts
@@ -150,6 +150,9 @@
       post({ kind: EntryEventKind.PeerCallFailed, vmId });
     } else {
       storeAccess.recordRelayed(ageMs);
+      if (store.knownAgeMs !== undefined) {
+        storeAccess.recordKnown(store.knownAgeMs + callMs);
+      }
       post({ kind: EntryEventKind.StoreReachabilityRead, isReachable: true, ageMs });
     }
   };
--- a/src/transport/entry/entryDaemon.ts
+++ b/src/transport/entry/entryDaemon.ts
@@ -217,6 +217,7 @@
     getConfigurationVersion: () => state.deployment?.version ?? 0,
     getStoreAgeMs: () =>
       storeAccess.isCurrent() ? getNowMs() - storeAccess.getConfirmedAtMs() : null,
+    getKnownAgeMs: storeAccess.getKnownAgeMs,
   });
   const metricsServer = createMetricsServer({
     metrics,
--- a/src/transport/entry/entryPeers.ts
+++ b/src/transport/entry/entryPeers.ts
@@ -72,6 +72,8 @@
   readonly getConfigurationVersion: () => number;
   /** Returns how long ago the store has confirmed the contents of the mirror; null if they are not current. */
   readonly getStoreAgeMs: () => number | null;
+  /** Returns the time since a moment until which the mirror has all that the store had; undefined if none is known. */
+  readonly getKnownAgeMs: () => number | undefined;
 }
 
 /** Waits for a reply of the event loop. Resolves with the fallback after the timeout. */
@@ -145,6 +147,7 @@
             changes,
             isCurrent: ageMs !== null,
             ageMs: ageMs ?? 0,
+            knownAgeMs: context.getKnownAgeMs(),
           });
         },
         ensureAdapter: async ({
--- a/src/transport/entry/storeWatches.ts
+++ b/src/transport/entry/storeWatches.ts
@@ -208,6 +208,9 @@
   if (isSnapshot || entryItems.length > 0) {
     applyEntryKeys(entryItems, isSnapshot);
   }
+  if (revision !== knownRevision) {
+    post({ kind: EntryEventKind.StoreContentsRead, revision, ageMs: null });
+  }
   return true;
 }
 
@@ -217,11 +220,15 @@
   return Effect.gen(function* readStep() {
     if (mirror.revision === 0 || access.isListNeeded) {
       const isRepeated = access.isListNeeded;
+      const startedAtMs = getNowMs();
       const recordSuccess = access.startCall(0);
       const items = yield* store.list(WHOLE_STORE);
       access.isListNeeded = false;
-      recordSuccess();
+      const isValid = recordSuccess();
       const isApplied = applyStoreUpdate(context, { ...items, isSnapshot: true }, STORE_SOURCE);
+      if (isApplied && isValid) {
+        access.recordKnown(getNowMs() - startedAtMs);
+      }
       if (!isApplied || isRepeated) {
         yield* Effect.sleep(isApplied ? MIN_RETRY_DELAY_MS : MAX_RETRY_DELAY_MS);
       }
@@ -231,10 +238,16 @@
     const startedAtMs = getNowMs();
     const recordSuccess = access.startCall(waitMs);
     const changes = yield* store.waitForChanges(WHOLE_STORE, mirror.revision, waitMs);
-    recordSuccess();
+    const isValid = recordSuccess();
     access.isListNeeded = changes === null;
-    if (changes !== null) {
+    const durationMs = getNowMs() - startedAtMs;
+    const isApplied =
+      changes !== null &&
       applyStoreUpdate(context, { ...changes, isSnapshot: false }, STORE_SOURCE);
+    if (isApplied && isValid) {
+      // An answer with changes may have been held up on its way; one without any was given after the wait.
+      const isWholeWait = changes.items.length === 0 && durationMs >= waitMs;
+      access.recordKnown(durationMs - (isWholeWait ? waitMs : 0));
     }
     if (changes !== null && changes.items.length > 0) {
       yield* Effect.sleep(isController() ? CONTROLLER_BATCH_DELAY_MS : BATCH_DELAY_MS);
@@ -255,15 +268,19 @@
   readonly getConfirmedAtMs: () => number;
   /** Records that the relay has sent current contents, which the store has confirmed this long ago. */
   readonly recordRelayed: (ageMs: number) => void;
+  /** Records that the mirror has all that the store had this long ago, and tells the event loop. */
+  readonly recordKnown: (ageMs: number) => void;
+  /** Returns the time since the latest such moment; undefined if none is known. */
+  readonly getKnownAgeMs: () => number | undefined;
   /** Requires a call that starts and succeeds after this before the mirror counts as current again. */
   readonly invalidate: () => void;
   /** True if the store has dropped changes that the mirror lacks. */
   isListNeeded: boolean;
   /**
    * Returns the function that records the success of a call that starts now and may wait for some time. An answer that is
-   * read much later than that is old: this VM was frozen, and found it when it went on.
+   * read much later than that is old: this VM was frozen, and found it when it went on. The function returns false then.
    */
-  readonly startCall: (waitMs: number) => () => void;
+  readonly startCall: (waitMs: number) => () => boolean;
   /** Reads the store while this VM is a reader, until it is interrupted. */
   readonly run: Effect.Effect<never>;
 }
@@ -276,6 +293,7 @@
   let isConfirmed = false;
   let invalidationCount = 0;
   let confirmedAtMs = Number.NEGATIVE_INFINITY;
+  let knownAtMs = Number.NEGATIVE_INFINITY;
   const recordReachability = (isReachable: boolean): void => {
     isConfirmed = isReachable;
     confirmedAtMs = isReachable ? getNowMs() : confirmedAtMs;
@@ -304,19 +322,31 @@
       isConfirmed = true;
       confirmedAtMs = Math.max(confirmedAtMs, getNowMs() - ageMs);
     },
+    recordKnown: (ageMs) => {
+      knownAtMs = Math.max(knownAtMs, getNowMs() - ageMs);
+      post({
+        kind: EntryEventKind.StoreContentsRead,
+        revision: context.mirror.revision,
+        ageMs: getNowMs() - knownAtMs,
+      });
+    },
+    getKnownAgeMs: () => (Number.isFinite(knownAtMs) ? getNowMs() - knownAtMs : undefined),
     invalidate: () => {
       invalidationCount += 1;
       isConfirmed = false;
       confirmedAtMs = Number.NEGATIVE_INFINITY;
+      knownAtMs = Number.NEGATIVE_INFINITY;
     },
     isListNeeded: false,
     startCall: (waitMs) => {
       const countAtStart = invalidationCount;
       const latestAtMs = getNowMs() + waitMs + MAX_ANSWER_AGE_MS;
       return () => {
-        if (invalidationCount === countAtStart && getNowMs() <= latestAtMs) {
+        const isValid = invalidationCount === countAtStart && getNowMs() <= latestAtMs;
+        if (isValid) {
           recordReachability(true);
         }
+        return isValid;
       };
     },
     run: Effect.forever(
--- a/src/transport/entry/streamOriginExecutors.ts
+++ b/src/transport/entry/streamOriginExecutors.ts
@@ -97,12 +97,13 @@
       const reportFailure = (reason: string): void => {
         const text = 'Origins of streams were not read from the store.';
         writeLog(LogLevel.Info, EntryLogPrefix.Store, text, { reason });
-        post({ kind, groups: null });
+        post({ kind, groups: null, revision: 0 });
       };
       runDetached(
         Effect.match(read, {
           onFailure: ({ key: reason }) => reportFailure(reason),
-          onSuccess: ({ items }) => post({ kind, groups: items.flatMap(decodeItem) }),
+          onSuccess: ({ items, revision }) =>
+            post({ kind, groups: items.flatMap(decodeItem), revision }),
         }),
         writeLog,
         () => reportFailure('error'),
--- a/tests/entry/callerLeaves.test.ts
+++ b/tests/entry/callerLeaves.test.ts
@@ -87,7 +87,7 @@
       const changes = { lastEventId: '9', resumedRequestId: 'q' };
       vm.receiveRequest(createTestRequest('r', '/draft/x', changes));
     },
-    endsWait: { kind: EntryEventKind.StreamOriginsRead, groups: [] },
+    endsWait: { kind: EntryEventKind.StreamOriginsRead, groups: [], revision: 0 },
     isCancelled: false,
   },
   [ForwardPhase.Waiting]: {
--- a/tests/entry/largeConfiguration.test.ts
+++ b/tests/entry/largeConfiguration.test.ts
@@ -77,6 +77,7 @@
     handlePassedRequest: () => {},
     getConfigurationVersion: () => 7,
     getStoreAgeMs: () => 0,
+    getKnownAgeMs: () => 0,
   });
   const sockets: Socket[] = [];
   server.on('connection', (socket) => sockets.push(socket));
--- a/tests/entry/malformedMessages.test.ts
+++ b/tests/entry/malformedMessages.test.ts
@@ -284,6 +284,7 @@
     handlePassedRequest: () => {},
     getConfigurationVersion: () => 1,
     getStoreAgeMs: () => 0,
+    getKnownAgeMs: () => 0,
   });
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
--- a/tests/entry/streamFleet.ts
+++ b/tests/entry/streamFleet.ts
@@ -12,7 +12,13 @@
 import type { BackendEntry } from '../../src/state/entry/backends.js';
 import { shiftStreamGroup, type StreamGroup } from '../../src/state/entry/streamOrigins.js';
 import { RunStatus } from '../../src/state/types.js';
-import { createTestEntry, createTestRequest, createTestVm, type TestVm } from './fixtures.js';
+import {
+  createPeerMessage,
+  createTestEntry,
+  createTestRequest,
+  createTestVm,
+  type TestVm,
+} from './fixtures.js';
 
 /** What becomes of a stream that its caller takes up. */
 export const TakeUpOutcome = {
@@ -26,9 +32,24 @@
 
 /** Time between two steps of a play, in which timers fire. */
 const STEP_MS = 100;
+/** Longest time of a watch of the store. */
+const WATCH_MS = 500;
+/** Interval at which VMs that are in step hear the reports of one another. */
+const REPORT_INTERVAL_MS = 400;
+/** Time-out of a read of the store. */
+const READ_TIMEOUT_MS = 500;
 /** A take-up that is neither sent nor rejected within this time is open. */
 const MAX_TAKE_UP_MS = 1_500;
 
+/** How a VM is out of step: it hears neither the store nor the other VMs. */
+export const Trouble = {
+  /** Calls time out. */
+  Silent: 'silent',
+  /** Calls fail at once. */
+  Reset: 'reset',
+} as const;
+export type Trouble = (typeof Trouble)[keyof typeof Trouble];
+
 interface Timer {
   readonly atMs: number;
   readonly event: EntryEvent;
@@ -55,6 +76,10 @@
   /** The batches that VMs have written, with the absolute times of their groups. */
   readonly batches: Map<string, readonly StreamGroup[]>;
   isStoreAway: boolean;
+  /** The VMs that are out of step. */
+  readonly troubles: Map<string, Trouble>;
+  /** What is to happen at a time. */
+  readonly plans: { readonly atMs: number; readonly act: () => void }[];
   /** The commands that were sent to the store. */
   readonly storeCalls: EntryCommandKind[];
   /** The software version that began each stream, by the caller's id of the request. */
@@ -100,13 +125,13 @@
     vms.get(vmId)?.refusals.set(requestId, refusal.run);
   },
   [EntryCommandKind.WriteStreamOrigins]: (
-    { batches, isStoreAway, nowMs, storeCalls, vms },
+    { batches, isStoreAway, nowMs, storeCalls, troubles, vms },
     vmId,
     { batch, groups }: EntryCommandOf<typeof EntryCommandKind.WriteStreamOrigins>,
   ) => {
     const kind = EntryEventKind.StreamOriginsWritten;
     storeCalls.push(EntryCommandKind.WriteStreamOrigins);
-    if (isStoreAway) {
+    if (isStoreAway || troubles.has(vmId)) {
       return [{ kind, version: null }];
     }
     const key = `${vmId}/${vms.get(vmId)!.number}/${batch}`;
@@ -116,10 +141,17 @@
     );
     return [{ kind, version: nowMs }];
   },
-  [EntryCommandKind.ReadStreamOrigins]: ({ batches, isStoreAway, nowMs, storeCalls }) => {
+  [EntryCommandKind.ReadStreamOrigins]: (fleet, vmId) => {
+    const { batches, isStoreAway, nowMs, revision, storeCalls, troubles, vms } = fleet;
+    const kind = EntryEventKind.StreamOriginsRead;
+    const failure = { kind, groups: null, revision: 0 };
     storeCalls.push(EntryCommandKind.ReadStreamOrigins);
+    if (troubles.get(vmId) === Trouble.Silent) {
+      vms.get(vmId)!.timers.set(kind, { atMs: nowMs + READ_TIMEOUT_MS, event: failure });
+      return [];
+    }
     const groups = [...batches.values()].flat().map((group) => shiftStreamGroup(group, -nowMs));
-    return [{ kind: EntryEventKind.StreamOriginsRead, groups: isStoreAway ? null : groups }];
+    return [isStoreAway || troubles.has(vmId) ? failure : { kind, groups, revision }];
   },
 };
 
@@ -130,6 +162,53 @@
     .forEach((reply) => post(fleet, vmId, reply));
 }
 
+/** Lets a VM know what the store has of the servers; without an argument, all VMs that are in step. */
+function readServers(
+  fleet: StreamFleet,
+  vmIds = [...fleet.vms.keys()].filter((vmId) => !fleet.troubles.has(vmId)),
+): void {
+  const { revision, servers } = fleet;
+  const changes = servers.map((entry) => ({ id: entry.id, revision, entry }));
+  const kind = EntryEventKind.BackendsRead;
+  vmIds.forEach((vmId) => {
+    post(fleet, vmId, { kind, isSnapshot: true, changes, revision, source: 'test' });
+    post(fleet, vmId, { kind: EntryEventKind.StoreContentsRead, revision, ageMs: 0 });
+  });
+}
+
+/** Lets a VM know the others from the store. */
+function readVms({ vms }: StreamFleet, vmId: string): EntryEvent {
+  const others = [...vms.keys()].filter((otherId) => otherId !== vmId);
+  const { self } = vms.get(vmId)!.vm.state;
+  const listed = others.map((otherId) => ({ ...self, vmId: otherId, peerAddress: `${otherId}:1` }));
+  return { kind: EntryEventKind.VmsRead, vms: [self, ...listed] };
+}
+
+/** Lets the VMs that are in step hear the reports of one another. */
+function exchangeReports(fleet: StreamFleet): void {
+  const { nowMs, troubles, vms } = fleet;
+  const heard = [...vms].filter(([vmId]) => !troubles.has(vmId));
+  const kind = EntryEventKind.PeerMessage;
+  heard.forEach(([vmId]) => {
+    const reports = heard
+      .filter(([otherId]) => otherId !== vmId)
+      .map(([otherId, { number, vm }]) => ({
+        vmId: otherId,
+        incarnation: String(number),
+        failureDomain: vm.state.self.failureDomain,
+        peerAddress: `${otherId}:1`,
+        sequence: nowMs,
+        configurationVersion: 1,
+        backendsRevision: vm.state.backendsRevision,
+        isLeaving: false,
+        workspaceDemands: [],
+        vmCount: 1,
+        ageMs: 0,
+      }));
+    post(fleet, vmId, { kind, message: createPeerMessage({ reports }), replyId: null });
+  });
+}
+
 /** Starts a VM, which then knows the servers. */
 export function startVm(fleet: StreamFleet, vmId: string): void {
   fleet.startCount += 1;
@@ -142,6 +221,8 @@
     refusals: new Map(),
   });
   post(fleet, vmId, { kind: EntryEventKind.MaintenanceTick });
+  readServers(fleet, [vmId]);
+  [...fleet.vms.keys()].forEach((otherId) => post(fleet, otherId, readVms(fleet, otherId)));
 }
 
 /** Ends VMs without a trace. */
@@ -154,6 +235,16 @@
   const untilMs = fleet.nowMs + durationMs;
   while (fleet.nowMs < untilMs) {
     fleet.nowMs = Math.min(untilMs, fleet.nowMs + STEP_MS);
+    const { nowMs, plans } = fleet;
+    const due = plans.filter(({ atMs }) => atMs <= nowMs);
+    plans.splice(0, plans.length, ...plans.filter(({ atMs }) => atMs > nowMs));
+    due.forEach(({ act }) => act());
+    if (nowMs % WATCH_MS === 0 && !fleet.isStoreAway) {
+      readServers(fleet);
+    }
+    if (nowMs % REPORT_INTERVAL_MS === 0) {
+      exchangeReports(fleet);
+    }
     fleet.vms.forEach(({ timers }, vmId) => {
       [...timers]
         .filter(([, { atMs }]) => atMs <= fleet.nowMs)
@@ -169,12 +260,29 @@
 export function setServers(fleet: StreamFleet, servers: readonly BackendEntry[]): void {
   fleet.servers = servers;
   fleet.revision += 1;
-  const { revision } = fleet;
-  const changes = servers.map((entry) => ({ id: entry.id, revision, entry }));
-  const kind = EntryEventKind.BackendsRead;
-  [...fleet.vms.keys()].forEach((vmId) =>
-    post(fleet, vmId, { kind, isSnapshot: true, changes, revision, source: 'test' }),
-  );
+  readServers(fleet);
+}
+
+/** Puts a VM out of step. */
+export function startTrouble({ troubles }: StreamFleet, vmId: string, trouble: Trouble): void {
+  troubles.set(vmId, trouble);
+}
+
+/** Ends the trouble of a VM, which hears at once what was on its way, and later what the store has by then. */
+export function endTrouble(fleet: StreamFleet, vmId: string, readAfterMs: number): void {
+  const { nowMs, plans, troubles, vms } = fleet;
+  troubles.delete(vmId);
+  const { backendsRevision: revision } = vms.get(vmId)!.vm.state;
+  const isReachable = true;
+  const kind = EntryEventKind.StoreReachabilityRead;
+  post(fleet, vmId, { kind, isReachable, ageMs: 0 });
+  post(fleet, vmId, { kind: EntryEventKind.StoreContentsRead, revision, ageMs: null });
+  plans.push({ atMs: nowMs + readAfterMs, act: () => readServers(fleet, [vmId]) });
+}
+
+/** Lets a VM learn that it was suspended. */
+export function reportSuspension(fleet: StreamFleet, vmId: string, lostMs: number): void {
+  post(fleet, vmId, { kind: EntryEventKind.Suspended, lostMs });
 }
 
 /** Creates VMs that have served with some servers for a while. */
@@ -191,6 +299,8 @@
     startCount: 0,
     batches: new Map(),
     isStoreAway: false,
+    troubles: new Map(),
+    plans: [],
     storeCalls: [],
     versionsByStream: new Map(),
   };
--- a/tests/processes/staleVersions.test.ts
+++ b/tests/processes/staleVersions.test.ts
@@ -21,6 +21,12 @@
 const JOIN_AFTER_MS = 100;
 const OK = 200;
 const MIN_SHARE = 0.5;
+/** Two of them are relays, the others have relays. */
+const VM_IDS = ['vm-1', 'vm-2', 'vm-3', 'vm-4'];
+/** Time in which the VMs know one another. */
+const SETTLE_MS = 1_500;
+const TAKE_UP_INTERVAL_MS = 130;
+const MAX_MEDIAN_WAIT_MS = 800;
 
 interface Vm extends PreparedEntry {
   readonly process: StartedProcess;
@@ -96,17 +102,11 @@
   closers.push(server.close, () => clearInterval(heartbeat));
 }
 
-/** Starts a VM of a failure domain of its own, which reads the store itself. */
-async function startVm(store: PlatformStore, vmId: string): Promise<Vm> {
+/** Starts a VM of a failure domain; without one, of a domain of its own, so that it reads the store itself. */
+async function startVm(store: PlatformStore, vmId: string, zone = `fd-${vmId}`): Promise<Vm> {
   const link = await startTcpProxy(store.address);
   closers.push(link.close);
-  const prepared = await prepareEntry(
-    link.address,
-    {},
-    { retry_slack: 10_000 },
-    vmId,
-    `fd-${vmId}`,
-  );
+  const prepared = await prepareEntry(link.address, {}, { retry_slack: 10_000 }, vmId, zone);
   const { args, environment } = prepared;
   const ready = 'The VM is ready.';
   const process = await startProgram('vm', ENTRY_PROGRAM, args, ready, environment);
@@ -217,3 +217,42 @@
     }
   });
 });
+
+describe('streams that are taken up at VMs in touch, which did not begin them', () => {
+  it('go on soon, with few calls to the store, at relays and at VMs that have relays', async () => {
+    const store = await startStore();
+    await Promise.all(['s1', 's2'].map((id) => startServer(store, id, OLD_VERSION)));
+    const vms = await Promise.all(VM_IDS.map((id) => startVm(store, id, 'fd-a')));
+    closers.push(store.close);
+    await Promise.all(
+      vms.map((vm) =>
+        waitFor('a stream is served', async () => (await readStream(vm, createStream(), 1)) === OK),
+      ),
+    );
+    await wait(SETTLE_MS);
+    const begun = await Promise.all(
+      vms.map(async (vm, index) => {
+        const streams = Array.from({ length: STREAM_COUNT }, createStream);
+        await Promise.all(streams.map((stream) => readStream(vm, stream, LEAVE_AFTER)));
+        return { streams, vm: vms[(index + 1) % vms.length]! };
+      }),
+    );
+    const countReads = (): number => store.callCounts.get('GET /v1/kv-range') ?? 0;
+    const readsBefore = countReads();
+    const takeUps = begun.flatMap(({ streams, vm }) =>
+      streams.map(async (stream, index) => {
+        await wait(index * TAKE_UP_INTERVAL_MS);
+        const startedAtMs = performance.now();
+        await readStream(vm, stream, LEAVE_AFTER + 1);
+        return performance.now() - startedAtMs;
+      }),
+    );
+    const waits = (await Promise.all(takeUps)).sort((a, b) => a - b);
+    const goOn = begun
+      .flatMap(({ streams }) => streams)
+      .filter(({ versions }) => versions.length > LEAVE_AFTER);
+    expect(goOn.length).toBe(STREAM_COUNT * VM_IDS.length);
+    expect(waits[Math.floor(waits.length / 2)]).toBeLessThan(MAX_MEDIAN_WAIT_MS);
+    expect(countReads() - readsBefore).toBeLessThan(STREAM_COUNT);
+  });
+});
