Load models on engines of the version that requests wait for

Cause: the planner of placement knew no software versions. A model that engines of another version held counted as placed, so it was loaded nowhere for a stream that waits for its own version.

Why this works: VMs report the requests that wait for one version apart (ModelDemand.software_version; their numbers add to the others at a controller that doesn't know the field). A model that no engine of such a version has or is loading, while there are engines of it, is missing like one that is held nowhere, and only these engines are candidates. The two kinds of needs and what they are reckoned from are in a module of their own, placementNeeds.ts, taken out of the planner.

Tests of the planner and of odd messages give the new field.

--- a/bench/placement.ts
+++ b/bench/placement.ts
@@ -369,6 +369,7 @@
       engines: day.engines.map(
         ({ changedAtSeconds, cachedModels, usableFromSeconds, id, reservation, order }) => ({
           backendId: id,
+          softwareVersion: 'v1',
           models: new Map([...usableFromSeconds.keys()].map((model) => [model, new Set<string>()])),
           loadingModel: order?.step.isLoad === true ? order.step.model : null,
           unloadingModel: order?.step.isLoad === false ? order.step.model : null,
--- a/src/coordination/entry/exchange/modelDemands.ts
+++ b/src/coordination/entry/exchange/modelDemands.ts
@@ -4,12 +4,18 @@
  */
 import { getVariantKey } from '../../../state/entry/backends.js';
 import type { ForwardService } from '../../../state/entry/deployment.js';
+import type { ModelDemand } from '../../../state/entry/reports.js';
 import { listFleetModelDemands } from './fleetDemands.js';
 import { type ModelDemandTotals, NO_DEMAND } from '../placement/placementPlanner.js';
 import type { EntryState } from '../state.js';
 
+/** The sums while they are made. */
+type MutableTotals = {
+  -readonly [K in Exclude<keyof ModelDemandTotals, 'waitingByVersion'>]: ModelDemandTotals[K];
+} & { readonly waitingByVersion: Map<string, number> };
+
 /** Records the highest urgency seen for a model, which is kept after its demand has decayed. */
-function recordUrgencyWeight(state: EntryState, key: string, demand: ModelDemandTotals): void {
+function recordUrgencyWeight(state: EntryState, key: string, demand: ModelDemand): void {
   const { urgencyWeights } = state.placement;
   const weight = demand.valuePerSecond / Math.max(1, demand.tokensPerSecond);
   urgencyWeights.set(key, Math.max(urgencyWeights.get(key) ?? 0, weight));
@@ -40,19 +46,21 @@
   readonly demands: ReadonlyMap<string, ModelDemandTotals>;
   readonly variants: ReadonlySet<string>;
 } {
-  const demands = new Map<
-    string,
-    { -readonly [K in keyof ModelDemandTotals]: ModelDemandTotals[K] }
-  >();
+  const demands = new Map<string, MutableTotals>();
   const variants = new Set<string>();
-  const add = (variant: string, demand: ModelDemandTotals): void => {
-    const { tokensPerSecond, valuePerSecond, waitingRequests } = demand;
+  const add = (variant: string, demand: ModelDemand): void => {
+    const { softwareVersion, tokensPerSecond, valuePerSecond, waitingRequests } = demand;
     const [model = '', adapter] = variant.split('/');
-    const total = demands.get(model) ?? { ...NO_DEMAND };
+    const total = demands.get(model) ?? { ...NO_DEMAND, waitingByVersion: new Map() };
     recordUrgencyWeight(state, `${service.name} ${model}`, demand);
     total.tokensPerSecond += tokensPerSecond;
     total.valuePerSecond += valuePerSecond;
     total.waitingRequests += waitingRequests;
+    if (softwareVersion !== null) {
+      const { waitingByVersion } = total;
+      const known = waitingByVersion.get(softwareVersion) ?? 0;
+      waitingByVersion.set(softwareVersion, known + waitingRequests);
+    }
     demands.set(model, total);
     if (adapter !== undefined && tokensPerSecond > 0) {
       variants.add(variant);
--- a/src/coordination/entry/exchange/ownDemands.ts
+++ b/src/coordination/entry/exchange/ownDemands.ts
@@ -43,19 +43,37 @@
     });
 }
 
-/** Returns the demand at this VM for each model and adapter. */
+/** Returns the software versions that alone may run some of the waiting requests; null stands for those that any may run. */
+function listWaitingVersions({ requests }: EntryState): (string | null)[] {
+  return [...new Set([null, ...[...requests.values()].map(({ streamVersion }) => streamVersion)])];
+}
+
+/**
+ * Returns the demand at this VM for each model and adapter. Requests that go on with streams wait for engines of one software
+ * version, so their numbers come apart.
+ */
 export function listModelDemands(state: EntryState, nowMs: number): ModelDemand[] {
-  const waiting = countWaitingRequests(state);
-  return listDemands(state.modelDemand, nowMs).map(({ name, tokensPerSecond }) => {
-    const [service = '', variant = ''] = name.split(' ');
-    const [model = '', adapter = null] = variant.split('/');
-    return {
-      service,
-      model,
-      adapter,
-      tokensPerSecond,
-      valuePerSecond: getDemand(state.weightedModelDemand, name, nowMs),
-      waitingRequests: waiting.get(name) ?? 0,
-    };
+  const demands = listDemands(state.modelDemand, nowMs);
+  return listWaitingVersions(state).flatMap((softwareVersion) => {
+    const isAny = softwareVersion === null;
+    const waiting = countWaitingRequests(
+      state,
+      ({ streamVersion }) => streamVersion === softwareVersion,
+    );
+    return demands
+      .filter(({ name }) => isAny || waiting.has(name))
+      .map(({ name, tokensPerSecond }) => {
+        const [service = '', variant = ''] = name.split(' ');
+        const [model = '', adapter = null] = variant.split('/');
+        return {
+          service,
+          model,
+          adapter,
+          tokensPerSecond: isAny ? tokensPerSecond : 0,
+          valuePerSecond: isAny ? getDemand(state.weightedModelDemand, name, nowMs) : 0,
+          waitingRequests: waiting.get(name) ?? 0,
+          softwareVersion,
+        };
+      });
   });
 }
--- a/src/coordination/entry/placement/controller.ts
+++ b/src/coordination/entry/placement/controller.ts
@@ -110,6 +110,7 @@
   const unloading = change?.isLoad === false ? change.model : null;
   return {
     backendId: control.backendId,
+    softwareVersion: backend.entry.softwareVersion,
     models: control.models,
     loadingModel:
       loading ?? (pendingModelOrder?.action === OrderAction.Load ? pendingModelOrder.model : null),
--- a/src/coordination/entry/placement/placementPlanner.ts
+++ b/src/coordination/entry/placement/placementPlanner.ts
@@ -8,6 +8,13 @@
  */
 import type { EngineModel, EngineProfile } from '../../../state/entry/deployment.js';
 import type { EngineOrder } from '../engineOrder.js';
+import {
+  DEFAULT_URGENCY_WEIGHT,
+  getUnplacedDemand,
+  listAssignedModels,
+  listPlacementNeeds,
+  type PlacementNeed,
+} from './placementNeeds.js';
 import {
   getReplicaGain,
   getReplicaRemovalCost,
@@ -18,6 +25,7 @@
 /** The state of an engine that planning depends on. */
 export interface EngineView {
   readonly backendId: string;
+  readonly softwareVersion: string;
   /** Adapters on each model that the engine has loaded. */
   readonly models: ReadonlyMap<string, ReadonlySet<string>>;
   /** The model that the engine is loading; its memory counts as used. */
@@ -46,6 +54,8 @@
   /** The same demand, with each request weighted by its urgency. */
   readonly valuePerSecond: number;
   readonly waitingRequests: number;
+  /** Those of them that only engines of one software version may run, by version. */
+  readonly waitingByVersion: ReadonlyMap<string, number>;
 }
 
 /** The demand for a model that is not requested. */
@@ -53,6 +63,7 @@
   tokensPerSecond: 0,
   valuePerSecond: 0,
   waitingRequests: 0,
+  waitingByVersion: new Map(),
 };
 
 export interface PlanInput {
@@ -82,12 +93,6 @@
   readonly reason: string;
 }
 
-/** Demand that a waiting request counts for, so that a model without earlier requests is loaded. */
-const WAITING_REQUEST_TOKENS_PER_SECOND = 1_000;
-/** Waiting requests beyond this number do not raise the demand for a model further. */
-const MAX_COUNTED_WAITING_REQUESTS = 3;
-/** A model without a replica is loaded from this demand on, even if no request waits for it. */
-const MIN_UNPLACED_TOKENS_PER_SECOND = 200;
 /** Base cost of evicting a model, in tokens per second; divided by the number of its replicas. */
 const IDLE_EVICTION_COST = 50;
 /**
@@ -98,8 +103,6 @@
 const RETURN_DEMAND_FRACTION = 0.5;
 /** Time to send the order and to learn that the model is loaded, in addition to the load itself. */
 const RELOAD_OVERHEAD_SECONDS = 0.5;
-/** Urgency weight of a model that was never requested. */
-const DEFAULT_URGENCY_WEIGHT = 2.5;
 /** Weight of the demand for a model that is lost with its last replica or gained with its first. */
 const LAST_REPLICA_FACTOR = 5;
 /**
@@ -175,23 +178,6 @@
   return input.demands.get(model)?.valuePerSecond ?? 0;
 }
 
-function getUnplacedDemand(input: PlanInput, model: string): number {
-  const waiting = Math.min(
-    MAX_COUNTED_WAITING_REQUESTS,
-    input.demands.get(model)?.waitingRequests ?? 0,
-  );
-  const urgencyWeight = input.urgencyWeights.get(model) ?? DEFAULT_URGENCY_WEIGHT;
-  return (
-    getWeightedDemand(input, model) + waiting * urgencyWeight * WAITING_REQUEST_TOKENS_PER_SECOND
-  );
-}
-
-function listAssignedModels(engine: EngineView): string[] {
-  const loaded = [...engine.models.keys()].filter((model) => model !== engine.unloadingModel);
-  const incoming = [engine.loadingModel, engine.reservedModel].filter((model) => model !== null);
-  return [...new Set([...loaded, ...incoming])];
-}
-
 /** Returns the upper bound of the estimated demand for a model. */
 function getHighDemand(input: PlanInput, model: string): number {
   const demand = getDemand(input, model);
@@ -375,20 +361,29 @@
   return null;
 }
 
+/** Returns the cheapest engine that could load a missing model; undefined if none is worth its evictions. */
+function findPlacement(
+  context: PlanContext,
+  { demand, model: name, softwareVersion }: PlacementNeed,
+): PlacementCandidate | undefined {
+  const model = context.profile.modelsByName.get(name)!;
+  const best = findCandidates(context, model).find(
+    ({ engine }) => softwareVersion === null || engine.softwareVersion === softwareVersion,
+  );
+  return best !== undefined && best.evictionCost <= demand * LAST_REPLICA_FACTOR ? best : undefined;
+}
+
 /**
- * Plans a load of the model with the highest demand among those that no engine has or is loading.
+ * Plans a load of the model with the highest demand among those that no engine has or is loading, or none of a version that
+ * requests wait for.
  */
 function planUnplacedModel(context: PlanContext): PlanStep | null {
-  const unplaced = [...context.demands.keys()]
-    .filter((name) => !context.replicaCounts.has(name) && context.profile.modelsByName.has(name))
-    .filter((name) => getUnplacedDemand(context, name) >= MIN_UNPLACED_TOKENS_PER_SECOND)
-    .sort((a, b) => getUnplacedDemand(context, b) - getUnplacedDemand(context, a));
-  for (const name of unplaced) {
-    const model = context.profile.modelsByName.get(name)!;
-    const [best] = findCandidates(context, model);
-    const gain = getUnplacedDemand(context, name) * LAST_REPLICA_FACTOR;
-    if (best !== undefined && best.evictionCost <= gain) {
-      return createStep(best, name, 'no engine holds the model');
+  for (const need of listPlacementNeeds(context)) {
+    const placement = findPlacement(context, need);
+    if (placement !== undefined) {
+      const { model, softwareVersion } = need;
+      const holder = softwareVersion === null ? 'engine' : `engine of ${softwareVersion}`;
+      return createStep(placement, model, `no ${holder} holds the model`);
     }
   }
   return null;
--- a/src/coordination/entry/requests/forwarding.ts
+++ b/src/coordination/entry/requests/forwarding.ts
@@ -355,10 +355,17 @@
 }
 
 /** Counts the waiting requests by service, model and adapter. */
-export function countWaitingRequests(state: EntryState): ReadonlyMap<string, number> {
+export function countWaitingRequests(
+  state: EntryState,
+  isCounted: (record: ForwardRecord) => boolean = () => true,
+): ReadonlyMap<string, number> {
   const counts = new Map<string, number>();
   state.requests.forEach((record) => {
-    if (record.phase === ForwardPhase.Waiting && record.request.model !== null) {
+    if (
+      record.phase === ForwardPhase.Waiting &&
+      record.request.model !== null &&
+      isCounted(record)
+    ) {
       const key = getDemandKey(record);
       counts.set(key, (counts.get(key) ?? 0) + 1);
     }
--- a/src/protocol/entry/peerMessages.ts
+++ b/src/protocol/entry/peerMessages.ts
@@ -94,8 +94,9 @@
   };
 }
 
-function encodeModelDemand({ adapter, ...demand }: ModelDemand) {
-  return { ...demand, adapter: adapter ?? undefined };
+function encodeModelDemand({ adapter, softwareVersion, ...demand }: ModelDemand) {
+  const optional = { adapter: adapter ?? undefined, softwareVersion: softwareVersion ?? undefined };
+  return { ...demand, ...optional };
 }
 
 function encodeWorkspaceDemand({ lenders, ...demand }: WorkspaceDemand) {
@@ -241,6 +242,7 @@
     tokensPerSecond: wire.tokensPerSecond,
     valuePerSecond: wire.valuePerSecond,
     waitingRequests: wire.waitingRequests,
+    softwareVersion: wire.softwareVersion ?? null,
   };
 }
 
--- a/src/state/entry/demandSums.ts
+++ b/src/state/entry/demandSums.ts
@@ -15,11 +15,11 @@
   return [...sums.entries()].map(([name, sum]) => ({ name, ...sum }));
 }
 
-/** Sums demands for models by service, model and adapter. */
+/** Sums demands for models by service, model, adapter and software version. */
 export function sumModelDemands(demands: readonly ModelDemand[]): ModelDemand[] {
   const sums = new Map<string, { -readonly [K in keyof ModelDemand]: ModelDemand[K] }>();
   demands.forEach((demand) => {
-    const key = `${demand.service} ${demand.model} ${demand.adapter ?? ''}`;
+    const key = `${demand.service} ${demand.model} ${demand.adapter ?? ''} ${demand.softwareVersion ?? ''}`;
     const sum = sums.get(key);
     if (sum === undefined) {
       sums.set(key, { ...demand });
--- a/src/state/entry/reports.ts
+++ b/src/state/entry/reports.ts
@@ -38,6 +38,8 @@
   readonly valuePerSecond: number;
   /** Number of requests that wait for the model or adapter to be loaded. */
   readonly waitingRequests: number;
+  /** The software version that alone may run the waiting requests; null if any may. */
+  readonly softwareVersion: string | null;
 }
 
 /**
--- a/tests/entry/malformedMessages.test.ts
+++ b/tests/entry/malformedMessages.test.ts
@@ -167,6 +167,7 @@
         tokensPerSecond: 5,
         valuePerSecond: 5,
         waitingRequests: 1,
+        softwareVersion: 'v1',
       },
     ],
     fleet: { demands: DEMANDS, vmCount: 2 },
--- a/tests/entry/placement.test.ts
+++ b/tests/entry/placement.test.ts
@@ -35,6 +35,7 @@
 function createEngine(backendId: string, models: string[], changes = {}): EngineView {
   return {
     backendId,
+    softwareVersion: 'v1',
     models: new Map(models.map((model) => [model, new Set<string>()])),
     loadingModel: null,
     unloadingModel: null,
--- a/tests/entry/removedModels.test.ts
+++ b/tests/entry/removedModels.test.ts
@@ -161,7 +161,8 @@
 describe('an engine that may still load a model of an earlier configuration', () => {
   it.each(PENDING_CASES)('gets no order: $name', ({ engine }) => {
     const view: EngineView = {
-      ...{ backendId: 'e1', models: new Map([['m0', new Set<string>()]]), loadingModel: null },
+      ...{ backendId: 'e1', softwareVersion: 'v1' },
+      ...{ models: new Map([['m0', new Set<string>()]]), loadingModel: null },
       ...{ unloadingModel: null, reservedModel: null, isCooldownOver: true },
       ...{ hasFailedOrder: false, unconfirmedOrders: [], hostCopies: [], diskCopies: [] },
       ...{ canTakeOrder: true, ...engine },
