--- a/tests/entry/malformedMessages.test.ts
+++ b/tests/entry/malformedMessages.test.ts
@@ -167,6 +167,7 @@
         tokensPerSecond: 5,
         valuePerSecond: 5,
         waitingRequests: 1,
+        softwareVersion: 'v1',
       },
     ],
     fleet: { demands: DEMANDS, vmCount: 2 },
@@ -284,6 +285,7 @@
     handlePassedRequest: () => {},
     getConfigurationVersion: () => 1,
     getStoreAgeMs: () => 0,
+    getKnownAgeMs: () => 0,
   });
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
