Read that servers are brittle, and tell the other VMs

Callers saw nothing of it yet: no VM knew the header Server-Brittle, so brittle runners were used as any others. It is decoded in platform/ (a value that is no positive whole number states nothing), holds for the incarnation until an answer to a later request that was run no longer has it, and goes to the other VMs with the evidence, ordered by versions as request limits are. Each other server of the service counts as brittle until it has answered itself, also one that registers. Nothing is decided by it yet.

--- a/src/coordination/entry/commands.ts
+++ b/src/coordination/entry/commands.ts
@@ -100,6 +100,8 @@
     readonly urgency: number;
     /** True if the server had a request limit, so that an answer without one shows that the limit has ended. */
     readonly isServerLimited: boolean;
+    /** True if the server counted as brittle, so that an answer without that shows its end. */
+    readonly isServerBrittle: boolean;
     /** How the server can be asked whether it lives; null if it cannot. */
     readonly lifeCheck: LifeCheck | null;
   };
--- a/src/coordination/entry/events.ts
+++ b/src/coordination/entry/events.ts
@@ -97,6 +97,7 @@
   PassedRequestArrived: 'passedRequestArrived',
   ReachTick: 'reachTick',
   LimitReported: 'limitReported',
+  BrittlenessReported: 'brittlenessReported',
   ServerStated: 'serverStated',
   BackendProbed: 'backendProbed',
   EvidenceSpread: 'evidenceSpread',
@@ -226,6 +227,15 @@
     /** Time at which the request was dispatched. */
     readonly dispatchedAtMs: number;
   };
+  /** The head of a response states the rejections that its server bears in a second, or no longer does. */
+  [EntryEventKind.BrittlenessReported]: {
+    readonly backendId: string;
+    readonly bornAtWallMs: number;
+    /** Null if the server is not brittle. */
+    readonly maxRejectionsPerSecond: number | null;
+    /** Time at which the request was dispatched. */
+    readonly dispatchedAtMs: number;
+  };
   /** The head of a response states that its server is leaving, or asks for a pause. */
   [EntryEventKind.ServerStated]: {
     readonly backendId: string;
--- a/src/coordination/entry/exchange/evidenceExchange.ts
+++ b/src/coordination/entry/exchange/evidenceExchange.ts
@@ -1,6 +1,6 @@
 /**
  * Exchanges with the other VMs what was learned of backend servers: crashes and their suspects, healthy causes,
- * quarantines, request limits, and which are leaving. Times in messages are relative to the time of sending.
+ * quarantines, request limits, and which are leaving or brittle. Times in messages are relative to the time of sending.
  */
 import {
   createEvidenceReport,
@@ -8,6 +8,7 @@
   shiftEvidenceReport,
 } from '../../../state/entry/evidenceReports.js';
 import type { EntryCommand } from '../commands.js';
+import { listBrittle, mergeBrittle } from '../servers/brittleServers.js';
 import { listLeaving, mergeLeaving } from '../servers/leavingServers.js';
 import { mergeCrashEvidence } from '../evidence/quarantines.js';
 import { listLimits, mergeLimits } from '../limits/serverLimits.js';
@@ -15,7 +16,11 @@
 
 /** Returns the evidence to send to a peer, with times relative to now. */
 export function createRelativeEvidence(state: EntryState, nowMs: number): EvidenceReport {
-  const servers = { limits: listLimits(state), leaving: listLeaving(state) };
+  const servers = {
+    limits: listLimits(state),
+    leaving: listLeaving(state),
+    brittle: listBrittle(state, nowMs),
+  };
   const evidence = createEvidenceReport(state.crashEvidence, servers, nowMs);
   return shiftEvidenceReport(evidence, -nowMs);
 }
@@ -31,5 +36,6 @@
     ...mergeCrashEvidence(state, evidence, nowMs),
     ...mergeLimits(state, evidence.limits, nowMs),
     ...mergeLeaving(state, evidence.leaving),
+    ...mergeBrittle(state, evidence.brittle, nowMs),
   ];
 }
--- a/src/coordination/entry/handlers.ts
+++ b/src/coordination/entry/handlers.ts
@@ -57,6 +57,7 @@
 import { handleQuarantinesRead } from './evidence/quarantineStore.js';
 import { handleLoanAnswered, handleLoanRequested } from './limits/loans.js';
 import { handleLimitReported } from './limits/serverLimits.js';
+import { handleBrittlenessReported } from './servers/brittleServers.js';
 import { handlePassedRequestArrived } from './requests/passedAdmission.js';
 import { handleReachProbed, handleReachTick } from './servers/serviceReach.js';
 import type { EntryState } from './state.js';
@@ -84,6 +85,7 @@
   [EntryEventKind.UnframedAnswerEnded]: handleUnframedAnswerEnded,
   [EntryEventKind.AttemptStalled]: handleAttemptStalled,
   [EntryEventKind.LimitReported]: handleLimitReported,
+  [EntryEventKind.BrittlenessReported]: handleBrittlenessReported,
   [EntryEventKind.ServerStated]: handleServerStated,
   [EntryEventKind.BackendProbed]: (state, event, nowMs) => [
     ...handleReachProbed(state, event, nowMs),
--- a/src/coordination/entry/requests/forwarding.ts
+++ b/src/coordination/entry/requests/forwarding.ts
@@ -115,6 +115,7 @@
       eventGapTimeoutMs: getEventGapTimeoutMs(record),
       isStream: record.route.kind === RouteKind.Stream,
       isServerLimited: backend.limit !== null,
+      isServerBrittle: backend.brittleness !== null,
       lifeCheck: getLifeCheck(record.service),
     },
     createEntryLog(LogLevel.Debug, EntryLogPrefix.Request, 'The request was dispatched.', {
--- a/src/coordination/entry/servers/discovery.ts
+++ b/src/coordination/entry/servers/discovery.ts
@@ -4,6 +4,7 @@
  */
 import { formatStoreRevision, getStoreEra } from '../../../state/storeRevision.js';
 import { LogLevel } from '../../events.js';
+import { inheritBrittleness } from './brittleServers.js';
 import { applyEntry, removeEntry, STORE_RECOVERY_GRACE_MS } from './backendRegistry.js';
 import {
   createEntryLog,
@@ -161,6 +162,7 @@
   state.backendsRevision = revision;
   state.areBackendsRead = true;
   const changed = changes.flatMap(({ id }) => state.backends.get(id) ?? []);
+  inheritBrittleness(state, changed, nowMs);
   return [...commands, ...updateReadiness(state), ...dispatchWaitingFor(state, changed, nowMs)];
 }
 
--- a/src/coordination/entry/servers/serverPauses.ts
+++ b/src/coordination/entry/servers/serverPauses.ts
@@ -28,6 +28,11 @@
   return nowMs < pausedUntilMs + RESUME_MS && nowMs - dispatchedAtMs < RESUME_INTERVAL_MS;
 }
 
+/** Lets a server that has just come back get requests one by one, as after a pause. */
+export function resumeSlowly(backend: Backend, nowMs: number): void {
+  backend.pausedUntilMs = Math.max(backend.pausedUntilMs, nowMs);
+}
+
 /** Starts a pause, or makes it longer. */
 export function startPause(
   state: EntryState,
--- a/src/protocol/entry/peerMessages.ts
+++ b/src/protocol/entry/peerMessages.ts
@@ -44,6 +44,7 @@
   quarantines: [],
   limits: [],
   leaving: [],
+  brittle: [],
 };
 
 function encodeQuarantine({ causes, status, ...quarantine }: Quarantine) {
@@ -89,6 +90,13 @@
       version,
     })),
     leaving: wire.leaving.map(({ bornAtWallMs, serverId }) => ({ serverId, bornAtWallMs })),
+    brittle: wire.brittle.map((report) => ({
+      serverId: report.serverId,
+      bornAtWallMs: report.bornAtWallMs,
+      maxRejectionsPerSecond: report.maxRejectionsPerSecond ?? null,
+      version: report.version,
+      fullUntilMs: report.fullUntilMs ?? null,
+    })),
   };
 }
 
@@ -111,7 +119,8 @@
   };
 }
 
-function encodeEvidence({ crashes, healthyCauses, leaving, limits, quarantines }: EvidenceReport) {
+function encodeEvidence(evidence: EvidenceReport) {
+  const { brittle, crashes, healthyCauses, leaving, limits, quarantines } = evidence;
   return {
     crashes: crashes.map((crash) => ({
       ...crash,
@@ -124,6 +133,11 @@
       requestsPerSecond: limit.requestsPerSecond ?? undefined,
     })),
     leaving: [...leaving],
+    brittle: brittle.map((report) => ({
+      ...report,
+      maxRejectionsPerSecond: report.maxRejectionsPerSecond ?? undefined,
+      fullUntilMs: report.fullUntilMs ?? undefined,
+    })),
   };
 }
 
--- a/src/state/entry/backends.ts
+++ b/src/state/entry/backends.ts
@@ -49,6 +49,11 @@
   usedAtMs: number;
 }
 
+/** The statement of a server that it ends when it has to reject too many requests in a second for want of room. */
+export interface Brittleness {
+  readonly maxRejectionsPerSecond: number;
+}
+
 /** The state that this VM keeps about a backend server. Mutable; owned by the event loop. */
 export interface Backend {
   entry: BackendEntry;
@@ -87,6 +92,14 @@
   limitVersion: number;
   /** Time at which this VM learned of the last change. */
   limitChangedAtMs: number;
+  /** Null unless the server is brittle. */
+  brittleness: Brittleness | null;
+  /** Increases with each change of the brittleness that a VM has read from an answer; 0 if none was ever read. */
+  brittleVersion: number;
+  /** Time at which this VM learned of the last change, also from another server of the service. */
+  brittleChangedAtMs: number;
+  /** Time until which the server, which is brittle, counts as full after a rejection. */
+  fullUntilMs: number;
   /** Models and adapters that the server reported as not loaded, with the time until which that is assumed. */
   readonly missingUntilMs: Map<string, number>;
   /** Adapters that the controller reports as loaded before the entry lists them, as `model/adapter`. */
@@ -103,12 +116,17 @@
   | 'limit'
   | 'limitVersion'
   | 'limitChangedAtMs'
+  | 'brittleness'
+  | 'brittleVersion'
+  | 'brittleChangedAtMs'
+  | 'fullUntilMs'
 >;
 
 /** Returns what a server has said of itself. */
 export function getStatedFacts(backend: Backend): StatedFacts {
   const { hasMalformedStatement, isLeaving, isPauseReported, limit } = backend;
   const { limitChangedAtMs, limitVersion, pausedUntilMs } = backend;
+  const { brittleChangedAtMs, brittleVersion, brittleness, fullUntilMs } = backend;
   return {
     isLeaving,
     hasMalformedStatement,
@@ -117,6 +135,10 @@
     limit,
     limitVersion,
     limitChangedAtMs,
+    brittleness,
+    brittleVersion,
+    brittleChangedAtMs,
+    fullUntilMs,
   };
 }
 
@@ -142,6 +164,10 @@
     limit: null,
     limitVersion: 0,
     limitChangedAtMs: Number.NEGATIVE_INFINITY,
+    brittleness: null,
+    brittleVersion: 0,
+    brittleChangedAtMs: Number.NEGATIVE_INFINITY,
+    fullUntilMs: Number.NEGATIVE_INFINITY,
     missingUntilMs: new Map(),
     controllerAdapters: new Set(),
   };
--- a/src/state/entry/evidenceReports.ts
+++ b/src/state/entry/evidenceReports.ts
@@ -1,5 +1,5 @@
 /**
- * What VMs tell each other of backend servers: evidence on crashes, quarantines, request limits, and which are leaving.
+ * What VMs tell each other of backend servers: evidence on crashes, quarantines, request limits, and which are leaving or brittle.
  */
 import {
   type CrashReport,
@@ -55,6 +55,17 @@
   readonly version: number;
 }
 
+/** What answers of a server have stated of the rejections that it bears. */
+export interface BrittleReport {
+  readonly serverId: string;
+  readonly bornAtWallMs: number;
+  /** Null if the server is no longer brittle. */
+  readonly maxRejectionsPerSecond: number | null;
+  readonly version: number;
+  /** Time until which the server counts as full after a rejection for want of room; null if it does not. */
+  readonly fullUntilMs: number | null;
+}
+
 /** A server that is leaving. */
 export interface LeavingReport {
   readonly serverId: string;
@@ -65,6 +76,7 @@
 export interface ServerReports {
   readonly limits: readonly LimitReport[];
   readonly leaving: readonly LeavingReport[];
+  readonly brittle: readonly BrittleReport[];
 }
 
 /** All that VMs tell each other of backend servers. */
@@ -91,6 +103,10 @@
     quarantines: report.quarantines.map((quarantine) => shiftQuarantine(quarantine, offsetMs)),
     limits: report.limits,
     leaving: report.leaving,
+    brittle: report.brittle.map(({ fullUntilMs, ...brittle }) => ({
+      ...brittle,
+      fullUntilMs: fullUntilMs === null ? null : fullUntilMs + offsetMs,
+    })),
   };
 }
 
--- a/src/transport/entry/attempt.ts
+++ b/src/transport/entry/attempt.ts
@@ -251,6 +251,27 @@
   }
 }
 
+/** Reports the rejections that a brittle server bears, or that a server is no longer brittle. */
+function reportBrittleness(
+  { command, context, startedAtMs }: Attempt,
+  { brittleness }: AnswerHead,
+): void {
+  const { isStated, maxRejectionsPerSecond } = brittleness;
+  if (command.kind !== EntryCommandKind.Dispatch || !isStated) {
+    return;
+  }
+  if (maxRejectionsPerSecond !== null || command.isServerBrittle) {
+    const { backendId, bornAtWallMs } = command;
+    context.post({
+      kind: EntryEventKind.BrittlenessReported,
+      backendId,
+      bornAtWallMs,
+      maxRejectionsPerSecond,
+      dispatchedAtMs: startedAtMs,
+    });
+  }
+}
+
 /** Reports what the head of a response states of its server, also one that another VM passes. */
 function reportStatements(attempt: Attempt, response: IncomingMessage, head: AnswerHead): void {
   const { command, context, exchange } = attempt;
@@ -264,6 +285,7 @@
   }
   if (!attempt.isSettled) {
     reportLimit(attempt, head);
+    reportBrittleness(attempt, head);
   }
 }
 
--- a/src/transport/entry/metricsServer.ts
+++ b/src/transport/entry/metricsServer.ts
@@ -55,6 +55,8 @@
     [...backends.values()].filter((backend) => isPaused(backend, getNowMs())).length,
   gentiandeck_cut_off_services: ({ reach }) =>
     [...reach.values()].filter(({ cutOffSinceMs }) => cutOffSinceMs !== null).length,
+  gentiandeck_brittle_backends: ({ backends }) =>
+    [...backends.values()].filter(({ brittleness }) => brittleness !== null).length,
   gentiandeck_limited_backends: ({ backends }) =>
     [...backends.values()].filter(({ limit }) => limit !== null).length,
   gentiandeck_backends_revision: ({ backendsRevision }) => getRevisionInEra(backendsRevision),
--- a/src/transport/entry/wire.ts
+++ b/src/transport/entry/wire.ts
@@ -42,6 +42,7 @@
   readonly isMisdirected: boolean;
   readonly load: BackendLoad | null;
   readonly limit: LimitStatement;
+  readonly brittleness: BrittlenessStatement;
   readonly statement: ServerStatement;
 }
 
@@ -69,6 +70,14 @@
   readonly requestsPerSecond: number | null;
 }
 
+/** What an answer states about the rejections that its server bears. */
+export interface BrittlenessStatement {
+  /** False if the answer does not show whether the server is brittle. */
+  readonly isStated: boolean;
+  /** Null if the server is not brittle. */
+  readonly maxRejectionsPerSecond: number | null;
+}
+
 /** Header names and values in alternation, as Node.js has raw headers. */
 export type OutgoingHead = readonly string[];
 
--- a/tests/entry/answerEnds.test.ts
+++ b/tests/entry/answerEnds.test.ts
@@ -87,6 +87,7 @@
   isStream: true,
   softwareVersion: 'v1',
   isServerLimited: false,
+  isServerBrittle: false,
   lifeCheck: null,
 };
 
--- a/tests/entry/brokenStreams.test.ts
+++ b/tests/entry/brokenStreams.test.ts
@@ -55,6 +55,7 @@
   isStream: true,
   softwareVersion: 'v1',
   isServerLimited: false,
+  isServerBrittle: false,
   lifeCheck: null,
 };
 
--- a/tests/entry/closedBeforeRead.test.ts
+++ b/tests/entry/closedBeforeRead.test.ts
@@ -83,6 +83,7 @@
         isStream,
         softwareVersion: 'v1',
         isServerLimited: false,
+        isServerBrittle: false,
       },
       lifeCheck: null,
     };
--- a/tests/entry/evidenceSpread.test.ts
+++ b/tests/entry/evidenceSpread.test.ts
@@ -2,7 +2,7 @@
  * Tests that what one VM learns of a backend server reaches all VMs in time, at a cost that does not grow faster than the fleet.
  */
 import { describe, expect, it } from 'vitest';
-import { EntryEventKind } from '../../src/coordination/entry/events.js';
+import { type EntryEvent, EntryEventKind } from '../../src/coordination/entry/events.js';
 import { PeerCallPurpose } from '../../src/coordination/entry/exchange/peerCallPurpose.js';
 import { RelayRole } from '../../src/coordination/entry/state.js';
 import {
@@ -69,10 +69,36 @@
   { ...BASE, name: 'a VM whose relay has died', disturb: stopRelayOf, boundMs: CONTACT_MS },
 ];
 
-function knowsLimit({ state }: ExchangeVm): boolean {
-  return state.backends.get(SERVER)?.limit?.requestsPerSecond === 2;
+interface Statement {
+  readonly name: string;
+  readonly createEvent: (dispatchedAtMs: number) => EntryEvent;
+  readonly isKnown: (vm: ExchangeVm) => boolean;
 }
 
+const STATEMENTS: readonly Statement[] = [
+  {
+    name: 'the request limit of a server',
+    createEvent: (dispatchedAtMs) => ({
+      kind: EntryEventKind.LimitReported,
+      backendId: SERVER,
+      requestsPerSecond: 2,
+      dispatchedAtMs,
+    }),
+    isKnown: ({ state }) => state.backends.get(SERVER)?.limit?.requestsPerSecond === 2,
+  },
+  {
+    name: 'the statement of a server that it is brittle',
+    createEvent: (dispatchedAtMs) => ({
+      kind: EntryEventKind.BrittlenessReported,
+      backendId: SERVER,
+      bornAtWallMs: 1,
+      maxRejectionsPerSecond: 2,
+      dispatchedAtMs,
+    }),
+    isKnown: ({ state }) => state.backends.get(SERVER)?.brittleness?.maxRejectionsPerSecond === 2,
+  },
+];
+
 function startFleet({ loss, vmCount }: Case): ExchangeFleet {
   const fleet = createExchangeFleet({
     seed: 1,
@@ -92,20 +118,15 @@
   return fleet;
 }
 
-describe('the request limit of a server that one VM reads', () => {
+describe.each(STATEMENTS)('$name that one VM reads', ({ createEvent, isKnown }) => {
   it.each(CASES)('is known to all VMs in time, if it is read by $name', (scenario) => {
     const fleet = startFleet(scenario);
     const vm = findByRole(fleet, scenario.role)[0]!;
     scenario.disturb(fleet, vm);
     const callsBefore = fleet.countCalls(PeerCallPurpose.Evidence);
-    fleet.post(vm, {
-      kind: EntryEventKind.LimitReported,
-      backendId: SERVER,
-      requestsPerSecond: 2,
-      dispatchedAtMs: fleet.getNowMs(),
-    });
+    fleet.post(vm, createEvent(fleet.getNowMs()));
     fleet.runFor(scenario.boundMs);
-    const unaware = fleet.vms.filter((other) => other.isRunning && !knowsLimit(other));
+    const unaware = fleet.vms.filter((other) => other.isRunning && !isKnown(other));
     expect(unaware.map(({ listed, state }) => `${listed.vmId} ${state.relayRole}`)).toEqual([]);
     fleet.runFor(CONTACT_MS);
     const calls = fleet.countCalls(PeerCallPurpose.Evidence) - callsBefore;
--- a/tests/entry/lateDispatch.test.ts
+++ b/tests/entry/lateDispatch.test.ts
@@ -40,6 +40,7 @@
   isStream: false,
   softwareVersion: 'v1',
   isServerLimited: false,
+  isServerBrittle: false,
   lifeCheck: null,
 };
 
--- a/tests/entry/lifeFixtures.ts
+++ b/tests/entry/lifeFixtures.ts
@@ -138,6 +138,7 @@
   isStream: true,
   softwareVersion: 'v1',
   isServerLimited: false,
+  isServerBrittle: false,
   lifeCheck: { healthPath: HEALTH_PATH },
 };
 
--- a/tests/entry/malformedMessages.test.ts
+++ b/tests/entry/malformedMessages.test.ts
@@ -63,6 +63,7 @@
     'Retry-After',
     'Server-Leaving',
     'Server-Limit',
+    'Server-Brittle',
     'X-Server-Load',
   ),
   fc.string({ minLength: 1 }),
@@ -158,6 +159,15 @@
       ...NO_EVIDENCE,
       limits: [{ serverId: 'c1', bornAtWallMs: 1, requestsPerSecond: 2, version: 1 }],
       leaving: [{ serverId: 'c2', bornAtWallMs: 1 }],
+      brittle: [
+        {
+          serverId: 'c1',
+          bornAtWallMs: 1,
+          maxRejectionsPerSecond: 2,
+          version: 1,
+          fullUntilMs: 100,
+        },
+      ],
     },
     modelDemands: [
       {
--- a/tests/entry/refusedCalls.test.ts
+++ b/tests/entry/refusedCalls.test.ts
@@ -51,6 +51,7 @@
   eventGapTimeoutMs: 900,
   softwareVersion: 'v1',
   isServerLimited: false,
+  isServerBrittle: false,
   lifeCheck: null,
   isStream: false,
 };
--- a/tests/entry/spoiledAttempts.test.ts
+++ b/tests/entry/spoiledAttempts.test.ts
@@ -62,6 +62,7 @@
   isStream: true,
   softwareVersion: 'v1',
   isServerLimited: false,
+  isServerBrittle: false,
   lifeCheck: null,
 };
 
--- a/tests/entry/timerLimits.test.ts
+++ b/tests/entry/timerLimits.test.ts
@@ -84,7 +84,13 @@
         ...{ kind: EntryCommandKind.Dispatch, requestId: 'r', attempt: 1, backendId: 'i-1' },
         ...{ bornAtWallMs: 0, address: '127.0.0.1:9', workspace: null, remainingMs: 900 },
         ...{ urgency: 5, maxConnections: 1, startTimeoutMs, eventGapTimeoutMs: 900 },
-        ...{ softwareVersion: 'v1', isServerLimited: false, isStream: false, lifeCheck: null },
+        ...{
+          softwareVersion: 'v1',
+          isServerLimited: false,
+          isServerBrittle: false,
+          isStream: false,
+          lifeCheck: null,
+        },
       };
       const request = Object.assign(new EventEmitter(), { destroy: () => {} });
       vi.spyOn(http, 'request').mockReturnValue(request as never);
--- a/tests/platform/decoding.test.ts
+++ b/tests/platform/decoding.test.ts
@@ -463,6 +463,41 @@
   });
 });
 
+const BRITTLENESS_CASES = [
+  { name: 'a whole number', value: '3', status: 200, stated: true, limit: 3 },
+  { name: 'one', value: '1', status: 200, stated: true, limit: 1 },
+  { name: 'a large number', value: '1000000', status: 200, stated: true, limit: 1_000_000 },
+  { name: 'a rejection with a number', value: '3', status: 421, stated: true, limit: 3 },
+  { name: 'two values', value: '5, 3', status: 200, stated: true, limit: 3 },
+  { name: 'the same value twice', value: '3, 3', status: 200, stated: true, limit: 3 },
+  { name: 'a text and a number', value: 'many, 3', status: 200, stated: true, limit: 3 },
+  { name: 'no value', value: undefined, status: 200, stated: true, limit: null },
+  {
+    name: 'a rejection without a value',
+    value: undefined,
+    status: 421,
+    stated: false,
+    limit: null,
+  },
+  { name: 'zero', value: '0', status: 200, stated: false, limit: null },
+  { name: 'a negative number', value: '-1', status: 200, stated: false, limit: null },
+  { name: 'a fraction', value: '0.5', status: 200, stated: false, limit: null },
+  { name: 'an exponent', value: '1e99', status: 200, stated: false, limit: null },
+  { name: 'more than 15 digits', value: '9'.repeat(16), status: 200, stated: false, limit: null },
+  { name: 'a text', value: 'yes', status: 200, stated: false, limit: null },
+  { name: 'an empty value', value: '', status: 200, stated: false, limit: null },
+];
+
+describe('the brittleness in the head of an answer', () => {
+  it.each(BRITTLENESS_CASES)('is decoded from $name', ({ limit, stated, status, value }) => {
+    const headers = value === undefined ? {} : { 'server-brittle': value };
+    expect(decodeAnswerHead(status, headers).brittleness).toEqual({
+      isStated: stated,
+      maxRejectionsPerSecond: limit,
+    });
+  });
+});
+
 const LEAVING_CASES = [
   { name: 'no header', headers: {}, leaving: LeavingStatement.None },
   { name: 'a one', headers: { 'server-leaving': '1' }, leaving: LeavingStatement.Leaving },
--- a/tests/state/crashEvidence.test.ts
+++ b/tests/state/crashEvidence.test.ts
@@ -33,7 +33,7 @@
   for (let i = 0; i < count; i += 1) {
     const [sender, receiver] = i % 2 === 0 ? [a, b] : [b, a];
     const report = shiftEvidenceReport(
-      createEvidenceReport(sender, { limits: [], leaving: [] }, nowMs),
+      createEvidenceReport(sender, { limits: [], leaving: [], brittle: [] }, nowMs),
       -nowMs,
     );
     nowMs += MESSAGE_DELAY_MS;
