Keep what all VMs have in flight at a brittle server within its slots

Callers saw 503 and lost answers: in a burst brittle servers rejected more than they bear and fell over, each retry went on to the next one, and one that came back met all that waited. Cause: nothing bounded over all VMs what is in flight at a server, and a rejection went to the next server at once. Each VM now has whole places of a brittle server, which add up to its slots (serverPlaces.ts, an obstacle in serverAvailability.ts), and borrows and returns places beyond them; a rejection for want of room is told to the other VMs and stops all of them for a second over N; the rejected request is held for 150 to 300 ms; a server that is back gets requests one by one; new requests wait behind those that wait already. Nothing changes while no server says that it is brittle.

--- a/src/coordination/entry/events.ts
+++ b/src/coordination/entry/events.ts
@@ -62,6 +62,8 @@
   Workspace: 'workspace',
   /** The requests that a backend server takes from all VMs. */
   Server: 'server',
+  /** The places of a brittle backend server. */
+  Place: 'place',
 } as const;
 export type LimitKind = (typeof LimitKind)[keyof typeof LimitKind];
 
--- a/src/coordination/entry/exchange/gossip.ts
+++ b/src/coordination/entry/exchange/gossip.ts
@@ -24,7 +24,7 @@
   selectRandom,
 } from './exchangePeers.js';
 import { summarizeFleet, summarizeModelDemands, summarizeOwnReports } from './fleetDemands.js';
-import { dispatchWaiting } from '../requests/forwarding.js';
+import { dispatchWaiting } from '../requests/dispatchOrder.js';
 import { listModelDemands, listWorkspaceDemands } from './ownDemands.js';
 import { expireLoanAnswers } from '../limits/rateLoans.js';
 import {
--- a/src/coordination/entry/lifecycle.ts
+++ b/src/coordination/entry/lifecycle.ts
@@ -15,7 +15,7 @@
 import { EntryEventKind, type EntryEventOf, StopStep } from './events.js';
 import { requestAdapter } from './placement/adapterRequests.js';
 import { forgetDeparted, removeExpiredBackends } from './servers/backendRegistry.js';
-import { dispatchWaiting } from './requests/forwarding.js';
+import { dispatchWaiting } from './requests/dispatchOrder.js';
 import { expireCrashEvidence } from './evidence/quarantines.js';
 import { applyCopiedEntries } from './servers/restoredStore.js';
 import { storeQuarantines } from './evidence/quarantineStore.js';
@@ -25,6 +25,7 @@
 import { recallPast } from './requests/streamVersions.js';
 import type { EntryPolicy } from './policy.js';
 import { updatePermitShares } from './limits/serverLimits.js';
+import { returnPlaces } from './limits/serverPlaces.js';
 import { reportEndedPauses } from './servers/serverPauses.js';
 import { updateVmsLastSeen } from './liveVms.js';
 import { EntryLifecycle, type EntryState, ForwardPhase, isShuttingDown } from './state.js';
@@ -180,6 +181,7 @@
     ...applyCopiedEntries(state, nowMs),
     ...reportEndedPauses(state, nowMs),
     ...dispatchWaiting(state, nowMs),
+    ...returnPlaces(state, nowMs),
     ...retryAdapterRequests(state, nowMs),
     ...storeQuarantines(state, nowMs),
     ...maintainStreamOrigins(state, nowMs),
--- a/src/coordination/entry/limits/loans.ts
+++ b/src/coordination/entry/limits/loans.ts
@@ -4,9 +4,11 @@
 import { handleRateLoan } from '../requests/admission.js';
 import { type EntryCommand, EntryCommandKind } from '../commands.js';
 import { type EntryEventKind, type EntryEventOf, LimitKind } from '../events.js';
+import { handlePlaceLoan } from '../requests/dispatchOrder.js';
 import { handlePermitLoan } from '../requests/forwarding.js';
 import { lendRate, type Loan } from './rateLoans.js';
 import { lendPermits } from './serverLimits.js';
+import { lendPlace } from './serverPlaces.js';
 import type { EntryState } from '../state.js';
 
 type Lender = (state: EntryState, name: string, tokens: number, nowMs: number) => Loan;
@@ -19,11 +21,13 @@
 const LENDERS: Readonly<Record<LimitKind, Lender>> = {
   [LimitKind.Workspace]: lendRate,
   [LimitKind.Server]: lendPermits,
+  [LimitKind.Place]: lendPlace,
 };
 
 const LOAN_HANDLERS: Readonly<Record<LimitKind, LoanHandler>> = {
   [LimitKind.Workspace]: handleRateLoan,
   [LimitKind.Server]: handlePermitLoan,
+  [LimitKind.Place]: handlePlaceLoan,
 };
 
 /** Lends another VM the requested tokens if this VM has that many to spare, else none. */
--- a/src/coordination/entry/limits/serverLimits.ts
+++ b/src/coordination/entry/limits/serverLimits.ts
@@ -29,6 +29,7 @@
 import { spreadEvidence } from '../exchange/evidenceSpread.js';
 import { findLender } from './lenders.js';
 import type { Loan } from './rateLoans.js';
+import { updatePlaces } from './serverPlaces.js';
 import { countVmsSharingLimits } from '../liveVms.js';
 import { type EntryState } from '../state.js';
 
@@ -54,11 +55,14 @@
   }
 }
 
-/** Adapts this VM's shares of all limits to the VMs that there are now, if these have changed. */
+/** Adapts this VM's shares of all limits and places to the VMs that there are now, if these have changed. */
 export function updatePermitShares(state: EntryState, nowMs: number): void {
   if (state.sharingVmIds !== state.permitShareVmIds) {
     state.permitShareVmIds = state.sharingVmIds;
-    state.backends.forEach((backend) => updateShare(state, backend, nowMs));
+    state.backends.forEach((backend) => {
+      updateShare(state, backend, nowMs);
+      updatePlaces(state, backend);
+    });
   }
 }
 
--- a/src/coordination/entry/placement/adapterAnswers.ts
+++ b/src/coordination/entry/placement/adapterAnswers.ts
@@ -4,7 +4,7 @@
 import { getVariantKey } from '../../../state/entry/backends.js';
 import type { EntryCommand } from '../commands.js';
 import type { EntryEventKind, EntryEventOf } from '../events.js';
-import { dispatchWaiting } from '../requests/forwarding.js';
+import { dispatchWaiting } from '../requests/dispatchOrder.js';
 import type { EntryState } from '../state.js';
 
 /** Records that the controller reports an adapter as loaded, and dispatches waiting requests. */
--- a/src/coordination/entry/requests/admission.ts
+++ b/src/coordination/entry/requests/admission.ts
@@ -217,6 +217,7 @@
     possiblyRunBackendIds: [...(pass?.possiblyRunIds ?? [])],
     notRunBackendIds: [...(pass?.notRunIds ?? [])],
     notRunAttempts: 0,
+    heldUntilMs: Number.NEGATIVE_INFINITY,
     runStatus: RunStatus.NotRun,
     firstEventAtMs: null,
     isPlaceDoubtful: false,
--- a/src/coordination/entry/requests/attempts.ts
+++ b/src/coordination/entry/requests/attempts.ts
@@ -43,8 +43,14 @@
 import { recordStreamVersion } from './streamOriginWrites.js';
 import { PassResult } from '../../../state/entry/passTargets.js';
 import { type EntryState, ForwardPhase, type ForwardRecord } from '../state.js';
+import { dispatchFreed } from './dispatchOrder.js';
 import { tryDispatch } from './forwarding.js';
+import { recordWantOfRoom } from '../servers/brittleServers.js';
+import { nextRandom } from '../../../state/random.js';
 
+/** A request that a brittle server has rejected is sent again after this time, and up to as long again. */
+const HOLD_MS = 150;
+const HOLD_SPREAD_MS = 150;
 /** Lowest HTTP status that indicates a failure of the server rather than of the request. */
 const MIN_SERVER_ERROR_STATUS = 500;
 /** States of an attempt whose server has sent at least the head of an answer. */
@@ -117,7 +123,11 @@
   countIfPassed(state, record);
   const { maxGapMs, meanGapMs } = event;
   const end = { outcome: RequestOutcome.Completed, diagnostic: null, maxGapMs, meanGapMs };
-  return [...closeForward(state, record, end, nowMs), ...recordHealthyAnswer(state, record, nowMs)];
+  return [
+    ...closeForward(state, record, end, nowMs),
+    ...dispatchFreed(state, backend, nowMs),
+    ...recordHealthyAnswer(state, record, nowMs),
+  ];
 }
 
 /** Returns what is known about the execution of a failed attempt. */
@@ -131,7 +141,7 @@
   record: ForwardRecord,
   failure: AttemptFailure,
   nowMs: number,
-): void {
+): EntryCommand[] {
   const { isMisdirected, isRefusedByServer } = failure;
   const attemptStatus = getAttemptStatus(failure);
   const backendId = record.backendId!;
@@ -141,7 +151,7 @@
   record.notRunAttempts += isNotRun ? 1 : 0;
   (isNotRun ? record.notRunBackendIds : record.possiblyRunBackendIds).push(backendId);
   if (backend === undefined) {
-    return;
+    return [];
   }
   const { adapter, model } = record.request;
   if (isMisdirected) {
@@ -152,6 +162,11 @@
     recordAttemptOutcome(backend, true);
     markUnreachable(backend, nowMs);
   }
+  if (!isRefusedByServer || isMisdirected || backend.brittleness === null) {
+    return [];
+  }
+  record.heldUntilMs = nowMs + HOLD_MS + nextRandom(state.random) * HOLD_SPREAD_MS;
+  return recordWantOfRoom(state, backend, nowMs);
 }
 
 /** Records whether an attempt that failed has reached its server. */
@@ -210,7 +225,7 @@
   });
   const { diagnostic, isMisdirected, isRefusedByServer } = failure;
   const isConnectionLost = !isRefusedByServer && LOST_CONNECTION_CODES.has(diagnostic.code);
-  recordFailure(state, record, failure, nowMs);
+  const room = recordFailure(state, record, failure, nowMs);
   const reach = backend === undefined ? [] : recordReach(state, record, backend, failure, nowMs);
   record.isPlaceDoubtful ||= event.isPlaceDoubtful ?? false;
   const begun = isAnswerBegun
@@ -221,7 +236,7 @@
       ? recordLostConnection(state, record, backend, failure.runState, nowMs)
       : { cause: LossCause.Irrelevant, commands: [] };
   releaseBackend(state, record);
-  const log = [failureLog, ...reach, ...begun];
+  const log = [failureLog, ...room, ...reach, ...begun, ...dispatchFreed(state, backend, nowMs)];
   if (!state.requests.has(event.requestId)) {
     return [...log, ...commands];
   }
@@ -278,6 +293,7 @@
   return [
     { kind: EntryCommandKind.DeliverAnswer, requestId, attempt },
     ...closeForward(state, record, end, nowMs),
+    ...dispatchFreed(state, backend, nowMs),
     ...(isFailure ? [] : recordHealthyAnswer(state, record, nowMs)),
   ];
 }
--- a/src/coordination/entry/requests/backendSelection.ts
+++ b/src/coordination/entry/requests/backendSelection.ts
@@ -12,6 +12,7 @@
 import { nextRandomInt } from '../../../state/random.js';
 import { getPrefillDelay } from './prefillLoad.js';
 import { findObstacle, isEligible } from '../servers/serverAvailability.js';
+import { isBrittlenessUnverified } from '../servers/brittleServers.js';
 import { isLimitUnverified } from '../limits/serverLimits.js';
 import { countLiveVms } from '../liveVms.js';
 import { type EntryState, type ForwardRecord } from '../state.js';
@@ -140,9 +141,21 @@
   );
 }
 
+/** Returns whether a request that a brittle server has just rejected is not sent to any server yet. */
+export function isHeld(
+  { heldUntilMs }: Pick<ForwardRecord, 'heldUntilMs'>,
+  nowMs: number,
+): boolean {
+  return nowMs < heldUntilMs;
+}
+
 /** Returns the servers of a request's service that can run it now and have not been tried. */
-export function findCandidates(state: EntryState, record: Target, nowMs: number): Backend[] {
-  return nowMs >= state.noDispatchFromMs
+export function findCandidates(
+  state: EntryState,
+  record: Target & Pick<ForwardRecord, 'heldUntilMs'>,
+  nowMs: number,
+): Backend[] {
+  return nowMs >= state.noDispatchFromMs || isHeld(record, nowMs)
     ? []
     : findHolders(state, record, nowMs).filter((backend) => findObstacle(backend, nowMs) === null);
 }
@@ -156,7 +169,9 @@
 ): Backend | undefined {
   const reachable = candidates.filter((backend) => backend.avoidUntilMs <= nowMs);
   const pool = reachable.length > 0 ? reachable : candidates;
-  const unverified = pool.find((backend) => isLimitUnverified(backend, nowMs));
+  const unverified = pool.find(
+    (backend) => isLimitUnverified(backend, nowMs) || isBrittlenessUnverified(backend, nowMs),
+  );
   if (unverified !== undefined) {
     return unverified;
   }
--- /dev/null
+++ b/src/coordination/entry/requests/dispatchOrder.ts
@@ -0,0 +1,104 @@
+/**
+ * Decides which of the requests of this VM goes next: a new one, or one that waits for a server, a permit or a place.
+ */
+import type { Backend } from '../../../state/entry/backends.js';
+import { createDiagnostic, Diagnostics } from '../../../state/diagnostics.js';
+import type { EntryCommand } from '../commands.js';
+import type { EntryEventKind, EntryEventOf } from '../events.js';
+import { creditPlace } from '../limits/serverPlaces.js';
+import { hasBrittle } from '../servers/brittleServers.js';
+import { type EntryState, ForwardPhase, type ForwardRecord } from '../state.js';
+import { findHolders, isHeld, isHolder } from './backendSelection.js';
+import {
+  getUrgency,
+  OVERLOADED_RETRY_AFTER_MS,
+  startWaiting,
+  tryDispatch,
+  tryDispatchWaiting,
+} from './forwarding.js';
+import { isServiceUnreachable } from './passing.js';
+import { refuseForward } from './requestCompletion.js';
+import { depositRetry } from './retryBudget.js';
+
+function listWaiting(state: EntryState): ForwardRecord[] {
+  return [...state.requests.values()]
+    .filter((record) => record.phase === ForwardPhase.Waiting)
+    .sort((a, b) => getUrgency(a) - getUrgency(b));
+}
+
+/** Dispatches the most urgent of some waiting requests, or asks for what it lacks. */
+function dispatchFirst(
+  state: EntryState,
+  isMeant: (record: ForwardRecord) => boolean,
+  nowMs: number,
+): EntryCommand[] {
+  const first = listWaiting(state).find((record) => !isHeld(record, nowMs) && isMeant(record));
+  return first === undefined ? [] : tryDispatchWaiting(state, first, nowMs);
+}
+
+/** Dispatches a request that has waited for brittle servers, so that a new one for them does not take its place. */
+function dispatchAhead(state: EntryState, record: ForwardRecord, nowMs: number): EntryCommand[] {
+  const isAhead = (other: ForwardRecord): boolean =>
+    other !== record &&
+    other.service === record.service &&
+    other.request.model === record.request.model;
+  return hasBrittle(findHolders(state, record, nowMs)) ? dispatchFirst(state, isAhead, nowMs) : [];
+}
+
+/** Dispatches a request to the place that another VM has lent, and asks for one for the next. Without one it goes on waiting. */
+export function handlePlaceLoan(
+  state: EntryState,
+  event: EntryEventOf<typeof EntryEventKind.LoanAnswered>,
+  nowMs: number,
+): EntryCommand[] {
+  creditPlace(state, event.limit.name, event.vmId, event.lentTokens, nowMs);
+  const record = state.requests.get(event.requestId);
+  if (event.lentTokens === 0 || record?.phase !== ForwardPhase.Waiting) {
+    return [];
+  }
+  const dispatch = tryDispatchWaiting(state, record, nowMs);
+  return [...dispatch, ...dispatchFirst(state, () => true, nowMs)];
+}
+
+/** Dispatches an admitted request, or lets it wait. */
+export function startForward(
+  state: EntryState,
+  record: ForwardRecord,
+  nowMs: number,
+): EntryCommand[] {
+  depositRetry(state, record.service.name);
+  if (isServiceUnreachable(state, record, nowMs)) {
+    const diagnostic = createDiagnostic(Diagnostics.ServersUnreachable, record.service.name);
+    return refuseForward(state, record, diagnostic, nowMs, OVERLOADED_RETRY_AFTER_MS);
+  }
+  const ahead = dispatchAhead(state, record, nowMs);
+  return [...ahead, ...(tryDispatch(state, record, nowMs) ?? startWaiting(state, record, nowMs))];
+}
+
+/** Dispatches waiting requests, most urgent first, once servers, models or adapters have become available. */
+export function dispatchWaiting(state: EntryState, nowMs: number): EntryCommand[] {
+  return listWaiting(state).flatMap((record) => tryDispatchWaiting(state, record, nowMs));
+}
+
+/** Does the same for the requests that one of some servers may run, without looking at all servers for the others. */
+export function dispatchWaitingFor(
+  state: EntryState,
+  servers: readonly Backend[],
+  nowMs: number,
+): EntryCommand[] {
+  return listWaiting(state)
+    .filter((record) => servers.some((server) => isHolder(record, server, nowMs)))
+    .flatMap((record) => tryDispatchWaiting(state, record, nowMs));
+}
+
+/** Dispatches the most urgent request that waits for a brittle server which has just ended one of this VM. */
+export function dispatchFreed(
+  state: EntryState,
+  backend: Backend | undefined,
+  nowMs: number,
+): EntryCommand[] {
+  if (backend === undefined || backend.brittleness === null) {
+    return [];
+  }
+  return dispatchFirst(state, (record) => isHolder(record, backend, nowMs), nowMs);
+}
--- a/src/coordination/entry/requests/forwarding.ts
+++ b/src/coordination/entry/requests/forwarding.ts
@@ -23,11 +23,11 @@
   getWaitTimerId,
   refuseForward,
 } from './requestCompletion.js';
-import { findPassTarget, isBarredFromServers, isServiceUnreachable, passTo } from './passing.js';
+import { findPassTarget, isBarredFromServers, passTo } from './passing.js';
 import { addPendingPrefill } from './prefillLoad.js';
 import { getCallerTimeoutMs, getEventGapTimeoutMs, getFirstDataTimeoutMs } from './requestTimes.js';
-import { depositRetry, withdrawRetry } from './retryBudget.js';
-import { chooseBackend, findCandidates, findHolders, isHolder } from './backendSelection.js';
+import { withdrawRetry } from './retryBudget.js';
+import { chooseBackend, findCandidates, findHolders, isHeld } from './backendSelection.js';
 import {
   countLimited,
   creditPermits,
@@ -35,6 +35,8 @@
   requestPermit,
   takePermit,
 } from '../limits/serverLimits.js';
+import { requestPlace } from '../limits/serverPlaces.js';
+import { hasBrittle } from '../servers/brittleServers.js';
 import { formatObstacles } from '../servers/serverAvailability.js';
 import { getPauseWaitMs, isPaused } from '../servers/serverPauses.js';
 import { requestAdapter } from '../placement/adapterRequests.js';
@@ -61,7 +63,7 @@
 const MIN_CONNECTIONS = 2;
 
 /** Returns the urgency of a request, from 0, the most urgent, to 9. */
-function getUrgency(record: ForwardRecord): number {
+export function getUrgency(record: ForwardRecord): number {
   const priority = record.workspace?.priority ?? record.route.priority;
   return Math.min(MAX_URGENCY, Math.max(0, priority));
 }
@@ -163,13 +165,13 @@
 }
 
 /** Returns how long a request may wait for a backend server before its caller would abandon it. */
-function getWaitMs(record: ForwardRecord, nowMs: number): number {
+function getWaitMs(state: EntryState, record: ForwardRecord, nowMs: number): number {
   if (isAnswerBegun(record)) {
     const lastEventAtMs = record.lastEventAtMs ?? nowMs;
     const leftMs = getCallerTimeoutMs(record) - (nowMs - lastEventAtMs);
     return Math.max(0, Math.min(leftMs, record.deadlineAtMs - nowMs));
   }
-  if (record.service.engine === null) {
+  if (record.service.engine === null && !hasBrittle(findHolders(state, record, nowMs))) {
     return NO_ENGINE_WAIT_MS;
   }
   const leftMs = getEventGapTimeoutMs(record) - (nowMs - record.arrivedAtMs);
@@ -179,10 +181,14 @@
   );
 }
 
-/** Asks another VM for a permit to send a request to a server whose limit leaves this VM none. */
-function borrowPermit(state: EntryState, record: ForwardRecord, nowMs: number): EntryCommand[] {
+/** Asks other VMs for a permit or a place at a server that leaves this VM none. */
+function borrowUse(state: EntryState, record: ForwardRecord, nowMs: number): EntryCommand[] {
   const holders = findHolders(state, record, nowMs);
-  return requestPermit(state, record.request.requestId, holders, nowMs);
+  const { requestId } = record.request;
+  return [
+    ...requestPermit(state, requestId, holders, nowMs),
+    ...(isHeld(record, nowMs) ? [] : requestPlace(state, requestId, holders, nowMs)),
+  ];
 }
 
 /**
@@ -231,7 +237,7 @@
   nowMs: number,
 ): EntryCommand[] {
   const { requestId } = record.request;
-  const waitMs = getWaitMs(record, nowMs);
+  const waitMs = getWaitMs(state, record, nowMs);
   record.phase = ForwardPhase.Waiting;
   const holders = findHolders(state, record, nowMs);
   const pauseWaitMs = getPauseWaitMs(holders, nowMs);
@@ -244,7 +250,7 @@
       requestId,
     }),
     ...requestAdapter(state, record, nowMs),
-    ...borrowPermit(state, record, nowMs),
+    ...borrowUse(state, record, nowMs),
     createEntryLog(
       LogLevel.Info,
       EntryLogPrefix.Request,
@@ -262,13 +268,13 @@
 }
 
 /** Dispatches a waiting request if a server can run it; after an attempt that reached one this takes a retry from the budget. */
-function tryDispatchWaiting(
+export function tryDispatchWaiting(
   state: EntryState,
   record: ForwardRecord,
   nowMs: number,
 ): EntryCommand[] {
   if (!canDispatch(state, record, nowMs)) {
-    return borrowPermit(state, record, nowMs);
+    return borrowUse(state, record, nowMs);
   }
   const mayDispatch = !record.hasArrived || withdrawRetry(state, record.service.name);
   return mayDispatch ? (tryDispatch(state, record, nowMs) ?? []) : [];
@@ -291,46 +297,12 @@
   const dispatch = tryDispatchWaiting(state, record, nowMs);
   const expectedWaitMs = dispatch.length > 0 ? null : getExpectedWaitMs(state, record, nowMs);
   const isTooLong =
-    !isAnswerBegun(record) && expectedWaitMs !== null && expectedWaitMs > getWaitMs(record, nowMs);
+    !isAnswerBegun(record) &&
+    expectedWaitMs !== null &&
+    expectedWaitMs > getWaitMs(state, record, nowMs);
   return isTooLong ? refuseForWait(state, record, expectedWaitMs, nowMs) : dispatch;
 }
 
-/** Dispatches an admitted request, or lets it wait. */
-export function startForward(
-  state: EntryState,
-  record: ForwardRecord,
-  nowMs: number,
-): EntryCommand[] {
-  depositRetry(state, record.service.name);
-  if (isServiceUnreachable(state, record, nowMs)) {
-    const diagnostic = createDiagnostic(Diagnostics.ServersUnreachable, record.service.name);
-    return refuseForward(state, record, diagnostic, nowMs, OVERLOADED_RETRY_AFTER_MS);
-  }
-  return tryDispatch(state, record, nowMs) ?? startWaiting(state, record, nowMs);
-}
-
-function listWaiting(state: EntryState): ForwardRecord[] {
-  return [...state.requests.values()]
-    .filter((record) => record.phase === ForwardPhase.Waiting)
-    .sort((a, b) => getUrgency(a) - getUrgency(b));
-}
-
-/** Dispatches waiting requests, most urgent first, once servers, models or adapters have become available. */
-export function dispatchWaiting(state: EntryState, nowMs: number): EntryCommand[] {
-  return listWaiting(state).flatMap((record) => tryDispatchWaiting(state, record, nowMs));
-}
-
-/** Does the same for the requests that one of some servers may run, without looking at all servers for the others. */
-export function dispatchWaitingFor(
-  state: EntryState,
-  servers: readonly Backend[],
-  nowMs: number,
-): EntryCommand[] {
-  return listWaiting(state)
-    .filter((record) => servers.some((server) => isHolder(record, server, nowMs)))
-    .flatMap((record) => tryDispatchWaiting(state, record, nowMs));
-}
-
 /** Rejects a request for which no backend server became available in time, or aborts its answer if that has begun. */
 export function handleWaitTimedOut(
   state: EntryState,
@@ -350,6 +322,9 @@
   if (expectedWaitMs !== null) {
     return refuseForWait(state, record, expectedWaitMs, nowMs);
   }
+  if (hasBrittle(findHolders(state, record, nowMs))) {
+    return refuseForWait(state, record, OVERLOADED_RETRY_AFTER_MS, nowMs);
+  }
   const retryAfterMs =
     record.service.engine === null ? OVERLOADED_RETRY_AFTER_MS : MODEL_RETRY_AFTER_MS;
   return refuseForward(state, record, diagnostic, nowMs, retryAfterMs);
--- a/src/coordination/entry/requests/retries.ts
+++ b/src/coordination/entry/requests/retries.ts
@@ -5,7 +5,8 @@
 import { createDiagnostic, type Diagnostic, Diagnostics } from '../../../state/diagnostics.js';
 import type { Quarantine } from '../../../state/entry/crashEvidence.js';
 import { RunStatus } from '../../../state/types.js';
-import { hasServerForStream } from './backendSelection.js';
+import { findHolders, hasServerForStream, isHeld } from './backendSelection.js';
+import { hasBrittle } from '../servers/brittleServers.js';
 import type { EntryCommand } from '../commands.js';
 import { canDispatch, OVERLOADED_RETRY_AFTER_MS, startWaiting, tryDispatch } from './forwarding.js';
 import {
@@ -122,7 +123,8 @@
  * Returns whether a request may wait for a server after its last attempt failed. One that can be rejected as not run may if
  * only the model was missing: an engine rejects requests while it unloads or loads the model, and another engine may soon
  * have it loaded. One that cannot, since it may have run or its answer has begun, may wait after each attempt that did not
- * run, if a second run is safe and a server may come that can go on with its stream.
+ * run, if a second run is safe and a server may come that can go on with its stream. Where servers are brittle, it waits for room after any
+ * attempt.
  */
 function mayWait(
   state: EntryState,
@@ -134,9 +136,12 @@
   if (!hasServerForStream(state, record)) {
     return false;
   }
+  const isBrittle = hasBrittle(findHolders(state, record, nowMs));
   return !isAnswerBegun && record.runStatus === RunStatus.NotRun
-    ? isModelMissing && record.notRunAttempts <= MAX_NOT_RUN_RETRIES
-    : isNotRun && isRetrySafe(record, isAnswerBegun) && hasAttemptLeft(record, nowMs);
+    ? (isModelMissing || isBrittle) && record.notRunAttempts <= MAX_NOT_RUN_RETRIES
+    : (isNotRun || isBrittle) &&
+        isRetrySafe(record, isAnswerBegun) &&
+        hasAttemptLeft(record, nowMs);
 }
 
 /** Retries a request if that is safe, lets it wait if a server may soon run it, and else ends it. */
@@ -160,7 +165,8 @@
     return tryDispatch(state, record, nowMs) ?? [];
   }
   if (mayWait(state, record, failed, nowMs)) {
-    record.notRunBackendIds = isModelMissing ? [] : record.notRunBackendIds;
+    record.notRunBackendIds =
+      isModelMissing || isHeld(record, nowMs) ? [] : record.notRunBackendIds;
     return startWaiting(state, record, nowMs);
   }
   return endWithFailure(state, record, diagnostic, isAnswerBegun, nowMs);
--- a/src/coordination/entry/requests/streamVersions.ts
+++ b/src/coordination/entry/requests/streamVersions.ts
@@ -18,7 +18,7 @@
 import { countVmsSharingLimits } from '../liveVms.js';
 import { type EntryState, ForwardPhase, type ForwardRecord } from '../state.js';
 import { hasServerForStream } from './backendSelection.js';
-import { startForward } from './forwarding.js';
+import { startForward } from './dispatchOrder.js';
 import { refuseForward } from './requestCompletion.js';
 import { getStreamName, handleWriteTick, isTakeUp } from './streamOriginWrites.js';
 import { StreamOriginsTask, TakeUpResult } from './streamState.js';
--- a/src/coordination/entry/servers/brittleServers.ts
+++ b/src/coordination/entry/servers/brittleServers.ts
@@ -12,35 +12,45 @@
 import { createEntryLog, type EntryCommand, EntryLogPrefix } from '../commands.js';
 import type { EntryEventKind, EntryEventOf } from '../events.js';
 import { spreadEvidence } from '../exchange/evidenceSpread.js';
+import { updatePlaces } from '../limits/serverPlaces.js';
 import type { EntryState } from '../state.js';
 import { resumeSlowly } from './serverPauses.js';
 
-/** How long no VM sends to a brittle server after it has rejected a request for want of room. */
-const FULL_MS = 300;
+/** Time in which a brittle server counts its rejections, and a margin. */
+const FULL_MS = 1_050;
+/** A time that another VM tells may be later than it was by as long as the message took. */
+const TRANSIT_MS = 100;
+/** Shortest time for which no VM sends to a brittle server after it has rejected a request for want of room. */
+const MIN_FULL_MS = 100;
+/** A brittle server that this VM has not used for this time is used before others. */
+const VERIFICATION_MS = 5_000;
 
+/** Sets or ends the brittleness of a server. What was lent and borrowed there stays so when the number changes. */
 function setBrittleness(
+  state: EntryState,
   backend: Backend,
   maxRejectionsPerSecond: number | null,
   nowMs: number,
 ): void {
+  const { lentUntilMs = [], borrowed = [] } = backend.brittleness ?? {};
+  const noLoanUntilMs = Number.NEGATIVE_INFINITY;
+  const loans = { lentUntilMs, borrowed, noLoanUntilMs };
   backend.brittleChangedAtMs = nowMs;
-  backend.brittleness = maxRejectionsPerSecond === null ? null : { maxRejectionsPerSecond };
+  backend.brittleness =
+    maxRejectionsPerSecond === null ? null : { maxRejectionsPerSecond, places: 0, ...loans };
+  updatePlaces(state, backend);
 }
 
 /** Marks the servers of a service that are not known to be brittle, since one of the service is. */
-function markOthers(
-  { backends }: EntryState,
-  { brittleness, entry }: Backend,
-  nowMs: number,
-): void {
-  [...backends.values()]
+function markOthers(state: EntryState, { brittleness, entry }: Backend, nowMs: number): void {
+  [...state.backends.values()]
     .filter((other) => other.entry.service === entry.service && other.brittleness === null)
-    .forEach((other) => setBrittleness(other, brittleness!.maxRejectionsPerSecond, nowMs));
+    .forEach((other) => setBrittleness(state, other, brittleness!.maxRejectionsPerSecond, nowMs));
 }
 
 /** Marks servers that were just registered, and that this VM has not used, if others of their service are brittle. */
 export function inheritBrittleness(
-  { backends }: EntryState,
+  state: EntryState,
   registered: readonly Backend[],
   nowMs: number,
 ): void {
@@ -50,11 +60,11 @@
         brittleVersion === 0 && !Number.isFinite(dispatchedAtMs),
     )
     .forEach((backend) => {
-      const other = [...backends.values()].find(
+      const other = [...state.backends.values()].find(
         ({ brittleness, entry }) => brittleness !== null && entry.service === backend.entry.service,
       );
       if (other !== undefined && backend.brittleness === null) {
-        setBrittleness(backend, other.brittleness!.maxRejectionsPerSecond, nowMs);
+        setBrittleness(state, backend, other.brittleness!.maxRejectionsPerSecond, nowMs);
         resumeSlowly(backend, nowMs);
       }
     });
@@ -69,8 +79,10 @@
   nowMs: number,
 ): EntryCommand[] {
   backend.brittleVersion = version;
-  setBrittleness(backend, maxRejectionsPerSecond, nowMs);
-  if (maxRejectionsPerSecond !== null) {
+  setBrittleness(state, backend, maxRejectionsPerSecond, nowMs);
+  if (maxRejectionsPerSecond === null) {
+    resumeSlowly(backend, nowMs);
+  } else {
     markOthers(state, backend, nowMs);
   }
   const text =
@@ -131,6 +143,11 @@
   return report.version > brittleVersion || (report.version === brittleVersion && reported < known);
 }
 
+/** Returns how long a brittle server counts as full after a rejection, so that it has no more in a second than it bears. */
+function getFullMs({ brittleness }: Backend): number {
+  return Math.max(MIN_FULL_MS, FULL_MS / (brittleness?.maxRejectionsPerSecond ?? 1));
+}
+
 /** Lets a server count as full until a time. Returns the commands that tell the other VMs, if it did not. */
 function markFull(
   state: EntryState,
@@ -139,7 +156,13 @@
   nowMs: number,
 ): EntryCommand[] {
   const wasFull = backend.fullUntilMs > nowMs;
-  backend.fullUntilMs = Math.max(backend.fullUntilMs, Math.min(untilMs, nowMs + FULL_MS));
+  if (untilMs <= backend.fullUntilMs + TRANSIT_MS) {
+    return [];
+  }
+  backend.fullUntilMs = Math.max(
+    backend.fullUntilMs,
+    Math.min(untilMs, nowMs + getFullMs(backend)),
+  );
   return wasFull || backend.fullUntilMs <= nowMs ? [] : spreadEvidence(state);
 }
 
@@ -170,7 +193,18 @@
   backend: Backend,
   nowMs: number,
 ): EntryCommand[] {
-  return backend.brittleness === null ? [] : markFull(state, backend, nowMs + FULL_MS, nowMs);
+  return backend.brittleness === null
+    ? []
+    : markFull(state, backend, Number.POSITIVE_INFINITY, nowMs);
+}
+
+/** Returns whether a server may no longer be brittle without this VM having noticed: only an answer shows that. */
+export function isBrittlenessUnverified(
+  { brittleChangedAtMs, brittleness, dispatchedAtMs }: Backend,
+  nowMs: number,
+): boolean {
+  const verifiedAtMs = Math.max(brittleChangedAtMs, dispatchedAtMs);
+  return brittleness !== null && nowMs - verifiedAtMs > VERIFICATION_MS;
 }
 
 /** Returns whether one of some servers is brittle. */
--- a/src/coordination/entry/servers/discovery.ts
+++ b/src/coordination/entry/servers/discovery.ts
@@ -13,7 +13,7 @@
   EntryLogPrefix,
 } from '../commands.js';
 import type { BackendChange, EntryEventKind, EntryEventOf } from '../events.js';
-import { dispatchWaiting, dispatchWaitingFor } from '../requests/forwarding.js';
+import { dispatchWaiting, dispatchWaitingFor } from '../requests/dispatchOrder.js';
 import { recordChangedVersions, updateStreamLife } from '../requests/streamOriginWrites.js';
 import { selectRelays, startAgeTimer, updateRelayRole } from '../exchange/relays.js';
 import { applyRestoredBackends } from './restoredStore.js';
--- a/src/coordination/entry/servers/serverAvailability.ts
+++ b/src/coordination/entry/servers/serverAvailability.ts
@@ -5,6 +5,7 @@
 import type { Backend } from '../../../state/entry/backends.js';
 import { isPaused, isResuming } from './serverPauses.js';
 import { hasPermit } from '../limits/serverLimits.js';
+import { hasPlace } from '../limits/serverPlaces.js';
 
 /** Why a server may not get a request now. */
 export const Obstacle = {
@@ -17,6 +18,8 @@
   Resuming: 'resuming',
   /** Its request limit leaves this VM no request now. */
   NoPermit: 'noPermit',
+  /** It is brittle, and full or without a place for this VM now. */
+  NoPlace: 'noPlace',
 } as const;
 export type Obstacle = (typeof Obstacle)[keyof typeof Obstacle];
 
@@ -28,6 +31,7 @@
   [Obstacle.Paused]: isPaused,
   [Obstacle.Resuming]: isResuming,
   [Obstacle.NoPermit]: (backend, nowMs) => !hasPermit(backend, nowMs),
+  [Obstacle.NoPlace]: (backend, nowMs) => !hasPlace(backend, nowMs),
 };
 
 /** Obstacles that a request cannot wait for. */
--- a/src/coordination/entry/state.ts
+++ b/src/coordination/entry/state.ts
@@ -104,6 +104,8 @@
   notRunBackendIds: string[];
   /** Number of attempts that provably did not run it. */
   notRunAttempts: number;
+  /** Time until which it is not sent to a server, because a brittle one has just rejected it. */
+  heldUntilMs: number;
   runStatus: RunStatus;
   firstEventAtMs: number | null;
   /** Time of the last event that was sent to the caller, as of the end of the last failed attempt. */
--- a/src/state/entry/backends.ts
+++ b/src/state/entry/backends.ts
@@ -49,9 +49,24 @@
   usedAtMs: number;
 }
 
+/** A place at a brittle server that another VM has lent. */
+export interface BorrowedPlace {
+  readonly lenderVmId: string;
+  /** Time until which requests may begin with it. */
+  readonly untilMs: number;
+}
+
 /** The statement of a server that it ends when it has to reject too many requests in a second for want of room. */
 export interface Brittleness {
   readonly maxRejectionsPerSecond: number;
+  /** This VM's places at the server: the requests that it may have in flight there. */
+  places: number;
+  /** Ends of the loans to other VMs, of one place each, unless they return it. */
+  lentUntilMs: number[];
+  /** Places that other VMs have lent. */
+  borrowed: readonly BorrowedPlace[];
+  /** Time until which no VM is asked to lend a place, because one has just refused to. */
+  noLoanUntilMs: number;
 }
 
 /** The state that this VM keeps about a backend server. Mutable; owned by the event loop. */
--- a/src/transport/entry/entryPeers.ts
+++ b/src/transport/entry/entryPeers.ts
@@ -59,6 +59,14 @@
   readonly loans: Map<string, (loan: RateLoan) => void>;
 }
 
+/** Returns the kind of the limit that a call names by its two marks. */
+function getLimitKind(isServer: boolean, isPlace: boolean): LimitKind {
+  if (isPlace) {
+    return LimitKind.Place;
+  }
+  return isServer ? LimitKind.Server : LimitKind.Workspace;
+}
+
 /** Dependencies of the server for peers. */
 export interface EntryPeerContext {
   readonly post: (event: EntryEvent) => void;
@@ -162,13 +170,13 @@
           const backendId = (await reply) ?? undefined;
           return create(EnsureAdapterResponseSchema, { backendId });
         },
-        lendRate: async ({ isServer, name, tokens }) => {
+        lendRate: async ({ isPlace, isServer, name, tokens }) => {
           if (!areTokens(tokens)) {
             throw new ConnectError('no VM lends this number of tokens', Code.InvalidArgument);
           }
           const replyId = createReplyId();
           const reply = waitForReply(replies.loans, replyId, LOAN_TIMEOUT_MS, NO_LOAN);
-          const limit = { kind: isServer ? LimitKind.Server : LimitKind.Workspace, name };
+          const limit = { kind: getLimitKind(isServer, isPlace), name };
           post({ kind: EntryEventKind.LoanRequested, limit, tokens, replyId });
           return create(LendRateResponseSchema, await reply);
         },
@@ -235,7 +243,12 @@
     requestLoan: (address, { kind, name }, tokens) =>
       call(address, (client) =>
         client.lendRate(
-          { name, tokens, isServer: kind === LimitKind.Server },
+          {
+            name,
+            tokens,
+            isServer: kind === LimitKind.Server,
+            isPlace: kind === LimitKind.Place,
+          },
           { timeoutMs: LOAN_TIMEOUT_MS },
         ),
       ).pipe(
--- a/tests/entry/brittleStatements.test.ts
+++ b/tests/entry/brittleStatements.test.ts
@@ -108,6 +108,19 @@
     expect(others).toEqual([null, null]);
   });
 
+  it('let a server count as full for as long as a VM that it has rejected says, however often that is told', () => {
+    const vm = createTestVm();
+    const fullMs = 400;
+    vm.step(tell('e1', { fullUntilMs: fullMs }), NOW_MS);
+    const e1 = vm.state.backends.get('e1')!;
+    expect(e1.fullUntilMs).toBe(NOW_MS + 350);
+    for (let afterMs = 5; afterMs < 350; afterMs += 5) {
+      const late = { fullUntilMs: e1.fullUntilMs - NOW_MS - afterMs + 5 };
+      vm.step(tell('e1', late), NOW_MS + afterMs);
+    }
+    expect(e1.fullUntilMs).toBe(NOW_MS + 350);
+  });
+
   it('are told to other VMs, with the server that an answer has named alone', () => {
     const vm = createTestVm();
     vm.step(state('e1', 3), NOW_MS);
--- a/tests/fakes/entryFleet.ts
+++ b/tests/fakes/entryFleet.ts
@@ -34,6 +34,10 @@
 const LOAN_TIMEOUT_MS = 150;
 const PEER_TIMEOUT_MS = 700;
 const REGISTRATION_DELAY_MS = 200;
+/** Slots in the entry of an engine that runs as many requests as come. */
+const UNLIMITED_ENTRY_SLOTS = 64;
+/** Time in which a brittle engine counts its rejections. */
+const REJECTION_WINDOW_MS = 1_000;
 const TENANT_COUNT = 5;
 const SESSION_COUNT = 400;
 
@@ -49,6 +53,19 @@
   readonly crashDelayMs?: number;
   /** Time until an engine begins to answer; by default it is drawn for each request. */
   readonly prefillMs?: number;
+  /** Requests that an engine runs at once; by default as many as come. */
+  readonly slots?: number;
+  /** Requests that an engine lets wait beyond its slots; it rejects further ones. */
+  readonly queuePlaces?: number;
+}
+
+/** How the engines are brittle. */
+export interface BrittleTime {
+  /** An engine falls over when it rejects more than this in a second. */
+  readonly maxRejections: number;
+  /** Requests that an engine lets wait meanwhile, and time from which it does, and falls over. */
+  readonly queuePlaces: number;
+  readonly fromMs: number;
 }
 
 /** A request as a test sends it, and what became of it. */
@@ -69,6 +86,8 @@
   readonly sentAtMs: number;
   readonly state: EntryState;
   readonly command: EntryCommandOf<typeof EntryCommandKind.Dispatch>;
+  /** False while it waits for a slot. */
+  isStarted: boolean;
 }
 
 interface Engine {
@@ -77,6 +96,8 @@
   /** Requests per second that it states in its answers; null for none. */
   limit: number | null;
   readonly arrivedAtMs: number[];
+  readonly rejectedAtMs: number[];
+  readonly fallsAtMs: number[];
   readonly runs: Set<Run>;
 }
 
@@ -104,6 +125,8 @@
   /** Sends a request whose prompt has a part of its route, a session, further shared parts and a part of its own. */
   readonly send: (options?: Partial<RequestOptions>) => FleetRequest;
   readonly crash: (engine: number, awayMs?: number) => void;
+  /** Lets all engines be brittle; null ends that. */
+  readonly setBrittle: (time: BrittleTime | null) => void;
   readonly setLimit: (engine: number, requestsPerSecond: number | null) => void;
   readonly restartVm: (vm: number) => void;
   readonly isolateVm: (vm: number, isIsolated: boolean) => void;
@@ -134,6 +157,9 @@
   const crashingContents = new Set<string>();
   const crashesByContentMs = new Map<string, number[]>();
   const isolated = new Set<number>();
+  const { queuePlaces = 0, slots = Number.POSITIVE_INFINITY } = options;
+  const entrySlots = Number.isFinite(slots) ? slots : UNLIMITED_ENTRY_SLOTS;
+  let brittle: BrittleTime | null = null;
   const vms: EntryState[] = [];
   const timers: Map<string, symbol>[] = [];
   let nowMs = 0;
@@ -152,10 +178,12 @@
   };
 
   const engines: Engine[] = Array.from({ length: engineCount }, (_, i) => ({
-    entry: createTestEntry(`e${i}-0`, 'llm', { address: `engine-${i}:80`, slots: 64 }),
+    entry: createTestEntry(`e${i}-0`, 'llm', { address: `engine-${i}:80`, slots: entrySlots }),
     isUp: true,
     limit: null,
     arrivedAtMs: [],
+    rejectedAtMs: [],
+    fallsAtMs: [],
     runs: new Set<Run>(),
   }));
 
@@ -205,8 +233,61 @@
     });
   };
 
+  const getLoad = ({ runs }: Engine) => {
+    const running = [...runs].filter(({ isStarted }) => isStarted).length;
+    return { running, waiting: runs.size - running, slots: entrySlots };
+  };
+
+  /** Tells the VM of an answer whether its engine is brittle. */
+  const stateBrittleness = ({ command, sentAtMs, state, vm }: Omit<Run, 'isStarted'>): void => {
+    const { backendId, bornAtWallMs, isServerBrittle } = command;
+    if (brittle !== null || isServerBrittle) {
+      const kind = EntryEventKind.BrittlenessReported;
+      const maxRejectionsPerSecond = brittle?.maxRejections ?? null;
+      const answer = { bornAtWallMs, maxRejectionsPerSecond, dispatchedAtMs: sentAtMs };
+      post(vm, state, { kind, backendId, ...answer });
+    }
+  };
+
+  /** Starts runs that wait for a slot. */
+  const startRuns = (engine: Engine): void => {
+    const waiting = [...engine.runs].filter(({ isStarted }) => !isStarted);
+    const freeSlots = Math.max(0, slots - (engine.runs.size - waiting.length));
+    waiting.slice(0, Math.min(waiting.length, freeSlots)).forEach((run) => {
+      Object.assign(run, { isStarted: true });
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define -- a run that ends starts others
+      at(nowMs + (prefillMs ?? draw(PREFILL_MS)), () => beginRun(engine, run));
+    });
+  };
+
+  /** Rejects a request for want of room, and lets a brittle engine fall over that has rejected too many. */
+  const rejectRun = (engine: Engine, run: Run): void => {
+    const { command, state, vm } = run;
+    const { attempt, backendId, requestId } = command;
+    const load = getLoad(engine);
+    at(nowMs + NETWORK_MS, () => {
+      stateBrittleness(run);
+      const failure = {
+        diagnostic: createDiagnostic(Diagnostics.BackendRefused, backendId, 503),
+        runState: RunState.Accepted,
+        isRefusedByServer: true,
+        isMisdirected: false,
+      };
+      const kind = EntryEventKind.AttemptFailed;
+      post(vm, state, { kind, requestId, attempt, failure, load, isAnswerBegun: false });
+    });
+    engine.rejectedAtMs.push(nowMs);
+    const recent = engine.rejectedAtMs.filter((atMs) => nowMs - atMs < REJECTION_WINDOW_MS);
+    if (brittle !== null && nowMs >= brittle.fromMs && recent.length > brittle.maxRejections) {
+      engine.fallsAtMs.push(nowMs);
+      engine.rejectedAtMs.splice(0);
+      crashEngine(engine);
+    }
+  };
+
   const endRun = (engine: Engine, run: Run): void => {
     engine.runs.delete(run);
+    startRuns(engine);
     const { attempt, requestId } = run.command;
     requestsById.get(requestId)!.isAnswered = true;
     const kind = EntryEventKind.AnswerCompleted;
@@ -225,7 +306,7 @@
       return;
     }
     const { attempt, requestId } = run.command;
-    const load = { running: engine.runs.size, waiting: 0, slots: 64 };
+    const load = getLoad(engine);
     post(run.vm, run.state, { kind: EntryEventKind.AnswerStarted, requestId, attempt, load });
     at(nowMs + crashDelayMs, crash);
   };
@@ -247,8 +328,9 @@
       const limited = { kind: EntryEventKind.LimitReported, backendId, requestsPerSecond };
       post(run.vm, run.state, { ...limited, dispatchedAtMs });
     }
+    stateBrittleness(run);
     const kind = EntryEventKind.AnswerStarted;
-    const load = { running: engine.runs.size, waiting: 0, slots: 64 };
+    const load = getLoad(engine);
     post(run.vm, run.state, { kind, requestId, attempt, load });
     at(nowMs + ANSWER_MS, () => {
       if (engine.runs.has(run)) {
@@ -273,11 +355,16 @@
       );
       return;
     }
-    const run = { vm, state, command, sentAtMs: nowMs };
-    engine.runs.add(run);
+    const run = { vm, state, command, sentAtMs: nowMs, isStarted: false };
     engine.arrivedAtMs.push(nowMs);
     requestsById.get(requestId)!.reachedAtMs.push(nowMs);
-    at(nowMs + (prefillMs ?? draw(PREFILL_MS)), () => beginRun(engine, run));
+    const isBrittle = brittle !== null && nowMs >= brittle.fromMs;
+    if (engine.runs.size >= slots + (isBrittle ? brittle!.queuePlaces : queuePlaces)) {
+      rejectRun(engine, run);
+      return;
+    }
+    engine.runs.add(run);
+    startRuns(engine);
   };
 
   const sendToPeer = (
@@ -345,11 +432,12 @@
   };
 
   const cancelRun = (requestId: string): void =>
-    engines.forEach(({ runs }) =>
-      [...runs]
+    engines.forEach((engine) => {
+      [...engine.runs]
         .filter(({ command }) => command.requestId === requestId)
-        .forEach((run) => runs.delete(run)),
-    );
+        .forEach((run) => engine.runs.delete(run));
+      startRuns(engine);
+    });
 
   type Executor<K extends EntryCommandKind> = (
     vm: number,
@@ -486,10 +574,22 @@
         crashEngine(engines[engine]!, awayMs);
       }
     },
+    setBrittle: (time) => {
+      brittle = time;
+    },
     setLimit: (engine, requestsPerSecond) => {
       engines[engine]!.limit = requestsPerSecond;
     },
-    restartVm: startVm,
+    restartVm: (vm) => {
+      // The connections of a process that ends are closed, which ends what it has at the engines.
+      if (Number.isFinite(slots)) {
+        engines.forEach((engine) => {
+          [...engine.runs].filter((run) => run.vm === vm).forEach((run) => engine.runs.delete(run));
+          startRuns(engine);
+        });
+      }
+      startVm(vm);
+    },
     isolateVm: (vm, isIsolated) => {
       if (isIsolated) {
         isolated.add(vm);
