--- a/src/coordination/entry/events.ts
+++ b/src/coordination/entry/events.ts
@@ -62,6 +62,8 @@
   Workspace: 'workspace',
   /** The requests that a backend server takes from all VMs. */
   Server: 'server',
+  /** The places of a brittle backend server. */
+  Place: 'place',
 } as const;
 export type LimitKind = (typeof LimitKind)[keyof typeof LimitKind];
 
@@ -97,6 +99,7 @@
   PassedRequestArrived: 'passedRequestArrived',
   ReachTick: 'reachTick',
   LimitReported: 'limitReported',
+  BrittlenessReported: 'brittlenessReported',
   ServerStated: 'serverStated',
   BackendProbed: 'backendProbed',
   EvidenceSpread: 'evidenceSpread',
@@ -227,6 +230,15 @@
     /** Time at which the request was dispatched. */
     readonly dispatchedAtMs: number;
   };
+  /** The head of a response states the rejections that its server bears in a second, or no longer does. */
+  [EntryEventKind.BrittlenessReported]: {
+    readonly backendId: string;
+    readonly bornAtWallMs: number;
+    /** Null if the server is not brittle. */
+    readonly maxRejectionsPerSecond: number | null;
+    /** Time at which the request was dispatched. */
+    readonly dispatchedAtMs: number;
+  };
   /** The head of a response states that its server is leaving, or asks for a pause. */
   [EntryEventKind.ServerStated]: {
     readonly backendId: string;
--- a/src/protocol/entry/peerMessages.ts
+++ b/src/protocol/entry/peerMessages.ts
@@ -46,6 +46,7 @@
   quarantines: [],
   limits: [],
   leaving: [],
+  brittle: [],
 };
 
 function encodeQuarantine({ causes, status, ...quarantine }: Quarantine) {
@@ -91,6 +92,13 @@
       version,
     })),
     leaving: wire.leaving.map(({ bornAtWallMs, serverId }) => ({ serverId, bornAtWallMs })),
+    brittle: wire.brittle.map((report) => ({
+      serverId: report.serverId,
+      bornAtWallMs: report.bornAtWallMs,
+      maxRejectionsPerSecond: report.maxRejectionsPerSecond ?? null,
+      version: report.version,
+      fullUntilMs: report.fullUntilMs ?? null,
+    })),
   };
 }
 
@@ -114,7 +122,8 @@
   };
 }
 
-function encodeEvidence({ crashes, healthyCauses, leaving, limits, quarantines }: EvidenceReport) {
+function encodeEvidence(evidence: EvidenceReport) {
+  const { brittle, crashes, healthyCauses, leaving, limits, quarantines } = evidence;
   return {
     crashes: crashes.map((crash) => ({
       ...crash,
@@ -127,6 +136,11 @@
       requestsPerSecond: limit.requestsPerSecond ?? undefined,
     })),
     leaving: [...leaving],
+    brittle: brittle.map((report) => ({
+      ...report,
+      maxRejectionsPerSecond: report.maxRejectionsPerSecond ?? undefined,
+      fullUntilMs: report.fullUntilMs ?? undefined,
+    })),
   };
 }
 
