Learn past software versions anew after a gap in what is heard

Callers could see: a VM that was cut off or suspended for seconds, while a version joined and left again, took streams of that version for ones of the version that it knows, and went on with them there.

Cause: a confirmed view of the servers tells what is registered, and the changes between two answers keep only the last state of each key. Which versions had begun streams was read at the start of the process only.

Evidence: six rows of tests/entry/staleViews.test.ts ('came and left unseen'): the three after a cut of 4 s were red before the gap was noticed, the three after a suspension before that was.

Why this works: a VM that did not hear the store for 3 s, or was suspended, counts as one that has just started: it reads the origins, which name all versions of the services of their streams, before it takes anything for the only version. An entry of a server that has ended lasts longer than 3 s.

--- a/src/coordination/entry/handlers.ts
+++ b/src/coordination/entry/handlers.ts
@@ -35,6 +35,7 @@
 import { handleStreamSpoiled } from './requests/spoiledStreams.js';
 import { handleStreamOriginsWritten } from './requests/streamOriginWrites.js';
 import {
+  forgetPast,
   handleStoreContentsRead,
   handleStreamOriginsRead,
   handleStreamOriginsTick,
@@ -126,7 +127,10 @@
   [EntryEventKind.ControllerLeaseAnswered]: handleControllerLeaseAnswered,
   [EntryEventKind.OrderAnswered]: handleOrderAnswered,
   [EntryEventKind.EngineReported]: handleEngineReported,
-  [EntryEventKind.Suspended]: handleSuspended,
+  [EntryEventKind.Suspended]: (state, event, nowMs) => {
+    forgetPast(state, nowMs);
+    return handleSuspended(state, event);
+  },
   [EntryEventKind.SettingsRead]: handleSettingsRead,
   [EntryEventKind.StopRequested]: handleStopRequested,
   [EntryEventKind.StopStep]: handleStopStep,
--- a/src/coordination/entry/requests/streamState.ts
+++ b/src/coordination/entry/requests/streamState.ts
@@ -63,8 +63,10 @@
   relayAskedAtMs: number;
   /** Number of reads that have started. */
   readCount: number;
-  /** True once this VM knows the versions that were in service before it started. */
+  /** True once this VM knows the versions that were in service before it started, and while it did not hear the store. */
   isPastKnown: boolean;
+  /** End of the last time for which this VM did not hear the store; not finite before the first one. */
+  gapEndedAtMs: number;
   readonly takeUps: Map<TakeUpResult, number>;
 }
 
@@ -89,6 +91,7 @@
     relayAskedAtMs: Number.NEGATIVE_INFINITY,
     readCount: 0,
     isPastKnown: false,
+    gapEndedAtMs: Number.NEGATIVE_INFINITY,
     takeUps: new Map(),
   };
 }
--- a/src/coordination/entry/requests/streamVersions.ts
+++ b/src/coordination/entry/requests/streamVersions.ts
@@ -37,6 +37,8 @@
 const VIEW_WAIT_MS = 600;
 /** Interval at which it is looked at what requests wait for, and the relay is asked for the contents of the store. */
 const TICK_INTERVAL_MS = 150;
+/** A server may register and leave unseen by a VM that does not hear the store for longer. */
+const MAX_GAP_MS = 3_000;
 /** Time from a read of the past that failed to the next one. */
 const PAST_RETRY_MS = 1_000;
 /** Servers come back, and other VMs may know more, within less than a second. */
@@ -81,9 +83,10 @@
   return name === null ? undefined : streams.origins.byStream.get(createStreamDigest(name));
 }
 
-/** Returns whether the versions are known that may have begun streams before this VM started. */
+/** Returns whether the versions are known that may have begun streams before this VM started, or while it did not hear the store. */
 function isPastKnown({ startedAtMs, streams }: EntryState, nowMs: number): boolean {
-  return streams.isPastKnown || nowMs - startedAtMs > streams.origins.lifeMs;
+  const { gapEndedAtMs, isPastKnown: isRead, origins } = streams;
+  return isRead || nowMs - Math.max(startedAtMs, gapEndedAtMs) > origins.lifeMs;
 }
 
 /** Returns whether several versions may have begun streams of a request's service, as far as this VM knows. */
@@ -269,6 +272,12 @@
   return [...resumeConfirmed(state, nowMs), ...continueRecalls(state, nowMs)];
 }
 
+/** Lets this VM learn anew which versions may have begun streams, since it may have missed some. */
+export function forgetPast({ streams }: EntryState, nowMs: number): void {
+  streams.isPastKnown = false;
+  streams.gapEndedAtMs = nowMs;
+}
+
 /** Records up to which revision and until when this VM knows the contents of the store. */
 export function handleStoreContentsRead(
   state: EntryState,
@@ -276,8 +285,12 @@
   nowMs: number,
 ): EntryCommand[] {
   const { store } = state;
+  const knownAtMs = ageMs === null ? store.knownAtMs : Math.max(store.knownAtMs, nowMs - ageMs);
+  if (Number.isFinite(store.knownAtMs) && knownAtMs - store.knownAtMs > MAX_GAP_MS) {
+    forgetPast(state, nowMs);
+  }
   store.revision = Math.max(store.revision, revision);
-  store.knownAtMs = ageMs === null ? store.knownAtMs : Math.max(store.knownAtMs, nowMs - ageMs);
+  store.knownAtMs = knownAtMs;
   return resumeConfirmed(state, nowMs);
 }
 
--- a/tests/entry/staleViews.test.ts
+++ b/tests/entry/staleViews.test.ts
@@ -96,6 +96,30 @@
     expect(takeUpAll(fleet, begun)).not.toContain(OtherVersion);
   });
 
+  it.each(
+    [0, 300, 1_000].flatMap((takeUpAfterMs) => [
+      { name: 'cut off for 4 s', ...{ takeUpAfterMs, halfMs: 2_000, lostMs: 0 } },
+      { name: 'suspended for 4 s', ...{ takeUpAfterMs, halfMs: 200, lostMs: 4_000 } },
+    ]),
+  )(
+    'do not go on at another version once theirs came and left unseen: $name, $takeUpAfterMs ms later',
+    ({ halfMs, lostMs, takeUpAfterMs }) => {
+      const fleet = createStreamFleet(['a', 'b'], createServers(OLD));
+      const begun = releaseBeside(fleet, Trouble.Silent);
+      advance(fleet, halfMs);
+      setServers(fleet, createServers(OLD));
+      advance(fleet, halfMs);
+      if (lostMs > 0) {
+        reportSuspension(fleet, 'b', lostMs);
+      }
+      endTrouble(fleet, 'b', 200);
+      advance(fleet, takeUpAfterMs);
+      const outcomes = takeUpAll(fleet, begun);
+      expect(outcomes).not.toContain(OtherVersion);
+      expect(outcomes).toContain(SameVersion);
+    },
+  );
+
   it.each([Trouble.Silent, Trouble.Reset])(
     'are rejected as not run, which is counted, while a VM stays out of step: %s',
     (trouble) => {
