Draw nothing for places while no server is brittle, and let requests wait just after that time

A request that waits drew a random number for the choice of a brittle server where there was none, which changed later choices (silentServers.test.ts, one row failed, 14 pass now).

--- a/src/coordination/entry/limits/serverPlaces.ts
+++ b/src/coordination/entry/limits/serverPlaces.ts
@@ -97,9 +97,12 @@
       !isFull(backend, nowMs) &&
       !hasPlace(backend, nowMs),
   );
-  const server = brittle[nextRandomInt(state.random, Math.max(1, brittle.length))];
-  const lender = server === undefined ? null : pickLender(state, server, nowMs);
-  if (server === undefined || lender === null) {
+  if (brittle.length === 0) {
+    return [];
+  }
+  const server = brittle[nextRandomInt(state.random, brittle.length)]!;
+  const lender = pickLender(state, server, nowMs);
+  if (lender === null) {
     return [];
   }
   server.brittleness!.noLoanUntilMs = nowMs + LOAN_REFUSAL_DELAY_MS;
--- a/src/coordination/entry/requests/dispatchOrder.ts
+++ b/src/coordination/entry/requests/dispatchOrder.ts
@@ -42,7 +42,9 @@
     other !== record &&
     other.service === record.service &&
     other.request.model === record.request.model;
-  return hasBrittle(findHolders(state, record, nowMs)) ? dispatchFirst(state, isAhead, nowMs) : [];
+  return hasBrittle(findHolders(state, record, nowMs), nowMs)
+    ? dispatchFirst(state, isAhead, nowMs)
+    : [];
 }
 
 /** Dispatches a request to the place that another VM has lent, and asks for one for the next. Without one it goes on waiting. */
--- a/src/coordination/entry/requests/forwarding.ts
+++ b/src/coordination/entry/requests/forwarding.ts
@@ -171,7 +171,7 @@
     const leftMs = getCallerTimeoutMs(record) - (nowMs - lastEventAtMs);
     return Math.max(0, Math.min(leftMs, record.deadlineAtMs - nowMs));
   }
-  if (record.service.engine === null && !hasBrittle(findHolders(state, record, nowMs))) {
+  if (record.service.engine === null && !hasBrittle(findHolders(state, record, nowMs), nowMs)) {
     return NO_ENGINE_WAIT_MS;
   }
   const leftMs = getEventGapTimeoutMs(record) - (nowMs - record.arrivedAtMs);
@@ -322,7 +322,7 @@
   if (expectedWaitMs !== null) {
     return refuseForWait(state, record, expectedWaitMs, nowMs);
   }
-  if (hasBrittle(findHolders(state, record, nowMs))) {
+  if (hasBrittle(findHolders(state, record, nowMs), nowMs)) {
     return refuseForWait(state, record, OVERLOADED_RETRY_AFTER_MS, nowMs);
   }
   const retryAfterMs =
--- a/src/coordination/entry/requests/retries.ts
+++ b/src/coordination/entry/requests/retries.ts
@@ -136,7 +136,7 @@
   if (!hasServerForStream(state, record)) {
     return false;
   }
-  const isBrittle = hasBrittle(findHolders(state, record, nowMs));
+  const isBrittle = hasBrittle(findHolders(state, record, nowMs), nowMs);
   return !isAnswerBegun && record.runStatus === RunStatus.NotRun
     ? (isModelMissing || isBrittle) && record.notRunAttempts <= MAX_NOT_RUN_RETRIES
     : (isNotRun || isBrittle) &&
--- a/src/coordination/entry/servers/brittleServers.ts
+++ b/src/coordination/entry/servers/brittleServers.ts
@@ -22,6 +22,8 @@
 const TRANSIT_MS = 100;
 /** Shortest time for which no VM sends to a brittle server after it has rejected a request for want of room. */
 const MIN_FULL_MS = 100;
+/** Time after its end for which requests may wait for a server that was brittle. */
+const ENDED_MS = 2_000;
 /** A brittle server that this VM has not used for this time is used before others. */
 const VERIFICATION_MS = 5_000;
 
@@ -207,7 +209,10 @@
   return brittleness !== null && nowMs - verifiedAtMs > VERIFICATION_MS;
 }
 
-/** Returns whether one of some servers is brittle. */
-export function hasBrittle(servers: readonly Backend[]): boolean {
-  return servers.some(({ brittleness }) => brittleness !== null);
+/** Returns whether one of some servers is brittle, or was a moment ago, so that requests may wait for room there. */
+export function hasBrittle(servers: readonly Backend[], nowMs: number): boolean {
+  return servers.some(
+    ({ brittleChangedAtMs, brittleness }) =>
+      brittleness !== null || nowMs - brittleChangedAtMs < ENDED_MS,
+  );
 }
