--- a/tests/stand-ins/entryProcess.ts
+++ b/tests/stand-ins/entryProcess.ts
@@ -43,6 +43,7 @@
   limits: Readonly<Record<string, number>> = {},
   bounds: Readonly<Record<string, number>> = {},
   vmId = 'vm-1',
+  failureDomain = 'fd-a',
 ): Promise<PreparedEntry> {
   const ports = await Promise.all([findFreePort(), findFreePort(), findFreePort(), findFreePort()]);
   const address = `127.0.0.1:${ports[0]}`;
@@ -51,7 +52,7 @@
   const settings = {
     node_name: vmId,
     ip: '127.0.0.1',
-    zone: 'fd-a',
+    zone: failureDomain,
     port_range: [ports[2], ports[2]],
     listen: { frontend_addr: address, ready_addr: readyAddress },
     platform: { address: storeAddress },
