--- a/tests/stand-ins/entryProcess.ts
+++ b/tests/stand-ins/entryProcess.ts
@@ -32,6 +32,7 @@
   readonly address: string;
   readonly readyAddress: string;
   readonly metricsAddress: string;
+  readonly peerAddress: string;
   readonly settingsPath: string;
   readonly args: readonly string[];
   readonly environment: Readonly<Record<string, string>>;
@@ -63,7 +64,8 @@
   const environment = { [SETTINGS_VARIABLE]: settingsPath, NODE_OPTIONS: HEAP_OPTION };
   const args = ['--metrics-port', String(ports[3])];
   const metricsAddress = `127.0.0.1:${ports[3]}`;
-  return { address, readyAddress, metricsAddress, settingsPath, args, environment };
+  const peerAddress = `127.0.0.1:${ports[2]}`;
+  return { address, readyAddress, metricsAddress, peerAddress, settingsPath, args, environment };
 }
 
 /** Starts a VM that uses a store and has the given limits and bounds, and waits until it is ready. */
