--- a/tests/stand-ins/entryProcess.ts
+++ b/tests/stand-ins/entryProcess.ts
@@ -32,6 +32,7 @@
   readonly address: string;
   readonly readyAddress: string;
   readonly metricsAddress: string;
+  readonly peerAddress: string;
   readonly settingsPath: string;
   readonly args: readonly string[];
   readonly environment: Readonly<Record<string, string>>;
@@ -43,7 +44,7 @@
   limits: Readonly<Record<string, number>> = {},
   bounds: Readonly<Record<string, number>> = {},
   vmId = 'vm-1',
-  zone = 'fd-a',
+  failureDomain = 'fd-a',
 ): Promise<PreparedEntry> {
   const ports = await Promise.all([findFreePort(), findFreePort(), findFreePort(), findFreePort()]);
   const address = `127.0.0.1:${ports[0]}`;
@@ -52,7 +53,7 @@
   const settings = {
     node_name: vmId,
     ip: '127.0.0.1',
-    zone,
+    zone: failureDomain,
     port_range: [ports[2], ports[2]],
     listen: { frontend_addr: address, ready_addr: readyAddress },
     platform: { address: storeAddress },
@@ -63,7 +64,8 @@
   const environment = { [SETTINGS_VARIABLE]: settingsPath, NODE_OPTIONS: HEAP_OPTION };
   const args = ['--metrics-port', String(ports[3])];
   const metricsAddress = `127.0.0.1:${ports[3]}`;
-  return { address, readyAddress, metricsAddress, settingsPath, args, environment };
+  const peerAddress = `127.0.0.1:${ports[2]}`;
+  return { address, readyAddress, metricsAddress, peerAddress, settingsPath, args, environment };
 }
 
 /** Starts a VM that uses a store and has the given limits and bounds, and waits until it is ready. */
