Report a crash only once another server accepts a connection

Seen: two of three VMs were cut off from all servers by resets. For 4 s callers of all three VMs, also of the one that reached all servers, got 503 (no_backend_server).

Cause: where a cut resets connections and refuses new ones, a probe finds that the server's machine refuses, which counted as a crash. A VM that avoids all servers makes no attempts either, so it learned 4 s later that it is cut off.

Now a crash counts only once one of up to five other servers, probed at the same time, accepts a connection. Where no other server is expected to run, none is needed. If none accepts, a line says so and nothing is reported. Probing them one after the other was tried: the case 'sound within the last minute, sent to three VMs' of requestCrash.test.ts then crashed 12 servers instead of 3.

crashedServer.test.ts and requestCrash.test.ts answered the first probe only; they now answer the others as well, as servers that run, and the latter also checks that the crash is recorded.

--- a/src/coordination/entry/evidence/crashDetection.ts
+++ b/src/coordination/entry/evidence/crashDetection.ts
@@ -1,6 +1,6 @@
 /**
  * Detects crashes of backend servers. A lost connection alone may have other causes, so the server is probed: only a
- * machine that refuses connections proves that the process has ended. The requests that lost their connections before
+ * machine that refuses connections proves that the process has ended, unless this VM connects to no other server either. The requests that lost their connections before
  * their answers had been running for some time are suspects of having caused the crash. Those that have prompt
  * parts or are suspects of an earlier crash are retried only after the probe.
  */
@@ -11,6 +11,7 @@
   recordCrash,
   recordHealthyCauses,
   type Suspect,
+  WitnessStatus,
 } from '../../../state/entry/crashEvidence.js';
 import type { Diagnostic } from '../../../state/diagnostics.js';
 import type { Backend } from '../../../state/entry/backends.js';
@@ -25,6 +26,7 @@
 } from '../commands.js';
 import { type EntryEventKind, type EntryEventOf, ProbeOutcome } from '../events.js';
 import { spreadEvidence } from '../exchange/evidenceSpread.js';
+import { askWitnesses, recordWitnessProbe } from './crashWitnesses.js';
 import { isAnswerHealthy, listRecordCauses, reviewEvidence } from './quarantines.js';
 import { retryOrEnd } from '../requests/retries.js';
 import { type EntryState, ForwardPhase, type ForwardRecord } from '../state.js';
@@ -110,10 +112,18 @@
     pending.suspects.push(suspect);
     return { cause, commands: [] };
   }
-  state.lostConnections.set(processKey, { entry, firstLostAtMs: nowMs, suspects: [suspect] });
+  const lost: LostConnections = {
+    entry,
+    firstLostAtMs: nowMs,
+    suspects: [suspect],
+    isRefused: null,
+    witness: WitnessStatus.Asked,
+    askedKeys: new Set(),
+  };
+  state.lostConnections.set(processKey, lost);
   const { address } = entry;
   const probe: EntryCommand = { kind: EntryCommandKind.ProbeBackend, address, processKey };
-  return { cause, commands: [probe] };
+  return { cause, commands: [probe, ...askWitnesses(state, lost)] };
 }
 
 /** Lets a request wait for the probe of its server. */
@@ -150,25 +160,29 @@
   ];
 }
 
-/** Records the crash that a probe has proved, and lets the requests go on that waited for the probe. */
-export function handleBackendProbed(
+/** Logs that a server refuses connections, which is not taken for a crash. */
+function logUnwitnessed({ entry, firstLostAtMs }: LostConnections, nowMs: number): EntryCommand {
+  const { address, id: server, service } = entry;
+  return createEntryLog(
+    LogLevel.Warn,
+    EntryLogPrefix.Backend,
+    'A backend server refuses connections, and no other accepts one: no crash is reported.',
+    { server, service, address, verifiedAfterMs: Math.round(nowMs - firstLostAtMs) },
+  );
+}
+
+/** Lets the requests go on that waited for the probe of a server. */
+function continueRequests(
   state: EntryState,
-  event: EntryEventOf<typeof EntryEventKind.BackendProbed>,
+  processKey: string,
+  isCrashSuspect: boolean,
   nowMs: number,
 ): EntryCommand[] {
-  const { outcome, processKey } = event;
-  const lost = state.lostConnections.get(processKey);
-  if (lost === undefined) {
-    return [];
-  }
-  state.lostConnections.delete(processKey);
-  const isCrashSuspect = outcome === ProbeOutcome.Gone;
-  const crash = isCrashSuspect ? reportCrash(state, lost, nowMs) : [];
   const waiting = [...state.requests.values()].filter(
     ({ lostAttempt, phase }) =>
       phase === ForwardPhase.Verifying && lostAttempt?.processKey === processKey,
   );
-  const continued = waiting.flatMap((record) => {
+  return waiting.flatMap((record) => {
     const { diagnostic, isAnswerBegun } = record.lostAttempt!;
     record.lostAttempt = null;
     const failed = {
@@ -180,5 +194,39 @@
     };
     return retryOrEnd(state, record, failed, nowMs);
   });
-  return [...crash, ...continued];
+}
+
+/** Ends the verification of a server once its probe has ended, and those of its witnesses if one is needed. */
+function endIfVerified(
+  state: EntryState,
+  processKey: string,
+  lost: LostConnections,
+  nowMs: number,
+): EntryCommand[] {
+  const { isRefused, witness } = lost;
+  if (isRefused === null || (isRefused && witness === WitnessStatus.Asked)) {
+    return [];
+  }
+  state.lostConnections.delete(processKey);
+  const isCrash = isRefused && witness === WitnessStatus.Found;
+  const crash = isCrash ? reportCrash(state, lost, nowMs) : [];
+  const unwitnessed = isRefused && !isCrash ? [logUnwitnessed(lost, nowMs)] : [];
+  return [...crash, ...unwitnessed, ...continueRequests(state, processKey, isCrash, nowMs)];
+}
+
+/** Records the crash that probes have proved, and lets the requests go on that waited for the probes. */
+export function handleBackendProbed(
+  state: EntryState,
+  event: EntryEventOf<typeof EntryEventKind.BackendProbed>,
+  nowMs: number,
+): EntryCommand[] {
+  const { outcome, processKey } = event;
+  const lost = state.lostConnections.get(processKey);
+  if (lost !== undefined) {
+    lost.isRefused ??= outcome === ProbeOutcome.Gone;
+  }
+  recordWitnessProbe(state, processKey, outcome);
+  return [...state.lostConnections].flatMap(([key, each]) =>
+    endIfVerified(state, key, each, nowMs),
+  );
 }
--- a/src/state/entry/crashEvidence.ts
+++ b/src/state/entry/crashEvidence.ts
@@ -20,11 +20,25 @@
   readonly isAnswering: boolean;
 }
 
-/** Requests that lost their connections to one process of a backend server that is being probed. */
+/** Whether this VM has connected to another server since it lost its connections to one. If not, the VM itself may be cut off. */
+export const WitnessStatus = {
+  /** Other servers are being probed. */
+  Asked: 'asked',
+  Found: 'found',
+  None: 'none',
+} as const;
+export type WitnessStatus = (typeof WitnessStatus)[keyof typeof WitnessStatus];
+
+/** Requests that lost their connections to one process of a backend server that is being probed. Mutable. */
 export interface LostConnections {
   readonly entry: BackendEntry;
   readonly firstLostAtMs: number;
   readonly suspects: Suspect[];
+  /** Whether its machine refuses connections; null until its probe has ended. */
+  isRefused: boolean | null;
+  witness: WitnessStatus;
+  /** Keys of the probes of other servers that have not ended. */
+  readonly askedKeys: Set<string>;
 }
 
 /** A crash of one process of a backend server. Reports of several VMs on the same process are merged. */
--- a/tests/entry/crashedServer.test.ts
+++ b/tests/entry/crashedServer.test.ts
@@ -54,9 +54,13 @@
   };
   const kind = EntryEventKind.AttemptFailed;
   const lost = { kind, requestId, attempt: 1, failure, load: null, isAnswerBegun: false } as const;
-  const [probe] = findCommands(vm.step(lost, NOW_MS), EntryCommandKind.ProbeBackend);
-  const { processKey } = probe!;
-  vm.step({ kind: EntryEventKind.BackendProbed, processKey, outcome }, NOW_MS + 2);
+  const probes = findCommands(vm.step(lost, NOW_MS), EntryCommandKind.ProbeBackend);
+  expect(probes[0]!.address).toBe('e1:80');
+  // Another server is probed as well, and runs.
+  probes.forEach(({ address, processKey }) => {
+    const found = address === 'e1:80' ? outcome : ProbeOutcome.Accepting;
+    vm.step({ kind: EntryEventKind.BackendProbed, processKey, outcome: found }, NOW_MS + 2);
+  });
 }
 
 const CASES = [
--- a/tests/entry/cutOffEvidence.test.ts
+++ b/tests/entry/cutOffEvidence.test.ts
@@ -45,8 +45,8 @@
 ): void {
   const probes = findCommands(commands, EntryCommandKind.ProbeBackend);
   const kind = EntryEventKind.BackendProbed;
-  const next = probes.flatMap(({ processKey }) => {
-    const outcome = outcomes[processKey.split('@')[0]!] ?? Gone;
+  const next = probes.flatMap(({ address, processKey }) => {
+    const outcome = outcomes[address.split(':')[0]!] ?? Gone;
     return vm.step({ kind, processKey, outcome }, nowMs + PROBE_MS);
   });
   if (probes.length > 0) {
@@ -180,8 +180,8 @@
     const lost = loseConnection(vm, requests.get('c1')!, 'c1');
     const probes = findCommands(lost, EntryCommandKind.ProbeBackend);
     const kind = EntryEventKind.BackendProbed;
-    probes.forEach(({ processKey }) => {
-      const outcome = processKey.startsWith('c1') ? Gone : Accepting;
+    probes.forEach(({ address, processKey }) => {
+      const outcome = address.startsWith('c1') ? Gone : Accepting;
       vm.step({ kind, processKey, outcome }, NOW_MS + PROBE_MS);
     });
     expect(listReported(vm)).toEqual(['c1']);
--- a/tests/entry/requestCrash.test.ts
+++ b/tests/entry/requestCrash.test.ts
@@ -306,10 +306,15 @@
     };
     const failed = { requestId: 'r', attempt: 1, failure, load: null, isAnswerBegun: false };
     const lost = vm.step({ kind: EntryEventKind.AttemptFailed, ...failed }, NOW_MS + 70_100);
-    const [probe] = findCommands(lost, EntryCommandKind.ProbeBackend);
-    const { processKey } = probe!;
-    const probed = { kind: EntryEventKind.BackendProbed, processKey, outcome: ProbeOutcome.Gone };
-    const ended = vm.step(probed, NOW_MS + 70_110);
+    const probes = findCommands(lost, EntryCommandKind.ProbeBackend);
+    const { address: crashed } = probes[0]!;
+    const kind = EntryEventKind.BackendProbed;
+    // Other servers are probed as well, and run.
+    const ended = probes.flatMap(({ address, processKey }) => {
+      const outcome = address === crashed ? ProbeOutcome.Gone : ProbeOutcome.Accepting;
+      return vm.step({ kind, processKey, outcome }, NOW_MS + 70_110);
+    });
+    expect(vm.state.crashEvidence.crashes.size).toBe(1);
     expect(findCommands([...lost, ...ended], EntryCommandKind.Dispatch)).toEqual([]);
   });
 });
