Probe servers while none answers, so that kept connections that hang show a cut

Cause: requests went out on kept connections, so that no attempt failed to connect and the VM never counted as cut off. Change: while a request has waited for its answer for 700 ms and no server of the service has answered any for as long, servers are probed in turn; the results of all probes count as attempts to connect do, those of crashes too. One silent server changes nothing while others answer.

--- a/src/coordination/entry/lifecycle.ts
+++ b/src/coordination/entry/lifecycle.ts
@@ -26,6 +26,7 @@
 import type { EntryPolicy } from './policy.js';
 import { updatePermitShares } from './limits/serverLimits.js';
 import { returnPlaces } from './limits/serverPlaces.js';
+import { probeSilentServices } from './servers/serviceReach.js';
 import { reportEndedPauses } from './servers/serverPauses.js';
 import { updateVmsLastSeen } from './liveVms.js';
 import { beginStopProgress, logStopStep, reportStopWait } from './stopReport.js';
@@ -207,6 +208,7 @@
     ...removeExpiredBackends(state, nowMs),
     ...applyCopiedEntries(state, nowMs),
     ...reportEndedPauses(state, nowMs),
+    ...probeSilentServices(state, nowMs),
     ...dispatchWaiting(state, nowMs),
     ...returnPlaces(state, nowMs),
     ...retryAdapterRequests(state, nowMs),
--- a/src/coordination/entry/requests/forwarding.ts
+++ b/src/coordination/entry/requests/forwarding.ts
@@ -97,6 +97,7 @@
   record.softwareVersion = backend.entry.softwareVersion;
   backend.inFlight += 1;
   backend.dispatchedAtMs = nowMs;
+  record.dispatchedAtMs = nowMs;
   takePermit(backend, nowMs);
   addPendingPrefill(backend, record, nowMs);
   return [
--- a/src/coordination/entry/servers/serviceReach.ts
+++ b/src/coordination/entry/servers/serviceReach.ts
@@ -1,7 +1,7 @@
 /**
  * Decides whether this VM is cut off from the servers of a service, and notices when it reaches them again.
  *
- * Attempts that fail to connect show that servers are not reached. While the VM is cut off, it probes them in turn, and its
+ * Attempts that fail to connect show that servers are not reached, and so do probes where nothing answers. While the VM is cut off, it probes them in turn, and its
  * requests are passed to other VMs. In calm nothing is sent for this.
  */
 import { listOffering } from '../../../state/entry/backendLists.js';
@@ -25,9 +25,13 @@
   EntryLogPrefix,
 } from '../commands.js';
 import { EntryEventKind, type EntryEventOf, ProbeOutcome } from '../events.js';
-import type { EntryState } from '../state.js';
+import { type EntryState, ForwardPhase, type ForwardRecord } from '../state.js';
 
-/** Bounds of the pause between two probes, drawn so that VMs which were cut off together do not return at one moment. */
+/** Time for which requests wait for answers, and no server of their service answers any, before servers are probed. */
+const SILENT_MS = 700;
+/** Interval of those probes. */
+const SILENCE_PROBE_INTERVAL_MS = 300;
+/** Bounds of the pause between two probes while the VM is cut off, drawn so that VMs which were cut off together do not return at one moment. */
 const MIN_PROBE_INTERVAL_MS = 250;
 const MAX_PROBE_INTERVAL_MS = 500;
 
@@ -117,6 +121,47 @@
   ];
 }
 
+/** Probes the next of some servers of a service. */
+function probeNext(reach: ServiceReach, servers: readonly Backend[]): EntryCommand {
+  const { address, bornAtWallMs, id } = servers[reach.probeCount % servers.length]!.entry;
+  reach.probeCount += 1;
+  const processKey = getProcessKey(id, bornAtWallMs);
+  return { kind: EntryCommandKind.ProbeBackend, address, processKey };
+}
+
+/** Returns whether a request has waited for the answer of a server for so long that the server may not be reached any more. */
+function isAnswerLate(
+  { attemptAnsweredAtMs, backendId, dispatchedAtMs, phase }: ForwardRecord,
+  nowMs: number,
+): boolean {
+  const isWaiting = phase === ForwardPhase.Dispatched && backendId !== null;
+  return isWaiting && attemptAnsweredAtMs === null && nowMs - dispatchedAtMs >= SILENT_MS;
+}
+
+/**
+ * Probes servers of the services of which none answers: while kept connections hang, no attempt fails to connect, and nothing else
+ * shows that this VM is cut off.
+ */
+export function probeSilentServices(state: EntryState, nowMs: number): EntryCommand[] {
+  const late = [...state.requests.values()].filter((record) => isAnswerLate(record, nowMs));
+  const services = new Set(late.map(({ service }) => service.name));
+  return [...services].flatMap((service) => {
+    const reach = getReach(state, service);
+    const isDue =
+      reach.cutOffSinceMs === null &&
+      nowMs - reach.reachedAtMs >= SILENT_MS &&
+      nowMs - reach.silenceProbedAtMs >= SILENCE_PROBE_INTERVAL_MS;
+    const servers = listServers(state, service).filter(
+      ({ entry }) => !reach.unreachedIds.has(entry.id),
+    );
+    if (!isDue || servers.length === 0) {
+      return [];
+    }
+    reach.silenceProbedAtMs = nowMs;
+    return [probeNext(reach, servers)];
+  });
+}
+
 /** Probes the next server of a service that this VM is cut off from. */
 export function handleReachTick(
   state: EntryState,
@@ -128,16 +173,10 @@
     endCutOff(reach);
     return [];
   }
-  const { address, bornAtWallMs, id } = servers[reach.probeCount % servers.length]!.entry;
-  reach.probeCount += 1;
-  const processKey = getProcessKey(id, bornAtWallMs);
-  return [
-    { kind: EntryCommandKind.ProbeBackend, address, processKey },
-    scheduleProbe(state, service),
-  ];
+  return [probeNext(reach, servers), scheduleProbe(state, service)];
 }
 
-/** Records whether a probe has reached its server. */
+/** Records whether a probe, of whatever purpose, has reached its server. */
 export function handleReachProbed(
   state: EntryState,
   { outcome, processKey }: EntryEventOf<typeof EntryEventKind.BackendProbed>,
@@ -146,13 +185,20 @@
   const probed = [...state.backends.values()].find(
     ({ entry }) => getProcessKey(entry.id, entry.bornAtWallMs) === processKey,
   );
-  const { id = '', service = '' } = probed?.entry ?? {};
-  const reach = state.reach.get(service);
-  const sinceMs = reach?.cutOffSinceMs ?? null;
-  if (reach === undefined || sinceMs === null) {
+  if (probed === undefined) {
     return [];
   }
+  const { id, service } = probed.entry;
   const isReached = outcome === ProbeOutcome.Accepting;
+  const reach = getReach(state, service);
+  const sinceMs = reach.cutOffSinceMs;
+  if (sinceMs === null) {
+    if (!isReached) {
+      return recordServerUnreached(state, probed, nowMs);
+    }
+    recordReached(reach, nowMs);
+    return [];
+  }
   if (!recordProbed(reach, id, isReached, listServers(state, service).length, nowMs)) {
     return [];
   }
--- a/src/state/entry/serviceReach.ts
+++ b/src/state/entry/serviceReach.ts
@@ -20,8 +20,10 @@
   cutOffSinceMs: number | null;
   /** Time until which passing requests to other VMs is of no use, since those that were asked reach no server either. */
   passingFutileUntilMs: number;
-  /** Number of probes since then, by which they take the servers in turn. */
+  /** Number of probes so far, by which they take the servers in turn. */
   probeCount: number;
+  /** Time of the last probe because of silence. */
+  silenceProbedAtMs: number;
 }
 
 /** Creates the state of a service of which no server has been connected to. */
@@ -33,6 +35,7 @@
     cutOffSinceMs: null,
     passingFutileUntilMs: Number.NEGATIVE_INFINITY,
     probeCount: 0,
+    silenceProbedAtMs: Number.NEGATIVE_INFINITY,
   };
 }
 
@@ -57,7 +60,6 @@
     return false;
   }
   reach.cutOffSinceMs = nowMs;
-  reach.probeCount = 0;
   reach.probedIds.clear();
   return true;
 }
--- a/tests/entry/passing.test.ts
+++ b/tests/entry/passing.test.ts
@@ -181,6 +181,61 @@
     expect(vm.state.buckets.get('mill')!.levelTokens).toBe(levelTokens);
   });
 
+  it.each([
+    {
+      name: 'no server answers, probes are not answered',
+      answers: false,
+      outcome: ProbeOutcome.Unknown,
+      passes: 1,
+      probes: 3,
+    },
+    {
+      name: 'no server answers, probes are refused',
+      answers: false,
+      outcome: ProbeOutcome.Gone,
+      passes: 1,
+      probes: 3,
+    },
+    {
+      name: 'no server answers, connections are accepted',
+      answers: false,
+      outcome: ProbeOutcome.Accepting,
+      passes: 0,
+      probes: 3,
+    },
+    {
+      name: 'others are answered',
+      answers: true,
+      outcome: ProbeOutcome.Unknown,
+      passes: 0,
+      probes: 0,
+    },
+  ])(
+    'learns that it is cut off although its kept connections hang: $name',
+    ({ answers, outcome, passes, probes }) => {
+      const vm = createVm();
+      vm.receiveRequest(createTestRequest('hung', '/book/x'), CUT_AT_MS);
+      const sent: EntryCommand[] = [];
+      for (let afterMs = 100; afterMs <= 2_400; afterMs += 100) {
+        const nowMs = CUT_AT_MS + afterMs;
+        if (answers) {
+          const requestId = `sound-${afterMs}`;
+          vm.receiveRequest(createTestRequest(requestId, '/book/x', { promptTokens: 1 }), nowMs);
+          const kind = EntryEventKind.AnswerReady;
+          vm.step({ kind, requestId, attempt: 1, status: 200, load: null }, nowMs);
+        }
+        const commands = vm.step({ kind: EntryEventKind.MaintenanceTick }, nowMs);
+        findCommands(commands, EntryCommandKind.ProbeBackend).forEach(({ processKey }) =>
+          vm.step({ kind: EntryEventKind.BackendProbed, processKey, outcome }, nowMs),
+        );
+        sent.push(...findCommands(commands, EntryCommandKind.ProbeBackend));
+      }
+      expect(sent).toHaveLength(probes);
+      const request = createTestRequest('r', '/book/x', { promptTokens: 1 });
+      expect(listPasses(vm.receiveRequest(request, CUT_AT_MS + 2_500))).toHaveLength(passes);
+    },
+  );
+
   it('passes nothing once its stop is too near for an answer', () => {
     const vm = createVm();
     cutOff(vm, '/lookup/x');
