Tell the VM that has the caller when events of a passed stream are in doubt

What callers saw: a resumable stream that was passed to another VM, and whose server's event numbers fell back, could be taken up at a third VM after events which may belong to another stream. Where the VM sends the request itself, such a stream is broken off.

Cause: only the VM that has the server judged the event that spoils the stream. It drops that event and breaks its answer off, which the VM with the caller cannot tell from a lost connection, so it left `isPlaceDoubtful` unset and passed the stream on.

Fix: the event that shows a doubt goes to the VM that has passed the request, whose own judge finds the same and does not send it to the caller. The connection is closed only after that event has been written.

Remains: if the number falls back among events that the second server repeats, the VM with the caller takes it for a repeated one.

--- a/src/transport/entry/answers.ts
+++ b/src/transport/entry/answers.ts
@@ -146,8 +146,12 @@
   if (judged.some(({ isAdvance }) => isAdvance)) {
     recordProgress(attempt);
   }
-  const taken = judged.flatMap(({ frame, verdict }) =>
-    verdict === EventVerdict.Sound ? [frame] : [],
+  const spoiling = judged.find(({ verdict }) => verdict === EventVerdict.Spoiled);
+  const isDoubt = spoiling !== undefined && DOUBTS.has(spoiling.reason!);
+  // The VM that has passed the request judges the event too, and so learns that the caller's events are in doubt.
+  const isTold = exchange.isPassed && isDoubt;
+  const taken = judged.flatMap((event) =>
+    event.verdict === EventVerdict.Sound || (isTold && event === spoiling) ? [event.frame] : [],
   );
   if (taken.length > 0) {
     startAnswer(attempt, response);
@@ -156,9 +160,8 @@
     const joined = bytes.length === 1 ? bytes[0]! : Buffer.concat(bytes);
     writeWithBackpressure(attempt, response, joined, onDrained);
   }
-  const reason = judged.at(-1)?.reason ?? null;
-  if (reason !== null) {
-    failSpoiled(attempt, reason);
+  if (spoiling !== undefined) {
+    failSpoiled(attempt, spoiling.reason!);
   }
 }
 
--- a/src/transport/entry/exchange.ts
+++ b/src/transport/entry/exchange.ts
@@ -101,7 +101,7 @@
  * is complete and still being written is left alone.
  */
 function breakOffAnswer(exchange: ForwardExchange): void {
-  const { endsWithConnection, response } = exchange;
+  const { endsWithConnection, isPassed, isPlaceDoubtful, response } = exchange;
   exchange.isEnded = true;
   if (response.writableEnded) {
     return;
@@ -109,6 +109,9 @@
   exchange.isAborted = true;
   if (endsWithConnection) {
     resetAnswer(response);
+  } else if (isPassed && isPlaceDoubtful) {
+    // The event that shows the doubt may still be buffered.
+    response.socket?.destroySoon();
   } else {
     response.destroy();
   }
