Let a passed stream whose event numbers have gaps go on at another VM

What callers saw: a resumable stream with numbers such as 10, 20, 30 that was lost at the VM it was passed to, and passed to the next one, was broken off after the events the caller had, although the second server went on properly.

Cause: to the second VM the stream looks like one that its caller takes up, whose numbers count as rising by one. So it took the next number for one that skips some, and spoiled the stream.

Evidence: tests/entry/passedStreams.test.ts fails before in the case of numbers with gaps, for a server that goes on and one that begins anew (caller gets 10 and 20 of four events); with the same code without the header's new field it fails too.

Fix: the VM that has the caller tells what its numbers have shown. A VM that does not tell it is treated as before.

Measured: passedStreams 5, streamJudge 298, spoiledAttempts 14, brokenStreams 29, passing 31, passedAdmission 18, oddAnswers 18, answerEnds 39, all pass. Not run: other files.

--- a/src/coordination/entry/passedRequest.ts
+++ b/src/coordination/entry/passedRequest.ts
@@ -22,6 +22,8 @@
   readonly possiblyRunIds: readonly string[];
   /** Servers that provably did not run it. */
   readonly notRunIds: readonly string[];
+  /** Whether the numbers of the events that the caller has rise by one; null if they do not show it. Set as the request is sent. */
+  readonly isConsecutive?: boolean | null;
 }
 
 /** The server whose answer a VM passes back. */
--- a/src/protocol/entry/passedRequests.ts
+++ b/src/protocol/entry/passedRequests.ts
@@ -36,6 +36,7 @@
   streamVersion: Schema.NullOr(Schema.String),
   possiblyRunIds: Schema.Array(Schema.String),
   notRunIds: Schema.Array(Schema.String),
+  isConsecutive: Schema.optionalKey(Schema.NullOr(Schema.Boolean)),
 });
 
 const AnswerSourceSchema = Schema.Struct({
--- a/src/protocol/entry/streamJudge.ts
+++ b/src/protocol/entry/streamJudge.ts
@@ -46,12 +46,19 @@
   readonly judgeEnd: () => SpoilReason | null;
 }
 
-/** Creates the place of a caller that has no event yet. */
-export function createStreamPlace(startsAfterId: string | null): StreamPlace {
+/**
+ * Creates the place of a caller that has no event from this VM yet.
+ *
+ * @param isConsecutive What the VM that has passed the request knows of the caller's numbers; undefined if the caller is this VM's.
+ */
+export function createStreamPlace(
+  startsAfterId: string | null,
+  isConsecutive?: boolean | null,
+): StreamPlace {
   const isTakenUp = isEventNumber(startsAfterId);
   return {
     lastId: null,
-    isConsecutive: isTakenUp ? true : null,
+    isConsecutive: isConsecutive === undefined ? isTakenUp || null : isConsecutive,
     lineEnd: null,
     startsAfterId: isTakenUp ? startsAfterId : null,
   };
--- a/src/transport/entry/attemptRequest.ts
+++ b/src/transport/entry/attemptRequest.ts
@@ -32,7 +32,8 @@
     urgency: null,
     resumeAfter: exchange.place.lastId,
   });
-  return [...headers, ...encodePassedRequest(command.pass)];
+  const { isConsecutive } = exchange.place;
+  return [...headers, ...encodePassedRequest({ ...command.pass, isConsecutive })];
 }
 
 /** Creates the request of an attempt. Throws if Node.js does not accept its address or its head. */
--- a/src/transport/entry/exchange.ts
+++ b/src/transport/entry/exchange.ts
@@ -2,7 +2,7 @@
  * Holds a forwarded request and sends the response to its caller. Response bodies are streamed outside the event loop.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { PassedEnd } from '../../coordination/entry/passedRequest.js';
+import type { PassedEnd, PassedRequest } from '../../coordination/entry/passedRequest.js';
 import { encodePassedEnd } from '../../protocol/entry/passedRequests.js';
 import { createStreamPlace, type StreamPlace } from '../../protocol/entry/streamJudge.js';
 import {
@@ -67,16 +67,17 @@
   isSent: boolean;
 }
 
-/** Creates the exchange of a request that has no response yet. */
+/** Creates the exchange of a request that has no response yet. `pass` is what another VM tells that has passed it to this one. */
 export function createForwardExchange(
   fields: Pick<ForwardExchange, 'requestId' | 'callerRequestId' | 'request' | 'response' | 'body'>,
-  isPassed = false,
+  pass: Pick<PassedRequest, 'isConsecutive'> | null = null,
 ): ForwardExchange {
+  const startsAfterId = fields.request.headers[LAST_EVENT_ID_HEADER]?.toString() ?? null;
   return {
     ...fields,
-    isPassed,
+    isPassed: pass !== null,
     rejectedAddresses: new Set(),
-    place: createStreamPlace(fields.request.headers[LAST_EVENT_ID_HEADER]?.toString() ?? null),
+    place: createStreamPlace(startsAfterId, pass?.isConsecutive),
     isPlaceDoubtful: false,
     lastEventAtMs: null,
     maxGapMs: 0,
--- a/src/transport/entry/passServer.ts
+++ b/src/transport/entry/passServer.ts
@@ -49,9 +49,10 @@
   { request, response }: Pick<Arrival, 'request' | 'response'>,
   callerRequestId: string,
   body: Buffer,
+  pass: Pick<PassedRequest, 'isConsecutive'>,
 ): ForwardExchange {
   const requestId = createRequestId();
-  return createForwardExchange({ requestId, callerRequestId, request, response, body }, true);
+  return createForwardExchange({ requestId, callerRequestId, request, response, body }, pass);
 }
 
 /** Rejects a passed request that the event loop does not hear of. */
@@ -61,7 +62,7 @@
   callerRequestId: string,
   diagnostic: Diagnostic,
 ): void {
-  const exchange = createExchange(context, arrival, callerRequestId, Buffer.alloc(0));
+  const exchange = createExchange(context, arrival, callerRequestId, Buffer.alloc(0), {});
   sendForwardRefusal(exchange, createRefusal(diagnostic, RunStatus.NotRun, null), context.wire);
 }
 
@@ -69,7 +70,7 @@
 function startExchange(context: PassServerContext, arrival: Arrival, body: Buffer): void {
   const { exchanges, loopDelay, post } = context;
   const { head, pass, request, response } = arrival;
-  const exchange = createExchange(context, arrival, head.callerRequestId, body);
+  const exchange = createExchange(context, arrival, head.callerRequestId, body, pass);
   const { requestId } = exchange;
   const contentDigest = createContentDigest(request.method ?? '', request.url ?? '', body);
   let isAdmitted = false;
--- a/tests/entry/passedStreams.test.ts
+++ b/tests/entry/passedStreams.test.ts
@@ -7,6 +7,7 @@
 import { PLATFORM_WIRE } from '../../platform/wire.js';
 import { type EntryEvent, EntryEventKind } from '../../src/coordination/entry/events.js';
 import { createRefusal } from '../../src/coordination/requestCompletion.js';
+import { decodePassedRequest, PassHeader } from '../../src/protocol/entry/passedRequests.js';
 import { createDiagnostic, Diagnostics } from '../../src/state/diagnostics.js';
 import { RunStatus } from '../../src/state/types.js';
 import { handleAnswer } from '../../src/transport/entry/answers.js';
@@ -99,7 +100,9 @@
   const address = await startServer(answer);
   const server = http.createServer((request, response) => {
     const fields = { requestId: 'r', callerRequestId: 'id', request, response };
-    const exchange = createForwardExchange({ ...fields, body: Buffer.alloc(0) }, true);
+    const header = request.headers[PassHeader.Request]?.toString() ?? '';
+    const pass = decodePassedRequest(header).toMaybe().extractNullable();
+    const exchange = createForwardExchange({ ...fields, body: Buffer.alloc(0) }, pass);
     const context = createContext(({ kind }) => {
       if (kind === EntryEventKind.AttemptFailed) {
         breakOff(exchange);
@@ -162,6 +165,12 @@
   };
 }
 
+function sendWhole(body: string): Answer {
+  return (socket) => {
+    socket.write(`${HEAD}Content-Length: ${body.length}\r\n\r\n${body}`);
+  };
+}
+
 const BROKEN = [
   { name: 'numbers that fall back', then: formatEvents(15), isDoubtful: true },
   { name: 'no more events', then: '', isDoubtful: false },
@@ -174,4 +183,19 @@
     expect(doubts).toEqual([row.isDoubtful]);
     expect(result).toMatchObject({ body: formatEvents(10, 20), hasEndMark: false });
   });
+
+  it.each([
+    { name: 'numbers that rise by one', ids: [1, 2, 3, 4] },
+    { name: 'numbers with gaps', ids: [10, 20, 30, 40] },
+  ])('goes on at another VM after the last event of the caller: $name', async ({ ids }) => {
+    const first = sendPart(formatEvents(...ids.slice(0, 2)));
+    const outcomes = [formatEvents(...ids), formatEvents(...ids.slice(2))].map((rest) =>
+      passToEach([first, sendWhole(rest)]),
+    );
+    const results = (await Promise.all(outcomes)).map(({ result }) => result);
+    expect(results).toMatchObject([
+      { body: formatEvents(...ids), hasEndMark: true },
+      { body: formatEvents(...ids), hasEndMark: true },
+    ]);
+  });
 });
