Keep the controller's lease while no VM is known to reach the engines

What callers saw: while the engines of one service are down, or its only engine is replaced, no VM may be the controller, so models of all other services are neither loaded nor unloaded either.

Cause: a VM gave the lease up, and did not claim it, as soon as it was cut off from the engines of one service. Engines that are down look the same from each VM with requests for them, so the lease went from one VM to the next until none was left.

Fix: the lease is given up only once another VM has shown, since this one was cut off, that it reaches engines of the service: by an answer of a server, or by a rejection as not run for a reason that is not its own. A VM that is cut off has requests of that service, which it passes, so it learns this with the first of them.

--- a/src/coordination/entry/placement/controller.ts
+++ b/src/coordination/entry/placement/controller.ts
@@ -246,13 +246,13 @@
   ];
 }
 
-/** Gives the lease up if this VM reaches no engine, so that a VM that does sends the orders. */
+/** Gives the lease up if this VM reaches no engine of a service and another VM does, so that one that does sends the orders. */
 function releaseIfCutOff(state: EntryState): EntryCommand[] {
   const { fence } = state.placement;
   return fence === null || !isCutOffFromEngines(state)
     ? []
     : [
-        ...stopController(state, 'this VM reaches no engine'),
+        ...stopController(state, 'this VM reaches no engine of a service that others reach'),
         { kind: EntryCommandKind.ReleaseControllerLease, fence },
       ];
 }
--- a/src/coordination/entry/requests/passFailures.ts
+++ b/src/coordination/entry/requests/passFailures.ts
@@ -13,6 +13,7 @@
 import { createEntryLog, type EntryCommand, EntryLogPrefix } from '../commands.js';
 import type { EntryEventKind, EntryEventOf } from '../events.js';
 import type { PassedEnd } from '../passedRequest.js';
+import { recordOthersReach } from '../servers/serviceReach.js';
 import { PassResult } from '../../../state/entry/passTargets.js';
 import { type EntryState, type ForwardRecord } from '../state.js';
 import { recordBegunAnswer } from './answerProgress.js';
@@ -102,6 +103,9 @@
     : [];
   releaseBackend(state, record);
   if (result === PassResult.Rejected) {
+    if (isNotRun) {
+      recordOthersReach(state, service, nowMs);
+    }
     const ended = endForReason(state, record, reason, end?.retryAfterMs ?? null, nowMs);
     return [log, ...begun, ...ended];
   }
--- a/src/coordination/entry/requests/passing.ts
+++ b/src/coordination/entry/requests/passing.ts
@@ -18,6 +18,7 @@
   isCutOff,
   isPassingFutile,
   isReachedSince,
+  recordOthersReach,
   recordPassingFutile,
 } from '../servers/serviceReach.js';
 import { type PassResult, type PassTarget } from '../../../state/entry/passTargets.js';
@@ -189,6 +190,7 @@
 export function recordPassAnswered(state: EntryState, record: ForwardRecord, nowMs: number): void {
   if (record.passedTo !== null) {
     getPassTarget(state, record.passedTo).answeredAtMs.set(record.service.name, nowMs);
+    recordOthersReach(state, record.service.name, nowMs);
   }
 }
 
--- a/src/coordination/entry/servers/serviceReach.ts
+++ b/src/coordination/entry/servers/serviceReach.ts
@@ -51,11 +51,22 @@
   return (reach.get(service)?.cutOffSinceMs ?? null) !== null;
 }
 
-/** Returns whether this VM reaches no engine of a service, and another VM may. */
-export function isCutOffFromEngines(state: EntryState): boolean {
-  const services = [...(state.deployment?.servicesByName.values() ?? [])];
-  const hasOthers = state.listedVms.some(({ vmId }) => vmId !== state.self.vmId);
-  return hasOthers && services.some(({ engine, name }) => engine !== null && isCutOff(state, name));
+/** Returns whether this VM reaches no engine of a service that another VM has reached since. */
+export function isCutOffFromEngines({ deployment, listedVms, reach, self }: EntryState): boolean {
+  const services = [...(deployment?.servicesByName.values() ?? [])];
+  const hasOthers = listedVms.some(({ vmId }) => vmId !== self.vmId);
+  return (
+    hasOthers &&
+    services.some(({ engine, name }) => {
+      const { cutOffSinceMs, othersReachAtMs } = reach.get(name) ?? createServiceReach();
+      return engine !== null && cutOffSinceMs !== null && othersReachAtMs >= cutOffSinceMs;
+    })
+  );
+}
+
+/** Records that another VM reaches the servers of a service. */
+export function recordOthersReach(state: EntryState, service: string, nowMs: number): void {
+  getReach(state, service).othersReachAtMs = nowMs;
 }
 
 /** Returns whether other VMs do not reach the servers of a service either that this VM is cut off from. */
--- a/src/state/entry/serviceReach.ts
+++ b/src/state/entry/serviceReach.ts
@@ -18,6 +18,8 @@
   reachedAtMs: number;
   /** Time since which the VM is cut off; null while it is not. */
   cutOffSinceMs: number | null;
+  /** Time at which another VM last ended a request as one that reaches the servers. */
+  othersReachAtMs: number;
   /** Time until which passing requests to other VMs is of no use, since those that were asked reach no server either. */
   passingFutileUntilMs: number;
   /** Number of probes since then, by which they take the servers in turn. */
@@ -31,6 +33,7 @@
     probedIds: new Set(),
     reachedAtMs: Number.NEGATIVE_INFINITY,
     cutOffSinceMs: null,
+    othersReachAtMs: Number.NEGATIVE_INFINITY,
     passingFutileUntilMs: Number.NEGATIVE_INFINITY,
     probeCount: 0,
   };
--- a/tests/entry/passing.test.ts
+++ b/tests/entry/passing.test.ts
@@ -313,6 +313,29 @@
     expect(new Set(passedTo).size).toBe(1);
   });
 
+  it.each([
+    { name: 'a server has answered', reason: null, isReleased: true },
+    { name: 'it has no room', reason: Diagnostics.Overloaded, isReleased: true },
+    { name: 'it reaches none either', reason: Diagnostics.ServersUnreachable, isReleased: false },
+    { name: 'it stops', reason: Diagnostics.Stopping, isReleased: false },
+  ])('ends the term of the controller only if that VM reaches engines: $name', (row) => {
+    const vm = createVm();
+    const leased = { kind: EntryEventKind.ControllerLeaseAnswered, fence: 40, isLost: false };
+    vm.step({ ...leased, sentAtMs: CUT_AT_MS }, CUT_AT_MS);
+    cutOff(vm, '/draft/x');
+    vm.receiveRequest(createTestRequest('r', '/draft/x'), CUT_AT_MS + 1);
+    if (row.reason === null) {
+      const kind = EntryEventKind.AnswerStarted;
+      vm.step({ kind, requestId: 'r', attempt: 1, load: null }, CUT_AT_MS + 50);
+    } else {
+      const changes = { end: createEnd(row.reason), runState: RunState.Accepted };
+      fail(vm, 'r', 1, Diagnostics.BackendRefused, changes, CUT_AT_MS + 50);
+    }
+    const commands = vm.step({ kind: EntryEventKind.ControllerTick }, CUT_AT_MS + 200);
+    const released = findCommands(commands, EntryCommandKind.ReleaseControllerLease);
+    expect(released).toHaveLength(row.isReleased ? 1 : 0);
+  });
+
   it('goes on with a begun stream at another VM, at the version that began it', () => {
     const vm = createVm();
     cutOff(vm, '/draft/x');
