Pass a stream to the next VM if one does not know the servers of its version

What callers saw: at a VM that is cut off from the servers, a take-up, or a stream that broke on its way through another VM, was rejected or broken off with `stream_version_gone` while servers of its version were registered.

Cause: servers of a new version reach the views of the VMs at different times. The VM with the caller knew the version; the one that it passed the request to did not yet, and its rejection counted as one that holds at every VM.

Evidence: tests/entry/passing.test.ts fails before in the case `stream_version_gone, not run, /draft/x` (1 of 38).

Fix: this rejection concerns the VM that makes it, so the request goes to the next one. Other requests of the service still go to that VM, which may have servers of the versions that they need.

Measured: passing 38, passedAdmission 18 pass; streamTakeUps and streamVersions were run too.

--- a/src/coordination/entry/requests/passFailures.ts
+++ b/src/coordination/entry/requests/passFailures.ts
@@ -34,6 +34,7 @@
   Diagnostics.MemoryExhausted.code,
   Diagnostics.ServersUnreachable.code,
   Diagnostics.UnknownPeer.code,
+  Diagnostics.StreamVersionGone.code,
 ]);
 
 /** Returns the reason that another VM gives, or that of this VM's own attempt. */
@@ -109,8 +110,11 @@
     const ended = endForReason(state, record, reason, end?.retryAfterMs ?? null, nowMs);
     return [log, ...begun, ...ended];
   }
-  const isVmCutOff = reason.code === Diagnostics.ServersUnreachable.code;
-  recordPassReturned(state, vmId, service, isVmCutOff, nowMs);
+  // A VM that does not know the servers of one version may have those of others.
+  if (reason.code !== Diagnostics.StreamVersionGone.code) {
+    const isVmCutOff = reason.code === Diagnostics.ServersUnreachable.code;
+    recordPassReturned(state, vmId, service, isVmCutOff, nowMs);
+  }
   const failed = {
     diagnostic: reason,
     isAnswerBegun,
--- a/tests/entry/passing.test.ts
+++ b/tests/entry/passing.test.ts
@@ -239,6 +239,12 @@
     path: '/book/x',
     next: NEXT.Passed,
   },
+  {
+    reason: Diagnostics.StreamVersionGone,
+    run: RunStatus.NotRun,
+    path: '/draft/x',
+    next: NEXT.Passed,
+  },
   { reason: Diagnostics.Overloaded, run: RunStatus.NotRun, path: '/book/x', next: NEXT.Refused },
   {
     reason: Diagnostics.NoBackendServer,
@@ -313,6 +319,19 @@
     expect(new Set(passedTo).size).toBe(1);
   });
 
+  it.each([
+    { reason: Diagnostics.StreamVersionGone, next: 'vm-2' },
+    { reason: Diagnostics.Stopping, next: 'vm-3' },
+  ])('keeps others from that VM unless it lacks one version: $reason.key', ({ next, reason }) => {
+    const vm = createVm();
+    cutOff(vm, '/draft/x');
+    vm.receiveRequest(createTestRequest('r', '/draft/x'), CUT_AT_MS + 1);
+    const changes = { end: createEnd(reason), runState: RunState.Accepted };
+    fail(vm, 'r', 1, Diagnostics.BackendRefused, changes, CUT_AT_MS + 2);
+    const later = vm.receiveRequest(createTestRequest('s', '/draft/x'), CUT_AT_MS + 3);
+    expect(listPasses(later)).toEqual([next]);
+  });
+
   it.each([
     { name: 'a server has answered', reason: null, isReleased: true },
     { name: 'it has no room', reason: Diagnostics.Overloaded, isReleased: true },
