Pass requests to other VMs rather than let them wait for a connection

What callers would see: on VMs with seven processor cores or more, requests that were passed waited for one of the 64 connections to the VM of their own failure domain, while VMs of other domains had none of this VM's requests.

Cause: a VM of the own domain is preferred until it has ten more requests for each core than others, which is more than there are connections to it.

Evidence: tests/entry/passing.test.ts, case "one has no more requests than connections while another has fewer": before, all 77 requests went to the near VM (of 8 cores), 13 of them beyond its connections.

Fix: a VM to which all connections are in use comes after those with free ones.

--- a/src/coordination/entry/requests/passing.ts
+++ b/src/coordination/entry/requests/passing.ts
@@ -40,6 +40,8 @@
 const KNOWN_GOOD_MS = 2_000;
 /** Connections to one VM; more requests wait for one of them. */
 const MAX_CONNECTIONS = 64;
+/** The same for one to which all connections are in use, before any other. */
+const WAITING_REQUESTS = 1_000;
 /** How long a VM that could not run a request gets none for the same service. */
 const AVOID_TARGET_MS = 1_000;
 /** The same for one that reaches no server of the service. */
@@ -96,8 +98,10 @@
   const isRemote = vm.failureDomain !== state.self.failureDomain;
   const target = state.passTargets.get(vm.vmId);
   const isKnown = nowMs - (target?.answeredAtMs.get(service) ?? -Infinity) < KNOWN_GOOD_MS;
+  const inFlight = target?.inFlight ?? 0;
   return (
-    (target?.inFlight ?? 0) / vm.processorShare +
+    inFlight / vm.processorShare +
+    (inFlight >= MAX_CONNECTIONS ? WAITING_REQUESTS : 0) +
     (isRemote ? REMOTE_DOMAIN_REQUESTS : 0) +
     (isKnown ? 0 : UNKNOWN_VM_REQUESTS)
   );
--- a/tests/entry/passing.test.ts
+++ b/tests/entry/passing.test.ts
@@ -156,6 +156,13 @@
       requests: 40,
       far: 30,
     },
+    {
+      name: 'one has no more requests than connections while another has fewer',
+      vms: [SELF, { ...NEAR, processorShare: 8 }, { ...FAR, processorShare: 8 }],
+      // Three more are those that have shown the cut.
+      requests: 74,
+      far: 74 + 3 - 64,
+    },
   ])('chooses among the VMs: $name', ({ far, requests, vms }) => {
     const vm = createVm(vms);
     cutOff(vm, '/lookup/x');
