--- a/src/coordination/entry/requests/passFailures.ts
+++ b/src/coordination/entry/requests/passFailures.ts
@@ -13,6 +13,7 @@
 import { createEntryLog, type EntryCommand, EntryLogPrefix } from '../commands.js';
 import type { EntryEventKind, EntryEventOf } from '../events.js';
 import type { PassedEnd } from '../passedRequest.js';
+import { recordOthersReach } from '../servers/serviceReach.js';
 import { PassResult } from '../../../state/entry/passTargets.js';
 import { type EntryState, type ForwardRecord } from '../state.js';
 import { recordBegunAnswer } from './answerProgress.js';
@@ -33,6 +34,7 @@
   Diagnostics.MemoryExhausted.code,
   Diagnostics.ServersUnreachable.code,
   Diagnostics.UnknownPeer.code,
+  Diagnostics.StreamVersionGone.code,
 ]);
 
 /** Returns the reason that another VM gives, or that of this VM's own attempt. */
@@ -102,11 +104,17 @@
     : [];
   releaseBackend(state, record);
   if (result === PassResult.Rejected) {
+    if (isNotRun) {
+      recordOthersReach(state, service, nowMs);
+    }
     const ended = endForReason(state, record, reason, end?.retryAfterMs ?? null, nowMs);
     return [log, ...begun, ...ended];
   }
-  const isVmCutOff = reason.code === Diagnostics.ServersUnreachable.code;
-  recordPassReturned(state, vmId, service, isVmCutOff, nowMs);
+  // A VM that does not know the servers of one version may have those of others.
+  if (reason.code !== Diagnostics.StreamVersionGone.code) {
+    const isVmCutOff = reason.code === Diagnostics.ServersUnreachable.code;
+    recordPassReturned(state, vmId, service, isVmCutOff, nowMs);
+  }
   const failed = {
     diagnostic: reason,
     isAnswerBegun,
--- a/tests/entry/passing.test.ts
+++ b/tests/entry/passing.test.ts
@@ -156,6 +156,13 @@
       requests: 40,
       far: 30,
     },
+    {
+      name: 'one has no more requests than connections while another has fewer',
+      vms: [SELF, { ...NEAR, processorShare: 8 }, { ...FAR, processorShare: 8 }],
+      // Three more are those that have shown the cut.
+      requests: 74,
+      far: 74 + 3 - 64,
+    },
   ])('chooses among the VMs: $name', ({ far, requests, vms }) => {
     const vm = createVm(vms);
     cutOff(vm, '/lookup/x');
@@ -294,6 +301,12 @@
     path: '/book/x',
     next: NEXT.Passed,
   },
+  {
+    reason: Diagnostics.StreamVersionGone,
+    run: RunStatus.NotRun,
+    path: '/draft/x',
+    next: NEXT.Passed,
+  },
   { reason: Diagnostics.Overloaded, run: RunStatus.NotRun, path: '/book/x', next: NEXT.Refused },
   {
     reason: Diagnostics.NoBackendServer,
@@ -368,6 +381,42 @@
     expect(new Set(passedTo).size).toBe(1);
   });
 
+  it.each([
+    { reason: Diagnostics.StreamVersionGone, next: 'vm-2' },
+    { reason: Diagnostics.Stopping, next: 'vm-3' },
+  ])('keeps others from that VM unless it lacks one version: $reason.key', ({ next, reason }) => {
+    const vm = createVm();
+    cutOff(vm, '/draft/x');
+    vm.receiveRequest(createTestRequest('r', '/draft/x'), CUT_AT_MS + 1);
+    const changes = { end: createEnd(reason), runState: RunState.Accepted };
+    fail(vm, 'r', 1, Diagnostics.BackendRefused, changes, CUT_AT_MS + 2);
+    const later = vm.receiveRequest(createTestRequest('s', '/draft/x'), CUT_AT_MS + 3);
+    expect(listPasses(later)).toEqual([next]);
+  });
+
+  it.each([
+    { name: 'a server has answered', reason: null, isReleased: true },
+    { name: 'it has no room', reason: Diagnostics.Overloaded, isReleased: true },
+    { name: 'it reaches none either', reason: Diagnostics.ServersUnreachable, isReleased: false },
+    { name: 'it stops', reason: Diagnostics.Stopping, isReleased: false },
+  ])('ends the term of the controller only if that VM reaches engines: $name', (row) => {
+    const vm = createVm();
+    const leased = { kind: EntryEventKind.ControllerLeaseAnswered, fence: 40, isLost: false };
+    vm.step({ ...leased, sentAtMs: CUT_AT_MS }, CUT_AT_MS);
+    cutOff(vm, '/draft/x');
+    vm.receiveRequest(createTestRequest('r', '/draft/x'), CUT_AT_MS + 1);
+    if (row.reason === null) {
+      const kind = EntryEventKind.AnswerStarted;
+      vm.step({ kind, requestId: 'r', attempt: 1, load: null }, CUT_AT_MS + 50);
+    } else {
+      const changes = { end: createEnd(row.reason), runState: RunState.Accepted };
+      fail(vm, 'r', 1, Diagnostics.BackendRefused, changes, CUT_AT_MS + 50);
+    }
+    const commands = vm.step({ kind: EntryEventKind.ControllerTick }, CUT_AT_MS + 200);
+    const released = findCommands(commands, EntryCommandKind.ReleaseControllerLease);
+    expect(released).toHaveLength(row.isReleased ? 1 : 0);
+  });
+
   it('goes on with a begun stream at another VM, at the version that began it', () => {
     const vm = createVm();
     cutOff(vm, '/draft/x');
