Count no VM as cut off from a service without servers

Found by the review, by reading: with its last server leaving, one failed connect made a VM count as cut off from a service that has no server left, until the next probe was due. Tests: serviceReach.test.ts, a table of 13 rows; the first fails without the change.

--- a/src/state/entry/serviceReach.ts
+++ b/src/state/entry/serviceReach.ts
@@ -59,7 +59,7 @@
 ): boolean {
   reach.unreachedIds.add(serverId);
   const isCutOff = reach.unreachedIds.size >= Math.min(CUT_OFF_SERVERS, serverCount);
-  if (reach.cutOffSinceMs !== null || !isCutOff) {
+  if (reach.cutOffSinceMs !== null || serverCount === 0 || !isCutOff) {
     return false;
   }
   reach.cutOffSinceMs = nowMs;
