Try another own server before a request that was refused at once is passed to another VM

A request that could not connect to one of two servers, which was restarting, was passed to another VM since no server had answered its own VM for half a second. That VM was killed in the middle of the stream, and the answer was cut, though the other server ran it and could be reached directly.

Cause: one refused connect counted as a sign of a cut wherever no server had answered lately, so in little traffic a server that is down made the answer depend on a second VM.

Change: a request whose one connect was refused at once goes to another server of its own VM first, if one can take it. After a second failure, after a connect that was not refused within 100 ms, or without such a server it is passed as before.

--- a/src/coordination/entry/requests/admission.ts
+++ b/src/coordination/entry/requests/admission.ts
@@ -210,6 +210,7 @@
     passedTo: null,
     triedVmIds: [],
     connectFailures: 0,
+    hasSlowConnect: false,
     hasArrived: false,
     softwareVersion: '',
     streamVersion: pass?.streamVersion ?? null,
--- a/src/coordination/entry/requests/attempts.ts
+++ b/src/coordination/entry/requests/attempts.ts
@@ -51,6 +51,8 @@
 /** A request that a brittle server has rejected is sent again after this time, and up to as long again. */
 const HOLD_MS = 150;
 const HOLD_SPREAD_MS = 150;
+/** A server that is down refuses a connection within this time. */
+const SLOW_CONNECT_MS = 100;
 /** Lowest HTTP status that indicates a failure of the server rather than of the request. */
 const MIN_SERVER_ERROR_STATUS = 500;
 /** States of an attempt whose server has sent at least the head of an answer. */
@@ -181,6 +183,7 @@
   record.hasArrived ||= runState !== RunState.NotSent;
   if (diagnostic.code === Diagnostics.ConnectFailed.code) {
     record.connectFailures += 1;
+    record.hasSlowConnect ||= nowMs - record.dispatchedAtMs >= SLOW_CONNECT_MS;
     return recordServerUnreached(state, backend, nowMs);
   }
   if (isRefusedByServer || ANSWERED_STATES.has(runState)) {
--- a/src/coordination/entry/requests/forwarding.ts
+++ b/src/coordination/entry/requests/forwarding.ts
@@ -23,7 +23,7 @@
   getWaitTimerId,
   refuseForward,
 } from './requestCompletion.js';
-import { findPassTarget, isBarredFromServers, passTo } from './passing.js';
+import { findPassTarget, isBarredFromServers, isOwnServerFirst, passTo } from './passing.js';
 import { addPendingPrefill } from './prefillLoad.js';
 import { getCallerTimeoutMs, getEventGapTimeoutMs, getFirstDataTimeoutMs } from './requestTimes.js';
 import { withdrawRetry } from './retryBudget.js';
@@ -150,11 +150,13 @@
   nowMs: number,
 ): (() => EntryCommand[]) | null {
   const target = findPassTarget(state, record, nowMs);
-  if (target !== undefined) {
-    return () => passTo(state, record, target, nowMs);
+  if (target === undefined || isOwnServerFirst(state, record)) {
+    const backend = findBackend(state, record, nowMs);
+    if (backend !== undefined) {
+      return () => dispatchTo(state, record, backend.entry.id, nowMs);
+    }
   }
-  const backend = findBackend(state, record, nowMs);
-  return backend === undefined ? null : () => dispatchTo(state, record, backend.entry.id, nowMs);
+  return target === undefined ? null : () => passTo(state, record, target, nowMs);
 }
 
 /**
--- a/src/coordination/entry/requests/passing.ts
+++ b/src/coordination/entry/requests/passing.ts
@@ -74,6 +74,19 @@
   return isCutOff(state, service.name) || isUnreached || connectFailures >= MAX_CONNECT_FAILURES;
 }
 
+/**
+ * Returns whether a request that may be passed goes to another server of this VM first: only one server has refused its connection,
+ * and at once, as a server does that is down. Passing it would make its answer depend on another VM.
+ */
+export function isOwnServerFirst(
+  state: EntryState,
+  { connectFailures, hasSlowConnect, service }: ForwardRecord,
+): boolean {
+  return (
+    connectFailures < MAX_CONNECT_FAILURES && !hasSlowConnect && !isCutOff(state, service.name)
+  );
+}
+
 /** Returns whether a request is not to be sent to servers any more: this VM reaches none, and has passed it before. */
 export function isBarredFromServers(state: EntryState, record: ForwardRecord): boolean {
   return record.triedVmIds.length > 0 && isCutOff(state, record.service.name);
--- a/src/coordination/entry/state.ts
+++ b/src/coordination/entry/state.ts
@@ -95,6 +95,8 @@
   readonly triedVmIds: string[];
   /** Attempts that could not connect to their servers. */
   connectFailures: number;
+  /** True once one of them was not refused at once, as it would be by a server that is down. */
+  hasSlowConnect: boolean;
   /** True once an attempt may have reached a server, so that the next one is a repeat there. */
   hasArrived: boolean;
   /** Version of the software of the server of the last attempt; empty before the first. */
--- a/tests/entry/passing.test.ts
+++ b/tests/entry/passing.test.ts
@@ -21,6 +21,10 @@
 } from './fixtures.js';
 
 const ENGINES = ['e1', 'e2', 'e3', 'e4'].map((id) => createTestEntry(id, 'llm'));
+/** The only engine that has the model `m2`. */
+const RARE_MODEL_ENGINE = createTestEntry('e5', 'llm', {
+  models: [{ name: 'm2', version: 1, adapters: [] }],
+});
 const COUNTERS = ['c1', 'c2', 'c3', 'c4'].map((id) => createTestEntry(id, 'counter'));
 const CUT_AT_MS = 10_000;
 
@@ -34,7 +38,7 @@
 const FAR = createListed('vm-3', { failureDomain: 'fd-b' });
 
 function createVm(vms: readonly ListedEntryVm[] = [SELF, NEAR, FAR]): TestVm {
-  const vm = createTestVm({}, [...ENGINES, ...COUNTERS]);
+  const vm = createTestVm({}, [...ENGINES, RARE_MODEL_ENGINE, ...COUNTERS]);
   vm.step({ kind: EntryEventKind.VmsRead, vms }, 0);
   return vm;
 }
@@ -178,15 +182,50 @@
     expect(Math.abs(passed.filter((vmId) => vmId === 'vm-3').length - far)).toBeLessThanOrEqual(1);
   });
 
-  it('passes a request that could not connect, and charges it once', () => {
-    const vm = createVm();
-    const before = vm.receiveRequest(createTestRequest('r', '/book/x'), CUT_AT_MS);
-    const { levelTokens } = vm.state.buckets.get('mill')!;
-    const passed = fail(vm, 'r', 1, Diagnostics.ConnectFailed);
-    expect(findCommands(before, EntryCommandKind.Dispatch)).toHaveLength(1);
-    expect(listPasses(passed)).toEqual(['vm-2']);
-    expect(vm.state.buckets.get('mill')!.levelTokens).toBe(levelTokens);
-  });
+  it.each([
+    {
+      name: 'its server does not answer',
+      path: '/book/x',
+      connectMs: [700],
+      servers: 1,
+    },
+    {
+      name: 'two servers refuse at once',
+      path: '/book/x',
+      connectMs: [0, 0],
+      servers: 2,
+    },
+    {
+      name: 'the first refuses at once, the second does not answer',
+      path: '/draft/x',
+      connectMs: [0, 700],
+      servers: 2,
+    },
+    {
+      name: 'the only one that has its model refuses at once',
+      path: '/draft/x',
+      model: 'm2',
+      connectMs: [0],
+      servers: 1,
+    },
+  ])(
+    'passes a request that could not connect, and charges it once: $name',
+    ({ connectMs, model = 'm0', path, servers }) => {
+      const vm = createVm();
+      const commands = vm.receiveRequest(createTestRequest('r', path, { model }), CUT_AT_MS);
+      const { levelTokens } = vm.state.buckets.get('mill')!;
+      connectMs.forEach((durationMs, i) =>
+        commands.push(
+          ...fail(vm, 'r', i + 1, Diagnostics.ConnectFailed, {}, CUT_AT_MS + durationMs),
+        ),
+      );
+      const tried = findCommands(commands, EntryCommandKind.Dispatch);
+      expect(new Set(tried.map(({ backendId }) => backendId)).size).toBe(servers);
+      expect(tried).toHaveLength(servers);
+      expect(listPasses(commands)).toEqual(['vm-2']);
+      expect(vm.state.buckets.get('mill')!.levelTokens).toBe(levelTokens);
+    },
+  );
 
   it.each([
     {
