Pass a request whose server refuses connections directly after an answer without a length

What callers saw: 502 at a VM whose kept connections live on while new ones are refused, for answers without a length: the servers ran the request and sent the whole answer, up to three of them one after the other (trials of mixedVersions.test.ts on, both versions of the other VMs).

Cause: such an answer counts as whole only if its server can be asked on another connection. Where new connections are refused the answer counts as broken off, rightly, but the refusal was no sign of a cut, so the request went on to the next own server and used up its attempts.

Change: the refusal counts for whether this VM reaches its servers, and the request is passed to another VM at once.

--- a/src/coordination/entry/requests/admission.ts
+++ b/src/coordination/entry/requests/admission.ts
@@ -211,6 +211,7 @@
     triedVmIds: [],
     unreachedBackendIds: [],
     hasSlowConnect: false,
+    hasLostServer: false,
     hasArrived: false,
     softwareVersion: '',
     streamVersion: pass?.streamVersion ?? null,
--- a/src/coordination/entry/requests/passing.ts
+++ b/src/coordination/entry/requests/passing.ts
@@ -65,7 +65,7 @@
 
 /** Returns whether a request is to go to another VM rather than to a server. */
 function isPassDue(state: EntryState, record: ForwardRecord, nowMs: number): boolean {
-  const { passedBy, service, unreachedBackendIds } = record;
+  const { hasLostServer, passedBy, service, unreachedBackendIds } = record;
   if (passedBy !== null) {
     return false;
   }
@@ -75,6 +75,7 @@
   return (
     isCutOff(state, service.name) ||
     isUnreached ||
+    hasLostServer ||
     unreachedBackendIds.length >= MAX_CONNECT_FAILURES
   );
 }
@@ -85,11 +86,12 @@
  */
 export function isOwnServerFirst(
   state: EntryState,
-  { hasSlowConnect, service, unreachedBackendIds }: ForwardRecord,
+  { hasLostServer, hasSlowConnect, service, unreachedBackendIds }: ForwardRecord,
 ): boolean {
   return (
     unreachedBackendIds.length < MAX_CONNECT_FAILURES &&
     !hasSlowConnect &&
+    !hasLostServer &&
     !isCutOff(state, service.name)
   );
 }
--- a/src/coordination/entry/state.ts
+++ b/src/coordination/entry/state.ts
@@ -93,10 +93,12 @@
   passedTo: string | null;
   /** VMs that it was passed to and that could not run it. */
   readonly triedVmIds: string[];
-  /** Backend servers of the attempts that could not connect; another VM may reach them. */
+  /** Backend servers that refused a connection or could not be connected to; another VM may reach them. */
   readonly unreachedBackendIds: string[];
   /** True once one of them was not refused at once, as it would be by a server that is down. */
   hasSlowConnect: boolean;
+  /** True once a server that has answered it refused a connection directly after it. */
+  hasLostServer: boolean;
   /** True once an attempt may have reached a server, so that the next one is a repeat there. */
   hasArrived: boolean;
   /** Version of the software of the server of the last attempt; empty before the first. */
--- a/tests/entry/refusedConnections.test.ts
+++ b/tests/entry/refusedConnections.test.ts
@@ -1,11 +1,13 @@
 /**
- * Tests what follows from connections that servers of one VM refuse: the VM that a request is passed to may use those servers.
+ * Tests what follows from connections that servers of one VM refuse: the VM that a request is passed to may use those servers, and an answer
+ * without a length whose server cannot be asked any more counts as a sign of a cut.
  */
 import { describe, expect, it } from 'vitest';
 import { type EntryCommand, EntryCommandKind } from '../../src/coordination/entry/commands.js';
-import { EntryEventKind } from '../../src/coordination/entry/events.js';
+import { EntryEventKind, ProbeOutcome } from '../../src/coordination/entry/events.js';
 import type { ListedEntryVm } from '../../src/coordination/entry/peerMessage.js';
 import { createDiagnostic, Diagnostics } from '../../src/state/diagnostics.js';
+import { LifeEvidence } from '../../src/state/entry/serverLife.js';
 import { RunState } from '../../src/state/types.js';
 import {
   createTestEntry,
@@ -42,6 +44,12 @@
     isRefused: true,
     durationMs: 0,
   },
+  Truncated: {
+    message: Diagnostics.AnswerTruncated,
+    runState: RunState.Streaming,
+    isRefused: false,
+    durationMs: 0,
+  },
 } as const;
 type AttemptEnd = (typeof AttemptEnd)[keyof typeof AttemptEnd];
 
@@ -64,6 +72,17 @@
   return vm.step(event, CUT_AT_MS + durationMs);
 }
 
+/** Reports the results of the probes that some commands ask for, and returns what follows from them. */
+function answerProbes(
+  vm: TestVm,
+  commands: readonly EntryCommand[],
+  outcome: ProbeOutcome,
+): EntryCommand[] {
+  return findCommands(commands, EntryCommandKind.ProbeBackend).flatMap(({ processKey }) =>
+    vm.step({ kind: EntryEventKind.BackendProbed, processKey, outcome }, CUT_AT_MS),
+  );
+}
+
 describe('a passed request', () => {
   it.each([
     {
@@ -88,3 +107,41 @@
     expect(pass?.pass.notRunIds).toEqual(row.excluded.map((index) => tried[index]));
   });
 });
+
+describe('a VM whose answers without a length cannot be confirmed', () => {
+  it.each([
+    {
+      name: 'no process listens',
+      evidence: LifeEvidence.Refused,
+      outcome: ProbeOutcome.Gone,
+      passes: ['vm-2'],
+    },
+    {
+      name: 'another server listens',
+      evidence: LifeEvidence.OtherServer,
+      outcome: ProbeOutcome.Accepting,
+      passes: [],
+    },
+    {
+      name: 'the server does not answer',
+      evidence: LifeEvidence.NoAnswer,
+      outcome: ProbeOutcome.Accepting,
+      passes: [],
+    },
+    {
+      name: 'its connection has ended',
+      evidence: LifeEvidence.Closed,
+      outcome: ProbeOutcome.Accepting,
+      passes: [],
+    },
+  ])('passes the request if its server refuses connections: $name', (row) => {
+    const vm = createVm();
+    const commands = vm.receiveRequest(createTestRequest('r', '/lookup/x'), CUT_AT_MS);
+    const kind = EntryEventKind.UnframedAnswerEnded;
+    vm.step({ kind, requestId: 'r', attempt: 1, evidence: row.evidence }, CUT_AT_MS);
+    const ended = endAttempt(vm, 1, AttemptEnd.Truncated);
+    commands.push(...ended, ...answerProbes(vm, ended, row.outcome));
+    const passes = findCommands(commands, EntryCommandKind.Pass).map(({ vmId }) => vmId);
+    expect(passes).toEqual(row.passes);
+  });
+});
