Pass a request on from a VM of an earlier version, which takes no passed requests

Cause: a VM without passing answers such a request with the 404 of its service for peers, which has none of our headers. It was taken for an answer that was lost, so that a request that may run once ended with 502, and others lost an attempt.

Change: a 404 without those headers and without the id of the request says that the VM takes no passed requests: not run, so the request goes to the next VM, and this one gets none of the service for 3 s.

--- a/src/coordination/entry/requests/passFailures.ts
+++ b/src/coordination/entry/requests/passFailures.ts
@@ -35,6 +35,13 @@
   Diagnostics.ServersUnreachable.code,
   Diagnostics.UnknownPeer.code,
   Diagnostics.StreamVersionGone.code,
+  Diagnostics.PassingUnsupported.code,
+]);
+
+/** Those of them that last. */
+const LASTING_REASONS: ReadonlySet<number> = new Set([
+  Diagnostics.ServersUnreachable.code,
+  Diagnostics.PassingUnsupported.code,
 ]);
 
 /** Returns the reason that another VM gives, or that of this VM's own attempt. */
@@ -112,8 +119,7 @@
   }
   // A VM that does not know the servers of one version may have those of others.
   if (reason.code !== Diagnostics.StreamVersionGone.code) {
-    const isVmCutOff = reason.code === Diagnostics.ServersUnreachable.code;
-    recordPassReturned(state, vmId, service, isVmCutOff, nowMs);
+    recordPassReturned(state, vmId, service, LASTING_REASONS.has(reason.code), nowMs);
   }
   const failed = {
     diagnostic: reason,
--- a/src/coordination/entry/requests/passing.ts
+++ b/src/coordination/entry/requests/passing.ts
@@ -44,8 +44,8 @@
 const WAITING_REQUESTS = 1_000;
 /** How long a VM that could not run a request gets none for the same service. */
 const AVOID_TARGET_MS = 1_000;
-/** The same for one that reaches no server of the service. */
-const AVOID_CUT_OFF_MS = 3_000;
+/** The same for one that reaches no server of the service, or takes no passed requests. */
+const AVOID_LASTING_MS = 3_000;
 
 /** Counts how a request that was passed has ended. */
 export function countPass({ passResults }: EntryState, result: PassResult): void {
@@ -226,12 +226,12 @@
   state: EntryState,
   vmId: string,
   service: string,
-  isVmCutOff: boolean,
+  isLasting: boolean,
   nowMs: number,
 ): void {
   const { answeredAtMs, avoidUntilMs } = getPassTarget(state, vmId);
   answeredAtMs.delete(service);
-  avoidUntilMs.set(service, nowMs + (isVmCutOff ? AVOID_CUT_OFF_MS : AVOID_TARGET_MS));
+  avoidUntilMs.set(service, nowMs + (isLasting ? AVOID_LASTING_MS : AVOID_TARGET_MS));
   if (listTargets(state, service, nowMs).length === 0) {
     recordPassingFutile(state, service, nowMs + AVOID_TARGET_MS);
   }
--- a/src/protocol/entry/passedRequests.ts
+++ b/src/protocol/entry/passedRequests.ts
@@ -25,6 +25,7 @@
 } as const;
 export type PassHeader = (typeof PassHeader)[keyof typeof PassHeader];
 
+const HTTP_NOT_FOUND = 404;
 const PASS_HEADERS: ReadonlySet<string> = new Set(Object.values(PassHeader));
 
 const PassedRequestSchema = Schema.Struct({
@@ -120,6 +121,14 @@
   return readHeader(headers, PassHeader.End, decodePassedEnd);
 }
 
+/**
+ * Returns whether a VM of an earlier version has answered, which takes no passed requests: its service for peers does not know their
+ * paths, and its answer has none of the headers.
+ */
+export function isPassingUnsupported(status: number, headers: ParsedHeaders): boolean {
+  return status === HTTP_NOT_FOUND && Object.keys(headers).every((name) => !PASS_HEADERS.has(name));
+}
+
 /** Returns whether a request says that another VM passes it. Callers reach only addresses on which this is not asked. */
 export function isPassedRequest(headers: ParsedHeaders): boolean {
   return headers[PassHeader.Request] !== undefined;
--- a/src/protocol/statusCodes.ts
+++ b/src/protocol/statusCodes.ts
@@ -31,6 +31,7 @@
       [Diagnostics.VmBehind, 503],
       [Diagnostics.ServersUnreachable, 503],
       [Diagnostics.UnknownPeer, 503],
+      [Diagnostics.PassingUnsupported, 503],
       [Diagnostics.NotConfigured, 503],
       [Diagnostics.PromptQuarantined, 503],
       [Diagnostics.RequestQuarantined, 503],
--- a/src/state/diagnostics.ts
+++ b/src/state/diagnostics.ts
@@ -146,6 +146,12 @@
     'This VM reaches no backend server of "{0}".',
   ),
   UnknownPeer: define(1114, 'unknown_peer', Failure, 'VM "{0}" is not listed in the store.'),
+  PassingUnsupported: define(
+    1116,
+    'passing_unsupported',
+    Failure,
+    'VM "{0}" runs an earlier version, which takes no requests from other VMs.',
+  ),
   VmBehind: define(
     1108,
     'vm_behind',
--- a/src/transport/entry/answers.ts
+++ b/src/transport/entry/answers.ts
@@ -5,6 +5,7 @@
 import type { IncomingMessage } from 'node:http';
 import { EntryCommandKind } from '../../coordination/entry/commands.js';
 import { EntryEventKind } from '../../coordination/entry/events.js';
+import type { PassedEnd } from '../../coordination/entry/passedRequest.js';
 import { createEventFrameReader, type EventFrame } from '../../protocol/entry/eventFrames.js';
 import {
   createStreamJudge,
@@ -13,11 +14,12 @@
 } from '../../protocol/entry/streamJudge.js';
 import {
   encodeAnswerSource,
+  isPassingUnsupported,
   readPassedEnd,
   removePassHeaders,
 } from '../../protocol/entry/passedRequests.js';
 import { isAnswerHead } from '../../protocol/httpText.js';
-import { Diagnostics } from '../../state/diagnostics.js';
+import { createDiagnostic, Diagnostics } from '../../state/diagnostics.js';
 import { DOUBTS, type SpoilReason } from '../../state/entry/spoiledStreams.js';
 import { DispatchSignal } from '../../state/runState.js';
 import { RunStatus } from '../../state/types.js';
@@ -325,17 +327,18 @@
   [AnswerKind.Foreign]: rejectAnswer,
 };
 
+/** Fails an attempt at another VM for the reason that this VM gives. */
+function failPass(attempt: Attempt, response: IncomingMessage, passedEnd: PassedEnd): void {
+  const isRefused = passedEnd.run === RunStatus.NotRun;
+  dropBody(response);
+  failAttempt(attempt, Diagnostics.BackendRefused, { isRefused, isMisdirected: false, passedEnd });
+}
+
 /** Fails an attempt at another VM that has no answer of a server. Returns false if it has one, which marks its own end. */
 function endIfUnanswered(attempt: Attempt, response: IncomingMessage): boolean {
   const end = readPassedEnd(response.headers);
   if (end !== null) {
-    const isRefused = end.run === RunStatus.NotRun;
-    dropBody(response);
-    failAttempt(attempt, Diagnostics.BackendRefused, {
-      isRefused,
-      isMisdirected: false,
-      passedEnd: end,
-    });
+    failPass(attempt, response, end);
     return true;
   }
   if (attempt.source === null || !isFramed(attempt.exchange, response)) {
@@ -349,6 +352,15 @@
 export function handleAnswer(attempt: Attempt, response: IncomingMessage, head: AnswerHead): void {
   const { command, context, exchange } = attempt;
   const { callerRequestId } = head;
+  if (
+    command.kind === EntryCommandKind.Pass &&
+    callerRequestId === null &&
+    isPassingUnsupported(response.statusCode ?? 0, response.headers)
+  ) {
+    const { code, message } = createDiagnostic(Diagnostics.PassingUnsupported, command.vmId);
+    failPass(attempt, response, { run: RunStatus.NotRun, code, message, retryAfterMs: null });
+    return;
+  }
   const isForThisRequest = callerRequestId === exchange.callerRequestId;
   const isRefusalWithoutId = callerRequestId === null && head.isRefused;
   // A server may send an earlier rejection once more, while it runs this request.
--- a/tests/entry/passing.test.ts
+++ b/tests/entry/passing.test.ts
@@ -334,6 +334,12 @@
   { reason: Diagnostics.Stopping, run: RunStatus.NotRun, path: '/book/x', next: NEXT.Passed },
   { reason: Diagnostics.NotConfigured, run: RunStatus.NotRun, path: '/book/x', next: NEXT.Passed },
   { reason: Diagnostics.UnknownPeer, run: RunStatus.NotRun, path: '/book/x', next: NEXT.Passed },
+  {
+    reason: Diagnostics.PassingUnsupported,
+    run: RunStatus.NotRun,
+    path: '/book/x',
+    next: NEXT.Passed,
+  },
   {
     reason: Diagnostics.MemoryExhausted,
     run: RunStatus.NotRun,
--- a/tests/stand-ins/cutFleet.ts
+++ b/tests/stand-ins/cutFleet.ts
@@ -189,10 +189,14 @@
   return Promise.all(started);
 }
 
-/** Starts one VM for each entry of a list of failure domains. VMs of one domain have their links in common. */
+/**
+ * Starts one VM for each entry of a list of failure domains. VMs of one domain have their links in common. Each VM runs the program
+ * that is given for it, or the one that was built.
+ */
 export async function startCutFleet(
   failureDomains: readonly string[],
   answerHeaders: Readonly<Record<string, string>> = {},
+  programs: readonly string[] = [],
 ): Promise<CutFleet> {
   const store = await startPlatformStore();
   const records = createServerRecords();
@@ -216,7 +220,7 @@
       const { args, environment } = prepared;
       const process = await startProgram(
         vmId,
-        ENTRY_PROGRAM,
+        programs[i] ?? ENTRY_PROGRAM,
         args,
         'The VM is ready.',
         environment,
--- /dev/null
+++ b/tests/stand-ins/earlierBuild.ts
@@ -0,0 +1,46 @@
+/**
+ * Builds earlier versions of the entry program from the history of the repository, as the platform does for a day with an upgrade.
+ */
+import { execFileSync } from 'node:child_process';
+import { mkdtempSync, rmSync, symlinkSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { dirname, join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+
+const ROOT = join(dirname(fileURLToPath(import.meta.url)), '../..');
+const SOURCES = ['src', 'platform', 'package.json', 'tsconfig.json'];
+const BUNDLE = 'target/gentiandeckEntry.cjs';
+
+/** Earlier versions by what callers of mixed fleets may notice of them. */
+export const EarlierCommit = {
+  /** Takes no requests that other VMs pass. */
+  WithoutPassing: '2e2cd22',
+  /** The last landing before this test was written. */
+  LastLanding: '21bbfdc',
+} as const;
+export type EarlierCommit = (typeof EarlierCommit)[keyof typeof EarlierCommit];
+
+/** The program of an earlier version. */
+export interface EarlierBuild {
+  /** The path of its first file. */
+  readonly program: string;
+  readonly remove: () => void;
+}
+
+/**
+ * Builds the program as of a commit in a folder of its own, with the packages that are installed.
+ *
+ * @throws Error if the repository does not have the commit.
+ */
+export function buildEarlier(commit: string): EarlierBuild {
+  const folder = mkdtempSync(join(tmpdir(), 'entry-earlier-'));
+  const archive = join(folder, 'sources.tar');
+  execFileSync('git', ['archive', '--output', archive, commit, ...SOURCES], { cwd: ROOT });
+  execFileSync('tar', ['-xf', archive], { cwd: folder });
+  symlinkSync(join(ROOT, 'node_modules'), join(folder, 'node_modules'));
+  execFileSync('npm', ['run', '--silent', 'bundle'], { cwd: folder, stdio: 'ignore' });
+  return {
+    program: join(folder, BUNDLE),
+    remove: () => rmSync(folder, { recursive: true, force: true }),
+  };
+}
--- a/tests/stand-ins/processes.ts
+++ b/tests/stand-ins/processes.ts
@@ -5,7 +5,7 @@
 import { type ChildProcess, spawn } from 'node:child_process';
 import { once } from 'node:events';
 import net from 'node:net';
-import { dirname, join } from 'node:path';
+import { dirname, isAbsolute, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 
 /** The folder of the built programs, whether this module runs from its source or from the build. */
@@ -23,9 +23,9 @@
   readonly getOutput: () => string;
 }
 
-/** Returns the path of a built program. */
+/** Returns the path of a built program, which is named by its place in the build or by an absolute path. */
 export function getProgramPath(program: string): string {
-  return join(BUILD_ROOT, program);
+  return isAbsolute(program) ? program : join(BUILD_ROOT, program);
 }
 
 const children = new Set<ChildProcess>();
