Play soaks of fleets that are upgraded one VM after the other

The soak begins with VMs of an earlier version, built from the history of the repository, and replaces each by the present one beside all other disruptions.

--- a/tests/processes/entrySoak.test.ts
+++ b/tests/processes/entrySoak.test.ts
@@ -1,6 +1,7 @@
 /**
  * Plays seeded soaks of entry VMs as real processes: callers keep using a fleet while signals, restarts, faults and changes
- * come in series and overlap. `SOAK_SEEDS=50 SOAK_FIRST_SEED=1 SOAK_VMS=6` plays more of them by hand.
+ * come in series and overlap. `SOAK_SEEDS=50 SOAK_FIRST_SEED=1 SOAK_VMS=6` plays more of them by hand. Upgrades begin with VMs of
+ * an earlier version; `SOAK_PRODUCTION=COMMIT,COMMIT` names others.
  */
 import http from 'node:http';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
@@ -14,7 +15,7 @@
   listUnspoiled,
   READY_MS,
 } from '../soak/entryChecks.js';
-import { disruptEntryFleet } from '../soak/entryDisruptions.js';
+import { disruptEntryFleet, upgradeVms } from '../soak/entryDisruptions.js';
 import {
   type EntryFleet,
   GRACE_MS,
@@ -23,6 +24,7 @@
   startEntryFleet,
 } from '../soak/entryFleet.js';
 import { watchEntryFleet } from '../soak/entryWatch.js';
+import { buildEarlier, EarlierCommit } from '../stand-ins/earlierBuild.js';
 import { wait } from '../stand-ins/entryVms.js';
 import { waitFor } from '../stand-ins/processes.js';
 
@@ -35,6 +37,10 @@
 const SEED_COUNT = Number(process.env.SOAK_SEEDS ?? 3);
 const FIRST_SEED = Number(process.env.SOAK_FIRST_SEED ?? 1);
 const SEEDS = Array.from({ length: SEED_COUNT }, (_, i) => ({ seed: FIRST_SEED + i }));
+/** Commits from which fleets are upgraded, each with one seed. */
+const UPGRADES = (process.env.SOAK_PRODUCTION ?? Object.values(EarlierCommit).join(','))
+  .split(',')
+  .map((commit) => ({ commit, seed: FIRST_SEED }));
 
 let fleet: EntryFleet;
 const closers: (() => Promise<void>)[] = [];
@@ -86,54 +92,73 @@
   UNCAUGHT_EVENTS.forEach((name) => process.off(name, recordUncaught));
 });
 
+/** Plays a soak in which VMs begin with a program, and checks what it has shown. */
+async function playSoak(seed: number, program?: string): Promise<void> {
+  fleet = await startEntryFleet(VM_COUNT, seed % 2 === 0 ? ['v1', 'v2'] : ['v1'], program);
+  closers.push(fleet.close);
+  const watch = watchEntryFleet(fleet);
+  closers.push(watch.stop);
+  const endsAtMs = performance.now() + DISRUPTED_MS;
+  let isCalm = false;
+  const callers = VM_COUNT * CALLERS_PER_VM;
+  const calls = runEntryCallers(fleet, createRandom(seed), callers, () => isCalm);
+  const isOver = (): boolean => performance.now() > endsAtMs;
+  const upgrade = program === undefined ? null : upgradeVms(fleet, DISRUPTED_MS / (VM_COUNT + 1));
+  const begun = await disruptEntryFleet(fleet, createRandom(seed + 1), isOver);
+  await upgrade;
+  const areAllReady = async (): Promise<boolean> =>
+    (await Promise.all(fleet.vms.map(isVmReady))).every(Boolean);
+  await waitFor('all VMs are ready again', areAllReady, CALM_MS);
+  await wait(1_000);
+  isCalm = true;
+  const outcomes = await calls;
+  const faults = [
+    ...listBrokenPromises(fleet, outcomes),
+    ...listJoinedStreams(fleet, outcomes),
+    ...listProcessFaults(fleet),
+    ...listOrderFaults(fleet),
+    ...watch.fallen,
+    ...listUncaughtErrors(),
+  ];
+  // A VM that is down refuses connections at once; its callers try again many times.
+  const arrived = outcomes.filter(({ errorCode }) => errorCode !== 'ECONNREFUSED');
+  const received = listUnspoiled(fleet, arrived);
+  const served = received.filter(({ isComplete, status }) => status === 200 && isComplete);
+  const lives = fleet.vms.reduce((sum, vm) => sum + vm.lives.length, 0);
+  process.stdout.write(
+    `entry soak ${seed}: ${received.length} requests, ${served.length} served, ` +
+      `${arrived.length - received.length} spoiled, ${fleet.orders.length} orders of ` +
+      `${new Set(fleet.orders.map(({ fence }) => fence)).size} fences, ${lives} lives; ` +
+      `${formatStatuses(received)}; ${begun.join(' ')}\n`,
+  );
+  if (faults.length > 0) {
+    process.stdout.write(`entry soak ${seed}: logs of the VMs in ${fleet.saveLogs()}\n`);
+    process.stdout.write(`${faults.join('\n')}\n`);
+  }
+  expect(faults).toEqual([]);
+  expect(served.length / received.length).toBeGreaterThan(MIN_SERVED_FRACTION);
+  const { valid, withdrawn } = fleet.keys;
+  const getStatuses = (keys: ReadonlySet<string>): Promise<number[]> =>
+    Promise.all([...keys].flatMap((key) => fleet.vms.map((vm) => getStatus(vm, key))));
+  expect(new Set(await getStatuses(valid))).toEqual(new Set([200]));
+  expect((await getStatuses(withdrawn)).filter((status) => status !== 401)).toEqual([]);
+  expect(listUncaughtErrors()).toEqual([]);
+}
+
 describe('a soak of entry VMs', () => {
-  it.each(SEEDS)('keeps the promises to all callers and servers, seed $seed', async ({ seed }) => {
-    fleet = await startEntryFleet(VM_COUNT, seed % 2 === 0 ? ['v1', 'v2'] : ['v1']);
-    closers.push(fleet.close);
-    const watch = watchEntryFleet(fleet);
-    closers.push(watch.stop);
-    const endsAtMs = performance.now() + DISRUPTED_MS;
-    let isCalm = false;
-    const callers = VM_COUNT * CALLERS_PER_VM;
-    const calls = runEntryCallers(fleet, createRandom(seed), callers, () => isCalm);
-    const isOver = (): boolean => performance.now() > endsAtMs;
-    const begun = await disruptEntryFleet(fleet, createRandom(seed + 1), isOver);
-    const areAllReady = async (): Promise<boolean> =>
-      (await Promise.all(fleet.vms.map(isVmReady))).every(Boolean);
-    await waitFor('all VMs are ready again', areAllReady, CALM_MS);
-    await wait(1_000);
-    isCalm = true;
-    const outcomes = await calls;
-    const faults = [
-      ...listBrokenPromises(fleet, outcomes),
-      ...listJoinedStreams(fleet, outcomes),
-      ...listProcessFaults(fleet),
-      ...listOrderFaults(fleet),
-      ...watch.fallen,
-      ...listUncaughtErrors(),
-    ];
-    // A VM that is down refuses connections at once; its callers try again many times.
-    const arrived = outcomes.filter(({ errorCode }) => errorCode !== 'ECONNREFUSED');
-    const received = listUnspoiled(fleet, arrived);
-    const served = received.filter(({ isComplete, status }) => status === 200 && isComplete);
-    const lives = fleet.vms.reduce((sum, vm) => sum + vm.lives.length, 0);
-    process.stdout.write(
-      `entry soak ${seed}: ${received.length} requests, ${served.length} served, ` +
-        `${arrived.length - received.length} spoiled, ${fleet.orders.length} orders of ` +
-        `${new Set(fleet.orders.map(({ fence }) => fence)).size} fences, ${lives} lives; ` +
-        `${formatStatuses(received)}; ${begun.join(' ')}\n`,
-    );
-    if (faults.length > 0) {
-      process.stdout.write(`entry soak ${seed}: logs of the VMs in ${fleet.saveLogs()}\n`);
-      process.stdout.write(`${faults.join('\n')}\n`);
-    }
-    expect(faults).toEqual([]);
-    expect(served.length / received.length).toBeGreaterThan(MIN_SERVED_FRACTION);
-    const { valid, withdrawn } = fleet.keys;
-    const getStatuses = (keys: ReadonlySet<string>): Promise<number[]> =>
-      Promise.all([...keys].flatMap((key) => fleet.vms.map((vm) => getStatus(vm, key))));
-    expect(new Set(await getStatuses(valid))).toEqual(new Set([200]));
-    expect((await getStatuses(withdrawn)).filter((status) => status !== 401)).toEqual([]);
-    expect(listUncaughtErrors()).toEqual([]);
-  });
+  it.each(SEEDS)('keeps the promises to all callers and servers, seed $seed', ({ seed }) =>
+    playSoak(seed),
+  );
+});
+
+describe('a soak of entry VMs that are upgraded one after the other', () => {
+  it.each(UPGRADES)(
+    'keeps the promises to all callers and servers, from $commit, seed $seed',
+    async ({ commit, seed }) => {
+      const build = buildEarlier(commit);
+      closers.push(async () => build.remove());
+      await playSoak(seed, build.program);
+      expect(fleet.vms.map(({ program }) => program)).not.toContain(build.program);
+    },
+  );
 });
--- a/tests/soak/entryFleet.ts
+++ b/tests/soak/entryFleet.ts
@@ -6,6 +6,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { SETTINGS_VARIABLE } from '../../platform/names.js';
+import { ENTRY_PROGRAM } from '../stand-ins/entryProcess.js';
 import { createConfiguration, wait } from '../stand-ins/entryVms.js';
 import { type PlatformStore, startPlatformStore } from '../stand-ins/platformStore.js';
 import {
@@ -17,7 +18,6 @@
   waitFor,
 } from '../stand-ins/processes.js';
 
-const PROGRAM = 'src/bin/gentiandeckEntry.js';
 const SERVER_PROGRAM = 'tests/stand-ins/soakServerMain.js';
 const READY_TEXT = 'The VM is ready.';
 export const GRACE_MS = 4_000;
@@ -56,6 +56,8 @@
   readonly metricsAddress: string;
   readonly settingsPath: string;
   readonly lives: VmLife[];
+  /** What its next life runs. */
+  program: string;
   /** Spans in which the VM was suspended; the end is infinite while it is. */
   readonly suspensions: { readonly fromMs: number; untilMs: number }[];
 }
@@ -132,7 +134,12 @@
 
 const folder = mkdtempSync(join(tmpdir(), 'entry-soak-'));
 
-async function createVm(name: string, index: number, storeAddress: string): Promise<SoakVm> {
+async function createVm(
+  name: string,
+  index: number,
+  storeAddress: string,
+  program: string,
+): Promise<SoakVm> {
   const ports = await Promise.all([findFreePort(), findFreePort(), findFreePort(), findFreePort()]);
   const host = `${NETWORK}.${index + 1}`;
   const [address = '', readyAddress = '', , metricsAddress = ''] = ports.map(
@@ -150,7 +157,7 @@
   };
   writeFileSync(settingsPath, JSON.stringify(settings));
   const addresses = { address, readyAddress, metricsAddress };
-  return { name, ...addresses, settingsPath, lives: [], suspensions: [] };
+  return { name, ...addresses, settingsPath, lives: [], program, suspensions: [] };
 }
 
 const STREAM = { host: 'h', goal_ms: 1_000, attempts: 3, public: false, service: 'flow' };
@@ -187,10 +194,14 @@
   }
 }
 
-/** Starts a store, servers and VMs, and waits until the VMs are ready. Servers have the software versions in turn. */
+/**
+ * Starts a store, servers and VMs, and waits until the VMs are ready. Servers have the software versions in turn. VMs run the program
+ * that is given, or the one that was built.
+ */
 export async function startEntryFleet(
   vmCount: number,
   softwareVersions: readonly string[],
+  program: string = ENTRY_PROGRAM,
 ): Promise<EntryFleet> {
   const store = await startPlatformStore();
   const servers: SoakServer[] = [];
@@ -282,7 +293,7 @@
   const startLife = (vm: SoakVm): VmLife => {
     const { metricsAddress, name, settingsPath } = vm;
     const args = ['--metrics-port', metricsAddress.split(':')[1]!];
-    const started = spawnProgram(name, PROGRAM, args, { [SETTINGS_VARIABLE]: settingsPath });
+    const started = spawnProgram(name, vm.program, args, { [SETTINGS_VARIABLE]: settingsPath });
     const life: VmLife = {
       ...{ vmName: name, process: started, startedAtMs: performance.now(), endSignals: [] },
       ...{ endedAtMs: Number.POSITIVE_INFINITY, processorWaits: [] },
@@ -321,7 +332,7 @@
     }
   }, HEARTBEAT_MS);
   const vms = await Promise.all(
-    Array.from({ length: vmCount }, (_, i) => createVm(`vm-${i + 1}`, i, store.address)),
+    Array.from({ length: vmCount }, (_, i) => createVm(`vm-${i + 1}`, i, store.address, program)),
   );
   vms.forEach(startLife);
   const fleet: EntryFleet = {
