Let Node.js hold SIGHUP before it reads the first file of the program

Cause: Node.js sets the default actions again as it starts, and the first file can hold a signal only once it is read.

Change: with its options for reports Node.js has a listener for the signal before it reads any file. The first file takes the signal over: it adds its own listener, then removes that one, so no report is ever written.

--- a/src/transport/entry/processSignals.ts
+++ b/src/transport/entry/processSignals.ts
@@ -7,12 +7,13 @@
 export const SignalRequest = { Stop: 'stop', Reload: 'reload' } as const;
 export type SignalRequest = (typeof SignalRequest)[keyof typeof SignalRequest];
 
-const REQUESTS: Readonly<Record<string, SignalRequest>> = {
-  SIGTERM: SignalRequest.Stop,
-  SIGINT: SignalRequest.Stop,
-  SIGQUIT: SignalRequest.Stop,
-  SIGHUP: SignalRequest.Reload,
-};
+/** SIGHUP is the first to be taken over. */
+const REQUESTS: ReadonlyMap<NodeJS.Signals, SignalRequest> = new Map([
+  ['SIGHUP', SignalRequest.Reload],
+  ['SIGTERM', SignalRequest.Stop],
+  ['SIGINT', SignalRequest.Stop],
+  ['SIGQUIT', SignalRequest.Stop],
+]);
 
 /** Signals that request nothing; by default, the first opens a debugger and the others end the process. */
 const IGNORED_SIGNALS = ['SIGUSR1', 'SIGUSR2', 'SIGALRM'] as const;
@@ -30,7 +31,17 @@
   readonly release: () => void;
 }
 
-type SignalSource = Pick<NodeJS.Process, 'on' | 'off'>;
+type SignalSource = Pick<NodeJS.Process, 'on' | 'off' | 'listeners'>;
+
+/**
+ * Takes a signal over. Node.js may have had a listener of its own since before this file was loaded (`--report-on-signal`); it is removed
+ * last, so that the signal never has its default action meanwhile.
+ */
+function listen(source: SignalSource, signal: NodeJS.Signals, listener: () => void): void {
+  const earlier = source.listeners(signal);
+  source.on(signal, listener);
+  earlier.forEach((each) => source.off(signal, each));
+}
 
 /** Starts to hold the signals of a process. */
 export function holdSignals(source: SignalSource): ProcessSignals {
@@ -45,9 +56,9 @@
       handler(signal);
     }
   };
-  const listeners = Object.entries(REQUESTS).map(([signal, request]) => {
+  const listeners = [...REQUESTS].map(([signal, request]) => {
     const listener = (): void => passOn(request, signal);
-    source.on(signal, listener);
+    listen(source, signal, listener);
     return { signal, listener };
   });
   IGNORED_SIGNALS.forEach((signal) => source.on(signal, ignoreSignal));
--- a/tests/processes/entryBundle.test.ts
+++ b/tests/processes/entryBundle.test.ts
@@ -4,7 +4,15 @@
  */
 import { execFileSync, spawn } from 'node:child_process';
 import { once } from 'node:events';
-import { copyFileSync, mkdtempSync, readFileSync, rmSync, statSync, writeFileSync } from 'node:fs';
+import {
+  copyFileSync,
+  mkdtempSync,
+  readdirSync,
+  readFileSync,
+  rmSync,
+  statSync,
+  writeFileSync,
+} from 'node:fs';
 import { tmpdir } from 'node:os';
 import { basename, dirname, extname, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
@@ -19,6 +27,8 @@
 const MAX_FIRST_FILE_BYTES = 4_096;
 /** Within the start of Node.js, before any file of the program is read. */
 const START_OF_NODE_MS = 50;
+/** Time for which the first file is kept from being read; its half is longer than the start of Node.js. */
+const READING_MS = 1_200;
 /** Longer than a signal takes to end a process. */
 const LIVES_ON_MS = 400;
 const RUN_PATTERN = /^run = "(.+)"$/m;
@@ -59,6 +69,27 @@
   );
 });
 
+describe('a signal before the first file has been read', () => {
+  it('is held, and no report is written', async () => {
+    const copy = join(folder, 'held.cjs');
+    const reports = mkdtempSync(join(folder, 'reports-'));
+    copyFileSync(join(ROOT, firstFile), copy);
+    writeFileSync(join(folder, PROGRAM_FILE), 'setTimeout(() => process.exit(7), 100);');
+    const slow = join(folder, 'slow.cjs');
+    const read = `const until = Date.now() + ${READING_MS}; while (Date.now() < until); require('./held.cjs');`;
+    writeFileSync(slow, read);
+    const options = words.slice(1, words.indexOf(firstFile));
+    const child = spawn(process.execPath, [...options, `--report-directory=${reports}`, slow], {
+      stdio: 'ignore',
+    });
+    const exited = once(child, 'exit');
+    await wait(READING_MS / 2);
+    child.kill('SIGHUP');
+    expect(await exited).toEqual([7, null]);
+    expect(readdirSync(reports)).toEqual([]);
+  });
+});
+
 describe('the bundle', () => {
   it('starts with the command of the deploy file, survives SIGHUP and stops with success', async () => {
     const store = await startPlatformStore();
