--- a/tests/stand-ins/entryProcess.ts
+++ b/tests/stand-ins/entryProcess.ts
@@ -18,6 +18,8 @@
   readonly vm: StartedProcess;
   readonly address: string;
   readonly metricsAddress: string;
+  readonly peerAddress: string;
+  readonly readyAddress: string;
 }
 
 /** The end of a call: its status, or 0 without an answer. */
@@ -75,9 +77,9 @@
   bounds: Readonly<Record<string, number>> = {},
 ): Promise<EntryProcess> {
   const prepared = await prepareEntry(storeAddress, limits, bounds);
-  const { address, args, environment, metricsAddress } = prepared;
+  const { address, args, environment, metricsAddress, peerAddress, readyAddress } = prepared;
   const vm = await startProgram('vm-1', ENTRY_PROGRAM, args, 'The VM is ready.', environment);
-  return { vm, address, metricsAddress };
+  return { vm, address, metricsAddress, peerAddress, readyAddress };
 }
 
 /** The header that tells how a body is framed. */
