Tell the lives of a VM apart by their incarnation in the watch of the soak

Cause: the watch took two lives that began within a second of each other for one. Their starts can be told only to about the second that a reading of the status may take. So the check was wrong, not the VM.

Change: the status of a VM says its incarnation, and the watch compares lives by it: a fall within a life is found as before, also when lives follow each other quickly, where lives of other starts were not compared at all. Earlier versions, which do not say it, are told apart as before.

--- a/src/transport/entry/vmStatus.ts
+++ b/src/transport/entry/vmStatus.ts
@@ -32,6 +32,7 @@
 /** The lines of the status, in their order: names with the unit of the value. */
 const FACTS: Readonly<Record<string, FactReader>> = {
   vm: ({ state }) => state.self.vmId,
+  incarnation: ({ state }) => state.self.incarnation,
   failure_domain: ({ state }) => state.self.failureDomain,
   lifecycle: ({ state }) => state.lifecycle,
   ready: ({ state }) => state.isReady,
--- a/tests/soak/entryWatch.ts
+++ b/tests/soak/entryWatch.ts
@@ -49,9 +49,13 @@
       return;
     }
     const read = await readStatus(vm);
-    // A process may be up for as long as the one before was, so that lives are told apart by when they began.
     const startedAtMs = performance.now() - Number(read?.get('up_ms'));
-    const isSameLife = Math.abs(startedAtMs - knownStartMs) < STATUS_TIMEOUT_MS;
+    const incarnation = read?.get('incarnation');
+    // Two lives may begin within the accuracy of their starts. Earlier versions do not tell more of themselves.
+    const isSameLife =
+      incarnation === undefined
+        ? Math.abs(startedAtMs - knownStartMs) < STATUS_TIMEOUT_MS
+        : incarnation === known.get('incarnation');
     if (read !== null && isSameLife) {
       RISING_FACTS.filter((name) => isLess(read.get(name)!, known.get(name)!)).forEach((name) =>
         fallen.push(`${vm.name}: ${name} fell from ${known.get(name)} to ${read.get(name)}`),
