Run the bundle with the command of the deploy file in the soak of entry VMs

The soak started VMs from the build of the tests, an ES module without the options of the deploy file, whose start is longer than that of the bundle which the platform runs. Ends by signals in the start depend on that time. Nothing is checked less: what ends by itself is a FAULT as before.

--- a/tests/processes/entrySoak.test.ts
+++ b/tests/processes/entrySoak.test.ts
@@ -4,7 +4,7 @@
  * an earlier version; `SOAK_PRODUCTION=COMMIT,COMMIT` names others.
  */
 import http from 'node:http';
-import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { afterEach, beforeAll, beforeEach, describe, expect, it } from 'vitest';
 import { createRandom } from '../../src/state/random.js';
 import { type EntryOutcome, runEntryCallers } from '../soak/entryCallers.js';
 import {
@@ -24,7 +24,7 @@
   startEntryFleet,
 } from '../soak/entryFleet.js';
 import { watchEntryFleet } from '../soak/entryWatch.js';
-import { buildEarlier, EarlierCommit } from '../stand-ins/earlierBuild.js';
+import { buildEarlier, buildPresent, EarlierCommit } from '../stand-ins/entryBuilds.js';
 import { wait } from '../stand-ins/entryVms.js';
 import { waitFor } from '../stand-ins/processes.js';
 
@@ -43,6 +43,8 @@
   .map((commit) => ({ commit, seed: FIRST_SEED }));
 
 let fleet: EntryFleet;
+/** The program as the platform builds it. */
+let present = '';
 const closers: (() => Promise<void>)[] = [];
 let checkCount = 0;
 /** Errors that nothing caught, which may have ended a caller or a check. */
@@ -82,6 +84,10 @@
   });
 }
 
+beforeAll(() => {
+  present = buildPresent();
+});
+
 beforeEach(() => {
   uncaught = [];
   UNCAUGHT_EVENTS.forEach((name) => process.on(name, recordUncaught));
@@ -93,8 +99,13 @@
 });
 
 /** Plays a soak in which VMs begin with a program, and checks what it has shown. */
-async function playSoak(seed: number, program?: string): Promise<void> {
-  fleet = await startEntryFleet(VM_COUNT, seed % 2 === 0 ? ['v1', 'v2'] : ['v1'], program);
+async function playSoak(seed: number, earlierProgram?: string): Promise<void> {
+  fleet = await startEntryFleet(
+    VM_COUNT,
+    seed % 2 === 0 ? ['v1', 'v2'] : ['v1'],
+    present,
+    earlierProgram,
+  );
   closers.push(fleet.close);
   const watch = watchEntryFleet(fleet);
   closers.push(watch.stop);
@@ -103,7 +114,8 @@
   const callers = VM_COUNT * CALLERS_PER_VM;
   const calls = runEntryCallers(fleet, createRandom(seed), callers, () => isCalm);
   const isOver = (): boolean => performance.now() > endsAtMs;
-  const upgrade = program === undefined ? null : upgradeVms(fleet, DISRUPTED_MS / (VM_COUNT + 1));
+  const upgrade =
+    earlierProgram === undefined ? null : upgradeVms(fleet, DISRUPTED_MS / (VM_COUNT + 1));
   const begun = await disruptEntryFleet(fleet, createRandom(seed + 1), isOver);
   await upgrade;
   const areAllReady = async (): Promise<boolean> =>
@@ -131,12 +143,13 @@
       `${new Set(fleet.orders.map(({ fence }) => fence)).size} fences, ${lives} lives; ` +
       `${formatStatuses(received)}; ${begun.join(' ')}\n`,
   );
-  if (faults.length > 0) {
+  const servedFraction = served.length / received.length;
+  if (faults.length > 0 || servedFraction <= MIN_SERVED_FRACTION) {
     process.stdout.write(`entry soak ${seed}: logs of the VMs in ${fleet.saveLogs()}\n`);
     process.stdout.write(`${faults.join('\n')}\n`);
   }
   expect(faults).toEqual([]);
-  expect(served.length / received.length).toBeGreaterThan(MIN_SERVED_FRACTION);
+  expect(servedFraction).toBeGreaterThan(MIN_SERVED_FRACTION);
   const { valid, withdrawn } = fleet.keys;
   const getStatuses = (keys: ReadonlySet<string>): Promise<number[]> =>
     Promise.all([...keys].flatMap((key) => fleet.vms.map((vm) => getStatus(vm, key))));
--- a/tests/processes/mixedVersions.test.ts
+++ b/tests/processes/mixedVersions.test.ts
@@ -11,7 +11,7 @@
   RequestKinds,
   startCutFleet,
 } from '../stand-ins/cutFleet.js';
-import { buildEarlier, type EarlierBuild, EarlierCommit } from '../stand-ins/earlierBuild.js';
+import { buildEarlier, type EarlierBuild, EarlierCommit } from '../stand-ins/entryBuilds.js';
 import { ENTRY_PROGRAM } from '../stand-ins/entryProcess.js';
 import { wait } from '../stand-ins/entryVms.js';
 import { LinkCuts } from '../stand-ins/serverLinks.js';
--- a/tests/soak/entryDisruptions.ts
+++ b/tests/soak/entryDisruptions.ts
@@ -2,7 +2,6 @@
  * The disruptions of a soak of entry VMs: signals, restarts, faults and changes, which come in series and overlap.
  */
 import { nextRandom, nextRandomInt, type RandomState } from '../../src/state/random.js';
-import { ENTRY_PROGRAM } from '../stand-ins/entryProcess.js';
 import { wait } from '../stand-ins/entryVms.js';
 import { isRunning } from '../stand-ins/processes.js';
 import type { EntryFleet, SoakServer, SoakService, SoakVm, VmLife } from './entryFleet.js';
@@ -194,11 +193,14 @@
   },
 };
 
-/** Has each VM run the program that was built from its next life on, and replaces one after the other. */
-export async function upgradeVms({ startLife, vms }: EntryFleet, gapMs: number): Promise<void> {
+/** Has each VM run the present program from its next life on, and replaces one after the other. */
+export async function upgradeVms(
+  { presentProgram, startLife, vms }: EntryFleet,
+  gapMs: number,
+): Promise<void> {
   for (const vm of vms) {
     await wait(gapMs);
-    vm.program = ENTRY_PROGRAM;
+    vm.program = presentProgram;
     const life = vm.lives.at(-1)!;
     // One that ends already is followed by a life of the new program, unless that has begun.
     if (!isEnding(life)) {
--- a/tests/soak/entryFleet.ts
+++ b/tests/soak/entryFleet.ts
@@ -6,7 +6,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { SETTINGS_VARIABLE } from '../../platform/names.js';
-import { ENTRY_PROGRAM } from '../stand-ins/entryProcess.js';
+import { readNodeOptions } from '../stand-ins/entryBuilds.js';
 import { createConfiguration, wait } from '../stand-ins/entryVms.js';
 import { type PlatformStore, startPlatformStore } from '../stand-ins/platformStore.js';
 import {
@@ -97,6 +97,8 @@
 export interface EntryFleet {
   readonly store: PlatformStore;
   readonly vms: readonly SoakVm[];
+  /** What VMs run once they are upgraded. */
+  readonly presentProgram: string;
   /** All servers, also those that have ended. */
   readonly servers: SoakServer[];
   readonly runs: Run[];
@@ -195,19 +197,21 @@
 }
 
 /**
- * Starts a store, servers and VMs, and waits until the VMs are ready. Servers have the software versions in turn. VMs run the program
- * that is given, or the one that was built.
+ * Starts a store, servers and VMs, and waits until the VMs are ready. Servers have the software versions in turn. VMs start with a
+ * program, and run the present one once they are upgraded.
  */
 export async function startEntryFleet(
   vmCount: number,
   softwareVersions: readonly string[],
-  program: string = ENTRY_PROGRAM,
+  presentProgram: string,
+  firstProgram: string = presentProgram,
 ): Promise<EntryFleet> {
   const store = await startPlatformStore();
   const servers: SoakServer[] = [];
   const runs: Run[] = [];
   const orders: ReceivedOrder[] = [];
   const keys = { valid: new Set(['key-1']), withdrawn: new Set<string>() };
+  const nodeOptions = readNodeOptions();
   let version = 0;
   let serverCount = 0;
   let sequence = 0;
@@ -293,7 +297,10 @@
   const startLife = (vm: SoakVm): VmLife => {
     const { metricsAddress, name, settingsPath } = vm;
     const args = ['--metrics-port', metricsAddress.split(':')[1]!];
-    const started = spawnProgram(name, vm.program, args, { [SETTINGS_VARIABLE]: settingsPath });
+    const started = spawnProgram(name, vm.program, args, {
+      [SETTINGS_VARIABLE]: settingsPath,
+      NODE_OPTIONS: nodeOptions,
+    });
     const life: VmLife = {
       ...{ vmName: name, process: started, startedAtMs: performance.now(), endSignals: [] },
       ...{ endedAtMs: Number.POSITIVE_INFINITY, processorWaits: [] },
@@ -332,11 +339,23 @@
     }
   }, HEARTBEAT_MS);
   const vms = await Promise.all(
-    Array.from({ length: vmCount }, (_, i) => createVm(`vm-${i + 1}`, i, store.address, program)),
+    Array.from({ length: vmCount }, (_, i) =>
+      createVm(`vm-${i + 1}`, i, store.address, firstProgram),
+    ),
   );
   vms.forEach(startLife);
   const fleet: EntryFleet = {
-    ...{ store, vms, servers, runs, orders, keys, storeDisruptions: [], spoilSpans: [] },
+    ...{
+      store,
+      vms,
+      presentProgram,
+      servers,
+      runs,
+      orders,
+      keys,
+      storeDisruptions: [],
+      spoilSpans: [],
+    },
     ...{ configure, startServer, killServer, startLife, getVersion: () => version },
     saveLogs: () => {
       const logFolder = mkdtempSync(join(tmpdir(), 'entry-soak-logs-'));
--- a/tests/stand-ins/entryBuilds.ts
+++ b/tests/stand-ins/entryBuilds.ts
@@ -1,8 +1,8 @@
 /**
- * Builds earlier versions of the entry program from the history of the repository, as the platform does for a day with an upgrade.
+ * Builds the entry program as the platform does: the present version, and earlier ones from the history of the repository for an upgrade.
  */
 import { execFileSync } from 'node:child_process';
-import { mkdtempSync, rmSync, symlinkSync } from 'node:fs';
+import { mkdtempSync, readFileSync, rmSync, symlinkSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { dirname, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
@@ -11,6 +11,8 @@
 const SOURCES = ['src', 'platform', 'package.json', 'tsconfig.json'];
 const BUNDLE = 'target/gentiandeckEntry.cjs';
 
+const RUN_PATTERN = /^run = "(.+)"$/m;
+
 /** Earlier versions by what callers of mixed fleets may notice of them. */
 export const EarlierCommit = {
   /** Takes no requests that other VMs pass. */
@@ -20,6 +22,24 @@
 } as const;
 export type EarlierCommit = (typeof EarlierCommit)[keyof typeof EarlierCommit];
 
+/** Bundles the program in a folder. Returns the path of its first file. */
+function bundle(folder: string): string {
+  execFileSync('npm', ['run', '--silent', 'bundle'], { cwd: folder, stdio: 'ignore' });
+  return join(folder, BUNDLE);
+}
+
+/** Builds the present version. Returns the path of its first file. */
+export function buildPresent(): string {
+  return bundle(ROOT);
+}
+
+/** Returns the options of Node.js with which the platform starts the program. */
+export function readNodeOptions(): string {
+  const deployFile = readFileSync(join(ROOT, 'deploy/system.toml'), 'utf8');
+  const words = (RUN_PATTERN.exec(deployFile)?.[1] ?? '').split(' ');
+  return words.slice(1, words.indexOf(BUNDLE)).join(' ');
+}
+
 /** The program of an earlier version. */
 export interface EarlierBuild {
   /** The path of its first file. */
@@ -38,9 +58,8 @@
   execFileSync('git', ['archive', '--output', archive, commit, ...SOURCES], { cwd: ROOT });
   execFileSync('tar', ['-xf', archive], { cwd: folder });
   symlinkSync(join(ROOT, 'node_modules'), join(folder, 'node_modules'));
-  execFileSync('npm', ['run', '--silent', 'bundle'], { cwd: folder, stdio: 'ignore' });
   return {
-    program: join(folder, BUNDLE),
+    program: bundle(folder),
     remove: () => rmSync(folder, { recursive: true, force: true }),
   };
 }
