--- a/tests/processes/entrySoak.test.ts
+++ b/tests/processes/entrySoak.test.ts
@@ -24,7 +24,7 @@
   startEntryFleet,
 } from '../soak/entryFleet.js';
 import { watchEntryFleet } from '../soak/entryWatch.js';
-import { buildEarlier, buildPresent, EarlierCommit } from '../stand-ins/entryBuilds.js';
+import { buildEarlier, buildPresent, EarlierCommit, hasCommit } from '../stand-ins/entryBuilds.js';
 import { wait } from '../stand-ins/entryVms.js';
 import { waitFor } from '../stand-ins/processes.js';
 
@@ -40,6 +40,7 @@
 /** Commits from which fleets are upgraded, each with one seed. */
 const UPGRADES = (process.env.SOAK_PRODUCTION ?? Object.values(EarlierCommit).join(','))
   .split(',')
+  .filter(hasCommit)
   .map((commit) => ({ commit, seed: FIRST_SEED }));
 
 let fleet: EntryFleet;
--- a/tests/stand-ins/entryBuilds.ts
+++ b/tests/stand-ins/entryBuilds.ts
@@ -1,7 +1,7 @@
 /**
  * Builds the entry program as the platform does: the present version, and earlier ones from the history of the repository for an upgrade.
  */
-import { execFileSync } from 'node:child_process';
+import { execFileSync, spawnSync } from 'node:child_process';
 import { mkdtempSync, readFileSync, rmSync, symlinkSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { dirname, join } from 'node:path';
@@ -40,6 +40,16 @@
   return words.slice(1, words.indexOf(BUNDLE)).join(' ');
 }
 
+/** Returns whether the repository has a commit, and says so if not: a clone may have no history, and an archive none at all. */
+export function hasCommit(commit: string): boolean {
+  const args = ['cat-file', '-e', `${commit}^{commit}`];
+  const isFound = spawnSync('git', args, { cwd: ROOT, stdio: 'ignore' }).status === 0;
+  if (!isFound) {
+    process.stdout.write(`not run: the repository has no commit ${commit} to build\n`);
+  }
+  return isFound;
+}
+
 /** The program of an earlier version. */
 export interface EarlierBuild {
   /** The path of its first file. */
