Start each build of a soak with the options of its own deploy file

The soak gave the options of the present deploy file to earlier builds too, which do not take SIGHUP over from Node.js: they wrote 14 reports into the folder of the tests. All 14 name an earlier build as their program; the present one wrote none.

--- a/tests/processes/entrySoak.test.ts
+++ b/tests/processes/entrySoak.test.ts
@@ -24,7 +24,13 @@
   startEntryFleet,
 } from '../soak/entryFleet.js';
 import { watchEntryFleet } from '../soak/entryWatch.js';
-import { buildEarlier, buildPresent, EarlierCommit, hasCommit } from '../stand-ins/entryBuilds.js';
+import {
+  buildEarlier,
+  buildPresent,
+  EarlierCommit,
+  type EntryBuild,
+  hasCommit,
+} from '../stand-ins/entryBuilds.js';
 import { wait } from '../stand-ins/entryVms.js';
 import { waitFor } from '../stand-ins/processes.js';
 
@@ -45,7 +51,7 @@
 
 let fleet: EntryFleet;
 /** The program as the platform builds it. */
-let present = '';
+let present: EntryBuild;
 const closers: (() => Promise<void>)[] = [];
 let checkCount = 0;
 /** Errors that nothing caught, which may have ended a caller or a check. */
@@ -99,14 +105,9 @@
   UNCAUGHT_EVENTS.forEach((name) => process.off(name, recordUncaught));
 });
 
-/** Plays a soak in which VMs begin with a program, and checks what it has shown. */
-async function playSoak(seed: number, earlierProgram?: string): Promise<void> {
-  fleet = await startEntryFleet(
-    VM_COUNT,
-    seed % 2 === 0 ? ['v1', 'v2'] : ['v1'],
-    present,
-    earlierProgram,
-  );
+/** Plays a soak in which VMs begin with an earlier build, and checks what it has shown. */
+async function playSoak(seed: number, earlier?: EntryBuild): Promise<void> {
+  fleet = await startEntryFleet(VM_COUNT, seed % 2 === 0 ? ['v1', 'v2'] : ['v1'], present, earlier);
   closers.push(fleet.close);
   const watch = watchEntryFleet(fleet);
   closers.push(watch.stop);
@@ -115,8 +116,7 @@
   const callers = VM_COUNT * CALLERS_PER_VM;
   const calls = runEntryCallers(fleet, createRandom(seed), callers, () => isCalm);
   const isOver = (): boolean => performance.now() > endsAtMs;
-  const upgrade =
-    earlierProgram === undefined ? null : upgradeVms(fleet, DISRUPTED_MS / (VM_COUNT + 1));
+  const upgrade = earlier === undefined ? null : upgradeVms(fleet, DISRUPTED_MS / (VM_COUNT + 1));
   const begun = await disruptEntryFleet(fleet, createRandom(seed + 1), isOver);
   await upgrade;
   const areAllReady = async (): Promise<boolean> =>
@@ -171,8 +171,8 @@
     async ({ commit, seed }) => {
       const build = buildEarlier(commit);
       closers.push(async () => build.remove());
-      await playSoak(seed, build.program);
-      expect(fleet.vms.map(({ program }) => program)).not.toContain(build.program);
+      await playSoak(seed, build);
+      expect(fleet.vms.map((vm) => vm.build)).toEqual(fleet.vms.map(() => present));
     },
   );
 });
--- a/tests/soak/entryDisruptions.ts
+++ b/tests/soak/entryDisruptions.ts
@@ -193,16 +193,16 @@
   },
 };
 
-/** Has each VM run the present program from its next life on, and replaces one after the other. */
+/** Has each VM run the present build from its next life on, and replaces one after the other. */
 export async function upgradeVms(
-  { presentProgram, startLife, vms }: EntryFleet,
+  { presentBuild, startLife, vms }: EntryFleet,
   gapMs: number,
 ): Promise<void> {
   for (const vm of vms) {
     await wait(gapMs);
-    vm.program = presentProgram;
+    vm.build = presentBuild;
     const life = vm.lives.at(-1)!;
-    // One that ends already is followed by a life of the new program, unless that has begun.
+    // One that ends already is followed by a life of the new build, unless that has begun.
     if (!isEnding(life)) {
       sendEndSignal(life, 'SIGTERM');
       startLife(vm);
--- a/tests/soak/entryFleet.ts
+++ b/tests/soak/entryFleet.ts
@@ -6,7 +6,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { SETTINGS_VARIABLE } from '../../platform/names.js';
-import { readNodeOptions } from '../stand-ins/entryBuilds.js';
+import type { EntryBuild } from '../stand-ins/entryBuilds.js';
 import { createConfiguration, wait } from '../stand-ins/entryVms.js';
 import { type PlatformStore, startPlatformStore } from '../stand-ins/platformStore.js';
 import {
@@ -57,7 +57,7 @@
   readonly settingsPath: string;
   readonly lives: VmLife[];
   /** What its next life runs. */
-  program: string;
+  build: EntryBuild;
   /** Spans in which the VM was suspended; the end is infinite while it is. */
   readonly suspensions: { readonly fromMs: number; untilMs: number }[];
 }
@@ -98,7 +98,7 @@
   readonly store: PlatformStore;
   readonly vms: readonly SoakVm[];
   /** What VMs run once they are upgraded. */
-  readonly presentProgram: string;
+  readonly presentBuild: EntryBuild;
   /** All servers, also those that have ended. */
   readonly servers: SoakServer[];
   readonly runs: Run[];
@@ -140,7 +140,7 @@
   name: string,
   index: number,
   storeAddress: string,
-  program: string,
+  build: EntryBuild,
 ): Promise<SoakVm> {
   const ports = await Promise.all([findFreePort(), findFreePort(), findFreePort(), findFreePort()]);
   const host = `${NETWORK}.${index + 1}`;
@@ -159,7 +159,7 @@
   };
   writeFileSync(settingsPath, JSON.stringify(settings));
   const addresses = { address, readyAddress, metricsAddress };
-  return { name, ...addresses, settingsPath, lives: [], program, suspensions: [] };
+  return { name, ...addresses, settingsPath, lives: [], build, suspensions: [] };
 }
 
 const STREAM = { host: 'h', goal_ms: 1_000, attempts: 3, public: false, service: 'flow' };
@@ -198,20 +198,19 @@
 
 /**
  * Starts a store, servers and VMs, and waits until the VMs are ready. Servers have the software versions in turn. VMs start with a
- * program, and run the present one once they are upgraded.
+ * build, and run the present one once they are upgraded.
  */
 export async function startEntryFleet(
   vmCount: number,
   softwareVersions: readonly string[],
-  presentProgram: string,
-  firstProgram: string = presentProgram,
+  presentBuild: EntryBuild,
+  firstBuild: EntryBuild = presentBuild,
 ): Promise<EntryFleet> {
   const store = await startPlatformStore();
   const servers: SoakServer[] = [];
   const runs: Run[] = [];
   const orders: ReceivedOrder[] = [];
   const keys = { valid: new Set(['key-1']), withdrawn: new Set<string>() };
-  const nodeOptions = readNodeOptions();
   let version = 0;
   let serverCount = 0;
   let sequence = 0;
@@ -297,9 +296,9 @@
   const startLife = (vm: SoakVm): VmLife => {
     const { metricsAddress, name, settingsPath } = vm;
     const args = ['--metrics-port', metricsAddress.split(':')[1]!];
-    const started = spawnProgram(name, vm.program, args, {
+    const started = spawnProgram(name, vm.build.program, args, {
       [SETTINGS_VARIABLE]: settingsPath,
-      NODE_OPTIONS: nodeOptions,
+      NODE_OPTIONS: vm.build.nodeOptions,
     });
     const life: VmLife = {
       ...{ vmName: name, process: started, startedAtMs: performance.now(), endSignals: [] },
@@ -340,7 +339,7 @@
   }, HEARTBEAT_MS);
   const vms = await Promise.all(
     Array.from({ length: vmCount }, (_, i) =>
-      createVm(`vm-${i + 1}`, i, store.address, firstProgram),
+      createVm(`vm-${i + 1}`, i, store.address, firstBuild),
     ),
   );
   vms.forEach(startLife);
@@ -348,7 +347,7 @@
     ...{
       store,
       vms,
-      presentProgram,
+      presentBuild,
       servers,
       runs,
       orders,
--- a/tests/stand-ins/entryBuilds.ts
+++ b/tests/stand-ins/entryBuilds.ts
@@ -8,7 +8,7 @@
 import { fileURLToPath } from 'node:url';
 
 const ROOT = join(dirname(fileURLToPath(import.meta.url)), '../..');
-const SOURCES = ['src', 'platform', 'package.json', 'tsconfig.json'];
+const SOURCES = ['src', 'platform', 'deploy', 'package.json', 'tsconfig.json'];
 const BUNDLE = 'target/gentiandeckEntry.cjs';
 
 const RUN_PATTERN = /^run = "(.+)"$/m;
@@ -22,22 +22,31 @@
 } as const;
 export type EarlierCommit = (typeof EarlierCommit)[keyof typeof EarlierCommit];
 
-/** Bundles the program in a folder. Returns the path of its first file. */
-function bundle(folder: string): string {
-  execFileSync('npm', ['run', '--silent', 'bundle'], { cwd: folder, stdio: 'ignore' });
-  return join(folder, BUNDLE);
+/** A program as the platform builds and starts it. */
+export interface EntryBuild {
+  /** The path of its first file. */
+  readonly program: string;
+  /** The options of Node.js with which its deploy file starts it. */
+  readonly nodeOptions: string;
 }
 
-/** Builds the present version. Returns the path of its first file. */
-export function buildPresent(): string {
-  return bundle(ROOT);
+/** An earlier version, in a folder of its own. */
+export interface EarlierBuild extends EntryBuild {
+  readonly remove: () => void;
 }
 
-/** Returns the options of Node.js with which the platform starts the program. */
-export function readNodeOptions(): string {
-  const deployFile = readFileSync(join(ROOT, 'deploy/system.toml'), 'utf8');
+/** Bundles the program in a folder with its sources. */
+function bundle(folder: string): EntryBuild {
+  execFileSync('npm', ['run', '--silent', 'bundle'], { cwd: folder, stdio: 'ignore' });
+  const deployFile = readFileSync(join(folder, 'deploy/system.toml'), 'utf8');
   const words = (RUN_PATTERN.exec(deployFile)?.[1] ?? '').split(' ');
-  return words.slice(1, words.indexOf(BUNDLE)).join(' ');
+  const nodeOptions = words.slice(1, words.indexOf(BUNDLE)).join(' ');
+  return { program: join(folder, BUNDLE), nodeOptions };
+}
+
+/** Builds the present version. */
+export function buildPresent(): EntryBuild {
+  return bundle(ROOT);
 }
 
 /** Returns whether the repository has a commit, and says so if not: a clone may have no history, and an archive none at all. */
@@ -50,13 +59,6 @@
   return isFound;
 }
 
-/** The program of an earlier version. */
-export interface EarlierBuild {
-  /** The path of its first file. */
-  readonly program: string;
-  readonly remove: () => void;
-}
-
 /**
  * Builds the program as of a commit in a folder of its own, with the packages that are installed.
  *
@@ -69,7 +71,7 @@
   execFileSync('tar', ['-xf', archive], { cwd: folder });
   symlinkSync(join(ROOT, 'node_modules'), join(folder, 'node_modules'));
   return {
-    program: bundle(folder),
+    ...bundle(folder),
     remove: () => rmSync(folder, { recursive: true, force: true }),
   };
 }
