Tell in the line of a late loop how long it read answers and requests

The time in which the listeners of a connection handle what has arrived now counts as readAnswers and readRequests, in the line and in the metric. Only observes.

--- a/src/transport/entry/backendAgent.ts
+++ b/src/transport/entry/backendAgent.ts
@@ -35,8 +35,13 @@
   readonly close: () => void;
 }
 
+/** Starts to observe what a connection brings for a request, and returns the function that ends this. */
+type ReadingObserver = (socket: Socket) => () => void;
+
 /** Creates the pools, without any connection. */
-export function createBackendAgents(): BackendAgents {
+export function createBackendAgents(
+  observeReading: ReadingObserver = () => () => {},
+): BackendAgents {
   const agents = new Map<string, http.Agent>();
   const idleTimeoutsMs = new WeakMap<Socket, number>();
   const answeredIds = new WeakMap<Socket, Set<string | null>>();
@@ -56,6 +61,7 @@
       // Node.js emits `free` also for a connection that it opened for a queued request. Emitting
       // `agentReuse` ends the handling of that connection as idle.
       socket.emit('agentReuse');
+      request.once('close', observeReading(socket));
       if (!socket.connecting) {
         send();
         return;
--- a/src/transport/entry/entryDaemon.ts
+++ b/src/transport/entry/entryDaemon.ts
@@ -39,7 +39,7 @@
 import { createEventPacer } from './eventPacer.js';
 import { createForwardServer, createReadinessServer } from './forwardServer.js';
 import { createLoopDelayMonitor } from './loopDelay.js';
-import { createLoopWorkMeter } from './loopWork.js';
+import { createLoopWorkMeter, measureReading, ReadingWork } from './loopWork.js';
 import { createPeerCallCounter } from './peerCallCounter.js';
 import { createMalformedEntries } from './malformedEntries.js';
 import { createMemoryMonitor, readMemoryUsage } from './memoryMonitor.js';
@@ -131,7 +131,10 @@
   const decodeConfiguration = createConfigurationDecoder(wire);
   const mirror = createStoreMirror(createConfigurationGuard(wire, decodeConfiguration));
   const metrics = createMetrics();
-  const agents = createBackendAgents();
+  const loopWork = createLoopWorkMeter(() => readPreciseClockMs(clock));
+  const agents = createBackendAgents((socket) =>
+    measureReading(socket, ReadingWork.Answers, loopWork),
+  );
   const turnPacer = createTurnPacer();
   const vmMemory = createVmMemory(getHoldableBytes(settings.memoryMb * BYTES_PER_MB));
   const peers = createEntryPeerClient();
@@ -169,7 +172,6 @@
   );
 
   const peerCalls = createPeerCallCounter();
-  const loopWork = createLoopWorkMeter(() => readPreciseClockMs(clock));
   const loopDelay = createLoopDelayMonitor(getNowMs, (delayMs) => {
     writeLog(LogLevel.Warn, EntryLogPrefix.Lifecycle, 'The loop was late.', {
       delayMs,
@@ -205,6 +207,9 @@
     loopDelay,
   });
   server.on('connection', turnPacer.recordConnection);
+  server.on('connection', (socket) => {
+    measureReading(socket, ReadingWork.Requests, loopWork);
+  });
   const readyServer = createReadinessServer(wire.readyPath, () => current.isReady);
   const createReplyId = createIdGenerator('reply');
   const passContext = {
--- a/src/transport/entry/loopWork.ts
+++ b/src/transport/entry/loopWork.ts
@@ -1,16 +1,26 @@
 /**
- * Measures the time that the event loop spends on each kind of event and command, so that a late loop can be traced to its
- * cause.
+ * Measures the time that the event loop spends on each kind of event and command, and on what connections bring, so that a late
+ * loop can be traced to its cause.
  */
+import type { Socket } from 'node:net';
 
 const MS_PER_SECOND = 1_000;
 /** Number of kinds that a line about a late loop names. */
 const MAX_REPORTED_KINDS = 4;
 
-/** Sums of working time by kind of event or command. */
+/** Kinds of work besides those of events and commands: parsing what has arrived, and handling it until that posts an event. */
+export const ReadingWork = {
+  Answers: 'readAnswers',
+  Requests: 'readRequests',
+} as const;
+export type ReadingWork = (typeof ReadingWork)[keyof typeof ReadingWork];
+
+/** Sums of working time by kind of work. */
 export interface LoopWorkMeter {
   /** Runs some work and adds the time that it takes to its kind. */
   readonly measure: <T>(kind: string, work: () => T) => T;
+  /** Starts some work, and returns the function that adds the time since then to its kind. */
+  readonly start: (kind: string) => () => void;
   /** Returns the kinds that took the most time since the last call, as `kind=milliseconds`. */
   readonly takeBusiest: () => string;
   /** Formats the sums since the start in the Prometheus text format, in seconds. */
@@ -21,13 +31,20 @@
 export function createLoopWorkMeter(readClockMs: () => number): LoopWorkMeter {
   const totalsMs = new Map<string, number>();
   let reportedMs = new Map<string, number>();
+  const start = (kind: string): (() => void) => {
+    const startedAtMs = readClockMs();
+    return () => {
+      totalsMs.set(kind, (totalsMs.get(kind) ?? 0) + readClockMs() - startedAtMs);
+    };
+  };
   return {
+    start,
     measure: (kind, work) => {
-      const startedAtMs = readClockMs();
+      const end = start(kind);
       try {
         return work();
       } finally {
-        totalsMs.set(kind, (totalsMs.get(kind) ?? 0) + readClockMs() - startedAtMs);
+        end();
       }
     },
     takeBusiest: () => {
@@ -48,3 +65,24 @@
     },
   };
 }
+
+/**
+ * Measures the handling of what a connection brings by all listeners that it has now. Returns the function that ends this.
+ */
+export function measureReading(
+  socket: Socket,
+  kind: ReadingWork,
+  meter: Pick<LoopWorkMeter, 'start'>,
+): () => void {
+  let end = (): void => {};
+  const begin = (): void => {
+    end = meter.start(kind);
+  };
+  const finish = (): void => end();
+  socket.prependListener('data', begin);
+  socket.on('data', finish);
+  return () => {
+    socket.off('data', begin);
+    socket.off('data', finish);
+  };
+}
--- a/tests/entry/loopWork.test.ts
+++ b/tests/entry/loopWork.test.ts
@@ -1,8 +1,13 @@
 /**
- * Tests that the time which the event loop spends is counted by kind of work, also of work that throws.
+ * Tests that the time which the event loop spends is counted by kind of work, also of work that throws, and of reading.
  */
+import { Socket } from 'node:net';
 import { describe, expect, it } from 'vitest';
-import { createLoopWorkMeter } from '../../src/transport/entry/loopWork.js';
+import {
+  createLoopWorkMeter,
+  measureReading,
+  ReadingWork,
+} from '../../src/transport/entry/loopWork.js';
 
 const CASES = [
   { name: 'nothing', work: [], busiest: '' },
@@ -58,3 +63,26 @@
     work.forEach(([kind]) => expect(meter.formatPrometheus()).toContain(`{kind="${kind}"}`));
   });
 });
+
+const READING_CASES = [
+  { name: 'while it is measured', chunkCount: 3, isEnded: false, busiest: 'readAnswers=30' },
+  { name: 'not after its end', chunkCount: 3, isEnded: true, busiest: '' },
+] as const;
+
+describe('the reading of a connection', () => {
+  it.each(READING_CASES)('is counted: $name', ({ busiest, chunkCount, isEnded }) => {
+    let nowMs = 0;
+    const meter = createLoopWorkMeter(() => nowMs);
+    const socket = new Socket();
+    socket.on('data', () => {
+      nowMs += 10;
+    });
+    const end = measureReading(socket, ReadingWork.Answers, meter);
+    if (isEnded) {
+      end();
+    }
+    Array.from({ length: chunkCount }, () => socket.emit('data', Buffer.from('x')));
+    expect(meter.takeBusiest()).toBe(busiest);
+    socket.destroy();
+  });
+});
