Join the chunks of replies to the calls of the VM itself

A backend server, or the store, that replies in chunks of one byte took hundreds of bytes for each byte that was counted: 60 calls to engines at once grew by 423 MB, one call to the store by 386 MB (bound of the test: 200 MB).

--- a/src/transport/httpCall.ts
+++ b/src/transport/httpCall.ts
@@ -5,6 +5,8 @@
 import http, { type IncomingHttpHeaders } from 'node:http';
 import { Effect } from 'effect';
 import { Either } from 'purify-ts';
+import { type BodyPiece, readBodyInPieces } from './bodyReader.js';
+import { createByteCollector } from './byteCollector.js';
 
 const DEFAULT_MAX_RESPONSE_BYTES = 8_388_608;
 /** Most informational responses (1xx) before a response. */
@@ -31,7 +33,7 @@
   readonly body: string | null;
   readonly headers?: Readonly<Record<string, string>>;
   readonly timeoutMs: number;
-  /** Longest body of a response, where many calls are made at once. */
+  /** Longest body of a response with its framing, where many calls are made at once. */
   readonly maxResponseBytes?: number;
   /**
    * Whether to open a new connection. The server may close a pooled one just as the request is sent.
@@ -72,21 +74,21 @@
       agent: call.usesNewConnection === true ? false : agent,
     },
     (response) => {
-      const chunks: Buffer[] = [];
-      let sizeBytes = 0;
-      response.on('data', (chunk: Buffer) => {
-        sizeBytes += chunk.length;
-        chunks.push(chunk);
-        if (sizeBytes > maxResponseBytes) {
+      const collector = createByteCollector();
+      let totalBytes = 0;
+      const addPiece = ({ bytes, receivedBytes }: BodyPiece): void => {
+        totalBytes += receivedBytes;
+        collector.add(bytes);
+        if (totalBytes > maxResponseBytes) {
           request.destroy();
         }
-      });
-      response.on('error', (error) => fail(error.message));
-      response.on('end', () => {
-        const text = Buffer.concat(chunks).toString();
+      };
+      const end = (): void => {
         const { headers, statusCode: status = 0 } = response;
-        resume(Effect.succeed({ status, headers, text }));
-      });
+        resume(Effect.succeed({ status, headers, text: collector.take().toString() }));
+      };
+      response.on('error', (error) => fail(error.message));
+      readBodyInPieces(response, addPiece, end);
     },
   );
   request.on('socket', (socket) => {
--- a/tests/entry/endlessReplies.test.ts
+++ b/tests/entry/endlessReplies.test.ts
@@ -62,6 +62,11 @@
     beginning: `${JSON_HEAD}Transfer-Encoding: chunked\r\n\r\n`,
     filler: `4000\r\n${FILLER}\r\n`,
   },
+  {
+    reply: 'chunks of one byte',
+    beginning: `${JSON_HEAD}Transfer-Encoding: chunked\r\n\r\n`,
+    filler: '1\r\nx\r\n'.repeat(3_000),
+  },
   {
     reply: 'the extension of a chunk',
     beginning: `${JSON_HEAD}Transfer-Encoding: chunked\r\n\r\n4000;`,
