Read a long event in the time of its length, however short its pieces

An event that arrived one or two bytes at a time was joined and searched from its beginning with each piece: 1 MB in pieces of two bytes took over 10 s (438 KB by then), so that one slow stream held up all callers of its VM. The reader looked at the last piece alone to judge whether a new one ends a block, and gave up where that was shorter than a blank line. It keeps the last bytes now, and short pieces go into blocks.

--- a/src/protocol/entry/eventFrames.ts
+++ b/src/protocol/entry/eventFrames.ts
@@ -4,6 +4,8 @@
  * blank lines would take them for events. Any other line is not one of an event stream.
  */
 
+import { createByteCollector } from '../byteCollector.js';
+
 /** The end of a line and the blank line after it, then further blank lines. A line ends with LF, CR LF or CR. */
 const BLANK_LINE_PATTERN = /((?:\r\n|\n|\r(?!\n))(?:\r\n|\n|\r))[\r\n]*/g;
 /** Length of the longest blank line with the line end before it, without its last byte: what may have been received of it. */
@@ -124,28 +126,29 @@
   }
 }
 
-const NO_BYTES: Buffer = Buffer.alloc(0);
-
 /**
  * Creates a reader for one run of a stream.
  *
  * @param annotationPattern Matches a line that may stand before the fields of an event, at the start of a text.
  */
 export function createEventFrameReader(annotationPattern: RegExp): EventFrameReader {
-  let incomplete: Buffer = NO_BYTES;
-  /** Chunks after `incomplete` that complete no event. */
-  let laterChunks: Buffer[] = [];
-  let laterBytes = 0;
+  /** What was received of a block that is not complete. */
+  const incomplete = createByteCollector();
+  /** The end of it, with which a blank line may begin. */
+  let tail = '';
   let isFirst = true;
 
-  /** Returns whether a chunk completes no event, by what may be part of a blank line before it. */
-  const completesNone = (chunk: Buffer): boolean => {
-    const last = laterChunks.at(-1) ?? incomplete;
-    const canJudge = last.length >= MAX_PARTIAL_BLANK_LINE_LENGTH;
-    const end = last.subarray(-MAX_PARTIAL_BLANK_LINE_LENGTH).toString('latin1');
-    return canJudge && findBlockEnd(end + chunk.toString('latin1'), 0) === null;
+  const keepIncomplete = (bytes: Buffer): void => {
+    incomplete.add(bytes);
+    const end = bytes.subarray(-MAX_PARTIAL_BLANK_LINE_LENGTH).toString('latin1');
+    tail = (tail + end).slice(-MAX_PARTIAL_BLANK_LINE_LENGTH);
   };
 
+  /** Returns whether a chunk completes no block, by what may be part of a blank line before it. */
+  const completesNone = (chunk: Buffer): boolean =>
+    tail.length === MAX_PARTIAL_BLANK_LINE_LENGTH &&
+    findBlockEnd(tail + chunk.toString('latin1'), 0) === null;
+
   const decodeFrame = (received: string, receivedBytes: Buffer): EventFrame => {
     const hasMark = isFirst && received.startsWith(BYTE_ORDER_MARK);
     isFirst = false;
@@ -170,18 +173,13 @@
     addChunk: (chunk) => {
       // A long event is joined once, not with each of its chunks.
       if (completesNone(chunk)) {
-        laterChunks.push(chunk);
-        laterBytes += chunk.length;
+        keepIncomplete(chunk);
         return [];
       }
-      if (laterBytes > 0) {
-        incomplete = Buffer.concat([incomplete, ...laterChunks]);
-        laterChunks = [];
-        laterBytes = 0;
-      }
+      const received = incomplete.take();
       // The bytes received before hold no blank line, so a long event is not searched again with each chunk.
-      let fromIndex = Math.max(0, incomplete.length - MAX_PARTIAL_BLANK_LINE_LENGTH);
-      const bytes = incomplete.length === 0 ? chunk : Buffer.concat([incomplete, chunk]);
+      let fromIndex = Math.max(0, received.length - MAX_PARTIAL_BLANK_LINE_LENGTH);
+      const bytes = received.length === 0 ? chunk : Buffer.concat([received, chunk]);
       const text = bytes.toString('latin1');
       const frames: MutableFrame[] = [];
       let start = 0;
@@ -191,22 +189,21 @@
         found = findBlockEnd(text, fromIndex)
       ) {
         const { contentEnd, end } = found;
-        const received = bytes.subarray(start, contentEnd);
-        const frame = decodeFrame(text.slice(start, contentEnd), received);
+        const block = bytes.subarray(start, contentEnd);
+        const frame = decodeFrame(text.slice(start, contentEnd), block);
         addFrame(frames, { ...frame, receivedBytes: end - start });
         start = end;
         fromIndex = end;
       }
-      incomplete = bytes.subarray(start);
+      tail = '';
+      keepIncomplete(bytes.subarray(start));
       return frames;
     },
     // What is left of a blank line belongs to the event before it.
-    getIncompleteLength: () =>
-      laterBytes === 0 &&
-      incomplete.length <= MAX_PARTIAL_BLANK_LINE_LENGTH &&
-      LINE_ENDS_PATTERN.test(incomplete.toString('latin1'))
-        ? 0
-        : incomplete.length + laterBytes,
+    getIncompleteLength: () => {
+      const length = incomplete.getLength();
+      return length <= MAX_PARTIAL_BLANK_LINE_LENGTH && LINE_ENDS_PATTERN.test(tail) ? 0 : length;
+    },
   };
 }
 
--- a/src/transport/entry/answers.ts
+++ b/src/transport/entry/answers.ts
@@ -24,7 +24,7 @@
 import { DispatchSignal } from '../../state/runState.js';
 import { RunStatus } from '../../state/types.js';
 import { type BodyPiece, readBodyInPieces } from '../bodyReader.js';
-import { createByteCollector } from '../byteCollector.js';
+import { createByteCollector } from '../../protocol/byteCollector.js';
 import { lacksChunks } from '../unframedAnswers.js';
 import { MemoryPurpose } from '../vmMemory.js';
 import {
--- a/src/transport/httpCall.ts
+++ b/src/transport/httpCall.ts
@@ -6,7 +6,7 @@
 import { Effect } from 'effect';
 import { Either } from 'purify-ts';
 import { type BodyPiece, readBodyInPieces } from './bodyReader.js';
-import { createByteCollector } from './byteCollector.js';
+import { createByteCollector } from '../protocol/byteCollector.js';
 
 const DEFAULT_MAX_RESPONSE_BYTES = 8_388_608;
 /** Most informational responses (1xx) before a response. */
--- a/src/transport/requestBody.ts
+++ b/src/transport/requestBody.ts
@@ -4,7 +4,7 @@
 import type { IncomingMessage } from 'node:http';
 import { Either, Left, Right } from 'purify-ts';
 import { createDiagnostic, type Diagnostic, Diagnostics } from '../state/diagnostics.js';
-import { createByteCollector } from './byteCollector.js';
+import { createByteCollector } from '../protocol/byteCollector.js';
 import type { HeldMemory } from './vmMemory.js';
 
 /** Called with each chunk of a body; may pause the request for some time. */
--- a/tests/entry/byteCollector.test.ts
+++ b/tests/entry/byteCollector.test.ts
@@ -3,7 +3,7 @@
  */
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
-import { createByteCollector } from '../../src/transport/byteCollector.js';
+import { createByteCollector } from '../../src/protocol/byteCollector.js';
 
 const CASES = [
   { name: 'nothing', lengths: [] },
--- a/tests/entry/eventFrames.test.ts
+++ b/tests/entry/eventFrames.test.ts
@@ -92,3 +92,30 @@
     expect(passed.some(({ bytes }) => bytes.includes('\r'))).toBe(false);
   });
 });
+
+/** A block of the longest length that is read, in pieces of a few bytes. */
+const LONG_BYTES = 1_000_000;
+const MAX_LONG_MS = 2_000;
+const PIECES = [1, 2, 3, 5].map((pieceBytes) => ({ pieceBytes }));
+
+describe('a long event', () => {
+  it.each(PIECES)(
+    'takes time by its length alone, in pieces of $pieceBytes bytes',
+    ({ pieceBytes }) => {
+      const bytes = Buffer.from(`id: 1\ndata: ${'x'.repeat(LONG_BYTES)}\n\n`);
+      const reader = createEventFrameReader(PLATFORM_WIRE.eventAnnotationPattern);
+      const startMs = performance.now();
+      const frames: string[] = [];
+      for (
+        let i = 0;
+        i < bytes.length && performance.now() - startMs < MAX_LONG_MS;
+        i += pieceBytes
+      ) {
+        const completed = reader.addChunk(bytes.subarray(i, i + pieceBytes));
+        frames.push(...completed.map((frame) => frame.bytes.toString('latin1')));
+      }
+      expect(frames.length).toBe(1);
+      expect(frames[0] === bytes.toString('latin1')).toBe(true);
+    },
+  );
+});
