--- a/src/transport/modelDispatch.ts
+++ b/src/transport/modelDispatch.ts
@@ -21,6 +21,7 @@
 import { createSseReader } from '../protocol/sse.js';
 import { createDiagnostic, Diagnostics } from '../state/diagnostics.js';
 import { DispatchSignal } from '../state/runState.js';
+import { type BodyReader, readBodyInPieces } from './bodyReader.js';
 import {
   completeDispatch,
   createDispatch,
@@ -150,7 +151,7 @@
   }
   const answer = createAnswer(dispatch, completion);
   const read = createSseReader();
-  response.on('data', (bytes: Buffer) => {
+  const addPiece = (reader: BodyReader, bytes: Buffer): void => {
     if (dispatch.isSettled) {
       return;
     }
@@ -159,10 +160,10 @@
       (item) => dispatch.isSettled || handleJudgement(answer, answer.judge(item), response),
     );
     if (areWritable.includes(false) && !dispatch.isSettled) {
-      response.pause();
-      dispatch.exchange.response.once('drain', () => response.resume());
+      reader.pause();
+      dispatch.exchange.response.once('drain', reader.resume);
     }
-  });
+  };
   /** An answer whose end has been seen is whole, however its connection ends. */
   const handleEnd = (): void => {
     if (answer.endTimer === null) {
@@ -171,7 +172,11 @@
       finishAnswer(answer);
     }
   };
-  response.on('end', handleEnd);
+  const reader: BodyReader = readBodyInPieces(
+    response,
+    ({ bytes }) => addPiece(reader, bytes),
+    handleEnd,
+  );
   response.on('error', handleEnd);
 }
 
--- a/src/transport/routeDispatch.ts
+++ b/src/transport/routeDispatch.ts
@@ -5,9 +5,11 @@
  */
 import type { IncomingHttpHeaders, IncomingMessage, OutgoingHttpHeaders } from 'node:http';
 import { EventKind } from '../coordination/events.js';
+import { createByteCollector } from '../protocol/byteCollector.js';
 import { REQUEST_ID_HEADER, WORKSPACE_HEADER } from '../protocol/engine.js';
 import { DispatchSignal } from '../state/runState.js';
 import { AnswerSpoilReason } from '../state/spoiledAnswers.js';
+import { type BodyReader, readBodyInPieces } from './bodyReader.js';
 import {
   completeDispatch,
   createDispatch,
@@ -96,14 +98,14 @@
   dispatch: Dispatch,
   response: IncomingMessage,
   headers: OutgoingHttpHeaders,
-  bufferedChunks: readonly Buffer[],
+  buffered: Buffer,
 ): void {
   const callerResponse = dispatch.exchange.response;
   const length = response.headers['content-length'];
   const framing = length === undefined ? {} : { 'content-length': length };
   postAnswerStarted(dispatch);
   beginAnswer(dispatch.exchange, response.statusCode ?? 0, { ...headers, ...framing });
-  bufferedChunks.forEach((chunk) => callerResponse.write(chunk));
+  callerResponse.write(buffered);
 }
 
 function handleResponse(dispatch: Dispatch, response: IncomingMessage): void {
@@ -116,27 +118,24 @@
     return;
   }
   const headers = filterHeaders(response.headers);
-  let bufferedChunks: Buffer[] = [];
-  let bufferedBytes = 0;
+  const collector = createByteCollector();
   let isStreaming = false;
-  response.on('data', (chunk: Buffer) => {
+  const addPiece = (reader: BodyReader, bytes: Buffer): void => {
     recordSignal(dispatch, DispatchSignal.BodyReceived);
     if (isStreaming) {
-      if (!exchange.response.write(chunk)) {
-        response.pause();
-        exchange.response.once('drain', () => response.resume());
+      if (!exchange.response.write(bytes)) {
+        reader.pause();
+        exchange.response.once('drain', reader.resume);
       }
       return;
     }
-    bufferedChunks.push(chunk);
-    bufferedBytes += chunk.length;
-    if (bufferedBytes > MAX_BUFFERED_BYTES) {
+    collector.add(bytes);
+    if (collector.getLength() > MAX_BUFFERED_BYTES) {
       isStreaming = true;
-      startStreaming(dispatch, response, headers, bufferedChunks);
-      bufferedChunks = [];
+      startStreaming(dispatch, response, headers, collector.take());
     }
-  });
-  response.on('end', () => {
+  };
+  const end = (): void => {
     if (!response.complete || dispatch.isSettled) {
       return;
     }
@@ -145,13 +144,18 @@
       exchange.response.end();
     } else {
       const status = response.statusCode ?? 0;
-      const body = Buffer.concat(bufferedChunks);
+      const body = collector.take();
       exchange.bufferedAnswer = { status, headers, body };
       postAnswerStarted(dispatch);
       sendCompleteAnswer(exchange, status, headers, body);
     }
     completeDispatch(dispatch);
-  });
+  };
+  const reader: BodyReader = readBodyInPieces(
+    response,
+    ({ bytes }) => addPiece(reader, bytes),
+    end,
+  );
 }
 
 /** Sends a request to a plain service and forwards its answer to the caller. */
