Fail answers of services whose head no answer can have

Callers of gentiandeckd got no answer, and an error that nothing caught was thrown, when a service answered with status 000, 001 or 099; those with 600 and 999 reached callers as answers. Cause: the parser of Node.js accepts any three digits, and nothing looked at them. Such an answer counts as spoiled now and may be repeated where that is allowed. 5 of 8 new rows of spoiledRoutes.test.ts failed before; 26 tests pass.

--- a/src/state/spoiledAnswers.ts
+++ b/src/state/spoiledAnswers.ts
@@ -24,5 +24,7 @@
   AfterEnd: 'after_end',
   /** Neither a length nor chunks: the end looks like a broken connection. */
   NoFraming: 'no_framing',
+  /** A status or a header that no answer in HTTP has. */
+  InvalidHead: 'invalid_head',
 } as const;
 export type AnswerSpoilReason = (typeof AnswerSpoilReason)[keyof typeof AnswerSpoilReason];
--- a/src/transport/routeDispatch.ts
+++ b/src/transport/routeDispatch.ts
@@ -7,6 +7,7 @@
 import { EventKind } from '../coordination/events.js';
 import { createByteCollector } from '../protocol/byteCollector.js';
 import { REQUEST_ID_HEADER, WORKSPACE_HEADER } from '../protocol/engine.js';
+import { isAnswerHead } from '../protocol/httpText.js';
 import { DispatchSignal } from '../state/runState.js';
 import { AnswerSpoilReason } from '../state/spoiledAnswers.js';
 import { type BodyReader, readBodyInPieces } from './bodyReader.js';
@@ -83,6 +84,9 @@
   requestId: string,
   method: string,
 ): AnswerSpoilReason | null {
+  if (!isAnswerHead(response.statusCode ?? 0, response.rawHeaders)) {
+    return AnswerSpoilReason.InvalidHead;
+  }
   if (isForOtherRequest(response, requestId)) {
     return AnswerSpoilReason.OtherRequest;
   }
--- a/tests/dispatch/spoiledRoutes.test.ts
+++ b/tests/dispatch/spoiledRoutes.test.ts
@@ -25,6 +25,8 @@
   /** Lines of the head after the status line. */
   readonly head: readonly string[];
   readonly encode: (body: string) => string;
+  /** 200 if not set. */
+  readonly status?: string;
 }
 
 /** Answers that are not complete, or whose end cannot be told. */
@@ -99,7 +101,7 @@
 
 function answer(dispatch: ReceivedDispatch): void {
   const { body, end, testCase } = current;
-  const head = ['HTTP/1.1 200 OK', ...testCase.head].join('\r\n');
+  const head = [`HTTP/1.1 ${testCase.status ?? 200} OK`, ...testCase.head].join('\r\n');
   dispatch.socket.write(`${head}\r\n\r\n${testCase.encode(body)}`, 'latin1', () => {
     setTimeout(() => ENDS[end](dispatch), STEP_MS);
   });
@@ -135,6 +137,23 @@
   ),
 );
 
+/** Statuses that no answer in the protocol has. */
+const INVALID_STATUSES = ['000', '001', '099', '600', '999', '20', '2000', '2x0'].map((status) => ({
+  status,
+}));
+
+describe('an answer with a status that no answer has', () => {
+  it.each(INVALID_STATUSES)('does not reach its caller: $status', async ({ status }) => {
+    const texts: string[] = [];
+    for (const { body, end, httpVersion, path } of VARIANTS) {
+      current = { testCase: { ...SOUND_CASES[0]!, status }, body, end };
+      const { bytes } = await vm.send({ kind: null, path, body: '{}', httpVersion });
+      texts.push(bytes.split('\r\n')[0]!);
+    }
+    expect(new Set(texts)).toEqual(new Set(['HTTP/1.1 502 Bad Gateway']));
+  });
+});
+
 describe('an answer of a plain service', () => {
   it.each(BROKEN_CASES)('never looks whole with $name', async (testCase) => {
     const wholes: string[] = [];
