Take no answer or rejection from a head with a status that no answer has

Callers got answers with the statuses 600 and 999 as they were, and were told "not run" by a head with any three digits that said so.

--- a/src/transport/entry/answers.ts
+++ b/src/transport/entry/answers.ts
@@ -18,7 +18,7 @@
   readPassedEnd,
   removePassHeaders,
 } from '../../protocol/entry/passedRequests.js';
-import { isAnswerHead } from '../../protocol/httpText.js';
+import { hasHeaderNames, isAnswerStatus } from '../../protocol/httpText.js';
 import { createDiagnostic, Diagnostics } from '../../state/diagnostics.js';
 import { DOUBTS, type SpoilReason } from '../../state/entry/spoiledStreams.js';
 import { DispatchSignal } from '../../state/runState.js';
@@ -370,7 +370,8 @@
   const isRefusalWithoutId = callerRequestId === null && head.isRefused;
   // A server may send an earlier rejection once more, while it runs this request.
   const isReplay = !context.agents.recordAnswer(response, callerRequestId) && head.isRefused;
-  if (!(isForThisRequest || isRefusalWithoutId) || isEncoded(response) || isReplay) {
+  const isAnswer = isAnswerStatus(response.statusCode ?? 0) && !isEncoded(response);
+  if (!(isForThisRequest || isRefusalWithoutId) || !isAnswer || isReplay) {
     rejectAnswer(attempt);
     return;
   }
@@ -383,7 +384,7 @@
   if (command.kind === EntryCommandKind.Pass && endIfUnanswered(attempt, response)) {
     return;
   }
-  if (!isAnswerHead(response.statusCode ?? 0, response.rawHeaders)) {
+  if (!hasHeaderNames(response.rawHeaders)) {
     rejectAnswer(attempt);
     return;
   }
--- a/tests/entry/oddAnswers.test.ts
+++ b/tests/entry/oddAnswers.test.ts
@@ -47,8 +47,9 @@
   lifeCheck: null,
 };
 
-/** The status and the body of a buffered answer; null if the attempt failed. */
+/** The status and the body of a buffered answer, or that the server has not run the request; null if the attempt failed otherwise. */
 type Outcome = string | null;
+const NOT_RUN = 'not run';
 
 /** Writes what a server sends for a request with an id. */
 type Script = (id: string) => string;
@@ -73,10 +74,9 @@
   const post = (event: EntryEvent): void => {
     if (event.kind === EntryEventKind.AnswerReady) {
       waiting.resolve(`${event.status} ${readBody()}`);
-    } else if (
-      event.kind === EntryEventKind.AttemptFailed ||
-      event.kind === EntryEventKind.AttemptStalled
-    ) {
+    } else if (event.kind === EntryEventKind.AttemptFailed) {
+      waiting.resolve(event.failure.isRefusedByServer ? NOT_RUN : null);
+    } else if (event.kind === EntryEventKind.AttemptStalled) {
       waiting.resolve(null);
     }
   };
@@ -128,13 +128,22 @@
 }
 
 /** Formats an answer to a request with an id. */
-function formatAnswer(id: string, fields: readonly string[], body: string, status = 200): string {
+function formatAnswer(
+  id: string,
+  fields: readonly string[],
+  body: string,
+  status: number | string = 200,
+): string {
   return [`HTTP/1.1 ${status} Text`, `X-Attempt-Id: ${id}`, ...fields, '', body].join('\r\n');
 }
 
 const LENGTH = 'Content-Length: 5';
+const NOT_EXECUTED = 'X-Not-Executed: 1';
 const CHUNKED = 'Transfer-Encoding: chunked';
 
+/** Statuses that no answer in the protocol has. */
+const INVALID_STATUSES = ['000', '001', '099', '600', '999', '20', '2000', '2x0'];
+
 const ANSWERS: readonly {
   readonly name: string;
   readonly script: Script;
@@ -215,6 +224,28 @@
     script: (id) => formatAnswer(id, ['Connection: upgrade', 'Upgrade: x'], 'whole', 101),
     first: null,
   },
+  {
+    name: 'a rejection',
+    script: (id) => formatAnswer(id, [LENGTH, NOT_EXECUTED], 'whole', 503),
+    first: NOT_RUN,
+  },
+  ...INVALID_STATUSES.flatMap((status) => [
+    {
+      name: `status ${status} of a rejection`,
+      script: (id: string) => formatAnswer(id, [LENGTH, NOT_EXECUTED], 'whole', status),
+      first: null,
+    },
+    {
+      name: `status ${status}`,
+      script: (id: string) => formatAnswer(id, [LENGTH], 'whole', status),
+      first: null,
+    },
+    {
+      name: `status ${status} in chunks`,
+      script: (id: string) => formatAnswer(id, [CHUNKED], '5\r\nwhole\r\n0\r\n\r\n', status),
+      first: null,
+    },
+  ]),
   {
     name: 'a head for HEAD',
     script: (id) => formatAnswer(id, [LENGTH], ''),
