Play soaks in which one VM is cut off from all servers again and again

A VM reads the addresses of proxies in the store; they cut its links in one of seven ways, beside signals, restarts and changes. Soaks of before keep their draws, since cuts have a random sequence of their own.

--- a/tests/processes/entrySoak.test.ts
+++ b/tests/processes/entrySoak.test.ts
@@ -15,7 +15,7 @@
   listUnspoiled,
   READY_MS,
 } from '../soak/entryChecks.js';
-import { disruptEntryFleet, upgradeVms } from '../soak/entryDisruptions.js';
+import { cutLinks, disruptEntryFleet, upgradeVms } from '../soak/entryDisruptions.js';
 import {
   type EntryFleet,
   GRACE_MS,
@@ -43,6 +43,8 @@
 const SEED_COUNT = Number(process.env.SOAK_SEEDS ?? 3);
 const FIRST_SEED = Number(process.env.SOAK_FIRST_SEED ?? 1);
 const SEEDS = Array.from({ length: SEED_COUNT }, (_, i) => ({ seed: FIRST_SEED + i }));
+/** Seeds of soaks in which links are cut; by hand as many as of the others. */
+const CUT_SEEDS = process.env.SOAK_SEEDS === undefined ? SEEDS.slice(0, 1) : SEEDS;
 /** Commits from which fleets are upgraded, each with one seed. */
 const UPGRADES = (process.env.SOAK_PRODUCTION ?? Object.values(EarlierCommit).join(','))
   .split(',')
@@ -105,9 +107,18 @@
   UNCAUGHT_EVENTS.forEach((name) => process.off(name, recordUncaught));
 });
 
-/** Plays a soak in which VMs begin with an earlier build, and checks what it has shown. */
-async function playSoak(seed: number, earlier?: EntryBuild): Promise<void> {
-  fleet = await startEntryFleet(VM_COUNT, seed % 2 === 0 ? ['v1', 'v2'] : ['v1'], present, earlier);
+/** What a soak plays besides its disruptions. */
+interface SoakForm {
+  /** The build with which VMs begin, if not with the present one. */
+  readonly earlier?: EntryBuild;
+  /** Whether the links of a VM to all servers are cut again and again. */
+  readonly hasCuts?: boolean;
+}
+
+/** Plays a soak, and checks what it has shown. */
+async function playSoak(seed: number, { earlier, hasCuts }: SoakForm = {}): Promise<void> {
+  const softwareVersions = seed % 2 === 0 ? ['v1', 'v2'] : ['v1'];
+  fleet = await startEntryFleet(VM_COUNT, softwareVersions, present, earlier, hasCuts);
   closers.push(fleet.close);
   const watch = watchEntryFleet(fleet);
   closers.push(watch.stop);
@@ -117,8 +128,10 @@
   const calls = runEntryCallers(fleet, createRandom(seed), callers, () => isCalm);
   const isOver = (): boolean => performance.now() > endsAtMs;
   const upgrade = earlier === undefined ? null : upgradeVms(fleet, DISRUPTED_MS / (VM_COUNT + 1));
+  const cuts = hasCuts === true ? cutLinks(fleet, createRandom(seed + 2), isOver) : [];
   const begun = await disruptEntryFleet(fleet, createRandom(seed + 1), isOver);
   await upgrade;
+  begun.push(...(await cuts));
   const areAllReady = async (): Promise<boolean> =>
     (await Promise.all(fleet.vms.map(isVmReady))).every(Boolean);
   await waitFor('all VMs are ready again', areAllReady, CALM_MS);
@@ -165,13 +178,19 @@
   );
 });
 
+describe('a soak of entry VMs of which one is cut off from all servers again and again', () => {
+  it.each(CUT_SEEDS)('keeps the promises to all callers and servers, seed $seed', ({ seed }) =>
+    playSoak(seed, { hasCuts: true }),
+  );
+});
+
 describe('a soak of entry VMs that are upgraded one after the other', () => {
   it.each(UPGRADES)(
     'keeps the promises to all callers and servers, from $commit, seed $seed',
     async ({ commit, seed }) => {
       const build = buildEarlier(commit);
       closers.push(async () => build.remove());
-      await playSoak(seed, build);
+      await playSoak(seed, { earlier: build });
       expect(fleet.vms.map((vm) => vm.build)).toEqual(fleet.vms.map(() => present));
     },
   );
--- a/tests/soak/entryChecks.ts
+++ b/tests/soak/entryChecks.ts
@@ -5,7 +5,7 @@
 import { type EntryFleet, GRACE_MS, type Run, type SoakVm, type VmLife } from './entryFleet.js';
 import { EVENT_COUNT, formatPlainAnswer, parseEvents } from './numberedEvents.js';
 
-/** A kill or a suspension excuses requests that were open within this time of it. */
+/** A kill, a suspension or a cut of its VM excuses requests that were open within this time of it. */
 const EXCUSED_MS = 2_000;
 /** A process that was thawed may have had an order on its way for this time. */
 const THAW_MS = 300;
@@ -31,7 +31,9 @@
   const [fromMs, untilMs] = [sentAtMs - EXCUSED_MS, endedAtMs + EXCUSED_MS];
   return (
     listKills(vm).some((atMs) => atMs > fromMs && atMs < untilMs) ||
-    vm.suspensions.some((span) => span.untilMs > fromMs && span.fromMs < untilMs)
+    [...vm.suspensions, ...vm.linkCuts].some(
+      (span) => span.untilMs > fromMs && span.fromMs < untilMs,
+    )
   );
 }
 
--- a/tests/soak/entryDisruptions.ts
+++ b/tests/soak/entryDisruptions.ts
@@ -4,10 +4,15 @@
 import { nextRandom, nextRandomInt, type RandomState } from '../../src/state/random.js';
 import { wait } from '../stand-ins/entryVms.js';
 import { isRunning } from '../stand-ins/processes.js';
+import { LinkCuts } from '../stand-ins/serverLinks.js';
 import type { EntryFleet, SoakServer, SoakService, SoakVm, VmLife } from './entryFleet.js';
 
 const MIN_GAP_MS = 100;
 const MAX_GAP_MS = 700;
+const MIN_CUT_GAP_MS = 300;
+const MAX_CUT_GAP_MS = 1_500;
+const MIN_CUT_MS = 300;
+const MAX_CUT_MS = 3_500;
 /** A server that leaves goes on serving for this time. */
 const LEAVING_MS = 2_800;
 
@@ -193,6 +198,16 @@
   },
 };
 
+/**
+ * Disruptions in which VMs hear of servers from other VMs. Links are cut by addresses that one VM alone reads in the store, so those that
+ * hear of them from it would be cut off too.
+ */
+const STORE_DISRUPTIONS: ReadonlySet<string> = new Set([
+  'storeDown',
+  'storeSlow',
+  'storeLosesAnswers',
+]);
+
 /** Has each VM run the present build from its next life on, and replaces one after the other. */
 export async function upgradeVms(
   { presentBuild, startLife, vms }: EntryFleet,
@@ -210,13 +225,38 @@
   }
 }
 
+/** Cuts the links of a VM to all servers, in some way and for some time, again and again until `isOver`. Returns the ways in order. */
+export async function cutLinks(
+  { vms }: EntryFleet,
+  random: RandomState,
+  isOver: () => boolean,
+): Promise<string[]> {
+  const { linkCuts, links } = vms.find((vm) => vm.links !== null)!;
+  const names = Object.keys(LinkCuts) as (keyof typeof LinkCuts)[];
+  const ways: string[] = [];
+  while (!isOver()) {
+    await wait(MIN_CUT_GAP_MS + nextRandom(random) * (MAX_CUT_GAP_MS - MIN_CUT_GAP_MS));
+    const name = pick(random, names)!;
+    ways.push(name);
+    const span = { fromMs: performance.now(), untilMs: Number.POSITIVE_INFINITY };
+    linkCuts.push(span);
+    await links!.cut(LinkCuts[name]);
+    await wait(MIN_CUT_MS + nextRandom(random) * (MAX_CUT_MS - MIN_CUT_MS));
+    await links!.heal();
+    span.untilMs = performance.now();
+  }
+  return ways;
+}
+
 /** Begins disruptions at random times until `isOver`, and waits until all have ended. Returns their names in order. */
 export async function disruptEntryFleet(
   fleet: EntryFleet,
   random: RandomState,
   isOver: () => boolean,
 ): Promise<string[]> {
-  const names = Object.keys(DISRUPTIONS);
+  const names = Object.keys(DISRUPTIONS).filter(
+    (name) => !STORE_DISRUPTIONS.has(name) || fleet.vms.every(({ links }) => links === null),
+  );
   const begun: string[] = [];
   const running: (Promise<void> | void)[] = [];
   while (!isOver()) {
--- a/tests/soak/entryFleet.ts
+++ b/tests/soak/entryFleet.ts
@@ -17,6 +17,7 @@
   type StartedProcess,
   waitFor,
 } from '../stand-ins/processes.js';
+import { type ServerLinks, startServerLinks } from '../stand-ins/serverLinks.js';
 
 const SERVER_PROGRAM = 'tests/stand-ins/soakServerMain.js';
 const READY_TEXT = 'The VM is ready.';
@@ -60,6 +61,10 @@
   build: EntryBuild;
   /** Spans in which the VM was suspended; the end is infinite while it is. */
   readonly suspensions: { readonly fromMs: number; untilMs: number }[];
+  /** Its links to all servers, if they can be cut. */
+  readonly links: ServerLinks | null;
+  /** Spans in which these were cut; the end is infinite while they are. */
+  readonly linkCuts: { readonly fromMs: number; untilMs: number }[];
 }
 
 /** A run of a request at a server. */
@@ -141,6 +146,7 @@
   index: number,
   storeAddress: string,
   build: EntryBuild,
+  links: ServerLinks | null,
 ): Promise<SoakVm> {
   const ports = await Promise.all([findFreePort(), findFreePort(), findFreePort(), findFreePort()]);
   const host = `${NETWORK}.${index + 1}`;
@@ -151,15 +157,17 @@
   const settings = {
     node_name: name,
     ip: host,
-    zone: `fd-${index % 2}`,
+    // VMs of one failure domain relay the addresses of the servers to each other.
+    zone: links === null ? `fd-${index % 2}` : 'fd-links',
     port_range: [ports[2], ports[2]],
     listen: { frontend_addr: address, ready_addr: readyAddress },
-    platform: { address: storeAddress },
+    platform: { address: links?.storeAddress ?? storeAddress },
     bounds: { grace_s: GRACE_MS / MS_PER_SECOND, retry_slack: 500, fencing: true },
   };
   writeFileSync(settingsPath, JSON.stringify(settings));
   const addresses = { address, readyAddress, metricsAddress };
-  return { name, ...addresses, settingsPath, lives: [], build, suspensions: [] };
+  const record = { lives: [], suspensions: [], linkCuts: [] };
+  return { name, ...addresses, settingsPath, build, links, ...record };
 }
 
 const STREAM = { host: 'h', goal_ms: 1_000, attempts: 3, public: false, service: 'flow' };
@@ -198,15 +206,17 @@
 
 /**
  * Starts a store, servers and VMs, and waits until the VMs are ready. Servers have the software versions in turn. VMs start with a
- * build, and run the present one once they are upgraded.
+ * build, and run the present one once they are upgraded. The links of the last VM to the servers can be cut if that is asked for.
  */
 export async function startEntryFleet(
   vmCount: number,
   softwareVersions: readonly string[],
   presentBuild: EntryBuild,
   firstBuild: EntryBuild = presentBuild,
+  hasLinks = false,
 ): Promise<EntryFleet> {
   const store = await startPlatformStore();
+  const links = hasLinks ? await startServerLinks(store.address) : null;
   const servers: SoakServer[] = [];
   const runs: Run[] = [];
   const orders: ReceivedOrder[] = [];
@@ -269,6 +279,7 @@
       });
     });
     await waitFor(`server ${id} listens: ${started.getOutput()}`, () => server.address !== '');
+    await links?.addServer(server.address);
     servers.push(server);
     register(server);
     return server;
@@ -339,7 +350,7 @@
   }, HEARTBEAT_MS);
   const vms = await Promise.all(
     Array.from({ length: vmCount }, (_, i) =>
-      createVm(`vm-${i + 1}`, i, store.address, firstBuild),
+      createVm(`vm-${i + 1}`, i, store.address, firstBuild, i === vmCount - 1 ? links : null),
     ),
   );
   vms.forEach(startLife);
@@ -373,6 +384,7 @@
         ...servers.map((server) => server.process),
       ];
       await Promise.all(processes.filter(isRunning).map((started) => endProcess(started)));
+      await links?.close();
       await store.close();
     },
   };
--- a/tests/stand-ins/serverLinks.ts
+++ b/tests/stand-ins/serverLinks.ts
@@ -155,6 +155,9 @@
 }
 
 function rewriteAnswer(text: string, proxies: ReadonlyMap<string, string>): string {
+  if (text === '') {
+    return text;
+  }
   const answer = JSON.parse(text) as { items?: StoredItem[]; events?: StoredItem[] } & StoredItem;
   const rewriteAll = (items: StoredItem[]): StoredItem[] =>
     items.map((item) => rewriteItem(item, proxies));
