Fail attempts whose connections bring bytes without any part of an answer

Callers waited to their deadlines, and their VM read at full speed all the while, when a server sent empty lines before a head or zeros of a chunk's size without end: the parser skips both without a bound, and nothing else counted bytes. More than 128 KB without a head, an informational response or a part of a body fail the attempt now.

--- a/src/transport/entry/answers.ts
+++ b/src/transport/entry/answers.ts
@@ -184,6 +184,7 @@
       return;
     }
     advanceAttempt(attempt, DispatchSignal.BodyReceived);
+    attempt.fruitlessBytes = 0;
     bodyBytes += piece.bytes.length;
     const frames = reader.addChunk(piece.bytes);
     const lastDataIndex = frames.findLastIndex(({ hasData }) => hasData);
@@ -241,6 +242,7 @@
       return;
     }
     recordSignal(attempt, DispatchSignal.BodyReceived);
+    attempt.fruitlessBytes = 0;
     const { bytes } = piece;
     bodyBytes += bytes.length;
     if (bodyBytes > MAX_ANSWER_BYTES) {
--- a/src/transport/entry/attempt.ts
+++ b/src/transport/entry/attempt.ts
@@ -11,7 +11,6 @@
   EntryEventKind,
 } from '../../coordination/entry/events.js';
 import type { AnswerSource, PassedEnd } from '../../coordination/entry/passedRequest.js';
-import { readAnswerSource } from '../../protocol/entry/passedRequests.js';
 import { MAX_TIMER_MS } from '../../protocol/fieldSchemas.js';
 import { createDiagnostic, type DiagnosticMessage, Diagnostics } from '../../state/diagnostics.js';
 import type { BackendLoad } from '../../state/entry/backends.js';
@@ -20,12 +19,13 @@
 import type { BodyReader } from '../bodyReader.js';
 import { MAX_INFORMATIONAL_RESPONSES } from '../httpCall.js';
 import type { VmMemory } from '../vmMemory.js';
+import { reportStatements } from './answerStatements.js';
 import { createRequest, MAX_ANSWER_HEAD_BYTES } from './attemptRequest.js';
 import type { BackendAgents } from './backendAgent.js';
 import type { EventPacer } from './eventPacer.js';
 import { type ForwardExchange, isAnswerBegun } from './exchange.js';
+import { MAX_FRUITLESS_BYTES, watchFruitlessBytes } from './fruitlessBytes.js';
 import { runAfterUnreadData } from './loopDelay.js';
-import { postStatement } from './serverStatements.js';
 import type { ServerWitness } from './serverWitness.js';
 import type { TurnPacer } from './turnPacer.js';
 import type { AnswerHead, EntryWire } from './wire.js';
@@ -74,6 +74,8 @@
   source: AnswerSource | null;
   /** Shows whether the server outlives an answer without a length; null for any other answer. */
   witness: ServerWitness | null;
+  /** Bytes received since the last that were part of an answer. */
+  fruitlessBytes: number;
   /** Reads the body of the answer; null before its head. */
   bodyReader: BodyReader | null;
   /** Why the response is not read for now; empty while it is. */
@@ -241,57 +243,6 @@
   attempt.stallTimer = setTimeout(check, Math.min(command.startTimeoutMs, MAX_TIMER_MS));
 }
 
-/** Reports the request limit that the head of a response states, or that a limit has ended. */
-function reportLimit({ command, context, startedAtMs }: Attempt, { limit }: AnswerHead): void {
-  const { isStated, requestsPerSecond } = limit;
-  if (command.kind !== EntryCommandKind.Dispatch || !isStated) {
-    return;
-  }
-  if (requestsPerSecond !== null || command.isServerLimited) {
-    const kind = EntryEventKind.LimitReported;
-    const { backendId } = command;
-    context.post({ kind, backendId, requestsPerSecond, dispatchedAtMs: startedAtMs });
-  }
-}
-
-/** Reports the rejections that a brittle server bears, or that a server is no longer brittle. */
-function reportBrittleness(
-  { command, context, startedAtMs }: Attempt,
-  { brittleness }: AnswerHead,
-): void {
-  const { isStated, maxRejectionsPerSecond } = brittleness;
-  if (command.kind !== EntryCommandKind.Dispatch || !isStated) {
-    return;
-  }
-  if (maxRejectionsPerSecond !== null || command.isServerBrittle) {
-    const { backendId, bornAtWallMs } = command;
-    context.post({
-      kind: EntryEventKind.BrittlenessReported,
-      backendId,
-      bornAtWallMs,
-      maxRejectionsPerSecond,
-      dispatchedAtMs: startedAtMs,
-    });
-  }
-}
-
-/** Reports what the head of a response states of its server, also one that another VM passes. */
-function reportStatements(attempt: Attempt, response: IncomingMessage, head: AnswerHead): void {
-  const { command, context, exchange } = attempt;
-  attempt.source =
-    command.kind === EntryCommandKind.Pass ? readAnswerSource(response.headers) : null;
-  const server = command.kind === EntryCommandKind.Dispatch ? command : attempt.source;
-  if (server !== null) {
-    const { backendId, bornAtWallMs } = server;
-    const requestName = exchange.callerRequestId;
-    postStatement(context.post, head.statement, { backendId, bornAtWallMs, requestName });
-  }
-  if (!attempt.isSettled) {
-    reportLimit(attempt, head);
-    reportBrittleness(attempt, head);
-  }
-}
-
 /** Sends the request of an attempt once it has a connection, and hands its response to the caller of `startAttempt`. */
 function runAttempt(
   attempt: Attempt,
@@ -319,6 +270,9 @@
     }
   };
   context.agents.onConnection(request, () => runAfterUnreadData(context.isBehind(), send));
+  watchFruitlessBytes(request, attempt, () =>
+    failAttempt(attempt, Diagnostics.AnswerTooLarge, null, MAX_FRUITLESS_BYTES),
+  );
   let answer: IncomingMessage | null = null;
   const failIfUnread = (): void => {
     if (!attempt.isBodyRead) {
@@ -340,6 +294,7 @@
   let informationCount = 0;
   request.on('information', () => {
     informationCount += 1;
+    attempt.fruitlessBytes = 0;
     if (informationCount > MAX_INFORMATIONAL_RESPONSES) {
       failAttempt(attempt, Diagnostics.AnswerMismatched);
     }
@@ -352,6 +307,7 @@
       return;
     }
     recordSignal(attempt, DispatchSignal.HeadersReceived);
+    attempt.fruitlessBytes = 0;
     attempt.load = head.load;
     context.agents.recordIdleTimeout(response);
     answer = response;
@@ -387,6 +343,7 @@
     stallTimer: null,
     source: null,
     witness: null,
+    fruitlessBytes: 0,
     bodyReader: null,
     pauseReasons: new Set(),
   };
--- a/tests/entry/answerEnds.test.ts
+++ b/tests/entry/answerEnds.test.ts
@@ -216,6 +216,24 @@
     filler: 'HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n'.repeat(300),
     key: 'answer_mismatched',
   },
+  {
+    name: 'in empty lines before a head',
+    beginning: '',
+    filler: '\r\n'.repeat(8_192),
+    key: 'answer_too_large',
+  },
+  {
+    name: 'in the size of a chunk',
+    beginning: `${HEAD}Transfer-Encoding: chunked\r\n\r\n`,
+    filler: '0'.repeat(16_384),
+    key: 'answer_too_large',
+  },
+  {
+    name: 'in the size of a chunk of a stream',
+    beginning: `${HEAD}Transfer-Encoding: chunked\r\nContent-Type: text/event-stream\r\n\r\n`,
+    filler: '0'.repeat(16_384),
+    key: 'answer_too_large',
+  },
   {
     name: 'in an event of many lines',
     beginning: `${HEAD}Content-Type: text/event-stream\r\n\r\nid: 1\n`,
