Read a connection on once its body in chunks is parsed, whatever follows it

Found when the change to the reading of bodies was read afresh: a connection that was held for a body, whose last piece also had the next request, was read on only because Node.js resumes it as that body is consumed. Not shown by a failure: the three new rows of chunkedBodies.test.ts pass without the change too.

--- a/src/transport/entry/callerReader.ts
+++ b/src/transport/entry/callerReader.ts
@@ -88,9 +88,9 @@
     }
   };
 
-  /** Reads a connection on once nothing is kept. */
+  /** Reads a connection on once nothing of a body is kept. */
   const releaseBody = (connection: Connection): void => {
-    if (connection.isHeld && connection.unparsed === null) {
+    if (connection.isHeld && (connection.unparsed === null || !isInChunks(connection))) {
       connection.isHeld = false;
       connection.socket.resume();
     }
--- a/tests/entry/chunkedBodies.test.ts
+++ b/tests/entry/chunkedBodies.test.ts
@@ -83,6 +83,31 @@
   return `${id} ${Buffer.from(text, 'latin1').toString('base64')}`;
 }
 
+const SLOW_ANSWER_MS = 100;
+/** Endings of a long body whose last piece also has the next requests, with more of them than are parsed at once. */
+const PIPELINED = [1, 3, 8].map((count) => ({ count }));
+
+describe('requests behind a long body in small chunks', () => {
+  it.each(PIPELINED)('are answered in order: $count of them', async ({ count }) => {
+    front = await startFrontServer({ maxBodyBytes: 1_000_000 });
+    front.onArrival = (exchange) => {
+      const answer = `<${exchange.callerRequestId}>`;
+      setTimeout(() => sendWholeAnswer(exchange, 200, [], answer), SLOW_ANSWER_MS);
+    };
+    const { received, socket } = await connectCaller(front);
+    const long = { text: 'y'.repeat(LONG_BODY_BYTES), chunkLength: 1, ending: '0\r\n\r\n' };
+    const short = { text: 'x', chunkLength: 0, ending: '' };
+    const sent = [long, ...Array.from({ length: count }, () => short)];
+    const ids = sent.map((_, i) => `id-${i}`);
+    socket.write(sent.map((body, i) => formatSent(ids[i]!, body)).join(''));
+    const getAnswers = (): string[] =>
+      [...received.text.matchAll(/<([^>]*)>/g)].map(([, answer]) => answer!);
+    await waitUntil(() => getAnswers().length === ids.length);
+    expect(getAnswers()).toEqual(ids);
+    socket.destroy();
+  });
+});
+
 describe('the bodies of requests', () => {
   it('arrive as they were sent, and their requests are answered in order', async () => {
     front = await startFrontServer({ maxBodyBytes: 1_000_000 });
