Cut the links of one VM only in the soak with cut links

It is the test that was wrong. A VM whose links can be cut read proxies' addresses of the servers in a front of the store; VMs tell each other of news in the store, so the first to hear, if it was this VM, had all others use its proxies too, and a cut of one VM was a cut of all.

The address of a server is now the same for all VMs. The process of the VM whose links can be cut is told by its environment to connect to another host at the same port, at which the proxies listen. The front of the store that rewrote addresses is gone, and with it two exceptions: the store is disrupted in this soak as well, and its VMs have the failure domains of the other soaks. The bound is as it was. cutOffVms, cutOffKept, passedLoads and the other tests of cut links use the same.

--- a/tests/soak/entryDisruptions.ts
+++ b/tests/soak/entryDisruptions.ts
@@ -198,16 +198,6 @@
   },
 };
 
-/**
- * Disruptions in which VMs hear of servers from other VMs. Links are cut by addresses that one VM alone reads in the store, so those that
- * hear of them from it would be cut off too.
- */
-const STORE_DISRUPTIONS: ReadonlySet<string> = new Set([
-  'storeDown',
-  'storeSlow',
-  'storeLosesAnswers',
-]);
-
 /** Has each VM run the present build from its next life on, and replaces one after the other. */
 export async function upgradeVms(
   { presentBuild, startLife, vms }: EntryFleet,
@@ -254,9 +244,7 @@
   random: RandomState,
   isOver: () => boolean,
 ): Promise<string[]> {
-  const names = Object.keys(DISRUPTIONS).filter(
-    (name) => !STORE_DISRUPTIONS.has(name) || fleet.vms.every(({ links }) => links === null),
-  );
+  const names = Object.keys(DISRUPTIONS);
   const begun: string[] = [];
   const running: (Promise<void> | void)[] = [];
   while (!isOver()) {
--- a/tests/soak/entryFleet.ts
+++ b/tests/soak/entryFleet.ts
@@ -17,7 +17,7 @@
   type StartedProcess,
   waitFor,
 } from '../stand-ins/processes.js';
-import { type ServerLinks, startServerLinks } from '../stand-ins/serverLinks.js';
+import { createServerLinks, type ServerLinks } from '../stand-ins/serverLinks.js';
 
 const SERVER_PROGRAM = 'tests/stand-ins/soakServerMain.js';
 const READY_TEXT = 'The VM is ready.';
@@ -128,6 +128,7 @@
 /** A loopback network of this process, so that no process of another test gets an address while its owner restarts. */
 const NETWORK = `127.${1 + (process.pid % 250)}.${Math.floor(process.pid / 250) % 250}`;
 const SERVER_HOST = `${NETWORK}.250`;
+const LINK_HOST = `${NETWORK}.251`;
 
 /** Records how long the main thread of a process has waited for a processor, which its own log cannot tell before it runs. */
 function recordProcessorWait({ process: { child }, processorWaits }: VmLife): void {
@@ -157,11 +158,10 @@
   const settings = {
     node_name: name,
     ip: host,
-    // VMs of one failure domain relay the addresses of the servers to each other.
-    zone: links === null ? `fd-${index % 2}` : 'fd-links',
+    zone: `fd-${index % 2}`,
     port_range: [ports[2], ports[2]],
     listen: { frontend_addr: address, ready_addr: readyAddress },
-    platform: { address: links?.storeAddress ?? storeAddress },
+    platform: { address: storeAddress },
     bounds: { grace_s: GRACE_MS / MS_PER_SECOND, retry_slack: 500, fencing: true },
   };
   writeFileSync(settingsPath, JSON.stringify(settings));
@@ -216,7 +216,7 @@
   hasLinks = false,
 ): Promise<EntryFleet> {
   const store = await startPlatformStore();
-  const links = hasLinks ? await startServerLinks(store.address) : null;
+  const links = hasLinks ? createServerLinks(SERVER_HOST, LINK_HOST) : null;
   const servers: SoakServer[] = [];
   const runs: Run[] = [];
   const orders: ReceivedOrder[] = [];
@@ -308,8 +308,9 @@
     const { metricsAddress, name, settingsPath } = vm;
     const args = ['--metrics-port', metricsAddress.split(':')[1]!];
     const started = spawnProgram(name, vm.build.program, args, {
+      ...vm.links?.environment,
       [SETTINGS_VARIABLE]: settingsPath,
-      NODE_OPTIONS: vm.build.nodeOptions,
+      NODE_OPTIONS: [vm.build.nodeOptions, vm.links?.nodeOptions ?? ''].join(' '),
     });
     const life: VmLife = {
       ...{ vmName: name, process: started, startedAtMs: performance.now(), endSignals: [] },
--- a/tests/stand-ins/cutFleet.ts
+++ b/tests/stand-ins/cutFleet.ts
@@ -4,6 +4,7 @@
 import http from 'node:http';
 import {
   createServerRecords,
+  CUT_SERVER_HOST,
   CUT_STREAM_EVENTS,
   type CutServer,
   getCutAnswer,
@@ -14,7 +15,7 @@
 import { createConfiguration } from './entryVms.js';
 import { type PlatformStore, startPlatformStore } from './platformStore.js';
 import { endProcess, type StartedProcess, startProgram, waitFor } from './processes.js';
-import { type ServerLinks, startServerLinks } from './serverLinks.js';
+import { createServerLinks, type ServerLinks } from './serverLinks.js';
 
 const SERVERS_PER_SERVICE = 4;
 const HEARTBEAT_MS = 500;
@@ -201,29 +202,28 @@
   const store = await startPlatformStore();
   const records = createServerRecords();
   const linksByDomain = new Map<string, ServerLinks>();
-  for (const domain of new Set(failureDomains)) {
-    linksByDomain.set(domain, await startServerLinks(store.address));
-  }
+  [...new Set(failureDomains)].forEach((domain, i) =>
+    linksByDomain.set(domain, createServerLinks(CUT_SERVER_HOST, `127.0.1.${i + 1}`)),
+  );
   store.put('op/config', createFleetConfiguration());
   const closers = await startServers(store, [...linksByDomain.values()], records, answerHeaders);
   const vms = await Promise.all(
     failureDomains.map(async (domain, i) => {
       const vmId = `vm-${i + 1}`;
       const links = linksByDomain.get(domain)!;
-      const prepared = await prepareEntry(
-        links.storeAddress,
-        {},
-        { retry_slack: 10_000 },
-        vmId,
-        domain,
-      );
+      const bounds = { retry_slack: 10_000 };
+      const prepared = await prepareEntry(store.address, {}, bounds, vmId, domain);
       const { args, environment } = prepared;
       const process = await startProgram(
         vmId,
         programs[i] ?? ENTRY_PROGRAM,
         args,
         'The VM is ready.',
-        environment,
+        {
+          ...environment,
+          ...links.environment,
+          NODE_OPTIONS: `${environment.NODE_OPTIONS} ${links.nodeOptions}`,
+        },
       );
       return { vmId, prepared, process, links };
     }),
--- a/tests/stand-ins/cutServer.ts
+++ b/tests/stand-ins/cutServer.ts
@@ -6,6 +6,8 @@
 import http, { type IncomingMessage, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 
+/** The host of all servers, at which nothing else listens. */
+export const CUT_SERVER_HOST = '127.0.2.1';
 export const CUT_STREAM_EVENTS = 10;
 const EVENT_INTERVAL_MS = 20;
 /** The query parameter with which a caller asks for a stream of another length. */
@@ -115,10 +117,10 @@
     );
   });
   server.keepAliveTimeout = 60_000;
-  server.listen(0, '127.0.0.1');
+  server.listen(0, CUT_SERVER_HOST);
   await once(server, 'listening');
   return {
-    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    address: `${CUT_SERVER_HOST}:${(server.address() as AddressInfo).port}`,
     close: () => {
       server.closeAllConnections();
       server.close();
--- a/tests/stand-ins/serverLinks.ts
+++ b/tests/stand-ins/serverLinks.ts
@@ -1,15 +1,15 @@
 /**
- * The links of the VMs of one failure domain to all backend servers: a proxy in front of each server, and a front of the store in which
- * these VMs read the proxies' addresses in place of the servers'. A test cuts all links at once, in one of several ways.
+ * The links of the VMs of one failure domain to all backend servers: a proxy for each server at a host of these VMs, and an environment
+ * in which their processes connect to that host in place of the servers'. A test cuts all links at once, in one of several ways.
  *
  * Loopback drops no packets, so a connect that gets no answer is played by a listener whose queue of unaccepted connections is full.
  */
 import { once } from 'node:events';
-import http from 'node:http';
-import net, { type AddressInfo, type Socket } from 'node:net';
+import net, { type Socket } from 'node:net';
+import { REDIRECT_VARIABLE } from './connectRedirect.js';
 import {
   endProcess,
-  findFreePort,
+  getProgramPath,
   type StartedProcess,
   startProgram,
   waitFor,
@@ -49,6 +49,7 @@
   ToVms: { open: OpenLink.DropsAnswers, fresh: NewLink.Unanswered },
 } as const satisfies Readonly<Record<string, LinkCut>>;
 
+const REDIRECT_PROGRAM = 'tests/stand-ins/connectRedirect.js';
 const UNANSWERED_PROGRAM = 'tests/stand-ins/unansweredPortsMain.js';
 const LISTENING_TEXT = 'All ports listen.';
 /** Fills the queue of a listener, with some to spare. */
@@ -79,10 +80,11 @@
   },
 };
 
-/** The links of the VMs that read the store at an address of their own. */
+/** The links of the VMs whose processes run in an environment of their own. */
 export interface ServerLinks {
-  /** The address at which these VMs read the store. */
-  readonly storeAddress: string;
+  /** Has a process connect to the proxies. The options of Node.js are to be added to its others. */
+  readonly environment: Readonly<Record<string, string>>;
+  readonly nodeOptions: string;
   /** Puts a proxy in front of a server, before the server is registered. */
   readonly addServer: (address: string) => Promise<void>;
   readonly cut: (way: LinkCut) => Promise<void>;
@@ -109,17 +111,18 @@
   join(far, near);
 }
 
-async function listen(server: net.Server, port: number): Promise<void> {
-  server.listen(port, '127.0.0.1');
+async function listen(server: net.Server, host: string, port: number): Promise<void> {
+  server.listen(port, host);
   await once(server, 'listening');
 }
 
 /** Starts a process that holds ports at which no connect is answered, once `free` has freed them. */
 async function holdPorts(
+  host: string,
   ports: readonly number[],
   free: () => void,
 ): Promise<{ readonly holder: StartedProcess; readonly fillers: readonly Socket[] }> {
-  const args = ['--ports', ports.join(',')];
+  const args = ['--host', host, '--ports', ports.join(',')];
   const holder = await startProgram('unanswered ports', UNANSWERED_PROGRAM, args, 'ready');
   free();
   holder.child.kill('SIGUSR2');
@@ -130,7 +133,7 @@
   });
   const fillers = ports.flatMap((port) =>
     Array.from({ length: FILLERS_PER_PORT }, () => {
-      const filler = net.connect(port, '127.0.0.1');
+      const filler = net.connect(port, host);
       filler.on('error', () => {});
       return filler;
     }),
@@ -138,74 +141,10 @@
   return { holder, fillers };
 }
 
-interface StoredItem {
-  readonly key: string;
-  readonly value?: string;
-}
-
-/** Replaces the address of a server in an item of the store. */
-function rewriteItem(item: StoredItem, proxies: ReadonlyMap<string, string>): StoredItem {
-  if (!item.key.startsWith('servers/') || item.value === undefined) {
-    return item;
-  }
-  const entry = JSON.parse(Buffer.from(item.value, 'base64').toString()) as { address: string };
-  const address = proxies.get(entry.address) ?? entry.address;
-  const value = Buffer.from(JSON.stringify({ ...entry, address })).toString('base64');
-  return { ...item, value };
-}
-
-function rewriteAnswer(text: string, proxies: ReadonlyMap<string, string>): string {
-  if (text === '') {
-    return text;
-  }
-  const answer = JSON.parse(text) as { items?: StoredItem[]; events?: StoredItem[] } & StoredItem;
-  const rewriteAll = (items: StoredItem[]): StoredItem[] =>
-    items.map((item) => rewriteItem(item, proxies));
-  return JSON.stringify({
-    ...answer,
-    ...(answer.key === undefined ? {} : rewriteItem(answer, proxies)),
-    ...(answer.items === undefined ? {} : { items: rewriteAll(answer.items) }),
-    ...(answer.events === undefined ? {} : { events: rewriteAll(answer.events) }),
-  });
-}
-
-/** Starts a front of a store whose readers see the addresses of proxies in place of those of the servers. */
-async function startFront(
-  target: string,
-  proxies: ReadonlyMap<string, string>,
-): Promise<http.Server> {
-  const [host, port] = target.split(':');
-  const front = http.createServer((request, response) => {
-    const { headers, method, url: path } = request;
-    const call = http.request({ host, port, method, path, headers }, (answer) => {
-      const chunks: Buffer[] = [];
-      answer.on('data', (chunk: Buffer) => chunks.push(chunk));
-      answer.on('error', () => response.destroy());
-      answer.on('end', () => {
-        const era = answer.headers['store-era']?.toString() ?? '';
-        const type = 'application/json';
-        response.writeHead(answer.statusCode ?? 0, { 'Store-Era': era, 'content-type': type });
-        response.end(rewriteAnswer(Buffer.concat(chunks).toString(), proxies));
-      });
-    });
-    call.on('error', () => response.destroy());
-    response.on('close', () => call.destroy());
-    request.pipe(call);
-  });
-  await listen(front, 0);
-  return front;
-}
-
-function getAddress(server: net.Server): string {
-  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
-}
-
-/** Starts the links of some VMs, which are to read the store at the address of the links. */
-export async function startServerLinks(store: string): Promise<ServerLinks> {
-  const proxies = new Map<string, string>();
+/** Creates the links of some VMs to the servers of a host. Nothing else may listen at the host of the links. */
+export function createServerLinks(serverHost: string, linkHost: string): ServerLinks {
   const listeners: { readonly server: net.Server; readonly port: number }[] = [];
   const pairs = new Set<Pair>();
-  const front = await startFront(store, proxies);
   let resetsNew = false;
   let held: Awaited<ReturnType<typeof holdPorts>> | null = null;
 
@@ -217,6 +156,7 @@
     },
     [NewLink.Unanswered]: async () => {
       held = await holdPorts(
+        linkHost,
         listeners.map(({ port }) => port),
         stopListening,
       );
@@ -232,11 +172,9 @@
         openPair(pairs, near, target);
       }
     });
-    // No outgoing connection gets this port while the links are cut.
-    const port = await findFreePort();
-    await listen(server, port);
+    const port = Number(target.split(':')[1]);
+    await listen(server, linkHost, port);
     listeners.push({ server, port });
-    proxies.set(target, getAddress(server));
   };
   const release = async (): Promise<void> => {
     held?.fillers.forEach((filler) => filler.destroy());
@@ -247,14 +185,15 @@
     resetsNew = false;
     await release();
     const closed = listeners.filter(({ server }) => !server.listening);
-    await Promise.all(closed.map(({ port, server }) => listen(server, port)));
+    await Promise.all(closed.map(({ port, server }) => listen(server, linkHost, port)));
     pairs.forEach(({ far, near }) => {
       near.resume();
       far.resume();
     });
   };
   return {
-    storeAddress: getAddress(front),
+    environment: { [REDIRECT_VARIABLE]: `${serverHost} ${linkHost}` },
+    nodeOptions: `--import=${getProgramPath(REDIRECT_PROGRAM)}`,
     addServer,
     cut: async ({ fresh, open }) => {
       await NEW_LINK_CUTS[fresh]();
@@ -263,8 +202,6 @@
     heal,
     close: async () => {
       await release();
-      front.closeAllConnections();
-      front.close();
       stopListening();
       pairs.forEach(({ far, near }) => {
         near.destroy();
