Reserve free ports of test programs over all processes

Each test program looked for free ports from an offset by its process id on, and a port that was found was held by nobody until its program listened; processes that start one after the other have neighbouring ids. freePorts.test.ts: four programs that found 100 ports each at the same time had 103 different ones in all; 400 now.

A port that is found is reserved by a listener at a host of its own until the process that found it ends.

--- a/tests/stand-ins/processes.ts
+++ b/tests/stand-ins/processes.ts
@@ -35,20 +35,36 @@
 const FIRST_PORT = 10_000;
 const PORT_COUNT = 20_000;
 let nextPortOffset = process.pid % PORT_COUNT;
+/** A host at which nothing listens but the process that has a port to itself. */
+const RESERVATION_HOST = '127.255.255.253';
 
-function canListen(port: number): Promise<boolean> {
+/** Returns a server that listens, or null if something else does. */
+function tryListen(host: string, port: number): Promise<net.Server | null> {
   return new Promise((resolve) => {
     const server = net.createServer();
-    server.once('error', () => resolve(false));
-    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
+    server.once('error', () => resolve(null));
+    server.listen(port, host, () => resolve(server));
   });
 }
 
-/** Finds a free loopback port. A call starts after the last port tried, so no port is returned twice. */
+async function canListen(port: number): Promise<boolean> {
+  const server = await tryListen('127.0.0.1', port);
+  server?.close();
+  return server !== null;
+}
+
+/** Reserves a port for this process until it ends: programs of other tests may run at the same time. */
+async function reservePort(port: number): Promise<boolean> {
+  const reservation = await tryListen(RESERVATION_HOST, port);
+  reservation?.unref();
+  return reservation !== null;
+}
+
+/** Finds a free loopback port, which this function returns neither to this process nor to another one again while this one runs. */
 export async function findFreePort(): Promise<number> {
   const port = FIRST_PORT + (nextPortOffset % PORT_COUNT);
   nextPortOffset += 1;
-  return (await canListen(port)) ? port : findFreePort();
+  return (await canListen(port)) && (await reservePort(port)) ? port : findFreePort();
 }
 
 /** Starts a built program. */
