Read large bodies over several turns, and little while garbage is left

Cause, seen by sampling the process every 3 ms: turns of the loop of 85 and 88 ms in which 46 and 35 MB of bodies were read, answered and dropped. Only bodies that were rejected left their turn after each part; those that there was memory for were read to their end in one, one after the other, and made room for the next, so that the share of 31 MB was kept and 100 MB of garbage left besides. And a collection that has begun takes some turns, in which reading went on at full speed: buffers of up to 166 MB, of which 64 were reckoned as garbage.

Each large body leaves its turn after each part now, also before the first one if there is no memory for it. While the buffers that are not held exceed what the VM reckons as garbage (64 MB, as before), few are read on in a turn and the next turn comes after a pause. Calls with small bodies do not wait for that.

--- a/src/transport/entry/entryDaemon.ts
+++ b/src/transport/entry/entryDaemon.ts
@@ -56,7 +56,7 @@
   createWatchContext,
 } from './storeWatches.js';
 import { createSuspensionDetector } from './suspensionDetector.js';
-import { createTurnPacer } from './turnPacer.js';
+import { createTurnPacer, hasMuchGarbage } from './turnPacer.js';
 import { createVmRegistration } from './vmRegistration.js';
 import type { EntryWire } from './wire.js';
 
@@ -135,8 +135,8 @@
   const agents = createBackendAgents((socket) =>
     measureReading(socket, ReadingWork.Answers, loopWork),
   );
-  const turnPacer = createTurnPacer();
   const vmMemory = createVmMemory(getHoldableBytes(settings.memoryMb * BYTES_PER_MB));
+  const turnPacer = createTurnPacer(() => hasMuchGarbage(vmMemory));
   const peers = createEntryPeerClient();
   const current: { limits: CallerLimits | null; isReady: boolean } = {
     limits: null,
--- a/src/transport/entry/forwardServer.ts
+++ b/src/transport/entry/forwardServer.ts
@@ -242,8 +242,8 @@
       const maxHeldBytes = context.vmMemory.getMaxBytes(MemoryPurpose.RequestBodies);
       const held = context.vmMemory.hold(MemoryPurpose.RequestBodies);
       response.once('close', held.release);
-      const body = readBody(request, limits.maxBodyBytes, held, maxHeldBytes, (paced, chunk) =>
-        leaveTurnOfBody(context.turnPacer, paced, chunk),
+      const body = readBody(request, limits.maxBodyBytes, held, maxHeldBytes, (paced, sizeBytes) =>
+        leaveTurnOfBody(context.turnPacer, paced, sizeBytes),
       );
       void body.then((result) => {
         result.caseOf({
--- a/src/transport/entry/passServer.ts
+++ b/src/transport/entry/passServer.ts
@@ -113,8 +113,8 @@
   const held = vmMemory.hold(MemoryPurpose.RequestBodies);
   response.once('close', held.release);
   const maxHeldBytes = vmMemory.getMaxBytes(MemoryPurpose.RequestBodies);
-  const body = readBody(request, maxBodyBytes, held, maxHeldBytes, (paced, chunk) =>
-    leaveTurnOfBody(turnPacer, paced, chunk),
+  const body = readBody(request, maxBodyBytes, held, maxHeldBytes, (paced, sizeBytes) =>
+    leaveTurnOfBody(turnPacer, paced, sizeBytes),
   );
   void body.then((result) =>
     result.caseOf({
--- a/src/transport/requestBody.ts
+++ b/src/transport/requestBody.ts
@@ -7,8 +7,8 @@
 import { createByteCollector } from '../protocol/byteCollector.js';
 import type { HeldMemory } from './vmMemory.js';
 
-/** Called with each chunk of a body; may pause the request for some time. */
-type ChunkPacer = (request: IncomingMessage, chunk: Buffer) => void;
+/** Called with the bytes of a body that have come at once, or are to come; may pause the request for some time. */
+type BodyPacer = (request: IncomingMessage, sizeBytes: number) => void;
 
 type BodyMemory = Pick<HeldMemory, 'add' | 'canAdd' | 'release'>;
 
@@ -24,12 +24,16 @@
   maxBytes: number,
   held: BodyMemory = UNLIMITED,
   maxHeldBytes = Number.POSITIVE_INFINITY,
-  pace: ChunkPacer = () => {},
+  pace: BodyPacer = () => {},
 ): Promise<Either<Diagnostic, Buffer>> {
   return new Promise((resolve) => {
     const collector = createByteCollector();
     let sizeBytes = 0;
-    let isHeld = held.canAdd(Number(request.headers['content-length'] ?? 0));
+    const declaredBytes = Number(request.headers['content-length'] ?? 0);
+    let isHeld = held.canAdd(declaredBytes);
+    if (!isHeld) {
+      pace(request, declaredBytes);
+    }
     const drop = (): void => {
       isHeld = false;
       collector.take();
@@ -40,12 +44,14 @@
       if (sizeBytes > maxBytes) {
         drop();
         resolve(Left(createDiagnostic(Diagnostics.BodyTooLarge, maxBytes)));
-      } else if (isHeld && held.add(chunk.length)) {
+        return;
+      }
+      if (isHeld && held.add(chunk.length)) {
         collector.add(chunk);
       } else {
         drop();
-        pace(request, chunk);
       }
+      pace(request, chunk.length);
     });
     request.on('end', () =>
       resolve(
--- a/src/transport/vmMemory.ts
+++ b/src/transport/vmMemory.ts
@@ -33,7 +33,7 @@
 /** What the process takes when it serves a large configuration and holds nothing. */
 const PROGRAM_BYTES = 100_663_296;
 /** By how much buffers grow before the runtime collects those that are no longer used. */
-const UNCOLLECTED_BYTES = 67_108_864;
+export const UNCOLLECTED_BYTES = 67_108_864;
 /** Fraction of the memory of a small VM that it may hold for others. */
 const MIN_HELD_FRACTION = 0.25;
 
