Keep the proxy of a port that the system gives to a server once more

By reading: a server of a soak with cut links that starts at the port of an earlier one would have met the earlier one's proxy, and the soak would have failed. The proxy leads to the same address, so it is kept.

--- a/tests/stand-ins/cutFleet.ts
+++ b/tests/stand-ins/cutFleet.ts
@@ -234,8 +234,8 @@
     records,
     close: async () => {
       await Promise.all(vms.map(({ process }) => endProcess(process)));
-      closers.forEach((close) => close());
       await Promise.all([...linksByDomain.values()].map(({ close }) => close()));
+      closers.forEach((close) => close());
       await store.close();
     },
   };
--- a/tests/stand-ins/serverLinks.ts
+++ b/tests/stand-ins/serverLinks.ts
@@ -164,6 +164,11 @@
   };
 
   const addServer = async (target: string): Promise<void> => {
+    const port = Number(target.split(':')[1]);
+    // The system may give a server the port of an earlier one.
+    if (listeners.some((listener) => listener.port === port)) {
+      return;
+    }
     const server = net.createServer({ allowHalfOpen: true, noDelay: true }, (near) => {
       near.on('error', () => {});
       if (resetsNew) {
@@ -172,7 +177,6 @@
         openPair(pairs, near, target);
       }
     });
-    const port = Number(target.split(':')[1]);
     await listen(server, linkHost, port);
     listeners.push({ server, port });
   };
