--- a/src/transport/entry/entryDaemon.ts
+++ b/src/transport/entry/entryDaemon.ts
@@ -136,7 +136,8 @@
     measureReading(socket, ReadingWork.Answers, loopWork),
   );
   const vmMemory = createVmMemory(getHoldableBytes(settings.memoryMb * BYTES_PER_MB));
-  const turnPacer = createTurnPacer(() => hasMuchGarbage(vmMemory));
+  const answerPacer = createTurnPacer();
+  const bodyPacer = createTurnPacer(() => hasMuchGarbage(vmMemory));
   const peers = createEntryPeerClient();
   const current: { limits: CallerLimits | null; isReady: boolean } = {
     limits: null,
@@ -203,17 +204,18 @@
     isShuttingDown: () => isShuttingDown(state),
     maxConnections: getMaxCallerConnections(settings.maxDescriptors),
     vmMemory,
-    turnPacer,
+    turnPacer: bodyPacer,
     loopDelay,
   });
-  server.on('connection', turnPacer.recordConnection);
+  server.on('connection', answerPacer.recordConnection);
+  server.on('connection', bodyPacer.recordConnection);
   server.on('connection', (socket) => {
     measureReading(socket, ReadingWork.Requests, loopWork);
   });
   const readyServer = createReadinessServer(wire.readyPath, () => current.isReady);
   const createReplyId = createIdGenerator('reply');
   const passContext = {
-    ...{ post, wire, exchanges, vmMemory, turnPacer, loopDelay },
+    ...{ post, wire, exchanges, vmMemory, turnPacer: bodyPacer, loopDelay },
     createRequestId: createIdGenerator('passed'),
     getLimits: () => current.limits,
   };
@@ -290,7 +292,7 @@
       isBehind: loopDelay.isBehind,
       eventPacer: createEventPacer(getNowMs),
       vmMemory,
-      turnPacer,
+      turnPacer: answerPacer,
     },
     peers,
     peerCalls,
