--- a/review/7/run.mjs
+++ b/review/7/run.mjs
@@ -1,3 +1,4 @@
+/* eslint-disable import-x/extensions -- scripts of a review run as they are, without a build */
 /**
  * A crowd of callers sends chunked bodies that stop just short of their end, with heads inside the limit of the configuration.
  */
--- a/review/lib-2/crowd.mjs
+++ b/review/lib-2/crowd.mjs
@@ -1,7 +1,8 @@
+/* eslint-disable import-x/extensions, no-await-in-loop, no-promise-executor-return, no-restricted-syntax, no-void -- scripts of a review run as they are, without a build */
 /**
  * A small deployment with a plain service, ordinary callers, and a crowd of callers that nobody controls at one VM.
  */
-import { readFileSync } from 'node:fs';
+import { readFile } from 'node:fs/promises';
 import http from 'node:http';
 import net from 'node:net';
 import { startPlatformStore } from '../../dist/tests/stand-ins/platformStore.js';
@@ -105,10 +106,10 @@
   });
 }
 
-function readPeakMb({ child }) {
+async function readPeakMb({ child }) {
   try {
     return Math.round(
-      /VmHWM:\s+(\d+)/.exec(readFileSync(`/proc/${child.pid}/status`, 'utf8'))[1] / 1024,
+      /VmHWM:\s+(\d+)/.exec(await readFile(`/proc/${child.pid}/status`, 'utf8'))[1] / 1024,
     );
   } catch {
     return null;
@@ -148,7 +149,7 @@
     const calling = setInterval(callAll, ORDINARY_INTERVAL_MS);
     await wait(2000);
     record.add(
-      `ordinary calls before the crowd: ${JSON.stringify([...ordinary])}; peak memory ${readPeakMb(target)} MB`,
+      `ordinary calls before the crowd: ${JSON.stringify([...ordinary])}; peak memory ${await readPeakMb(target)} MB`,
     );
 
     const answers = new Map();
@@ -195,10 +196,10 @@
       `${callers} callers connect to ${target.name}: heads of ${sample.head.length} bytes, then ${bodyBytes} bytes each`,
     );
     const startedAtMs = performance.now();
-    let peakMb = readPeakMb(target);
+    let peakMb = await readPeakMb(target);
     while (target.isRunning && performance.now() - startedAtMs < WATCH_MS) {
       await wait(100);
-      peakMb = readPeakMb(target) ?? peakMb;
+      peakMb = (await readPeakMb(target)) ?? peakMb;
     }
     const seconds = ((performance.now() - startedAtMs) / 1000).toFixed(1);
     record.add(
