--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -197,9 +197,13 @@
 }
 
 /** Starts the store, and VMs that are ready. */
-export async function startDeployment(prepare, zones = ['nbo-a', 'nbo-b', 'nbo-c']) {
+export async function startDeployment(
+  prepare,
+  zones = ['nbo-a', 'nbo-b', 'nbo-c'],
+  { routes } = CONFIGURATION,
+) {
   const store = await startPlatformStore();
-  store.put('op/config', CONFIGURATION);
+  store.put('op/config', { ...CONFIGURATION, routes });
   await prepare(store);
   const vms = await Promise.all(
     zones.map((zone, i) => createVm(`edge-${i + 1}`, store.address, { zone })),
