--- a/review/lib-2/harness.mjs
+++ b/review/lib-2/harness.mjs
@@ -1,14 +1,14 @@
-/* eslint-disable n/no-process-exit, no-await-in-loop, no-param-reassign, no-promise-executor-return, no-void -- scripts of a review run as they are, without a build */
+/* eslint-disable import-x/extensions, n/no-process-exit, no-await-in-loop, no-param-reassign, no-promise-executor-return, no-void -- scripts of a review run as they are, without a build */
 /**
  * What the scripts of this review share: settings, processes of the deploy file, a record, and cleaning up.
  */
 import { spawn } from 'node:child_process';
 import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises';
 import http from 'node:http';
-import net from 'node:net';
 import { tmpdir } from 'node:os';
 import { dirname, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
+import { findFreePort } from '../../dist/tests/stand-ins/processes.js';
 
 export const ROOT = join(dirname(fileURLToPath(import.meta.url)), '../..');
 const RUN_PATTERN = /^run = "node (.*)"$/m;
@@ -31,36 +31,21 @@
   };
 }
 
-export async function findFreePort(host = '127.0.0.1') {
-  const server = net.createServer();
-  await new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(0, host, resolve);
-  });
-  const { port } = server.address();
-  await new Promise((resolve) => server.close(resolve));
-  return port;
-}
-
 export const folder = await mkdtemp(join(tmpdir(), 'review-'));
 const children = new Set();
 process.on('exit', () => {
   children.forEach((child) => child.kill('SIGKILL'));
 });
 
+['SIGTERM', 'SIGINT', 'SIGHUP'].forEach((signal) => process.on(signal, () => process.exit(2)));
+
 /** The fields of the settings of a small deployment, as DEPLOY.md gives them. */
 export async function createVm(
   name,
   storeAddress,
   { zone = 'nbo-a', limits = {}, bounds = {} } = {},
 ) {
-  const ports = [];
-  while (ports.length < 5) {
-    const port = await findFreePort();
-    if (!ports.includes(port)) {
-      ports.push(port);
-    }
-  }
+  const ports = await Promise.all(Array.from({ length: 5 }, () => findFreePort()));
   const [front, ready, control, peer, metrics] = ports;
   const settings = {
     node_name: name,
