--- a/review/lib-2/crowd.mjs
+++ b/review/lib-2/crowd.mjs
@@ -5,8 +5,16 @@
 import { readFile } from 'node:fs/promises';
 import http from 'node:http';
 import net from 'node:net';
-import { startPlatformStore } from '../../dist/tests/stand-ins/platformStore.js';
-import { createVm, isReady, isTroubled, runCase, startVm, wait, waitFor } from './harness.mjs';
+import {
+  createVm,
+  importStandIn,
+  isReady,
+  isTroubled,
+  runCase,
+  startVm,
+  wait,
+  waitFor,
+} from './harness.mjs';
 
 export const MAX_HEADER_BYTES = 16384;
 const MEMORY_MB = 350;
@@ -123,6 +131,7 @@
  */
 export function playCrowd(url, { callers, createParts, createProperParts }) {
   return runCase(url, async (record) => {
+    const { startPlatformStore } = await importStandIn('platformStore');
     const store = await startPlatformStore();
     store.put('op/config', CONFIGURATION);
     await Promise.all([0, 1, 2].map((index) => startServer(store, index)));
--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -4,8 +4,7 @@
  */
 import http from 'node:http';
 import net from 'node:net';
-import { startPlatformStore } from '../../dist/tests/stand-ins/platformStore.js';
-import { createVm, isReady, startVm, waitFor } from './harness.mjs';
+import { createVm, importStandIn, isReady, startVm, waitFor } from './harness.mjs';
 
 export const KEY = 'key-1';
 const HEARTBEAT_MS = 1200;
@@ -202,6 +201,7 @@
   zones = ['nbo-a', 'nbo-b', 'nbo-c'],
   { routes } = CONFIGURATION,
 ) {
+  const { startPlatformStore } = await importStandIn('platformStore');
   const store = await startPlatformStore();
   store.put('op/config', { ...CONFIGURATION, routes });
   await prepare(store);
--- a/review/lib-2/harness.mjs
+++ b/review/lib-2/harness.mjs
@@ -1,4 +1,4 @@
-/* eslint-disable import-x/extensions, n/no-process-exit, no-await-in-loop, no-param-reassign, no-promise-executor-return, no-void -- scripts of a review run as they are, without a build */
+/* eslint-disable n/no-process-exit, no-await-in-loop, no-param-reassign, no-promise-executor-return, no-void -- scripts of a review run as they are, without a build */
 /**
  * What the scripts of this review share: settings, processes of the deploy file, a record, and cleaning up.
  */
@@ -8,9 +8,13 @@
 import { tmpdir } from 'node:os';
 import { dirname, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
-import { findFreePort } from '../../dist/tests/stand-ins/processes.js';
 
 export const ROOT = join(dirname(fileURLToPath(import.meta.url)), '../..');
+
+/** Loads a stand-in of the project, which `review/build-2.sh` builds to dist/. Without a build the rest of the script still loads. */
+export const importStandIn = (name) =>
+  import(new URL(`../../dist/tests/stand-ins/${name}.js`, import.meta.url));
+
 const RUN_PATTERN = /^run = "node (.*)"$/m;
 const deployFile = await readFile(join(ROOT, 'deploy/system.toml'), 'utf8');
 export const isTroubled = process.env.TROUBLE !== '0';
@@ -45,6 +49,7 @@
   storeAddress,
   { zone = 'nbo-a', limits = {}, bounds = {} } = {},
 ) {
+  const { findFreePort } = await importStandIn('processes');
   const ports = await Promise.all(Array.from({ length: 5 }, () => findFreePort()));
   const [front, ready, control, peer, metrics] = ports;
   const settings = {
