Frame all answers, so that those of a killed VM do not look complete

Cause: the VM repeated the framing of the server. An answer of a server without a length or chunks was sent without either, and the kernel closes the connections of a killed process in order. The resets of unframedAnswers.ts run in the process itself.

Change: an answer that is sent as it arrives has chunks, and the last chunk only once the answer is known to be complete; for a server without framing that is the word of its witness, as before. An answer that is held until its end has a length.

--- a/src/transport/entry/callers/exchange.ts
+++ b/src/transport/entry/callers/exchange.ts
@@ -23,10 +23,6 @@
   readonly status: number;
   readonly headers: readonly string[];
   readonly body: Buffer;
-  /**
-   * False if the response marked its end only by closing the connection. It is then sent to the caller in the same way.
-   */
-  readonly isFramed: boolean;
 }
 
 /** A request that has been read completely and whose response has not been sent completely. */
@@ -118,38 +114,15 @@
   }
 }
 
-/**
- * Marks the end of a response that has not started only by closing its connection. To another VM it is sent in chunks: they end only
- * once the server is known to have outlived its answer.
- */
+/** Marks the end of a response that has not started only by closing its connection. */
 export function endWithConnection(exchange: ForwardExchange): void {
-  const { isPassed, response } = exchange;
-  if (isPassed) {
-    return;
-  }
+  const { response } = exchange;
   exchange.endsWithConnection = true;
   response.shouldKeepAlive = false;
   response.useChunkedEncodingByDefault = false;
   watchUnframedAnswer(response);
 }
 
-/** Sends a response whose end is marked only by closing the connection. Whether its body is complete is not known. */
-export function sendUnframedAnswer(
-  exchange: ForwardExchange,
-  status: number,
-  headers: readonly string[],
-  body: Buffer,
-): void {
-  const { response } = exchange;
-  exchange.isEnded = true;
-  if (response.destroyed || response.headersSent) {
-    return;
-  }
-  endWithConnection(exchange);
-  response.writeHead(status, [...headers, 'Connection', 'close']);
-  response.end(body);
-}
-
 /**
  * Sends a complete response. The event loop may decide on one before it learns that another has started; that one is broken
  * off.
--- a/src/transport/entry/commandTable.ts
+++ b/src/transport/entry/commandTable.ts
@@ -27,12 +27,7 @@
 } from './commandContext.js';
 import { runDetached } from './defects.js';
 import { NO_LOAN, type RateLoan, waitForReply } from './peers/entryPeers.js';
-import {
-  abortForwardAnswer,
-  sendForwardRefusal,
-  sendUnframedAnswer,
-  sendWholeAnswer,
-} from './callers/exchange.js';
+import { abortForwardAnswer, sendForwardRefusal, sendWholeAnswer } from './callers/exchange.js';
 import { applyCallerTimeouts } from './callers/forwardServer.js';
 import { createPlacementExecutors, type PlacementKind } from './placementExecutors.js';
 import { applyStoreUpdate } from './store/storeWatches.js';
@@ -106,9 +101,8 @@
     [EntryCommandKind.DeliverAnswer]: ({ attempt, requestId }) => {
       const exchange = exchanges.get(requestId);
       if (exchange?.bufferedAnswer?.attempt === attempt) {
-        const { body, headers, isFramed, status } = exchange.bufferedAnswer;
-        const send = isFramed ? sendWholeAnswer : sendUnframedAnswer;
-        send(exchange, status, headers, body);
+        const { body, headers, status } = exchange.bufferedAnswer;
+        sendWholeAnswer(exchange, status, headers, body);
       }
     },
     [EntryCommandKind.Refuse]: ({ refusal, requestId }) => {
--- a/src/transport/entry/servers/answers.ts
+++ b/src/transport/entry/servers/answers.ts
@@ -112,12 +112,16 @@
   return [...headers, ...encodeAnswerSource({ backendId, bornAtWallMs, softwareVersion })];
 }
 
+/**
+ * Starts an answer whose end is not known yet. It is sent in chunks even if the server's has no framing, because the kernel ends the
+ * connections of a killed VM in order: without the last chunk, the caller detects that the answer is incomplete. HTTP/1.0 has no chunks.
+ */
 function startAnswer(attempt: Attempt, response: IncomingMessage): void {
   const { exchange } = attempt;
   if (!isAnswerBegun(exchange) && !exchange.response.destroyed) {
     const headers = encodeHead(attempt, response);
     // The server's length is not passed on, since what follows may come from another run.
-    if (!isFramed(exchange, response) || lacksChunks(exchange.request)) {
+    if (lacksChunks(exchange.request)) {
       endWithConnection(exchange);
     }
     exchange.response.writeHead(response.statusCode ?? HTTP_OK, [...headers]);
@@ -285,13 +289,7 @@
       }
       const headers = encodeHead(attempt, response);
       const status = response.statusCode ?? 0;
-      completeBufferedAttempt(
-        attempt,
-        status,
-        headers,
-        collector.take(),
-        isFramed(exchange, response) || exchange.isPassed,
-      );
+      completeBufferedAttempt(attempt, status, headers, collector.take());
     });
   };
   attempt.bodyReader = readBodyInPieces(response, addPiece, end);
--- a/src/transport/entry/servers/attempt.ts
+++ b/src/transport/entry/servers/attempt.ts
@@ -129,13 +129,12 @@
   status: number,
   headers: readonly string[],
   body: Buffer,
-  isFramed: boolean,
 ): void {
   const { command, context, exchange, load } = attempt;
   if (!settle(attempt)) {
     return;
   }
-  exchange.bufferedAnswer = { attempt: command.attempt, status, headers, body, isFramed };
+  exchange.bufferedAnswer = { attempt: command.attempt, status, headers, body };
   const { requestId } = command;
   const kind = EntryEventKind.AnswerReady;
   context.post({ kind, requestId, attempt: command.attempt, status, load });
--- a/tests/stand-ins/cutServer.ts
+++ b/tests/stand-ins/cutServer.ts
@@ -13,6 +13,13 @@
 /** The query parameter with which a caller asks for a stream of another length. */
 const EVENT_COUNT_PATTERN = /[?&]events=(\d+)/;
 const EVENT_BYTES_PATTERN = /[?&]bytes=(\d+)/;
+/** The query parameter with which a caller asks for a stream that ends with its connection. */
+const UNFRAMED_PATTERN = /[?&]framing=none/;
+
+function endWithConnection(response: ServerResponse): void {
+  response.useChunkedEncodingByDefault = false;
+  response.setHeader('connection', 'close');
+}
 
 /** What all servers of a test have recorded. */
 export interface ServerRecords {
@@ -74,8 +81,7 @@
   look: sendWhole,
   book: sendWhole,
   plain: (_request, response, text) => {
-    response.useChunkedEncodingByDefault = false;
-    response.setHeader('connection', 'close');
+    endWithConnection(response);
     response.end(text);
   },
 };
@@ -104,6 +110,9 @@
     if (answer === undefined) {
       request.resume();
       response.setHeader('content-type', 'text/event-stream');
+      if (UNFRAMED_PATTERN.test(url)) {
+        endWithConnection(response);
+      }
       const recordClose = (): unknown => records.closes.set(id, performance.now());
       response.once('close', () => response.writableFinished || recordClose());
       const firstEventId = Number(request.headers['last-event-id'] ?? 0) + 1;
