Pass on the length of whole answers that are sent as they arrive

A caller of HTTP/1.0 whose VM was killed halfway through a whole answer of 3 MB got 2.25 MB and an end in order, which is a complete answer for it, although the server had stated the length.

Cause: the VM drops the length of each answer that it does not hold until its end, since another run may continue a stream. HTTP/1.0 has no chunks in its place.

Change: the length of a whole answer is passed on, because no other run can continue one. Streams still go without.

Result: the row 'a whole answer of 3 MB', framing 'length', 'SIGKILL, HTTP/1.0' of killedVms.test.ts failed before and passes.

--- a/src/transport/entry/servers/answers.ts
+++ b/src/transport/entry/servers/answers.ts
@@ -116,19 +116,28 @@
  * Starts an answer whose end is not known yet. It is sent in chunks even if the server's has no framing, because the kernel ends the
  * connections of a killed VM in order: without the last chunk, the caller detects that the answer is incomplete. HTTP/1.0 has no chunks.
  */
-function startAnswer(attempt: Attempt, response: IncomingMessage): void {
+function startAnswer(
+  attempt: Attempt,
+  response: IncomingMessage,
+  lengthHeader: readonly string[] = [],
+): void {
   const { exchange } = attempt;
   if (!isAnswerBegun(exchange) && !exchange.response.destroyed) {
     const headers = encodeHead(attempt, response);
-    // The server's length is not passed on, since what follows may come from another run.
-    if (lacksChunks(exchange.request)) {
+    if (lacksChunks(exchange.request) && lengthHeader.length === 0) {
       endWithConnection(exchange);
     }
-    exchange.response.writeHead(response.statusCode ?? HTTP_OK, [...headers]);
+    exchange.response.writeHead(response.statusCode ?? HTTP_OK, [...headers, ...lengthHeader]);
   }
   reportAnswerStarted(attempt);
 }
 
+/** Returns the server's length of a whole answer. That of a stream does not hold for its caller: another run may continue it. */
+function getLengthHeader({ headers }: IncomingMessage): readonly string[] {
+  const length = headers['content-length'];
+  return length === undefined ? [] : ['Content-Length', length];
+}
+
 /** Ends an attempt whose server has spoiled its stream. What the caller has is left as it is. */
 function failSpoiled(attempt: Attempt, reason: SpoilReason): void {
   const { command, context, exchange } = attempt;
@@ -262,7 +271,7 @@
     leaveTurn(attempt, piece);
     if (bodyBytes > MAX_BUFFERED_BYTES || !held.add(bytes.length)) {
       isForwarding = true;
-      startAnswer(attempt, response);
+      startAnswer(attempt, response, getLengthHeader(response));
       writeWithBackpressure(attempt, collector.take(), () => held.resize(0));
     }
   };
--- a/tests/processes/killedVms.test.ts
+++ b/tests/processes/killedVms.test.ts
@@ -118,6 +118,7 @@
   readonly kill: string;
   readonly answer: Answer;
   readonly framing: string;
+  readonly protocol?: string;
   /** The path of a request that is sent on the same connection before. */
   readonly pathBefore?: string;
   readonly isSlow?: boolean;
@@ -150,6 +151,10 @@
     ...{ kill: 'SIGKILL, slow callers', answer: Answers.Buffered, framing },
     ...{ isSlow: true, readBytes: 1 },
   })),
+  {
+    ...{ kill: 'SIGKILL, HTTP/1.0', answer: Answers.Large, framing: 'length' },
+    protocol: 'HTTP/1.0',
+  },
 ];
 
 // Guards against answers that end as if complete because the kernel closes the connections of a killed VM in order.
@@ -189,9 +194,9 @@
     await store.close();
   });
 
-  function formatHead(path: string, id: string, isLast: boolean): string[] {
+  function formatHead(path: string, protocol: string, id: string, isLast: boolean): string[] {
     return [
-      ...[`GET ${path} HTTP/1.1`, 'Host: h', `X-Attempt-Id: ${id}`],
+      ...[`GET ${path} ${protocol}`, 'Host: h', `X-Attempt-Id: ${id}`],
       ...[`X-Deadline-Ms: ${DEADLINE_MS}`, ...(isLast ? ['Connection: close'] : [])],
     ];
   }
@@ -199,18 +204,20 @@
   it.each(CASES)(
     'does not look complete to any caller: $answer.answer, framing $framing, $kill',
     async (row) => {
-      const { answer, framing, isSlow = false, pathBefore } = row;
+      const { answer, framing, isSlow = false, pathBefore, protocol = 'HTTP/1.1' } = row;
       const { path, sent, totalBytes } = answer;
       const { readBytes = sent.length, run = () => kill('SIGKILL') } = row;
       await waitFor('a server is known', async () => {
-        const probe = formatHead(Answers.Short.path, 'probe', true);
+        const probe = formatHead(Answers.Short.path, 'HTTP/1.1', 'probe', true);
         return (await readStream(entry.address, probe, false)).status === 200;
       });
       let readers = 0;
       const answers = Array.from({ length: CALLERS }, (_, i) => {
         const before =
-          pathBefore === undefined ? [] : [...formatHead(pathBefore, `before-${i}`, false), ''];
-        const head = formatHead(`${path}?framing=${framing}`, `c${i}`, true);
+          pathBefore === undefined
+            ? []
+            : [...formatHead(pathBefore, protocol, `before-${i}`, false), ''];
+        const head = formatHead(`${path}?framing=${framing}`, protocol, `c${i}`, true);
         let isRead = false;
         return readStream(entry.address, [...before, ...head], isSlow, (body) => {
           if (!isRead && body.length >= readBytes) {
