Decode bodies before their events are counted in tests

The caller of the tests looked for events in the bytes with the marks of chunks, and took the last status line of a connection for the beginning of its answer. It skips as many pipelined answers as the test names now.

--- a/tests/processes/killedVms.test.ts
+++ b/tests/processes/killedVms.test.ts
@@ -219,12 +219,12 @@
             : [...formatHead(pathBefore, protocol, `before-${i}`, false), ''];
         const head = formatHead(`${path}?framing=${framing}`, protocol, `c${i}`, true);
         let isRead = false;
-        return readStream(entry.address, [...before, ...head], isSlow, (body) => {
-          if (!isRead && body.length >= readBytes) {
-            isRead = true;
-            readers += 1;
-          }
-        });
+        const onBody = (body: string): void => {
+          readers += !isRead && body.length >= readBytes ? 1 : 0;
+          isRead ||= body.length >= readBytes;
+        };
+        const answersBefore = pathBefore === undefined ? 0 : 1;
+        return readStream(entry.address, [...before, ...head], isSlow, onBody, answersBefore);
       });
       await waitFor('all callers have read the beginning', () => readers === CALLERS);
       run();
--- a/tests/soak/entryFleet.ts
+++ b/tests/soak/entryFleet.ts
@@ -315,12 +315,13 @@
       NODE_OPTIONS: [vm.build.nodeOptions, vm.links?.nodeOptions ?? ''].join(' '),
     });
     const life: VmLife = {
-      ...{ vmName: name, process: started, startedAtMs: performance.now(), endSignals: [] },
-      ...{
-        isPresent: vm.build === presentBuild,
-        endedAtMs: Number.POSITIVE_INFINITY,
-        processorWaits: [],
-      },
+      vmName: name,
+      process: started,
+      startedAtMs: performance.now(),
+      isPresent: vm.build === presentBuild,
+      endSignals: [],
+      endedAtMs: Number.POSITIVE_INFINITY,
+      processorWaits: [],
       readyAtMs: Number.POSITIVE_INFINITY,
     };
     started.child.stdout?.on('data', () => {
--- a/tests/stand-ins/streamCaller.ts
+++ b/tests/stand-ins/streamCaller.ts
@@ -40,30 +40,50 @@
   return parts.join('');
 }
 
-/** Parses the last of the answers that a connection has brought, as far as it was read. */
-function parseAnswer(received: string): Omit<StreamResult, 'end' | 'isSlow'> {
-  const text = received.slice(Math.max(0, received.lastIndexOf('HTTP/1.1 ')));
-  const bodyIndex = text.indexOf('\r\n\r\n') + 4;
-  const head = text.slice(0, bodyIndex);
-  const rawBody = text.slice(bodyIndex);
-  const isChunked = /^transfer-encoding: chunked/im.test(head);
+/** Splits an answer into its head and what follows. */
+function splitHead(text: string): { readonly head: string; readonly rest: string } {
+  const endIndex = text.indexOf('\r\n\r\n');
+  return endIndex < 0
+    ? { head: text, rest: '' }
+    : { head: text.slice(0, endIndex), rest: text.slice(endIndex + 4) };
+}
+
+function readLength(head: string): number | null {
   const length = /^content-length: (\d+)/im.exec(head)?.[1];
-  const hasLength = length !== undefined && rawBody.length === Number(length);
+  return length === undefined ? null : Number(length);
+}
+
+/** Removes the first of several answers on a connection, which has a length. */
+function skipAnswer(text: string): string {
+  const { head, rest } = splitHead(text);
+  return rest.slice(readLength(head) ?? 0);
+}
+
+/** Parses an answer as far as it was read. */
+function parseAnswer(text: string): Omit<StreamResult, 'end' | 'isSlow'> {
+  const { head, rest } = splitHead(text);
+  const isChunked = /^transfer-encoding: chunked/im.test(head);
+  const length = readLength(head);
+  const body = isChunked ? joinChunks(rest) : rest;
   return {
     status: Number(/^HTTP\/1.1 (\d+)/.exec(text)?.[1] ?? 0),
-    hasEndMark: isChunked ? text.endsWith('0\r\n\r\n') : hasLength,
-    isFramed: isChunked || length !== undefined,
-    body: isChunked ? joinChunks(rawBody) : rawBody,
-    eventIds: [...rawBody.matchAll(/id: (\d+)\ndata: x+\n\n/g)].map(([, id]) => Number(id)),
+    hasEndMark: isChunked ? text.endsWith('0\r\n\r\n') : body.length === length,
+    isFramed: isChunked || length !== null,
+    body,
+    eventIds: [...body.matchAll(/id: (\d+)\ndata: x+\n\n/g)].map(([, id]) => Number(id)),
   };
 }
 
-/** Sends a request and reads its answer until the connection ends. `onBody` is told what has been read of the body, at each piece. */
+/**
+ * Sends a request and reads its answer until the connection ends. `onBody` is told what has been read of the body, at each piece. If the
+ * head holds pipelined requests, `answersBefore` of their answers are skipped.
+ */
 export function readStream(
   address: string,
   head: readonly string[],
   isSlow: boolean,
   onBody?: (body: string) => void,
+  answersBefore = 0,
 ): Promise<StreamResult> {
   const [host = '', port = ''] = address.split(':');
   return new Promise((resolve) => {
@@ -74,6 +94,8 @@
       ...(isSlow ? { highWaterMark: SLOW_BUFFER_BYTES } : {}),
     });
     const chunks: string[] = [];
+    const parse = (): ReturnType<typeof parseAnswer> =>
+      parseAnswer(Array.from({ length: answersBefore }).reduce(skipAnswer, chunks.join('')));
     let isReset = false;
     socket.on('error', ({ code }: NodeJS.ErrnoException) => {
       isReset ||= code === RESET_CODE;
@@ -87,7 +109,7 @@
     });
     socket.on('data', (chunk: Buffer) => {
       chunks.push(chunk.toString('latin1'));
-      onBody?.(parseAnswer(chunks.join('')).body);
+      onBody?.(parse().body);
       if (isSlow) {
         socket.pause();
         setTimeout(() => socket.resume(), SLOW_READ_MS);
@@ -95,7 +117,7 @@
     });
     socket.on('close', () => {
       const end = isReset ? StreamEnd.Reset : StreamEnd.InOrder;
-      resolve({ end, isSlow, ...parseAnswer(chunks.join('')) });
+      resolve({ end, isSlow, ...parse() });
     });
     socket.write(`${head.join('\r\n')}\r\n\r\n`);
   });
