Count bodies until servers that answer early have read them

Cause: the account of memory gave a body back when its response had ended, while an attempt was still writing it to its server.

Change: a body counts until its response has ended and each request that carries it has been written or has lost its connection. From the end of the response on it is the first to make room for other bodies, and the connections on which it is being written are closed, so that servers that never read on keep no other body out.

--- a/src/transport/callerServer.ts
+++ b/src/transport/callerServer.ts
@@ -22,6 +22,7 @@
 import { RunStatus, type Target, TargetKind } from '../state/types.js';
 import { closeAfterRejection } from './closeAfterRejection.js';
 import { type CallerReader, createCallerReader } from './entry/callers/callerReader.js';
+import { type BodyMemory, createBodyMemory } from './bodyMemory.js';
 import { readBody } from './requestBody.js';
 import { leaveTurnOfBody, type TurnPacer } from './turnPacer.js';
 import { MemoryPurpose, type VmMemory } from './vmMemory.js';
@@ -98,6 +99,7 @@
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
   readonly body: Buffer;
+  readonly bodyMemory: BodyMemory;
   readonly completion: CompletionRequest | null;
   readonly target: Target;
 }
@@ -113,9 +115,10 @@
     timeoutMs: context.limits.requestTimeoutMs,
     idempotencyDigest: getIdempotencyDigest(request),
   };
-  const { body } = parsed;
+  const { body, bodyMemory } = parsed;
   const createdAtMs = context.getWallMs();
-  const exchange = createExchange({ info, request, response, body, completion, createdAtMs });
+  const fields = { info, request, response, body, completion, createdAtMs };
+  const exchange = createExchange(fields, bodyMemory);
   context.exchanges.set(requestId, exchange);
   response.on('close', () => {
     if (!exchange.isEnded) {
@@ -136,29 +139,33 @@
   context: CallerContext,
   request: IncomingMessage,
   response: ServerResponse,
-  handleBody: (body: Buffer) => void,
+  handleBody: (body: Buffer, bodyMemory: BodyMemory) => void,
 ): Promise<void> {
   const { limits, turnPacer, vmMemory } = context;
   const held = vmMemory.hold(MemoryPurpose.RequestBodies);
-  response.once('close', held.release);
+  const bodyMemory = createBodyMemory(held);
+  response.once('close', bodyMemory.endResponse);
   const maxHeldBytes = vmMemory.getMaxBytes(MemoryPurpose.RequestBodies);
   const body = readBody(request, limits.maxBodyBytes, held, maxHeldBytes, (paced, sizeBytes) =>
     leaveTurnOfBody(turnPacer, paced, sizeBytes),
   );
   return body.then((result) => {
-    result.caseOf({ Left: (diagnostic) => rejectRequest(response, diagnostic), Right: handleBody });
+    result.caseOf({
+      Left: (diagnostic) => rejectRequest(response, diagnostic),
+      Right: (bytes) => handleBody(bytes, bodyMemory),
+    });
   });
 }
 
 function createCompletionHandler(kind: CompletionKind): Handler {
   return (context, request, response) =>
-    withBody(context, request, response, (body) => {
+    withBody(context, request, response, (body, bodyMemory) => {
       const { defaultMaxTokens } = context.limits;
       decodeCompletionRequest(kind, body.toString(), defaultMaxTokens).caseOf({
         Left: (diagnostic) => rejectRequest(response, diagnostic),
         Right: (completion) => {
           const { target } = completion;
-          startExchange(context, { request, response, body, completion, target });
+          startExchange(context, { request, response, body, bodyMemory, completion, target });
         },
       });
     });
@@ -200,8 +207,8 @@
     return undefined;
   }
   const target: Target = { kind: TargetKind.Route, method, path };
-  return withBody(context, request, response, (body) =>
-    startExchange(context, { request, response, body, completion: null, target }),
+  return withBody(context, request, response, (body, bodyMemory) =>
+    startExchange(context, { request, response, body, bodyMemory, completion: null, target }),
   );
 };
 
--- a/src/transport/dispatch.ts
+++ b/src/transport/dispatch.ts
@@ -141,6 +141,7 @@
       return;
     }
     recordSignal(dispatch, DispatchSignal.BytesWritten);
+    exchange.bodyMemory.addRequest(request);
     request.end(message.body);
   };
   const handleConnectionLoss = (): void => failForLostConnection(dispatch);
--- a/src/transport/entry/callers/exchange.ts
+++ b/src/transport/entry/callers/exchange.ts
@@ -11,6 +11,7 @@
 } from '../../../protocol/entry/refusals.js';
 import { encodeRefusal } from '../../../protocol/statusCodes.js';
 import type { Refusal } from '../../../state/types.js';
+import { type BodyMemory, UNCOUNTED_BODY } from '../../bodyMemory.js';
 import { resetAnswer, watchUnframedAnswer } from '../../unframedAnswers.js';
 import type { EntryWire } from '../wire.js';
 
@@ -32,6 +33,7 @@
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
   readonly body: Buffer;
+  readonly bodyMemory: BodyMemory;
   /** True if another VM has passed the request to this one. */
   readonly isPassed: boolean;
   /** Addresses of the servers that have rejected the request. */
@@ -67,10 +69,12 @@
 export function createForwardExchange(
   fields: Pick<ForwardExchange, 'requestId' | 'callerRequestId' | 'request' | 'response' | 'body'>,
   pass: Pick<PassedRequest, 'isConsecutive'> | null = null,
+  bodyMemory = UNCOUNTED_BODY,
 ): ForwardExchange {
   const startsAfterId = fields.request.headers[LAST_EVENT_ID_HEADER]?.toString() ?? null;
   return {
     ...fields,
+    bodyMemory,
     isPassed: pass !== null,
     rejectedAddresses: new Set(),
     place: createStreamPlace(startsAfterId, pass?.isConsecutive),
--- a/src/transport/entry/callers/forwardServer.ts
+++ b/src/transport/entry/callers/forwardServer.ts
@@ -18,6 +18,7 @@
 import { createDiagnostic, type Diagnostic, Diagnostics } from '../../../state/diagnostics.js';
 import type { CallerLimits } from '../../../state/entry/deployment.js';
 import { RunStatus } from '../../../state/types.js';
+import { type BodyMemory, createBodyMemory } from '../../bodyMemory.js';
 import { readBody } from '../../requestBody.js';
 import { MemoryPurpose, type VmMemory } from '../../vmMemory.js';
 import type { CallerConnections } from './callerConnections.js';
@@ -170,18 +171,25 @@
   response.once('close', handleClose);
 }
 
+/** A request that was read whole. */
+interface Arrival {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly body: Buffer;
+  readonly bodyMemory: BodyMemory;
+  readonly head: RequestHead;
+}
+
 function startExchange(
   context: ForwardServerContext,
   reader: CallerReader,
-  request: IncomingMessage,
-  response: ServerResponse,
-  body: Buffer,
-  head: RequestHead,
+  { body, bodyMemory, head, request, response }: Arrival,
 ): void {
   const requestId = context.createRequestId();
   const { callerRequestId } = head;
   const contentDigest = createContentDigest(request.method ?? '', request.url ?? '', body);
-  const exchange = createForwardExchange({ requestId, callerRequestId, request, response, body });
+  const fields = { requestId, callerRequestId, request, response, body };
+  const exchange = createForwardExchange(fields, null, bodyMemory);
   context.exchanges.set(requestId, exchange);
   response.shouldKeepAlive &&= !context.isShuttingDown() || !reader.isLast(request);
   let isAdmitted = false;
@@ -241,7 +249,8 @@
     Right: (head) => {
       const maxHeldBytes = context.vmMemory.getMaxBytes(MemoryPurpose.RequestBodies);
       const held = context.vmMemory.hold(MemoryPurpose.RequestBodies);
-      response.once('close', held.release);
+      const bodyMemory = createBodyMemory(held);
+      response.once('close', bodyMemory.endResponse);
       const body = readBody(request, limits.maxBodyBytes, held, maxHeldBytes, (paced, sizeBytes) =>
         leaveTurnOfBody(context.turnPacer, paced, sizeBytes),
       );
@@ -252,7 +261,8 @@
             if (response.destroyed) {
               reportCut(context, request, head.callerRequestId, false);
             } else {
-              startExchange(context, reader, request, response, bytes, head);
+              const arrival = { request, response, body: bytes, bodyMemory, head };
+              startExchange(context, reader, arrival);
             }
           },
         });
--- a/src/transport/entry/peers/passServer.ts
+++ b/src/transport/entry/peers/passServer.ts
@@ -24,6 +24,7 @@
   sendForwardRefusal,
 } from '../callers/exchange.js';
 import { type LoopDelayMonitor, runAfterUnreadData } from '../monitoring/loopDelay.js';
+import { type BodyMemory, createBodyMemory } from '../../bodyMemory.js';
 import { leaveTurnOfBody, type TurnPacer } from '../../turnPacer.js';
 import type { EntryWire, RequestHead } from '../wire.js';
 
@@ -54,9 +55,11 @@
   callerRequestId: string,
   body: Buffer,
   pass: Pick<PassedRequest, 'isConsecutive'>,
+  bodyMemory?: BodyMemory,
 ): ForwardExchange {
   const requestId = createRequestId();
-  return createForwardExchange({ requestId, callerRequestId, request, response, body }, pass);
+  const fields = { requestId, callerRequestId, request, response, body };
+  return createForwardExchange(fields, pass, bodyMemory);
 }
 
 /** Rejects a passed request that the event loop does not hear of. */
@@ -73,10 +76,15 @@
 }
 
 /** Hands a request that was read whole to the event loop, and tells it if the connection closes before the answer. */
-function startExchange(context: PassServerContext, arrival: Arrival, body: Buffer): void {
+function startExchange(
+  context: PassServerContext,
+  arrival: Arrival,
+  body: Buffer,
+  bodyMemory: BodyMemory,
+): void {
   const { exchanges, loopDelay, post } = context;
   const { head, pass, request, response } = arrival;
-  const exchange = createExchange(context, arrival, head.callerRequestId, body, pass);
+  const exchange = createExchange(context, arrival, head.callerRequestId, body, pass, bodyMemory);
   const { requestId } = exchange;
   const contentDigest = createContentDigest(request.method ?? '', request.url ?? '', body);
   let isAdmitted = false;
@@ -117,7 +125,8 @@
   const { turnPacer, vmMemory } = context;
   const { head, request, response } = arrival;
   const held = vmMemory.hold(MemoryPurpose.RequestBodies);
-  response.once('close', held.release);
+  const bodyMemory = createBodyMemory(held);
+  response.once('close', bodyMemory.endResponse);
   const maxHeldBytes = vmMemory.getMaxBytes(MemoryPurpose.RequestBodies);
   const body = readBody(request, maxBodyBytes, held, maxHeldBytes, (paced, sizeBytes) =>
     leaveTurnOfBody(turnPacer, paced, sizeBytes),
@@ -127,7 +136,7 @@
       Left: (diagnostic) => reject(context, arrival, head.callerRequestId, diagnostic),
       Right: (bytes) => {
         if (!response.destroyed) {
-          startExchange(context, arrival, bytes);
+          startExchange(context, arrival, bytes, bodyMemory);
         }
       },
     }),
--- a/src/transport/entry/servers/attempt.ts
+++ b/src/transport/entry/servers/attempt.ts
@@ -212,6 +212,7 @@
   const send = (): void => {
     if (!attempt.isSettled) {
       recordSignal(attempt, DispatchSignal.BytesWritten);
+      exchange.bodyMemory.addRequest(request);
       request.end(exchange.body);
     }
   };
--- a/src/transport/exchange.ts
+++ b/src/transport/exchange.ts
@@ -13,6 +13,7 @@
 import { encodeSse, SSE_DONE } from '../protocol/sse.js';
 import { encodeRefusal, getRefusalHeaders, getStatus } from '../protocol/statusCodes.js';
 import type { Refusal, RequestInfo } from '../state/types.js';
+import { type BodyMemory, UNCOUNTED_BODY } from './bodyMemory.js';
 import { lacksChunks, resetAnswer, watchUnframedAnswer } from './unframedAnswers.js';
 
 const HTTP_OK = 200;
@@ -32,6 +33,7 @@
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
   readonly body: Buffer;
+  readonly bodyMemory: BodyMemory;
   /** Null for a request to a plain service. */
   readonly completion: CompletionRequest | null;
   /** Wall-clock time, sent to the caller as the creation time of the answer. */
@@ -59,9 +61,11 @@
 /** Creates the exchange of a request whose answer has not begun. */
 export function createExchange(
   fields: Pick<Exchange, 'info' | 'request' | 'response' | 'body' | 'completion' | 'createdAtMs'>,
+  bodyMemory = UNCOUNTED_BODY,
 ): Exchange {
   return {
     ...fields,
+    bodyMemory,
     deliveredTokens: 0,
     answerText: '',
     finishReason: 'stop',
--- a/src/transport/vmMemory.ts
+++ b/src/transport/vmMemory.ts
@@ -8,7 +8,7 @@
 export const MemoryPurpose = {
   /** Heads of requests that are not complete, and data of callers that is not parsed yet. */
   RequestHeads: 'requestHeads',
-  /** Bodies of requests, until their responses have ended. */
+  /** Bodies of requests, until their responses have ended and no server is still to read them. */
   RequestBodies: 'requestBodies',
   /** Whole answers of servers, until their callers have read them. */
   Answers: 'answers',
@@ -67,6 +67,8 @@
   readonly setUnfinished: (drop: () => void) => void;
   /** States that the data is whole, so that it is no longer dropped for other data. */
   readonly setFinished: () => void;
+  /** States that no caller waits for the data, so that it is dropped for other data first. The function drops it and gives its memory back. */
+  readonly setSpare: (drop: () => void) => void;
   /** Returns whether there is enough memory for bytes now. */
   readonly canAdd: (bytes: number) => boolean;
   /** Sets what is held, whether there is enough memory or not. */
@@ -88,6 +90,20 @@
   usedBytes: number;
   /** Holders of unfinished data, the one that has been unfinished for longest first. */
   readonly unfinished: Map<HeldMemory, { readonly sinceMs: number; readonly drop: () => void }>;
+  /** Holders of data that no caller waits for, by how to drop it. */
+  readonly spare: Map<HeldMemory, () => void>;
+}
+
+/** Drops the data that has been spare for longest. Returns false if there is none. */
+function dropSpare({ spare }: Share): boolean {
+  const [oldest] = spare;
+  if (oldest === undefined) {
+    return false;
+  }
+  const [holder, drop] = oldest;
+  spare.delete(holder);
+  drop();
+  return true;
 }
 
 /** Drops what has been unfinished for longest, and long enough. Returns false if there is none. */
@@ -113,7 +129,7 @@
     canAdd: (bytes) => share.usedBytes + bytes <= share.maxBytes,
     makeRoom: (bytes) => {
       while (!holder.canAdd(bytes)) {
-        if (bytes > share.maxBytes || !dropOldest(share, getNowMs())) {
+        if (bytes > share.maxBytes || !(dropSpare(share) || dropOldest(share, getNowMs()))) {
           return false;
         }
       }
@@ -125,6 +141,9 @@
     setFinished: () => {
       share.unfinished.delete(holder);
     },
+    setSpare: (drop) => {
+      share.spare.set(holder, drop);
+    },
     add: (bytes) => {
       // Making room may drop what this holder has.
       if (isReleased || !holder.makeRoom(bytes) || isReleased) {
@@ -142,6 +161,7 @@
       change(0);
       isReleased = true;
       share.unfinished.delete(holder);
+      share.spare.delete(holder);
     },
   };
   return holder;
@@ -166,6 +186,7 @@
     maxBytes: totalBytes * MEMORY_SHARES[purpose].fraction,
     usedBytes: 0,
     unfinished: new Map(),
+    spare: new Map(),
   });
   const shares: Readonly<Record<MemoryPurpose, Share>> = {
     [MemoryPurpose.RequestHeads]: createShare(MemoryPurpose.RequestHeads),
--- a/tests/entry/vmMemory.test.ts
+++ b/tests/entry/vmMemory.test.ts
@@ -75,6 +75,43 @@
   });
 });
 
+describe('data that no caller waits for', () => {
+  it.each([
+    { name: 'before what is unfinished', unfinishedBytes: 50, neededBytes: 50, dropped: ['spare'] },
+    {
+      name: 'alone, if the rest is young',
+      unfinishedBytes: 50,
+      neededBytes: 60,
+      dropped: ['spare'],
+    },
+    { name: 'not while there is room', unfinishedBytes: 10, neededBytes: 50, dropped: [] },
+  ])('gives way to new data, however young: $name', ({ dropped, neededBytes, unfinishedBytes }) => {
+    const memory = createMemory();
+    const drops: string[] = [];
+    const unfinished = memory.hold(PURPOSE);
+    unfinished.add(unfinishedBytes);
+    unfinished.setUnfinished(() => drops.push('unfinished'));
+    const spare = memory.hold(PURPOSE);
+    spare.add(40);
+    spare.setSpare(() => {
+      drops.push('spare');
+      spare.release();
+    });
+    const isRoom = unfinishedBytes + neededBytes <= SHARE_BYTES;
+    expect(memory.hold(PURPOSE).makeRoom(neededBytes)).toBe(isRoom);
+    expect(drops).toEqual(dropped);
+  });
+
+  it('is not dropped once its memory has been given back', () => {
+    const memory = createMemory();
+    const spare = memory.hold(PURPOSE);
+    spare.add(60);
+    spare.setSpare(() => expect.unreachable());
+    spare.release();
+    expect(memory.hold(PURPOSE).makeRoom(SHARE_BYTES)).toBe(true);
+  });
+});
+
 const BYTES_PER_MB = 1_048_576;
 
 describe('the memory that a VM may hold for others', () => {
