Read all header lines of requests and answers

Cause: Node.js drops header lines after the thousandth without an error. Only the length of a head is limited by the configuration.

Change: servers for callers and for other VMs, and requests to servers, read all lines, in both daemons. The memory of a head is reckoned by its lines now, in place of a factor with a cap at 1,000 lines, and a whole head counts with its body until the response has ended.

--- a/src/transport/callerServer.ts
+++ b/src/transport/callerServer.ts
@@ -23,6 +23,7 @@
 import { closeAfterRejection } from './closeAfterRejection.js';
 import { type CallerReader, createCallerReader } from './entry/callers/callerReader.js';
 import { type BodyMemory, createBodyMemory } from './bodyMemory.js';
+import { readAllHeaderLines } from './headerLines.js';
 import { readBody } from './requestBody.js';
 import { leaveTurnOfBody, type TurnPacer } from './turnPacer.js';
 import { MemoryPurpose, type VmMemory } from './vmMemory.js';
@@ -300,7 +301,7 @@
     keepAliveTimeout: KEEP_ALIVE_MS,
     connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
   };
-  const server = http.createServer(options);
+  const server = readAllHeaderLines(http.createServer(options));
   const reader = startReader(context, server);
   server.on('request', (request, response) => {
     if (!context.isReady()) {
--- a/src/transport/dispatch.ts
+++ b/src/transport/dispatch.ts
@@ -15,6 +15,7 @@
 import { RunState } from '../state/types.js';
 import { type Exchange, getMeanGapMs, isAnswerBegun } from './exchange.js';
 import { splitAddress } from './httpCall.js';
+import { readAllHeaderLines } from './headerLines.js';
 
 const CONNECT_TIMEOUT_MS = 1_000;
 
@@ -136,6 +137,7 @@
     headers: { ...message.headers, 'content-length': Buffer.byteLength(message.body) },
     agent: command.isIdempotent ? context.agent : false,
   });
+  readAllHeaderLines(request);
   const writeRequest = (): void => {
     if (dispatch.isSettled) {
       return;
--- a/src/transport/entry/callers/callerPieces.ts
+++ b/src/transport/entry/callers/callerPieces.ts
@@ -11,12 +11,11 @@
 /** Shortest piece of a body in chunks, which may contain many empty lines. */
 const MIN_CHUNKED_PIECE_BYTES = 64;
 const MAX_CHUNKED_PIECE_BYTES = 4_096;
-/** Memory per byte of a head of short lines, each of which the parser keeps as two strings. */
-const HELD_BYTES_PER_HEAD_BYTE = 12;
-/** What the strings of a head hold besides their text; the parser keeps 1,000 lines at most. */
-const MAX_HEAD_OVERHEAD_BYTES = 96_000;
-/** Memory of a parsed header line besides its text: its two strings, and its place among the decoded headers. */
+/** Memory of a header line besides its text: the two strings that the parser keeps. */
+const LINE_BYTES = 96;
+/** The same with its place among the decoded headers of a request. */
 const PARSED_LINE_BYTES = 160;
+const LF = 10;
 
 /** A connection of a caller while it is read. */
 export interface Connection {
@@ -27,10 +26,12 @@
   unparsed: Buffer | null;
   /** Bytes of the unfinished head that were parsed. */
   headBytes: number;
+  headLines: number;
   /** The last of these bytes, with which the end of the head may begin. */
   headTail: string;
   /** Bytes of an unfinished body in chunks that were parsed since its last data. The parser keeps them if they are trailers. */
   trailerBytes: number;
+  trailerLines: number;
   latest: IncomingMessage | null;
   latestResponse: ServerResponse | null;
   /** Those that are not closed. */
@@ -73,6 +74,15 @@
   readonly endsHead: boolean;
 }
 
+/** Returns the number of line ends in a part of data. */
+export function countLines(data: Buffer, start: number, end: number): number {
+  let count = 0;
+  for (let i = data.indexOf(LF, start); i >= 0 && i < end; i = data.indexOf(LF, i + 1)) {
+    count += 1;
+  }
+  return count;
+}
+
 /** Returns the next piece of data. */
 export function findPiece(connection: Connection, data: Buffer, start: number): Piece {
   const { bodyBytesLeft, headTail } = connection;
@@ -109,14 +119,8 @@
     });
 }
 
-/** Returns the memory of header lines that the parser has not handed over. */
-function getUnfinishedBytes(textBytes: number): number {
-  const overheadBytes = textBytes * (HELD_BYTES_PER_HEAD_BYTE - 1);
-  return textBytes + Math.min(overheadBytes, MAX_HEAD_OVERHEAD_BYTES);
-}
-
 /** Returns the memory of the head of a request. */
-function getParsedBytes({ rawHeaders }: IncomingMessage): number {
+export function getParsedHeadBytes({ rawHeaders }: IncomingMessage): number {
   const textBytes = rawHeaders.reduce((sum, text) => sum + text.length, 0);
   return textBytes + (rawHeaders.length / 2) * PARSED_LINE_BYTES;
 }
@@ -128,12 +132,12 @@
 
 /** Returns the memory that the unfinished request and the unparsed data of a connection take, without the data of its body. */
 export function getHeldBytes(connection: Connection): number {
-  const { headBytes, latest, trailerBytes, unparsed } = connection;
+  const { headBytes, headLines, latest, trailerBytes, trailerLines, unparsed } = connection;
   const unparsedBytes = unparsed === null ? 0 : unparsed.buffer.byteLength;
   const bodyBytes = isBodyAwaited(connection)
-    ? getParsedBytes(latest!) + getUnfinishedBytes(trailerBytes)
+    ? getParsedHeadBytes(latest!) + trailerBytes + trailerLines * LINE_BYTES
     : 0;
-  return getUnfinishedBytes(headBytes) + bodyBytes + unparsedBytes;
+  return headBytes + headLines * LINE_BYTES + bodyBytes + unparsedBytes;
 }
 
 /** Returns whether data has been read that belongs to a request whose head is not parsed yet. */
--- a/src/transport/entry/callers/callerReader.ts
+++ b/src/transport/entry/callers/callerReader.ts
@@ -9,6 +9,7 @@
 import type { VmMemory } from '../../vmMemory.js';
 import {
   closeWaitingResponses,
+  countLines,
   type Connection,
   findPiece,
   getHeldBytes,
@@ -116,6 +117,7 @@
     connection.isStopped = true;
     connection.unparsed = null;
     connection.headBytes = 0;
+    connection.headLines = 0;
     releaseBody(connection);
   };
   const inputMemory = createInputMemory(vmMemory, (socket) => {
@@ -144,14 +146,21 @@
     if (isBody && bodyBytesLeft !== null) {
       connection.bodyBytesLeft = bodyBytesLeft - sizeBytes;
     }
-    connection.trailerBytes += isBody && bodyBytesLeft === null ? sizeBytes : 0;
+    if (isBody && bodyBytesLeft === null) {
+      connection.trailerBytes += sizeBytes;
+      connection.trailerLines += countLines(data, start, end);
+    }
     connection.parse(sizeBytes === data.length ? data : data.subarray(start, end));
     if (connection.requestCount > requestCount) {
       connection.headBytes = 0;
+      connection.headLines = 0;
     }
     const isUnfinished = !endsHead && !isInBody(connection);
     const isHead = isUnfinished && !(isBody && bodyBytesLeft !== null);
-    connection.headBytes += isHead && !connection.isStopped ? sizeBytes : 0;
+    if (isHead && !connection.isStopped) {
+      connection.headBytes += sizeBytes;
+      connection.headLines += countLines(data, start, end);
+    }
     const pieceTail = data.toString('latin1', Math.max(start, end - MAX_TAIL_BYTES), end);
     const headTail = isBody ? pieceTail : connection.headTail + pieceTail;
     connection.headTail = isUnfinished ? headTail.slice(-MAX_TAIL_BYTES) : '';
@@ -280,15 +289,10 @@
   server.on('connection', (socket: Socket) => {
     const [parse] = socket.listeners('data');
     const connection: Connection = {
-      ...{ socket, parse: parse!.bind(socket), unparsed: null, headBytes: 0, headTail: '' },
-      ...{
-        trailerBytes: 0,
-        latest: null,
-        latestResponse: null,
-        responses: new Set<ServerResponse>(),
-        requestCount: 0,
-      },
-      ...{ unansweredCount: 0, bodyBytesLeft: 0, isParsing: false },
+      ...{ socket, parse: parse!.bind(socket), unparsed: null },
+      ...{ headBytes: 0, headLines: 0, headTail: '', trailerBytes: 0, trailerLines: 0 },
+      ...{ latest: null, latestResponse: null, responses: new Set<ServerResponse>() },
+      ...{ requestCount: 0, unansweredCount: 0, bodyBytesLeft: 0, isParsing: false },
       ...{ isFull: false, isStopped: false, isHeld: false, onAnswered: null },
     };
     connections.set(socket, connection);
@@ -315,10 +319,12 @@
       const { 'content-length': length = '0', 'transfer-encoding': encoding } = request.headers;
       connection.latest = request;
       connection.latestResponse = response;
-      connection.trailerBytes = 0;
-      watchBodyData(request, () => {
+      const forgetTrailers = (): void => {
         connection.trailerBytes = 0;
-      });
+        connection.trailerLines = 0;
+      };
+      forgetTrailers();
+      watchBodyData(request, forgetTrailers);
       connection.responses.add(response);
       const isPipelined = connection.unansweredCount > 0;
       pipelinedCount += Number(isPipelined);
--- a/src/transport/entry/callers/forwardServer.ts
+++ b/src/transport/entry/callers/forwardServer.ts
@@ -18,10 +18,12 @@
 import { createDiagnostic, type Diagnostic, Diagnostics } from '../../../state/diagnostics.js';
 import type { CallerLimits } from '../../../state/entry/deployment.js';
 import { RunStatus } from '../../../state/types.js';
+import { readAllHeaderLines } from '../../headerLines.js';
 import { type BodyMemory, createBodyMemory } from '../../bodyMemory.js';
 import { readBody } from '../../requestBody.js';
 import { MemoryPurpose, type VmMemory } from '../../vmMemory.js';
 import type { CallerConnections } from './callerConnections.js';
+import { getParsedHeadBytes } from './callerPieces.js';
 import { type CallerReader, createCallerReader } from './callerReader.js';
 import { closeIfIdle, handleConnectionError, rejectConnection } from './connectionChecks.js';
 import type { EntryLogWriter } from '../monitoring/entryLog.js';
@@ -260,6 +262,12 @@
           Right: (bytes) => {
             if (response.destroyed) {
               reportCut(context, request, head.callerRequestId, false);
+            } else if (!held.add(getParsedHeadBytes(request))) {
+              sendRefusal(
+                context,
+                response,
+                createDiagnostic(Diagnostics.MemoryExhausted, maxHeldBytes),
+              );
             } else {
               const arrival = { request, response, body: bytes, bodyMemory, head };
               startExchange(context, reader, arrival);
@@ -325,6 +333,7 @@
     noDelay: true,
     keepAlive: true,
   });
+  readAllHeaderLines(server);
   const reader = startReader(context, server);
   const recordRequest = closeIdleForNew(
     server,
--- a/src/transport/entry/peers/entryPeers.ts
+++ b/src/transport/entry/peers/entryPeers.ts
@@ -34,6 +34,7 @@
 import type { StoreUpdate } from '../../../state/storedItems.js';
 import type { AdapterNeed } from '../../../state/entry/reports.js';
 import { createPeerCalls, MAX_PEER_MESSAGE_BYTES, MIN_COMPRESSED_BYTES } from '../../peerCalls.js';
+import { readAllHeaderLines } from '../../headerLines.js';
 
 /** A peer that does not reply within this time is partitioned or suspended. */
 const PEER_TIMEOUT_MS = 700;
@@ -190,13 +191,14 @@
     // A small link would take longer for a large configuration than a call may.
     compressMinBytes: MIN_COMPRESSED_BYTES,
   });
-  return http.createServer({ maxHeaderSize: MAX_HEAD_BYTES }, (request, response) => {
+  const server = http.createServer({ maxHeaderSize: MAX_HEAD_BYTES }, (request, response) => {
     if (isPassedRequest(request.headers)) {
       context.handlePassedRequest(request, response);
     } else {
       handler(request, response);
     }
   });
+  return readAllHeaderLines(server);
 }
 
 /** Calls peers. Every call has a timeout. */
--- a/src/transport/entry/peers/passServer.ts
+++ b/src/transport/entry/peers/passServer.ts
@@ -23,6 +23,7 @@
   type ForwardExchange,
   sendForwardRefusal,
 } from '../callers/exchange.js';
+import { getParsedHeadBytes } from '../callers/callerPieces.js';
 import { type LoopDelayMonitor, runAfterUnreadData } from '../monitoring/loopDelay.js';
 import { type BodyMemory, createBodyMemory } from '../../bodyMemory.js';
 import { leaveTurnOfBody, type TurnPacer } from '../../turnPacer.js';
@@ -135,8 +136,14 @@
     result.caseOf({
       Left: (diagnostic) => reject(context, arrival, head.callerRequestId, diagnostic),
       Right: (bytes) => {
-        if (!response.destroyed) {
+        if (response.destroyed) {
+          return;
+        }
+        if (held.add(getParsedHeadBytes(request))) {
           startExchange(context, arrival, bytes, bodyMemory);
+        } else {
+          const diagnostic = createDiagnostic(Diagnostics.MemoryExhausted, maxHeldBytes);
+          reject(context, arrival, head.callerRequestId, diagnostic);
         }
       },
     }),
--- a/src/transport/entry/servers/attemptRequest.ts
+++ b/src/transport/entry/servers/attemptRequest.ts
@@ -4,6 +4,7 @@
 import http, { type ClientRequest } from 'node:http';
 import { EntryCommandKind } from '../../../coordination/entry/commands.js';
 import { encodePassedRequest, removePassHeaders } from '../../../protocol/entry/passedRequests.js';
+import { readAllHeaderLines } from '../../headerLines.js';
 import { splitAddress } from '../../httpCall.js';
 import type { DispatchCommand, PassCommand } from './attemptCommands.js';
 import type { Attempt } from './attemptState.js';
@@ -47,7 +48,7 @@
       : encodeForVm(attempt, command);
   const hasBody = body.length > 0 || incoming.headers['content-length'] !== undefined;
   const framing = hasBody ? ['Content-Length', String(body.length)] : [];
-  return http.request({
+  const request = http.request({
     ...splitAddress(command.address),
     method: incoming.method ?? 'GET',
     path: incoming.url ?? '/',
@@ -59,4 +60,5 @@
       !exchange.rejectedAddresses.has(command.address) &&
       context.agents.getAgent(command.address, command.maxConnections),
   });
+  return readAllHeaderLines(request);
 }
--- a/src/transport/vmMemory.ts
+++ b/src/transport/vmMemory.ts
@@ -8,7 +8,7 @@
 export const MemoryPurpose = {
   /** Heads and trailers of requests that are not complete, and data of callers that is not parsed yet. */
   RequestHeads: 'requestHeads',
-  /** Bodies of requests, until their responses have ended and no server is still to read them. */
+  /** Bodies of requests and the heads of these, until their responses have ended and no server is still to read the bodies. */
   RequestBodies: 'requestBodies',
   /** Whole answers of servers, until their callers have read them. */
   Answers: 'answers',
--- a/tests/processes/callers.test.ts
+++ b/tests/processes/callers.test.ts
@@ -373,6 +373,13 @@
     expect(stats.workspaces.at(-1)).toBe('mill');
   });
 
+  it('serve a request whose key is behind more than a thousand header lines', async () => {
+    const lines = Array.from({ length: 1_200 }, (_, i) => [`x${i}`, 'a']);
+    const headers = { ...Object.fromEntries(lines), authorization: `Bearer ${MILL_KEY}` };
+    const answer = await sendRequest(getCallerUrl('/lookup/x'), { headers });
+    expect(answer).toMatchObject({ status: 200, isWhole: true });
+  });
+
   it('return a complete answer to a request with a query string', async () => {
     const answer = await sendRequest(getCallerUrl('/lookup/x?item=1'), {
       headers: { authorization: `Bearer ${MILL_KEY}` },
--- a/tests/stand-ins/cutFleet.ts
+++ b/tests/stand-ins/cutFleet.ts
@@ -113,6 +113,7 @@
     };
     const method = sent === '' ? 'GET' : 'POST';
     const request = http.request({ host, port, path, method, headers, agent: false });
+    request.maxHeadersCount = 0;
     request.on('response', (response) => {
       let received = '';
       let isFailed = false;
--- a/tests/stand-ins/cutServer.ts
+++ b/tests/stand-ins/cutServer.ts
@@ -126,6 +126,7 @@
     );
   });
   server.keepAliveTimeout = 60_000;
+  server.maxHeadersCount = 0;
   server.listen(0, CUT_SERVER_HOST);
   await once(server, 'listening');
   return {
--- a/tests/stand-ins/http.ts
+++ b/tests/stand-ins/http.ts
@@ -43,6 +43,7 @@
     });
   });
   server.keepAliveTimeout = 60_000;
+  server.maxHeadersCount = 0;
   return new Promise((resolve) => {
     server.listen(port, '127.0.0.1', () => resolve(server));
   });
